Serve a request from caller to owner and back

Cause: nothing existed. A thin version of the whole path fixes the seams before anything is built on them: decisions without I/O (classification, admission, retry, ownership document, routing table) and adapters for callers, backend servers and the platform's store.

--- /dev/null
+++ b/briarspoke/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Which request runs next, and which is refused, when capacity is short."""
--- /dev/null
+++ b/briarspoke/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Resources that operators declare, and the document that holds them."""
--- /dev/null
+++ b/briarspoke/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP towards callers, backend servers, peers and operators."""
--- /dev/null
+++ b/briarspoke/links/__init__.py
@@ -0,0 +1,1 @@
+"""Authenticated websocket links between entry VMs."""
--- /dev/null
+++ b/briarspoke/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which entry VMs are alive, and how documents spread between them."""
--- /dev/null
+++ b/briarspoke/metrics.py
@@ -0,0 +1,85 @@
+"""Counters and gauges of a node."""
+
+from __future__ import annotations
+
+from aioprometheus import Counter, Gauge, render
+from aioprometheus.collectors import Registry
+
+# Name of the counter: name of its label, and its help text.
+COUNTERS = {
+    "requests_total": ("rank", "Requests accepted from callers, by rank."),
+    "answers_total": ("rank", "Answers of servers passed on in whole, by rank."),
+    "refusals_total": ("code", "Results made by briarspoke, by result code."),
+    "retries_total": ("reason", "Attempts that were repeated, by reason."),
+    "attempts_total": ("outcome", "Attempts that ended, by outcome."),
+    "forwards_total": ("direction", "Requests forwarded between entry VMs."),
+    "invariants_total": ("code", "Failed assertions inside the program."),
+}
+
+GAUGES = {
+    "requests_in_flight": "Requests accepted and not yet ended.",
+    "configuration_version": "Version of the configuration in force.",
+}
+
+
+class Metrics:
+    """All metrics of one node, each in a registry of its own.
+
+    The hot path counts into plain dictionaries; :meth:`render` copies them.
+
+    :param node_id: label of every metric.
+    """
+
+    def __init__(self, *, node_id):
+        self.registry = Registry()
+        self._labels = {"node": node_id}
+        self._counts = {}
+        self._collectors = {}
+        self._gauges = {}
+
+    def count(self, name, label="", by=1):
+        """Adds to a counter.
+
+        :param name: key of :data:`COUNTERS`.
+        :param label: value of the counter's own label.
+        """
+        key = (name, label)
+        self._counts[key] = self._counts.get(key, 0) + by
+
+    def gauge(self, name, read):
+        """Registers a function that reads a gauge of :data:`GAUGES`."""
+        self._gauges[name] = read
+
+    def value(self, name, label=""):
+        """Returns the value of a counter."""
+        return self._counts.get((name, label), 0)
+
+    def values(self, name):
+        """Returns ``{label: value}`` of a counter."""
+        return {
+            label: value
+            for (counter, label), value in self._counts.items()
+            if counter == name
+        }
+
+    def render(self):
+        """Returns the metrics as bytes of the Prometheus text format."""
+        for (name, label), value in self._counts.items():
+            label_name, help_text = COUNTERS[name]
+            collector = self._collector(name, help_text, Counter)
+            labels = dict(self._labels)
+            if label_name:
+                labels[label_name] = str(label)
+            collector.set(labels, value)
+        for name, read in self._gauges.items():
+            collector = self._collector(name, GAUGES[name], Gauge)
+            collector.set(self._labels, read())
+        content, _ = render(self.registry, ["text/plain"])
+        return content
+
+    def _collector(self, name, help_text, kind):
+        collector = self._collectors.get(name)
+        if collector is None:
+            collector = kind(f"briarspoke_{name}", help_text, registry=self.registry)
+            self._collectors[name] = collector
+        return collector
--- /dev/null
+++ b/briarspoke/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Which backend server owns which partition, and how that changes."""
--- /dev/null
+++ b/briarspoke/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform: key-value service and VM list."""
--- /dev/null
+++ b/briarspoke/platform/store.py
@@ -0,0 +1,214 @@
+"""Client of the platform's key-value service."""
+
+from __future__ import annotations
+
+import base64
+import json
+from urllib.parse import quote, urlencode
+
+from twisted.internet import defer, error
+from twisted.web import client, http_headers
+from twisted.web.iweb import IBodyProducer
+from zope.interface import implementer
+
+from briarspoke.errors import BriarspokeError
+
+CALL_TIMEOUT_S = 1.0
+
+
+class StoreError(BriarspokeError):
+    """A call to the store has failed."""
+
+
+class StoreUnavailableError(StoreError):
+    """The call had no effect, or was a read: no connection could be made."""
+
+
+class StoreOutcomeUnknownError(StoreError):
+    """The call was sent and no answer came; a write may have taken effect."""
+
+
+class StoreConflictError(StoreError):
+    """A compare-and-swap found another revision.
+
+    :param revision: the revision found, 0 if the key does not exist.
+    """
+
+    def __init__(self, revision):
+        super().__init__(f"the key is at revision {revision}")
+        self.revision = revision
+
+
+class LeaseLapsedError(StoreError):
+    """The lease is no longer live."""
+
+
+class StoreRejectedError(StoreError):
+    """The store refused the call as invalid."""
+
+
+class StoredValue:
+    """A value as read from the store.
+
+    :param value: bytes, or None if the key does not exist.
+    :param revision: revision of the key, 0 if it does not exist.
+    """
+
+    __slots__ = ("key", "lease", "revision", "value")
+
+    def __init__(self, *, key, value, revision, lease=None):
+        self.key = key
+        self.value = value
+        self.revision = revision
+        self.lease = lease
+
+
+@implementer(IBodyProducer)
+class _BytesProducer:
+    def __init__(self, body):
+        self.body = body
+        self.length = len(body)
+
+    def startProducing(self, consumer):
+        consumer.write(self.body)
+        return defer.succeed(None)
+
+    def pauseProducing(self):
+        """Does nothing; the body is written at once."""
+
+    def resumeProducing(self):
+        """Does nothing; the body is written at once."""
+
+    def stopProducing(self):
+        """Does nothing; the body is written at once."""
+
+
+class StoreClient:
+    """Calls the store; every method returns a Deferred.
+
+    :param base_url: such as ``http://127.0.0.1:2379``.
+    """
+
+    def __init__(self, *, reactor, base_url):
+        self._reactor = reactor
+        self._base_url = base_url.rstrip("/")
+        self._pool = client.HTTPConnectionPool(reactor, persistent=True)
+        # A retry inside the client could repeat a write unseen.
+        self._pool.retryAutomatically = False
+        self._agent = client.Agent(
+            reactor, pool=self._pool, connectTimeout=CALL_TIMEOUT_S
+        )
+
+    @defer.inlineCallbacks
+    def get(self, key):
+        """Returns the :class:`StoredValue` of a key."""
+        status, value = yield self._call("GET", f"/v1/kv/{quote(key)}")
+        if status == 404:
+            return StoredValue(key=key, value=None, revision=0)
+        return _stored(value)
+
+    @defer.inlineCallbacks
+    def list(self, prefix):
+        """Returns (store revision, list of :class:`StoredValue`)."""
+        query = urlencode({"prefix": prefix})
+        _, value = yield self._call("GET", f"/v1/kv?{query}")
+        return value["revision"], [_stored(entry) for entry in value["entries"]]
+
+    @defer.inlineCallbacks
+    def put(self, key, value, *, expected_revision, lease=None):
+        """Compares and swaps a value and returns its new revision.
+
+        :raises StoreConflictError: if the key is at another revision.
+        :raises LeaseLapsedError: if the lease is not live.
+        :raises StoreOutcomeUnknownError: if the write may have taken effect.
+        """
+        body = {
+            "value": base64.b64encode(value).decode(),
+            "expected_revision": expected_revision,
+            "lease": lease,
+        }
+        status, answer = yield self._call("PUT", f"/v1/kv/{quote(key)}", body)
+        if status == 409:
+            raise StoreConflictError(answer["revision"])
+        if status == 404:
+            raise LeaseLapsedError(f"lease {lease} is not live")
+        return answer["revision"]
+
+    @defer.inlineCallbacks
+    def grant_lease(self, ttl_s):
+        """Returns the identifier of a new lease."""
+        _, value = yield self._call("POST", "/v1/leases", {"ttl_s": ttl_s})
+        return value["lease"]
+
+    @defer.inlineCallbacks
+    def keep_alive(self, lease):
+        """Extends a lease.
+
+        :raises LeaseLapsedError: if it is no longer live.
+        """
+        status, _ = yield self._call("POST", f"/v1/leases/{lease}/keepalive")
+        if status == 404:
+            raise LeaseLapsedError(f"lease {lease} is not live")
+
+    def revoke_lease(self, lease):
+        """Ends a lease and deletes its keys."""
+        return self._call("DELETE", f"/v1/leases/{lease}")
+
+    @defer.inlineCallbacks
+    def watch(self, prefix, *, after, wait_s):
+        """Waits for changes after a store revision.
+
+        :returns: (store revision, list of :class:`StoredValue`); the list is
+            empty when nothing changed within ``wait_s``.
+        """
+        query = urlencode({"prefix": prefix, "after": after, "wait_s": wait_s})
+        _, value = yield self._call(
+            "GET", f"/v1/watch?{query}", timeout_s=wait_s + CALL_TIMEOUT_S
+        )
+        return value["revision"], [_stored(event) for event in value["events"]]
+
+    @defer.inlineCallbacks
+    def vms(self):
+        """Returns the VM list as a list of dicts."""
+        _, value = yield self._call("GET", "/v1/vms")
+        return value["vms"]
+
+    def close(self):
+        """Closes the pooled connections."""
+        return self._pool.closeCachedConnections()
+
+    @defer.inlineCallbacks
+    def _call(self, method, path, body=None, timeout_s=CALL_TIMEOUT_S):
+        producer = None if body is None else _BytesProducer(json.dumps(body).encode())
+        request = self._agent.request(
+            method.encode(),
+            (self._base_url + path).encode(),
+            http_headers.Headers({"Content-Type": ["application/json"]}),
+            producer,
+        )
+        request.addTimeout(timeout_s, self._reactor)
+        try:
+            response = yield request
+            reading = client.readBody(response)
+            reading.addTimeout(timeout_s, self._reactor)
+            content = yield reading
+            value = json.loads(content) if content else {}
+        except (error.ConnectError, error.ConnectingCancelledError) as failure:
+            raise StoreUnavailableError(str(failure)) from failure
+        except Exception as failure:
+            raise StoreOutcomeUnknownError(
+                f"{method} {path}: {type(failure).__name__}"
+            ) from failure
+        if response.code not in (200, 404, 409):
+            raise StoreRejectedError(f"{method} {path}: status {response.code}")
+        return response.code, value
+
+
+def _stored(entry):
+    value = entry["value"]
+    return StoredValue(
+        key=entry["key"],
+        value=None if value is None else base64.b64decode(value),
+        revision=entry["revision"],
+        lease=entry.get("lease"),
+    )
--- /dev/null
+++ b/briarspoke/retry/__init__.py
@@ -0,0 +1,1 @@
+"""Which failed attempts are tried again."""
--- /dev/null
+++ b/briarspoke/routing/__init__.py
@@ -0,0 +1,1 @@
+"""How a request is classified and where it is sent."""
--- /dev/null
+++ b/briarspoke/routing/classify.py
@@ -0,0 +1,129 @@
+"""How a request becomes service, key, rank and deadline."""
+
+from __future__ import annotations
+
+from urllib.parse import parse_qs, unquote
+
+from briarspoke import codes
+from briarspoke.configuration.resources import RANKS
+from briarspoke.errors import Refusal
+from briarspoke.hashing import partition_of
+
+IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "PUT", "DELETE", "OPTIONS"})
+LOOKUP_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
+MAX_DEADLINE_MS = 3_600_000
+
+
+class RequestHead:
+    """What a request says before its body.
+
+    :param method: HTTP method in upper case.
+    :param target: path and query as they came.
+    :param headers: values by header name in lower case.
+    :param caller: identity of the caller for limits.
+    """
+
+    __slots__ = ("caller", "headers", "method", "target")
+
+    def __init__(self, *, method, target, headers, caller):
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.caller = caller
+
+
+class Classified:
+    """A request that is ready to be routed.
+
+    :param service: the :class:`Service`.
+    :param partition: partition of its key.
+    :param deadline: monotonic time in seconds.
+    :param idempotent: whether a second run does no harm.
+    """
+
+    __slots__ = (
+        "caller",
+        "deadline",
+        "idempotent",
+        "partition",
+        "rank",
+        "service",
+    )
+
+    def __init__(self, *, service, partition, rank, deadline, idempotent, caller):
+        self.service = service
+        self.partition = partition
+        self.rank = rank
+        self.deadline = deadline
+        self.idempotent = idempotent
+        self.caller = caller
+
+
+def classify(head, configuration, now):
+    """Returns the :class:`Classified` request.
+
+    :param now: monotonic time in seconds.
+    :raises Refusal: with a 1xxx or 4xxx code.
+    """
+    path, _, query = head.target.partition("?")
+    segments = path.split("/")
+    name = segments[1] if len(segments) > 1 else ""
+    service = configuration.services_by_name.get(name)
+    if service is None:
+        raise Refusal(codes.UNKNOWN_SERVICE)
+    if not service.enabled:
+        raise Refusal(codes.SERVICE_DISABLED)
+    key = _key(service.key, segments, query, head.headers)
+    rank, idempotent = _rank(service, path[len(name) + 1 :], head)
+    deadline_ms = _deadline_ms(head.headers, service.ranks[rank].deadline_ms)
+    return Classified(
+        service=service,
+        partition=partition_of(key, service.partitions),
+        rank=rank,
+        deadline=now + deadline_ms / 1000,
+        idempotent=idempotent,
+        caller=head.caller,
+    )
+
+
+def _key(rule, segments, query, headers):
+    key = ""
+    if rule.source == "path":
+        index = int(rule.name) + 2
+        key = unquote(segments[index]) if index < len(segments) else ""
+    elif rule.source == "header":
+        key = headers.get(rule.name.lower(), "")
+    else:
+        key = parse_qs(query).get(rule.name, [""])[0]
+    if not key:
+        raise Refusal(codes.MISSING_KEY, f"no {rule.source} {rule.name}")
+    return key
+
+
+def _rank(service, rest, head):
+    for rule in service.rank_rules:
+        if rule.methods and head.method not in rule.methods:
+            continue
+        if not rest.startswith(rule.path_prefix):
+            continue
+        if rule.header is not None:
+            value = head.headers.get(rule.header.lower())
+            if value is None or (rule.value is not None and value != rule.value):
+                continue
+        idempotent = rule.idempotent
+        if idempotent is None:
+            idempotent = head.method in IDEMPOTENT_METHODS
+        return rule.rank, idempotent
+    rank = RANKS[0] if head.method in LOOKUP_METHODS else RANKS[1]
+    return rank, head.method in IDEMPOTENT_METHODS
+
+
+def _deadline_ms(headers, default_ms):
+    value = headers.get("briarspoke-deadline-ms")
+    if value is None:
+        return default_ms
+    if not (value.isascii() and value.isdigit()) or not (
+        0 < int(value[:12]) <= MAX_DEADLINE_MS
+    ):
+        raise Refusal(codes.BAD_DEADLINE)
+    return int(value)
--- /dev/null
+++ b/briarspoke/schema.py
@@ -0,0 +1,375 @@
+"""Typed options that check JSON values and collect every problem."""
+
+from __future__ import annotations
+
+import re
+
+from briarspoke import codes
+
+REQUIRED = object()
+
+OPTION_MISSING = codes.register(
+    8001, "option-missing", codes.Kind.CALLER_ERROR, 422, "A required option is absent."
+)
+OPTION_UNKNOWN = codes.register(
+    8002, "option-unknown", codes.Kind.CALLER_ERROR, 422, "An option is not known."
+)
+OPTION_TYPE = codes.register(
+    8003,
+    "option-type",
+    codes.Kind.CALLER_ERROR,
+    422,
+    "An option has a value of the wrong type.",
+)
+OPTION_RANGE = codes.register(
+    8004,
+    "option-range",
+    codes.Kind.CALLER_ERROR,
+    422,
+    "An option has a value outside its bounds or choices.",
+)
+OPTION_FORMAT = codes.register(
+    8005,
+    "option-format",
+    codes.Kind.CALLER_ERROR,
+    422,
+    "An option has a value of the wrong form.",
+)
+
+
+class Problem:
+    """One thing wrong with a value.
+
+    :param path: JSON path of the value, such as ``$.listen.port``.
+    :param code: the :class:`briarspoke.codes.ResultCode`.
+    :param message: one sentence without secrets.
+    """
+
+    __slots__ = ("code", "message", "path")
+
+    def __init__(self, *, path, code, message):
+        self.path = path
+        self.code = code
+        self.message = message
+
+    def __repr__(self):
+        return f"<Problem {self.code.number} {self.path}: {self.message}>"
+
+    def __str__(self):
+        return f"{self.path}: {self.message} [{self.code.number} {self.code.name}]"
+
+    def as_json(self):
+        """Returns the problem as a JSON object."""
+        return {
+            "path": self.path,
+            "code": self.code.number,
+            "name": self.code.name,
+            "message": self.message,
+        }
+
+
+class Option:
+    """Base of all options.
+
+    :param default: value when absent; ``REQUIRED`` makes the option required.
+    :param help: one sentence for the documentation, with the unit.
+    :param secret: True keeps the value out of problems and logs.
+    """
+
+    __slots__ = ("default", "help", "secret")
+    type_name = "any"
+
+    def __init__(self, *, default=REQUIRED, help="", secret=False):
+        self.default = default
+        self.help = help
+        self.secret = secret
+
+    def check(self, value, path, problems):
+        """Returns the checked value and adds what is wrong to ``problems``."""
+        return value
+
+    def absent(self, path, problems):
+        """Returns the value of an absent option."""
+        if self.default is REQUIRED:
+            problems.append(
+                Problem(path=path, code=OPTION_MISSING, message="is required")
+            )
+            return None
+        return self.default() if callable(self.default) else self.default
+
+    def wrong_type(self, value, path, problems):
+        """Adds a problem about the type of a value."""
+        message = f"is not {self.type_name}"
+        if not self.secret:
+            message += f", but {type(value).__name__}"
+        problems.append(Problem(path=path, code=OPTION_TYPE, message=message))
+
+    def json_schema(self):
+        """Returns the JSON schema of the option."""
+        return {}
+
+
+class Text(Option):
+    """A string, checked against a pattern and a maximum length."""
+
+    __slots__ = ("max_length", "pattern")
+    type_name = "a string"
+
+    def __init__(self, *, pattern=None, max_length=1024, **kwargs):
+        super().__init__(**kwargs)
+        self.pattern = pattern
+        self.max_length = max_length
+
+    def check(self, value, path, problems):
+        if not isinstance(value, str):
+            self.wrong_type(value, path, problems)
+            return None
+        if len(value) > self.max_length:
+            message = f"has more than {self.max_length} characters"
+            problems.append(Problem(path=path, code=OPTION_RANGE, message=message))
+        elif self.pattern and not re.fullmatch(self.pattern, value):
+            message = f"does not match {self.pattern}"
+            problems.append(Problem(path=path, code=OPTION_FORMAT, message=message))
+        return value
+
+    def json_schema(self):
+        schema = {"type": "string", "maxLength": self.max_length}
+        if self.pattern:
+            schema["pattern"] = f"^(?:{self.pattern})$"
+        return schema
+
+
+class Choice(Option):
+    """One string out of a fixed set."""
+
+    __slots__ = ("choices",)
+    type_name = "a string"
+
+    def __init__(self, choices, **kwargs):
+        super().__init__(**kwargs)
+        self.choices = tuple(choices)
+
+    def check(self, value, path, problems):
+        if not isinstance(value, str):
+            self.wrong_type(value, path, problems)
+        elif value not in self.choices:
+            message = f"is not one of {', '.join(self.choices)}"
+            problems.append(Problem(path=path, code=OPTION_RANGE, message=message))
+        return value
+
+    def json_schema(self):
+        return {"type": "string", "enum": list(self.choices)}
+
+
+class Number(Option):
+    """A number within inclusive bounds.
+
+    :param minimum: smallest value allowed, or None.
+    :param maximum: largest value allowed, or None.
+    """
+
+    __slots__ = ("maximum", "minimum")
+    type_name = "a number"
+    json_type = "number"
+    python_types = (int, float)
+
+    def __init__(self, *, minimum=None, maximum=None, **kwargs):
+        super().__init__(**kwargs)
+        self.minimum = minimum
+        self.maximum = maximum
+
+    def check(self, value, path, problems):
+        if isinstance(value, bool) or not isinstance(value, self.python_types):
+            self.wrong_type(value, path, problems)
+            return None
+        # A comparison with NaN is never true, so NaN fails this test too.
+        above = self.minimum is None or value >= self.minimum
+        below = self.maximum is None or value <= self.maximum
+        if not (above and below and abs(value) != float("inf")):
+            message = f"is not from {self.minimum} to {self.maximum}"
+            problems.append(Problem(path=path, code=OPTION_RANGE, message=message))
+        return value
+
+    def json_schema(self):
+        schema = {"type": self.json_type}
+        if self.minimum is not None:
+            schema["minimum"] = self.minimum
+        if self.maximum is not None:
+            schema["maximum"] = self.maximum
+        return schema
+
+
+class Integer(Number):
+    """A whole number within inclusive bounds."""
+
+    __slots__ = ()
+    type_name = "a whole number"
+    json_type = "integer"
+    python_types = (int,)
+
+
+class Boolean(Option):
+    """True or false."""
+
+    __slots__ = ()
+    type_name = "true or false"
+
+    def check(self, value, path, problems):
+        if not isinstance(value, bool):
+            self.wrong_type(value, path, problems)
+        return value
+
+    def json_schema(self):
+        return {"type": "boolean"}
+
+
+class ListOf(Option):
+    """A list whose items are all of one option."""
+
+    __slots__ = ("item", "max_items")
+    type_name = "a list"
+
+    def __init__(self, item, *, max_items=10_000, **kwargs):
+        super().__init__(**kwargs)
+        self.item = item
+        self.max_items = max_items
+
+    def check(self, value, path, problems):
+        if not isinstance(value, list):
+            self.wrong_type(value, path, problems)
+            return []
+        if len(value) > self.max_items:
+            message = f"has more than {self.max_items} items"
+            problems.append(Problem(path=path, code=OPTION_RANGE, message=message))
+            return []
+        return [
+            self.item.check(entry, f"{path}[{index}]", problems)
+            for index, entry in enumerate(value)
+        ]
+
+    def json_schema(self):
+        return {
+            "type": "array",
+            "items": self.item.json_schema(),
+            "maxItems": self.max_items,
+        }
+
+
+class MapOf(Option):
+    """An object with free names whose values are all of one option."""
+
+    __slots__ = ("item", "key_pattern")
+    type_name = "an object"
+
+    def __init__(self, item, *, key_pattern=".+", **kwargs):
+        super().__init__(**kwargs)
+        self.item = item
+        self.key_pattern = key_pattern
+
+    def check(self, value, path, problems):
+        if not isinstance(value, dict):
+            self.wrong_type(value, path, problems)
+            return {}
+        checked = {}
+        for name, entry in value.items():
+            if not re.fullmatch(self.key_pattern, name):
+                message = f"has a name that does not match {self.key_pattern}"
+                problems.append(
+                    Problem(path=f"{path}.{name}", code=OPTION_FORMAT, message=message)
+                )
+                continue
+            checked[name] = self.item.check(entry, f"{path}.{name}", problems)
+        return checked
+
+    def json_schema(self):
+        return {
+            "type": "object",
+            "propertyNames": {"pattern": f"^(?:{self.key_pattern})$"},
+            "additionalProperties": self.item.json_schema(),
+        }
+
+
+class Section(Option):
+    """An object with a fixed set of named options.
+
+    :param options: option per name.
+    :param build: called with the checked values as keyword arguments when
+        the section has no problem; without it the checked dict is returned.
+    """
+
+    __slots__ = ("build", "options")
+    type_name = "an object"
+
+    def __init__(self, options, *, build=None, **kwargs):
+        super().__init__(**kwargs)
+        self.options = options
+        self.build = build
+
+    def check(self, value, path, problems):
+        if not isinstance(value, dict):
+            self.wrong_type(value, path, problems)
+            return None
+        known = len(problems)
+        for name in value:
+            if name not in self.options:
+                problems.append(
+                    Problem(
+                        path=f"{path}.{name}",
+                        code=OPTION_UNKNOWN,
+                        message="is not a known option",
+                    )
+                )
+        checked = {
+            name: option.check(value[name], f"{path}.{name}", problems)
+            if name in value
+            else option.absent(f"{path}.{name}", problems)
+            for name, option in self.options.items()
+        }
+        if len(problems) > known or self.build is None:
+            return checked
+        return self.build(**checked)
+
+    def absent(self, path, problems):
+        if self.default is not REQUIRED:
+            return super().absent(path, problems)
+        # An absent section stands for one whose options are all absent.
+        return self.check({}, path, problems)
+
+    def json_schema(self):
+        required = [
+            name
+            for name, option in self.options.items()
+            if option.default is REQUIRED and not isinstance(option, Section)
+        ]
+        properties = {}
+        for name, option in self.options.items():
+            schema = option.json_schema()
+            if option.help:
+                schema["description"] = option.help
+            if option.default is not REQUIRED and not callable(option.default):
+                schema["default"] = option.default
+            properties[name] = schema
+        return {
+            "type": "object",
+            "properties": properties,
+            "required": required,
+            "additionalProperties": False,
+        }
+
+
+class Nullable(Option):
+    """Either null or a value of another option."""
+
+    __slots__ = ("item",)
+
+    def __init__(self, item, *, default=None, help=""):
+        super().__init__(default=default, help=help or item.help, secret=item.secret)
+        self.item = item
+
+    def check(self, value, path, problems):
+        if value is None:
+            return None
+        return self.item.check(value, path, problems)
+
+    def json_schema(self):
+        return {"anyOf": [{"type": "null"}, self.item.json_schema()]}
--- /dev/null
+++ b/briarspoke/settings.py
@@ -0,0 +1,151 @@
+"""Settings of one process, read from JSON."""
+
+from __future__ import annotations
+
+import json
+
+from briarspoke import schema
+from briarspoke.configuration.resources import ADDRESS_PATTERN, NAME_PATTERN
+from briarspoke.errors import UserError
+
+MIN_KEY_LENGTH = 16
+
+
+class InvalidValuesError(UserError):
+    """A JSON document has problems.
+
+    :param problems: list of :class:`briarspoke.schema.Problem`.
+    """
+
+    def __init__(self, source, problems):
+        lines = "\n".join(f"  {problem}" for problem in problems)
+        super().__init__(f"{source} has {len(problems)} problem(s):\n{lines}")
+        self.problems = problems
+
+
+class Settings:
+    """Checked settings; one attribute per option of :data:`SCHEMA`."""
+
+    __slots__ = (
+        "admin_listen",
+        "advertise",
+        "caller_listen",
+        "cluster_key",
+        "log_level",
+        "metrics_listen",
+        "node",
+        "operators",
+        "peer_listen",
+        "peers",
+        "shutdown_s",
+        "store_url",
+        "zone",
+    )
+
+    def __init__(self, **options):
+        for name in self.__slots__:
+            setattr(self, name, options[name])
+
+
+def _address(help, **kwargs):
+    return schema.Text(pattern=ADDRESS_PATTERN, help=help, **kwargs)
+
+
+SCHEMA = schema.Section(
+    {
+        "node": schema.Text(pattern=NAME_PATTERN, help="Unique name of the entry VM."),
+        "zone": schema.Text(pattern=NAME_PATTERN, help="Its availability zone."),
+        "caller_listen": _address(
+            "IP number and port for callers.", default="127.0.0.1:8080"
+        ),
+        "peer_listen": _address(
+            "IP number and port for other entry VMs.", default="127.0.0.1:8081"
+        ),
+        "admin_listen": _address(
+            "IP number and port of the operators' API.", default="127.0.0.1:8082"
+        ),
+        "metrics_listen": _address(
+            "IP number and port of the metrics.", default="127.0.0.1:8083"
+        ),
+        "advertise": schema.Nullable(
+            _address("Address that other entry VMs use; null is peer_listen.")
+        ),
+        "store_url": schema.Text(
+            pattern="https?://[^ ]+", help="URL of the platform's key-value service."
+        ),
+        "peers": schema.ListOf(
+            _address("Peer address of an entry VM."),
+            default=list,
+            max_items=1000,
+            help="Peer addresses that are asked first for other entry VMs.",
+        ),
+        "cluster_key": schema.Text(
+            pattern=f"(?s).{{{MIN_KEY_LENGTH},}}",
+            secret=True,
+            help="Secret shared by all entry VMs, at least 16 characters.",
+        ),
+        "operators": schema.MapOf(
+            schema.Section(
+                {
+                    "token": schema.Text(
+                        pattern=f"[!-~]{{{MIN_KEY_LENGTH},}}",
+                        secret=True,
+                        help="Bearer token, at least 16 characters.",
+                    ),
+                    "role": schema.Choice(
+                        ("reader", "writer"), help="What the operator may do."
+                    ),
+                }
+            ),
+            key_pattern=NAME_PATTERN,
+            default=dict,
+            help="Operators of the resource API, by name.",
+        ),
+        "shutdown_s": schema.Number(
+            minimum=0,
+            maximum=3600,
+            default=60,
+            help="Seconds that requests in flight get after SIGTERM.",
+        ),
+        "log_level": schema.Choice(
+            ("debug", "info", "warning", "error"),
+            default="info",
+            help="Least severity that is logged.",
+        ),
+    },
+    build=Settings,
+)
+
+
+def from_json(value, source="settings"):
+    """Returns the :class:`Settings` of a JSON object.
+
+    :raises InvalidValuesError: with every problem found.
+    """
+    problems = []
+    settings = SCHEMA.check(value, "$", problems)
+    if problems:
+        raise InvalidValuesError(source, problems)
+    return settings
+
+
+def load(path):
+    """Returns the :class:`Settings` of a file.
+
+    :raises UserError: if the file cannot be read or has problems.
+    """
+    return from_json(read_json(path), source=str(path))
+
+
+def read_json(path):
+    """Returns the JSON value of a file.
+
+    :raises UserError: if it cannot be read or is not JSON.
+    """
+    try:
+        with open(path, encoding="utf-8") as file:
+            return json.load(file)
+    except OSError as error:
+        raise UserError(f"cannot read {path}: {error.strerror}") from error
+    except ValueError as error:
+        raise UserError(f"{path} is not JSON: {error}") from error
--- /dev/null
+++ b/briarspoke/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform and for backend servers."""
--- /dev/null
+++ b/briarspoke/standins/backend.py
@@ -0,0 +1,227 @@
+"""A stand-in for a backend server."""
+
+from __future__ import annotations
+
+import collections
+import hashlib
+import json
+
+import httptools
+from twisted.internet import protocol
+
+
+class Execution:
+    """One request that the stand-in has run."""
+
+    __slots__ = ("at", "body_hash", "body_length", "epoch", "partition", "request_id")
+
+    def __init__(self, *, at, request_id, partition, epoch, body_length, body_hash):
+        self.at = at
+        self.request_id = request_id
+        self.partition = partition
+        self.epoch = epoch
+        self.body_length = body_length
+        self.body_hash = body_hash
+
+
+class BackendStandIn:
+    """A backend server: slots, service time, grants and its own records.
+
+    :param name: name as it stands in the configuration.
+    :param slots: requests that it runs at once; more are queued.
+    :param backlog: requests that may wait; beyond, it sheds.
+    :param service_s: function from the rank's header to seconds of work.
+    :param fenced: whether it checks grants and epochs.
+    :param keep_records: whether every execution is kept.
+    """
+
+    def __init__(
+        self,
+        *,
+        name,
+        reactor,
+        clock,
+        slots=6,
+        backlog=0,
+        service_s=0.0,
+        fenced=True,
+        keep_records=True,
+        answer=b"",
+    ):
+        self.name = name
+        self.reactor = reactor
+        self.clock = clock
+        self.slots = slots
+        self.backlog = backlog
+        self.service_s = service_s
+        self.fenced = fenced
+        self.keep_records = keep_records
+        self.answer = answer or f'{{"server": "{name}"}}'.encode()
+        self.executions = []
+        self.running = 0
+        self.peak_running = 0
+        self.shed = 0
+        self.fenced_off = 0
+        self.waiting = collections.deque()
+        self.connections = set()
+        self.frozen = False
+
+    def fence_reason(self, headers):
+        """Returns why the grants forbid a request, or None."""
+        return None
+
+    def arrived(self, connection):
+        """Runs, queues or sheds a request that has arrived whole."""
+        reason = self.fence_reason(connection.headers)
+        if reason is not None:
+            self.fenced_off += 1
+            connection.reply(409, b"", f"Briarspoke-Fence: {reason}\r\n".encode())
+        elif self.running < self.slots:
+            self._run(connection)
+        elif len(self.waiting) < self.backlog:
+            self.waiting.append(connection)
+        else:
+            self.shed += 1
+            connection.reply(503, b"", b"Briarspoke-Shed: 1\r\n")
+
+    def _run(self, connection):
+        self.running += 1
+        self.peak_running = max(self.peak_running, self.running)
+        self.record(connection)
+        service_s = self.service_s
+        if callable(service_s):
+            service_s = service_s(connection)
+        if service_s:
+            self.reactor.callLater(service_s, self._ran, connection)
+        else:
+            self._ran(connection)
+
+    def record(self, connection):
+        """Keeps what was run, as the stand-in's own evidence."""
+        if not self.keep_records:
+            return
+        headers = connection.headers
+        self.executions.append(
+            Execution(
+                at=self.clock(),
+                request_id=headers.get(b"briarspoke-request-id", b"").decode(),
+                partition=headers.get(b"briarspoke-partition", b"").decode(),
+                epoch=int(headers.get(b"briarspoke-epoch", b"0")),
+                body_length=connection.body_length,
+                body_hash=connection.body_hash.hexdigest(),
+            )
+        )
+
+    def _ran(self, connection):
+        self.running -= 1
+        connection.reply(200, self.answer, b"")
+        while self.waiting and self.running < self.slots:
+            self._run(self.waiting.popleft())
+
+    def control(self, path, body):
+        """Answers a call of the control endpoint; returns (status, JSON)."""
+        return 404, {}
+
+    def freeze(self):
+        """Stops reading and answering, as a paused process does."""
+        self.frozen = True
+        for connection in list(self.connections):
+            connection.transport.pauseProducing()
+
+    def thaw(self):
+        """Goes on as if nothing had happened."""
+        self.frozen = False
+        for connection in list(self.connections):
+            connection.transport.resumeProducing()
+            connection.flush()
+
+
+class _BackendConnection(protocol.Protocol):
+    """One HTTP/1.1 connection of the stand-in."""
+
+    def __init__(self, backend):
+        self.backend = backend
+        self._held_writes = []
+
+    def connectionMade(self):
+        self.transport.setTcpNoDelay(True)
+        self.backend.connections.add(self)
+        self._reset()
+        if self.backend.frozen:
+            self.transport.pauseProducing()
+
+    def connectionLost(self, reason):
+        self.backend.connections.discard(self)
+        if self in self.backend.waiting:
+            self.backend.waiting.remove(self)
+
+    def _reset(self):
+        self.headers = {}
+        self.target = b""
+        self.body_length = 0
+        self.body_hash = hashlib.sha256()
+        self._control_body = []
+        self._parser = httptools.HttpRequestParser(self)
+
+    def dataReceived(self, data):
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError:
+            self.transport.abortConnection()
+
+    def on_url(self, url):
+        self.target += url
+
+    def on_header(self, name, value):
+        self.headers[name.lower()] = value
+
+    def on_body(self, data):
+        self.body_length += len(data)
+        if self.target.startswith(b"/_control/"):
+            self._control_body.append(data)
+        else:
+            self.body_hash.update(data)
+
+    def on_message_complete(self):
+        if not self.target.startswith(b"/_control/"):
+            self.backend.arrived(self)
+            return
+        try:
+            body = json.loads(b"".join(self._control_body) or b"{}")
+        except ValueError:
+            self.reply(400, b"", b"")
+            return
+        status, value = self.backend.control(self.target.decode(), body)
+        self.reply(status, json.dumps(value).encode(), b"")
+
+    def reply(self, status, body, extra_headers):
+        """Writes a whole answer and gets ready for the next request."""
+        content = b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n%b\r\n%b" % (
+            status,
+            len(body),
+            extra_headers,
+            body if self._parser.get_method() != b"HEAD" else b"",
+        )
+        self._reset()
+        if self.backend.frozen:
+            self._held_writes.append(content)
+        else:
+            self.transport.write(content)
+
+    def flush(self):
+        """Writes what was held while the server was frozen."""
+        held, self._held_writes = self._held_writes, []
+        for content in held:
+            self.transport.write(content)
+
+
+class BackendFactory(protocol.ServerFactory):
+    """Makes a connection of the stand-in."""
+
+    noisy = False
+
+    def __init__(self, backend):
+        self.backend = backend
+
+    def buildProtocol(self, address):
+        return _BackendConnection(self.backend)
