--- a/briarspoke/settings.py
+++ b/briarspoke/settings.py
@@ -31,6 +31,7 @@
         "advertise",
         "caller_listen",
         "cluster_key",
+        "forward_listen",
         "log_level",
         "metrics_listen",
         "node",
@@ -59,7 +60,12 @@
             "IP number and port for callers.", default="127.0.0.1:8080"
         ),
         "peer_listen": _address(
-            "IP number and port for other entry VMs.", default="127.0.0.1:8081"
+            "IP number and port for links of other entry VMs.",
+            default="127.0.0.1:8081",
+        ),
+        "forward_listen": _address(
+            "IP number and port for requests that other entry VMs forward.",
+            default="127.0.0.1:8084",
         ),
         "admin_listen": _address(
             "IP number and port of the operators' API.", default="127.0.0.1:8082"
@@ -68,7 +74,7 @@
             "IP number and port of the metrics.", default="127.0.0.1:8083"
         ),
         "advertise": schema.Nullable(
-            _address("Address that other entry VMs use; null is peer_listen.")
+            _address("Link address that other entry VMs use; null is peer_listen.")
         ),
         "store_url": schema.Text(
             pattern="https?://[^ ]+", help="URL of the platform's key-value service."
