Make the data path whole and forward to gateways

Cause: bodies could be held by slow callers, commands of admission nested as deep as the queue, refusals after an unknown attempt claimed that the request had not run, a final answer could be followed by 100 Continue, refused HEAD requests got a body, and no request reached a gateway.

Change: results carry Briarspoke-Run and end the connection in order; stalled heads, bodies and idle connections are swept; shed answers are drained so that their connection is kept; a connection is free before its slot is released; requests are forwarded over a signed hop to the gateway chosen by rendezvous hashing, which never forwards again; the router drains in-flight requests before it closes.

--- a/briarspoke/codes.py
+++ b/briarspoke/codes.py
@@ -235,6 +235,13 @@
     502,
     "The server's answer is not valid HTTP; the request may have run.",
 )
+REQUEST_INTERRUPTED = register(
+    3104,
+    "request-interrupted",
+    Kind.UNKNOWN_OUTCOME,
+    502,
+    "The request broke off while the server received it; it may have run.",
+)
 
 # 4xxx: the request cannot be served as it is; it was not run.
 MALFORMED_REQUEST = register(
--- /dev/null
+++ b/briarspoke/http/peers.py
@@ -0,0 +1,47 @@
+"""The port on which an entry VM takes requests that others forward to it."""
+
+from __future__ import annotations
+
+from briarspoke.errors import Refusal
+from briarspoke.http.callers import CallerChannel, CallerFactory
+from briarspoke.http.forward import verify
+from briarspoke.http.relay import Relay
+
+
+class PeerChannel(CallerChannel):
+    """One connection of another entry VM."""
+
+    def new_relay(self, exchange, head, length):
+        router = self.router
+        forward = refusal = None
+        try:
+            forward = verify(
+                head.headers,
+                router.forward_key,
+                method=self._command,
+                target=self._path,
+                node_id=router.node_id,
+            )
+            request_id = forward.request_id
+        except Refusal as error:
+            refusal = error
+            request_id = self.request_id_of(head)
+        return Relay(
+            router=router,
+            exchange=exchange,
+            head=head,
+            raw_headers=exchange.requestHeaders.pairs,
+            length=length,
+            request_id=request_id,
+            forward=forward,
+            refusal=refusal,
+        )
+
+
+class PeerFactory(CallerFactory):
+    """Makes a channel for each connection of another entry VM.
+
+    ``node.py`` listens with it on ``forward_listen``.
+    """
+
+    channel_class = PeerChannel
--- a/briarspoke/http/relay.py
+++ b/briarspoke/http/relay.py
@@ -8,8 +8,9 @@
 from briarspoke.admission.queue import Signal, Ticket
 from briarspoke.errors import Refusal
 from briarspoke.http import wire
-from briarspoke.http.upstream import HOP_BY_HOP
-from briarspoke.retry.policy import Attempt, Outcome, may_retry
+from briarspoke.http.heads import request_head
+from briarspoke.http.producers import CallerProducer, ServerProducer
+from briarspoke.retry.policy import Attempt, Outcome
 
 log = logging.getLogger(__name__)
 
@@ -17,17 +18,9 @@
 # request can be repeated.
 HELD_BODY_BYTES = 65_536
 STREAM_BUFFER_BYTES = 65_536
-
-_DROPPED = HOP_BY_HOP | {
-    b"host",
-    b"content-length",
-    b"expect",
-    b"briarspoke-epoch",
-    b"briarspoke-partition",
-    b"briarspoke-owner",
-    b"briarspoke-deadline-ms",
-    b"briarspoke-request-id",
-}
+# The gateway's own verdict on a deadline says whether the request has run, so
+# the node that forwarded it waits a little longer.
+FORWARD_GRACE_S = 0.1
 
 
 class Relay:
@@ -39,6 +32,9 @@
     :param head: the :class:`briarspoke.routing.classify.RequestHead`.
     :param raw_headers: list of (name, value) in bytes as the caller sent them.
     :param length: body length in bytes, or None for a chunked body.
+    :param forward: the verified :class:`briarspoke.http.forward.Forward` of a
+        request that another entry VM has forwarded.
+    :param refusal: a :class:`Refusal` that is certain from the start.
     """
 
     __slots__ = (
@@ -50,39 +46,64 @@
         "connection",
         "done",
         "exchange",
+        "expires_at",
+        "forward",
         "forwarded_bytes",
         "head",
         "held",
         "length",
         "paused_caller",
+        "peer",
         "queue",
         "raw_headers",
+        "refusal",
         "request_id",
+        "result_passed",
         "route",
         "router",
         "streaming",
         "ticket",
+        "unknown",
     )
 
-    def __init__(self, *, router, exchange, head, raw_headers, length, request_id):
+    def __init__(
+        self,
+        *,
+        router,
+        exchange,
+        head,
+        raw_headers,
+        length,
+        request_id,
+        forward=None,
+        refusal=None,
+    ):
         self.router = router
         self.exchange = exchange
         self.head = head
         self.raw_headers = raw_headers
         self.length = length
         self.request_id = request_id
+        self.forward = forward
+        self.refusal = refusal
         self.classified = None
+        self.expires_at = None
         self.route = None
+        self.peer = None
         self.queue = None
         self.ticket = None
         self.connection = None
         self.attempts = 0
+        # Attempt whose outcome is unknown; from then on no result may say
+        # that the request has not run.
+        self.unknown = None
         self.body = []
         self.held = 0
         self.body_complete = length == 0
-        self.streaming = length is None or length > HELD_BODY_BYTES
+        self.streaming = length is not None and length > HELD_BODY_BYTES
         self.paused_caller = False
         self.answered = False
+        self.result_passed = False
         self.forwarded_bytes = 0
         self.done = False
 
@@ -91,39 +112,80 @@
     def start(self):
         """Classifies the request and sends it once its body allows."""
         try:
-            self.classified = self.router.admit(self.head)
+            if self.refusal is not None:
+                raise self.refusal
+            self.classified = self.router.admit(self.head, self.forward)
+            self.expires_at = self.classified.deadline
             if self.length is not None:
                 wire.check_body_length(self.classified.service, self.length)
         except Refusal as refusal:
-            self.refuse(refusal)
+            self._refuse_head(refusal)
             return
         if self.streaming:
-            self._pause_caller()
+            self.pause_caller()
         if self.streaming or self.body_complete:
             self._route()
 
+    def _refuse_head(self, refusal):
+        small = self.length is not None and self.length <= HELD_BODY_BYTES
+        if small and not self.body_complete and not self.exchange.expects_continue:
+            # Reading a small body first keeps the caller's connection usable.
+            self.refusal = refusal
+        else:
+            self.refuse(refusal)
+
     def body_data(self, data):
         """Takes body data of the caller."""
-        if self.done:
+        if self.done or self.refusal is not None:
             return
         self.held += len(data)
-        if self.connection is not None and self.streaming:
-            self.connection.write_body(self._encode(data))
-            self.body = None
+        if self.body is None:
+            if self.connection is not None:
+                self.connection.write_body(self._encode(data))
         else:
             self.body.append(data)
-            self._pause_caller_if_full()
+            if self.streaming:
+                self.pause_caller()
+            elif self.held > HELD_BODY_BYTES:
+                self.streaming = True
+                self.pause_caller()
+                self._route()
+        if self.length is None and self.classified is not None:
+            self._check_chunked_length()
+
+    def _check_chunked_length(self):
+        try:
+            wire.check_body_length(self.classified.service, self.held)
+        except Refusal as refusal:
+            self.broken_off(refusal.code, refusal.detail)
 
     def body_end(self):
         """Notes that the body has arrived whole."""
         self.body_complete = True
         if self.done:
             return
-        if not self.streaming:
+        if self.refusal is not None:
+            self.refuse(self.refusal)
+        elif not self.streaming:
+            self.length = self.held
             self._route()
         elif self.connection is not None:
             self._end_upstream_body()
 
+    def broken_off(self, code, detail=""):
+        """Ends the request because the rest of it is invalid or missing."""
+        if self.done:
+            return
+        if self.answered:
+            self.router.count_result(code)
+            self.exchange.abort()
+            self._end()
+        elif self._may_have_run():
+            self.router.count_result(code)
+            self._report(codes.REQUEST_INTERRUPTED, detail or code.meaning, "unknown")
+        else:
+            self.refuse(Refusal(code, detail))
+
     def caller_gone(self):
         """Ends the request because its caller has closed the connection."""
         if self.done:
@@ -131,14 +193,35 @@
         self.router.count_result(codes.CALLER_GONE)
         self._end()
 
+    def crash(self):
+        """Ends the request after an unexpected error of the program."""
+        if self.done:
+            return
+        if self.answered:
+            self.router.count_result(codes.INTERNAL_ERROR)
+            self.exchange.abort()
+            self._end()
+        else:
+            run = "unknown" if self._may_have_run() else "no"
+            self._report(codes.INTERNAL_ERROR, codes.INTERNAL_ERROR.meaning, run)
+
     # Routing and admission.
 
     def _route(self):
         try:
-            self.route, self.queue = self.router.route(self.classified)
+            self.route = self.router.route(self.classified, self.forward)
         except Refusal as refusal:
             self.refuse(refusal)
             return
+        self.peer = None
+        if self.forward is None:
+            self.peer = self.router.gateway_of(self.route.server)
+        if self.peer is not None:
+            self.expires_at = self.classified.deadline + FORWARD_GRACE_S
+            self.attempts += 1
+            self.router.forward(self)
+            return
+        self.queue = self.router.queue_of(self.route.server, self.classified.service)
         self.ticket = Ticket(
             rank=self.classified.rank, deadline=self.classified.deadline, context=self
         )
@@ -157,54 +240,38 @@
     def connected(self, connection):
         """Writes the request on a connection."""
         if self.done:
-            connection.pool.exchange_ended(connection)
+            connection.pool.put_back(connection)
             return
         self.connection = connection
-        connection.start(
-            self._upstream_head(), self, is_head=self.head.method == "HEAD"
-        )
-        for data in self.body or ():
-            connection.write_body(self._encode(data))
+        head = request_head(self, connection)
         if self.streaming:
-            self.body = None
-            connection.transport.registerProducer(_CallerProducer(self), True)
-            self._resume_caller()
+            connection.start(head, self, is_head=self.head.method == "HEAD")
+            # Registered first, so that what was held counts as well.
+            connection.transport.registerProducer(CallerProducer(self), True)
+            body, self.body = self.body, None
+            for data in body:
+                connection.write_body(self._encode(data))
+            if self.connection is not None and not connection.transport.producerPaused:
+                self.resume_caller()
+        else:
+            # One write, so that head and body leave in one segment.
+            connection.start(
+                b"".join((head, *self.body)) if self.body else head,
+                self,
+                is_head=self.head.method == "HEAD",
+            )
         if self.body_complete:
             self._end_upstream_body()
 
-    def _upstream_head(self):
-        now = self.router.now()
-        lines = [f"{self.head.method} {self.head.target} HTTP/1.1".encode()]
-        lines += [
-            name + b": " + value
-            for name, value in self.raw_headers
-            if name.lower() not in _DROPPED
-        ]
-        remaining_ms = max(1, int((self.classified.deadline - now) * 1000))
-        lines.append(
-            f"Host: {self.connection.pool}\r\n"
-            f"Briarspoke-Epoch: {self.route.epoch}\r\n"
-            f"Briarspoke-Partition: {self.classified.service.name}/"
-            f"{self.classified.partition}\r\n"
-            f"Briarspoke-Owner: {self.route.server}\r\n"
-            f"Briarspoke-Deadline-Ms: {remaining_ms}\r\n"
-            f"Briarspoke-Request-Id: {self.request_id}".encode()
-        )
-        if self.length is None:
-            lines.append(b"Transfer-Encoding: chunked")
-        elif self.length or self.head.method not in ("GET", "HEAD", "DELETE"):
-            lines.append(b"Content-Length: %d" % self.length)
-        return b"\r\n".join(lines) + b"\r\n\r\n"
-
     def _encode(self, data):
         if self.length is None:
             return b"%x\r\n%b\r\n" % (len(data), data)
         return data
 
     def _end_upstream_body(self):
-        if self.length is None:
-            self.connection.write_body(b"0\r\n\r\n")
         if self.streaming:
+            if self.length is None:
+                self.connection.write_body(b"0\r\n\r\n")
             self.connection.transport.unregisterProducer()
         self.connection.end_request()
 
@@ -212,16 +279,47 @@
 
     def answer_head(self, head):
         """Passes on the head of the answer, or retries a refusal."""
-        attempt = wire.refusal_of_server(head)
-        if attempt is not None:
-            self.connection.abort()
-            self.connection = None
-            self.attempt_failed(attempt)
-            return
+        if self.peer is not None:
+            attempt = wire.result_of_peer(head)
+            if attempt is not None and not self._takes_result(attempt):
+                return
+        else:
+            attempt = wire.refusal_of_server(head)
+            if attempt is not None:
+                self._leave_connection()
+                self.attempt_failed(attempt)
+                return
         self.answered = True
-        self.exchange.answer_head(head, self.request_id)
+        self.exchange.answer_head(
+            head, self.request_id, from_peer=self.peer is not None
+        )
         if head.length is None or head.length > STREAM_BUFFER_BYTES:
-            self.exchange.register_producer(_ServerProducer(self))
+            self.exchange.register_producer(ServerProducer(self))
+
+    def _takes_result(self, attempt):
+        """Returns whether a peer's result is passed on as it is."""
+        self.router.count_attempt(attempt.outcome)
+        if attempt.code is codes.SHUTTING_DOWN:
+            self.router.avoid_peer(self.peer)
+        worth_it = (
+            attempt.outcome is Outcome.NOT_RUN
+            and attempt.code.kind is codes.Kind.UNAVAILABLE
+        )
+        if worth_it and self.router.retry(self, attempt):
+            self._leave_connection()
+            return False
+        if self.unknown is not None:
+            # The peer's result speaks of its own attempt alone.
+            self._leave_connection()
+            self.fail(attempt)
+            return False
+        self.router.count_result(attempt.code)
+        self.result_passed = True
+        return True
+
+    def _leave_connection(self):
+        connection, self.connection = self.connection, None
+        connection.discard_answer()
 
     def answer_data(self, data):
         """Passes on body data of the answer."""
@@ -232,9 +330,12 @@
         """Ends the request after its whole answer."""
         self.connection = None
         self.done = True
-        self._release(Signal.OK)
-        self.router.request_answered(self)
+        if self.result_passed:
+            self.router.request_ended(self)
+        else:
+            self.router.request_answered(self)
         self.exchange.answer_end(reusable=self.body_complete)
+        self._release(Signal.OK)
 
     def attempt_failed(self, attempt):
         """Tries again where that is safe, or reports the outcome."""
@@ -248,40 +349,39 @@
             self.exchange.abort()
             self._end()
             return
-        signal = {
-            Outcome.NOT_RUN: Signal.SHED if attempt.reason == "shed" else Signal.FAILED
-        }.get(attempt.outcome, Signal.FAILED)
-        self._release(signal)
-        replayable = self.body is not None
-        allowed = may_retry(
-            attempt,
-            idempotent=self.classified.idempotent,
-            replayable=replayable,
-            forwarded_bytes=self.forwarded_bytes,
-        )
-        if allowed and self.router.retry(self, attempt):
-            return
-        self.fail(attempt)
+        if attempt.outcome is Outcome.UNKNOWN:
+            self.unknown = attempt
+        elif self.peer is not None:
+            self.router.avoid_peer(self.peer)
+        self._release(Signal.SHED if attempt.reason == "shed" else Signal.FAILED)
+        if not self.router.retry(self, attempt):
+            self.fail(attempt)
 
     # Ends.
 
     def refuse(self, refusal):
         """Answers with a refusal; the request has not run."""
-        self.router.count_result(refusal.code)
-        self._answer(refusal.code, refusal.detail, "no", refusal.retry_after_ms)
+        if self.unknown is not None:
+            self.fail(self.unknown)
+            return
+        self._report(refusal.code, refusal.detail, "no", refusal.retry_after_ms)
 
     def fail(self, attempt):
         """Answers with the result of the last attempt."""
+        attempt = self.unknown or attempt
         run = "no" if attempt.outcome is Outcome.NOT_RUN else "unknown"
-        self.router.count_result(attempt.code)
-        self._answer(attempt.code, attempt.code.meaning, run, None)
+        self._report(attempt.code, attempt.code.meaning, run)
 
     def deadline_passed(self):
         """Ends the request at its deadline."""
         if self.done:
             return
         if self.connection is None:
-            self.refuse(Refusal(codes.DEADLINE_IN_QUEUE))
+            waits_for_body = not self.streaming and not self.body_complete
+            code = codes.DEADLINE_IN_QUEUE
+            if waits_for_body:
+                code = codes.DEADLINE_PASSED
+            self.refuse(Refusal(code))
             return
         connection, self.connection = self.connection, None
         connection.abort()
@@ -291,25 +391,34 @@
             )
         )
 
-    def _answer(self, code, detail, run, retry_after_ms):
+    def _may_have_run(self):
+        return self.connection is not None or self.unknown is not None
+
+    def _report(self, code, detail, run, retry_after_ms=None):
         if self.done:
             return
+        self.router.count_result(code)
         self._end()
         self.exchange.result(
-            wire.result_head_and_body(
-                code, detail, run, self.request_id, retry_after_ms
+            wire.Result(
+                code=code,
+                detail=detail,
+                run=run,
+                request_id=self.request_id,
+                retry_after_ms=retry_after_ms,
             ),
             reusable=self.body_complete,
         )
 
     def _end(self):
         self.done = True
+        self.body = None
         if self.connection is not None:
             self.connection.abort()
             self.connection = None
         if self.ticket is not None:
-            self.router.cancel(self.queue, self.ticket)
-            self.ticket = None
+            ticket, self.ticket = self.ticket, None
+            self.router.cancel(self.queue, ticket)
         self.router.request_ended(self)
 
     def _release(self, signal):
@@ -319,54 +428,14 @@
 
     # Backpressure.
 
-    def _pause_caller(self):
-        if not self.paused_caller and not self.body_complete:
+    def pause_caller(self):
+        """Stops reading the body."""
+        if not self.paused_caller and not self.body_complete and not self.done:
             self.paused_caller = True
             self.exchange.pause_body()
 
-    def _pause_caller_if_full(self):
-        if self.streaming and self.connection is None:
-            self._pause_caller()
-
-    def _resume_caller(self):
-        if self.paused_caller:
+    def resume_caller(self):
+        """Reads the body again."""
+        if self.paused_caller and not self.done:
             self.paused_caller = False
             self.exchange.resume_body()
-
-
-class _CallerProducer:
-    """Lets the server's connection pause the caller's body."""
-
-    __slots__ = ("_relay",)
-
-    def __init__(self, relay):
-        self._relay = relay
-
-    def pauseProducing(self):
-        self._relay._pause_caller()
-
-    def resumeProducing(self):
-        self._relay._resume_caller()
-
-    def stopProducing(self):
-        """Does nothing; a lost connection is reported to the relay."""
-
-
-class _ServerProducer:
-    """Lets the caller's connection pause the server's answer."""
-
-    __slots__ = ("_relay",)
-
-    def __init__(self, relay):
-        self._relay = relay
-
-    def pauseProducing(self):
-        if self._relay.connection is not None:
-            self._relay.connection.transport.pauseProducing()
-
-    def resumeProducing(self):
-        if self._relay.connection is not None:
-            self._relay.connection.transport.resumeProducing()
-
-    def stopProducing(self):
-        """Does nothing; a lost caller is reported to the relay."""
--- a/briarspoke/http/router.py
+++ b/briarspoke/http/router.py
@@ -2,39 +2,62 @@
 
 from __future__ import annotations
 
+import collections
 import logging
 
+from twisted.internet import defer, task
+
 from briarspoke import codes
 from briarspoke.admission.queue import ServerQueue, Start
 from briarspoke.configuration.snapshot import Configuration, split_address
 from briarspoke.errors import Refusal
-from briarspoke.http.upstream import ConnectionPool
-from briarspoke.retry.policy import RetryBudget
+from briarspoke.http.callers import CLOSING_GRACE_S, LINGER_S
+from briarspoke.http.forward import classified_of, forward_key
+from briarspoke.http.gateways import Gateways
+from briarspoke.http.pool import ConnectionPool
+from briarspoke.retry.policy import RetryBudget, may_retry
 from briarspoke.routing.classify import classify
 from briarspoke.routing.table import RoutingTable
 
 log = logging.getLogger(__name__)
 
 TICK_S = 0.01
+SWEEP_S = 1.0
+DRAIN_POLL_S = 0.02
+# Each forwarded request that waits at its gateway holds a connection.
+CONNECTIONS_PER_PEER = 1024
 
 
 class Router:
     """Routes requests of one entry VM.
 
     :param clock: function that returns monotonic seconds.
+    :param node_id: name of this node, and ``zone`` its availability zone.
+    :param cluster_key: secret shared by all entry VMs.
     """
 
-    def __init__(self, *, reactor, clock, metrics):
+    def __init__(self, *, reactor, clock, metrics, node_id="", zone="", cluster_key=""):
         self.reactor = reactor
         self.now = clock
         self.metrics = metrics
+        self.node_id = node_id
+        self.forward_key = forward_key(cluster_key)
         self.configuration = Configuration()
         self.table = RoutingTable()
+        self.gateways = Gateways(node_id=node_id, zone=zone)
+        # Live entry VMs, with node_id, zone, forward_host and forward_port.
+        self.peers_by_id = {}
         self.queues_by_server = {}
         self.pools_by_server = {}
+        self.pools_by_peer_address = {}
         self.budgets_by_service = {}
         self.relays = set()
+        self.channels = set()
         self.closing = False
+        self._closing_since = None
+        self._next_sweep = 0.0
+        self._commands = collections.deque()
+        self._running = False
 
     # Configuration and ownership.
 
@@ -64,33 +87,72 @@
         """Forgets a request."""
         self.relays.discard(relay)
 
-    def admit(self, head):
+    def admit(self, head, forward=None):
         """Returns the classified request.
 
+        :param forward: the signed fields of a forwarded request, or None.
         :raises Refusal: if an operator's rule or the request itself forbids it.
         """
-        if self.closing:
+        now = self.now()
+        if self.closing and now > self._closing_since + CLOSING_GRACE_S:
             raise Refusal(codes.SHUTTING_DOWN)
         if not self.configuration.version:
             raise Refusal(codes.NOT_READY)
-        classified = classify(head, self.configuration, self.now())
+        if forward is not None:
+            self.metrics.count("forwards_total", "in")
+            return classified_of(forward, self.configuration, now)
+        classified = classify(head, self.configuration, now)
         self.metrics.count("requests_total", classified.rank)
         self.budget_of(classified.service).earn()
         return classified
 
-    def route(self, classified):
-        """Returns the route and the queue of the owning server.
+    def route(self, classified, forward=None):
+        """Returns the route of the owning server.
 
+        :param forward: the signed fields of a forwarded request, or None.
         :raises Refusal: if no server owns the partition.
         """
         route = self.table.route(classified.service.name, classified.partition)
         if route is None or route.server is None:
             raise Refusal(codes.NO_OWNER)
+        if forward is not None and route.epoch < forward.epoch:
+            raise Refusal(codes.OWNER_FENCED, "the gateway does not know the epoch yet")
         if route.moving:
             raise Refusal(codes.PARTITION_MOVING)
         if route.server not in self.configuration.servers_by_name:
             raise Refusal(codes.NO_OWNER, "the owner is not configured")
-        return route, self.queue_of(route.server, classified.service)
+        return route
+
+    # Gateways.
+
+    def gateway_of(self, server_name):
+        """Returns the peer in front of a server, or None for this node."""
+        server = self.configuration.servers_by_name[server_name]
+        return self.gateways.choose(server, self.now())
+
+    def forward(self, relay):
+        """Sends a request to the gateway of its owner."""
+        self.metrics.count("forwards_total", "out")
+        peer = relay.peer
+        address = (peer.forward_host, peer.forward_port)
+        pool = self.pools_by_peer_address.get(address)
+        if pool is None:
+            pool = ConnectionPool(
+                reactor=self.reactor,
+                host=peer.forward_host,
+                port=peer.forward_port,
+                maximum=CONNECTIONS_PER_PEER,
+                clock=self.now,
+                unreachable=codes.GATEWAY_UNREACHABLE,
+            )
+            self.pools_by_peer_address[address] = pool
+        pool.acquire(relay)
+
+    def avoid_peer(self, peer):
+        """Passes over a peer that takes no requests, for a while."""
+        self.gateways.avoid(peer.node_id, self.now())
+
+    # Queues and connections of servers.
 
     def queue_of(self, server_name, service):
         """Returns the queue of a server, made when first needed."""
@@ -131,6 +193,14 @@
 
     def retry(self, relay, attempt):
         """Starts another attempt and returns True if policy and budget allow."""
+        allowed = may_retry(
+            attempt,
+            idempotent=relay.classified.idempotent,
+            replayable=relay.body is not None,
+            forwarded_bytes=relay.forwarded_bytes,
+        )
+        if not allowed:
+            return False
         service = relay.classified.service
         if relay.attempts >= service.retry.attempts:
             return False
@@ -139,9 +209,15 @@
         if not self.budget_of(service).spend():
             return False
         self.metrics.count("retries_total", attempt.reason)
-        self.reactor.callLater(0.01 * relay.attempts, relay.retry_now)
+        self.reactor.callLater(0.01 * relay.attempts, self._retry_now, relay)
         return True
 
+    def _retry_now(self, relay):
+        try:
+            relay.retry_now()
+        except Exception:
+            self._crashed(relay)
+
     def budget_of(self, service):
         """Returns the retry budget of a service."""
         budget = self.budgets_by_service.get(service.name)
@@ -163,23 +239,101 @@
     def tick(self):
         """Ends requests whose deadline has passed; called every ``TICK_S``."""
         now = self.now()
+        self.gateways.refresh(self.peers_by_id)
         for queue in list(self.queues_by_server.values()):
             self._run(queue.tick(now))
         expired = [
             relay
             for relay in self.relays
-            if relay.classified is not None and relay.classified.deadline <= now
+            if relay.expires_at is not None and relay.expires_at <= now
         ]
         for relay in expired:
-            relay.deadline_passed()
+            try:
+                relay.deadline_passed()
+            except Exception:
+                self._crashed(relay)
+        if now >= self._next_sweep:
+            self._next_sweep = now + SWEEP_S
+            self._sweep(now)
+
+    def _sweep(self, now):
+        for channel in list(self.channels):
+            channel.sweep(now)
+        for pool in self._pools():
+            pool.close_idle(now)
 
     def _run(self, commands):
-        for command in commands:
-            relay = command.ticket.context
+        """Carries commands out one after the other.
+
+        A command may lead to further ones; carrying those out inside it would
+        nest as deep as the queue is long.
+        """
+        self._commands.extend(commands)
+        if self._running:
+            return
+        self._running = True
+        try:
+            while self._commands:
+                self._carry_out(self._commands.popleft())
+        finally:
+            self._running = False
+
+    def _carry_out(self, command):
+        relay = command.ticket.context
+        try:
             if isinstance(command, Start):
-                relay.slot_granted()
-            else:
+                if relay.ticket is command.ticket:
+                    relay.slot_granted()
+            elif relay.ticket is command.ticket:
                 relay.ticket = None
                 relay.refuse(
                     Refusal(command.code, retry_after_ms=command.retry_after_ms)
                 )
+        except Exception:
+            self._crashed(relay)
+
+    def _crashed(self, relay):
+        log.exception("router: request %s failed", relay.request_id)
+        relay.crash()
+
+    # Shutdown.
+
+    @defer.inlineCallbacks
+    def drain(self, timeout_s):
+        """Finishes what is in flight and logs what was left at the timeout.
+
+        The ports have to be closed before.
+
+        :returns: a Deferred of the number of requests that were cut off.
+        """
+        self.closing = True
+        self._closing_since = self.now()
+        deadline = self._closing_since + timeout_s
+        while self._drains() and self.now() < deadline:
+            yield task.deferLater(self.reactor, DRAIN_POLL_S, lambda: None)
+        left = list(self.relays)
+        for relay in left:
+            log.warning(
+                "router: request %s was cut off by the shutdown", relay.request_id
+            )
+            relay.broken_off(codes.SHUTTING_DOWN)
+        for channel in list(self.channels):
+            channel.linger()
+        # The last answers are still in write buffers.
+        flushed_by = self.now() + LINGER_S
+        while self.channels and self.now() < flushed_by:
+            yield task.deferLater(self.reactor, DRAIN_POLL_S, lambda: None)
+        for pool in self._pools():
+            pool.close()
+        return len(left)
+
+    def _drains(self):
+        if self.relays:
+            return True
+        # A request may be on its way on a kept connection.
+        return bool(self.channels) and (
+            self.now() < self._closing_since + CLOSING_GRACE_S
+        )
+
+    def _pools(self):
+        return [*self.pools_by_server.values(), *self.pools_by_peer_address.values()]
--- a/briarspoke/http/upstream.py
+++ b/briarspoke/http/upstream.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import collections
 import logging
 
 import httptools
@@ -13,11 +12,6 @@
 
 log = logging.getLogger(__name__)
 
-CONNECT_TIMEOUT_S = 0.5
-# An idle connection may be closed by the server at any moment; closing it
-# first avoids requests whose outcome would be unknown.
-IDLE_TIMEOUT_S = 20.0
-
 HOP_BY_HOP = frozenset(
     {
         b"connection",
@@ -31,13 +25,16 @@
         b"upgrade",
     }
 )
+# httptools bounds neither the number nor the size of headers.
+MAX_ANSWER_HEAD_BYTES = 65_536
 
 
 class AnswerHead:
     """Status and headers of an answer.
 
     :param length: body length in bytes, or None for a chunked body.
-    :param headers: list of (name, value) in bytes, hop-by-hop ones included.
+    :param headers: list of (name in lower case, value) in bytes, hop-by-hop
+        ones included.
     """
 
     __slots__ = ("headers", "length", "status")
@@ -50,11 +47,29 @@
     def get(self, name):
         """Returns the first value of a header in lower case, or None."""
         for found, value in self.headers:
-            if found.lower() == name:
+            if found == name:
                 return value
         return None
 
 
+class _Discard:
+    """Takes the rest of an answer that nobody wants any more."""
+
+    __slots__ = ()
+
+    def answer_data(self, data):
+        pass
+
+    def answer_complete(self):
+        pass
+
+    def attempt_failed(self, attempt):
+        pass
+
+
+_DISCARD = _Discard()
+
+
 class UpstreamConnection(protocol.Protocol):
     """One connection that carries one exchange at a time.
 
@@ -69,8 +84,10 @@
         self.reusable = True
         self._parser = None
         self._headers = []
+        self._head_bytes = 0
         self._head_request = False
         self._request_ended = False
+        self._complete = False
 
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
@@ -86,8 +103,10 @@
         self.listener = listener
         self._parser = httptools.HttpResponseParser(self)
         self._headers = []
+        self._head_bytes = 0
         self._head_request = is_head
         self._request_ended = False
+        self._complete = False
         self.transport.write(head)
 
     def write_body(self, data):
@@ -104,6 +123,18 @@
         self.reusable = False
         self.transport.abortConnection()
 
+    def discard_answer(self):
+        """Reads the rest of the answer for nobody, or closes the connection.
+
+        Closing a connection for each request that a server sheds would add a
+        connect to each retry just when the server is short of capacity.
+        """
+        if self._request_ended and self.reusable:
+            self.listener = _DISCARD
+            self.pool.discard_started(self)
+        else:
+            self.abort()
+
     # Data from the server.
 
     def dataReceived(self, data):
@@ -113,49 +144,65 @@
             return
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError as error:
-            if self.listener is not None:
+        except httptools.HttpParserCallbackError:
+            log.exception("upstream: cannot process an answer from %s", self.pool)
+            self._fail("internal", codes.INTERNAL_ERROR)
+            return
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            if not self._complete:
                 log.info("upstream: malformed answer from %s: %s", self.pool, error)
-                self._fail(Outcome.UNKNOWN, "malformed", codes.ANSWER_MALFORMED)
+                self._fail("malformed", codes.ANSWER_MALFORMED)
+                return
+            self.reusable = False
+        if self._complete and self.listener is not None:
+            self._finish()
+
+    def on_message_begin(self):
+        if self._complete:
+            # A second answer that nobody asked for.
+            self.reusable = False
+        self._headers = []
+        self._head_bytes = 0
 
     def on_header(self, name, value):
-        self._headers.append((name, value))
+        self._head_bytes += len(name) + len(value)
+        if self._head_bytes <= MAX_ANSWER_HEAD_BYTES:
+            self._headers.append((name.lower(), value))
 
     def on_headers_complete(self):
         status = self._parser.get_status_code()
-        if status < 200:
+        if (status < 200 and status != 101) or self.listener is None or self._complete:
             return
         length = self._body_length(status)
-        if length == -1:
-            self._fail(Outcome.UNKNOWN, "malformed", codes.ANSWER_MALFORMED)
+        if length == -1 or status == 101 or self._head_bytes > MAX_ANSWER_HEAD_BYTES:
+            self._fail("malformed", codes.ANSWER_MALFORMED)
             return
         if not self._parser.should_keep_alive():
             self.reusable = False
         self.listener.answer_head(
             AnswerHead(status=status, headers=self._headers, length=length)
         )
-        if self._head_request and self.listener is not None:
-            self._finish()
+        if self._head_request:
+            self._complete = True
 
     def on_body(self, data):
-        if self.listener is not None:
+        if self._complete:
+            self.reusable = False
+        elif self.listener is not None:
             self.listener.answer_data(data)
 
     def on_message_complete(self):
-        if self.listener is None or self._parser.get_status_code() < 200:
-            self._headers = []
-            return
-        self._finish()
+        if self._parser.get_status_code() >= 200:
+            self._complete = True
 
     def _body_length(self, status):
         """Returns the length, None for chunked, -1 if a cut would go unseen."""
         if self._head_request or status in (204, 304):
             return 0
         for name, value in self._headers:
-            lower = name.lower()
-            if lower == b"content-length":
+            if name == b"content-length":
                 return int(value)
-            if lower == b"transfer-encoding" and value.lower() == b"chunked":
+            if name == b"transfer-encoding" and value.lower() == b"chunked":
                 return None
         return -1
 
@@ -164,129 +211,22 @@
         if not self._request_ended:
             # The server answered before it had read the whole request.
             self.reusable = False
+        # The connection is free before the listener releases its slot, so
+        # that the next request in the queue can use it.
+        self.pool.exchange_ended(self, aborted=not self._request_ended)
         listener.answer_complete()
-        self.pool.exchange_ended(self)
 
-    def _fail(self, outcome, reason, code):
+    def _fail(self, reason, code):
         listener, self.listener = self.listener, None
         self.reusable = False
         self.transport.abortConnection()
         if listener is not None:
-            listener.attempt_failed(Attempt(outcome=outcome, reason=reason, code=code))
+            listener.attempt_failed(
+                Attempt(outcome=Outcome.UNKNOWN, reason=reason, code=code)
+            )
 
     def connectionLost(self, reason):
         self.reusable = False
-        if self.listener is not None:
-            self._fail(Outcome.UNKNOWN, "connection-lost", codes.OUTCOME_UNKNOWN)
         self.pool.connection_lost(self)
-
-
-class _UpstreamFactory(protocol.ClientFactory):
-    noisy = False
-
-    def __init__(self, pool):
-        self.pool = pool
-
-    def buildProtocol(self, address):
-        return UpstreamConnection(self.pool)
-
-    def clientConnectionFailed(self, connector, reason):
-        self.pool.connect_failed(reason)
-
-
-class ConnectionPool:
-    """Connections to one address.
-
-    :param maximum: connections the other side accepts.
-    :param clock: function that returns monotonic seconds.
-    """
-
-    def __init__(self, *, reactor, host, port, maximum, clock):
-        self.host = host
-        self.port = port
-        self.maximum = maximum
-        self._reactor = reactor
-        self._clock = clock
-        self._idle = collections.deque()
-        self._waiting = collections.deque()
-        self.open = 0
-        self._connecting = 0
-
-    def __str__(self):
-        return f"{self.host}:{self.port}"
-
-    def acquire(self, waiter):
-        """Hands a connection to the waiter, at once if one is idle.
-
-        The waiter has ``connected(connection)`` and ``attempt_failed(attempt)``.
-        """
-        while self._idle:
-            connection = self._idle.pop()
-            if connection.reusable:
-                waiter.connected(connection)
-                return
-        if self.open + self._connecting >= self.maximum:
-            waiter.attempt_failed(
-                Attempt(
-                    outcome=Outcome.NOT_RUN,
-                    reason="no-connection",
-                    code=codes.NO_CONNECTION_FREE,
-                )
-            )
-            return
-        self._waiting.append(waiter)
-        self._connecting += 1
-        self._reactor.connectTCP(
-            self.host, self.port, _UpstreamFactory(self), timeout=CONNECT_TIMEOUT_S
-        )
-
-    def forget(self, waiter):
-        """Drops a waiter that no longer wants a connection."""
-        if waiter in self._waiting:
-            self._waiting.remove(waiter)
-
-    def close_idle(self, now):
-        """Closes connections that were idle for too long."""
-        while self._idle and now - self._idle[0].idle_since > IDLE_TIMEOUT_S:
-            self._idle.popleft().abort()
-
-    def close(self):
-        """Closes every idle connection."""
-        while self._idle:
-            self._idle.popleft().abort()
-
-    # Called by connections.
-
-    def connection_made(self, connection):
-        self._connecting -= 1
-        self.open += 1
-        if self._waiting:
-            self._waiting.popleft().connected(connection)
-        else:
-            self._put_idle(connection)
-
-    def connect_failed(self, reason):
-        self._connecting -= 1
-        if self._waiting:
-            self._waiting.popleft().attempt_failed(
-                Attempt(
-                    outcome=Outcome.NOT_RUN,
-                    reason="connect-failed",
-                    code=codes.OWNER_UNREACHABLE,
-                )
-            )
-
-    def exchange_ended(self, connection):
-        if connection.reusable:
-            self._put_idle(connection)
-        else:
-            connection.transport.loseConnection()
-
-    def connection_lost(self, connection):
-        self.open -= 1
-        if connection in self._idle:
-            self._idle.remove(connection)
-
-    def _put_idle(self, connection):
-        connection.idle_since = self._clock()
-        self._idle.append(connection)
+        if self.listener is not None:
+            self._fail("connection-lost", codes.OUTCOME_UNKNOWN)
--- a/briarspoke/http/wire.py
+++ b/briarspoke/http/wire.py
@@ -2,25 +2,38 @@
 
 from __future__ import annotations
 
+import http
 import json
 
 from briarspoke import codes
 from briarspoke.errors import Refusal
+from briarspoke.http.upstream import HOP_BY_HOP
 from briarspoke.retry.policy import Attempt, Outcome
 
-_REASONS = {
-    400: b"Bad Request",
-    401: b"Unauthorized",
-    403: b"Forbidden",
-    404: b"Not Found",
-    408: b"Request Timeout",
-    413: b"Content Too Large",
-    429: b"Too Many Requests",
-    431: b"Request Header Fields Too Large",
-    500: b"Internal Server Error",
-    502: b"Bad Gateway",
-    503: b"Service Unavailable",
-    504: b"Gateway Timeout",
+REASONS = {status.value: status.phrase.encode() for status in http.HTTPStatus}
+
+# Only briarspoke says these; a server's own would pass for its results.
+RESULT_HEADERS = frozenset(
+    {
+        b"briarspoke-code",
+        b"briarspoke-class",
+        b"briarspoke-run",
+        b"briarspoke-request-id",
+    }
+)
+_DROPPED_OF_ANSWER = HOP_BY_HOP | RESULT_HEADERS
+_DROPPED_OF_PEER = HOP_BY_HOP | {b"briarspoke-request-id"}
+DROPPED_OF_REQUEST = HOP_BY_HOP | {
+    b"host",
+    b"content-length",
+    b"expect",
+    b"briarspoke-epoch",
+    b"briarspoke-partition",
+    b"briarspoke-owner",
+    b"briarspoke-deadline-ms",
+    b"briarspoke-request-id",
+    b"briarspoke-forward",
+    b"briarspoke-signature",
 }
 
 
@@ -32,6 +45,19 @@
         )
 
 
+def connection_options(headers):
+    """Returns the header names that a Connection header declares hop-by-hop.
+
+    :param headers: list of (name in lower case, value) in bytes.
+    """
+    options = set()
+    for name, value in headers:
+        if name == b"connection":
+            options.update(option.strip() for option in value.lower().split(b","))
+    # The framing of a message cannot be declared away.
+    return options - {b"", b"close", b"keep-alive", b"content-length"}
+
+
 def refusal_of_server(head):
     """Returns the :class:`Attempt` of an answer that says it has not run.
 
@@ -47,39 +73,97 @@
     return None
 
 
-def result_head_and_body(code, detail, run, request_id, retry_after_ms=None):
-    """Returns the whole answer that reports a result code, as bytes.
+def result_of_peer(head):
+    """Returns the :class:`Attempt` of a result made by another entry VM.
 
-    :param run: ``no`` or ``unknown``.
+    :param head: the :class:`briarspoke.http.upstream.AnswerHead`.
+    :returns: None for a server's answer that the peer passed on.
     """
-    body = json.dumps(
-        {
-            "code": code.number,
-            "name": code.name,
-            "class": code.kind.value,
-            "detail": detail,
-            "request_id": request_id,
-            "run": run,
-        }
-    ).encode()
-    retry_after = b""
-    if retry_after_ms is not None:
-        seconds = max(1, -(-retry_after_ms // 1000))
-        retry_after = b"Retry-After: %d\r\n" % seconds
-    return (
-        b"HTTP/1.1 %d %b\r\n"
-        b"Content-Type: application/json\r\n"
-        b"Content-Length: %d\r\n"
-        b"Briarspoke-Code: %d\r\n"
-        b"Briarspoke-Class: %b\r\n"
-        b"Briarspoke-Request-Id: %b\r\n"
-        b"%b\r\n"
-    ) % (
-        code.http_status,
-        _REASONS[code.http_status],
-        len(body),
-        code.number,
-        code.kind.value.encode(),
-        request_id.encode(),
-        retry_after,
-    ) + body
+    number = head.get(b"briarspoke-code")
+    if number is None:
+        return None
+    code = codes.by_number.get(int(number) if number.isdigit() else 0)
+    # An outcome counts as not run only where the peer says exactly that.
+    not_run = head.get(b"briarspoke-run") == b"no"
+    return Attempt(
+        outcome=Outcome.NOT_RUN if not_run else Outcome.UNKNOWN,
+        reason="peer-refused" if not_run else "peer-failed",
+        code=code or codes.OUTCOME_UNKNOWN,
+    )
+
+
+def answer_head(head, request_id, *, chunked, close, from_peer=False):
+    """Returns status line and headers of an answer for the caller, as bytes."""
+    dropped = _DROPPED_OF_PEER if from_peer else _DROPPED_OF_ANSWER
+    parts = [b"HTTP/1.1 %d %b" % (head.status, REASONS.get(head.status, b""))]
+    options = connection_options(head.headers)
+    for name, value in head.headers:
+        if name not in dropped and name not in options:
+            parts.append(name + b": " + value)
+    parts.append(b"briarspoke-request-id: " + request_id.encode())
+    if chunked:
+        parts.append(b"transfer-encoding: chunked")
+    if close:
+        parts.append(b"connection: close")
+    parts.append(b"\r\n")
+    return b"\r\n".join(parts)
+
+
+class Result:
+    """An answer that briarspoke itself makes.
+
+    :param code: the :class:`briarspoke.codes.ResultCode`.
+    :param run: ``no`` if the request has not run, else ``unknown``.
+    """
+
+    __slots__ = ("code", "detail", "request_id", "retry_after_ms", "run")
+
+    def __init__(self, *, code, detail, run, request_id, retry_after_ms=None):
+        self.code = code
+        self.detail = detail
+        self.run = run
+        self.request_id = request_id
+        self.retry_after_ms = retry_after_ms
+
+    def encode(self, *, close, without_body=False):
+        """Returns head and body as bytes.
+
+        :param without_body: True in answer to HEAD.
+        """
+        code = self.code
+        body = json.dumps(
+            {
+                "code": code.number,
+                "name": code.name,
+                "class": code.kind.value,
+                "detail": self.detail,
+                "request_id": self.request_id,
+                "run": self.run,
+            }
+        ).encode()
+        extra = b""
+        if self.retry_after_ms is not None:
+            seconds = max(1, -(-self.retry_after_ms // 1000))
+            extra = b"Retry-After: %d\r\n" % seconds
+        if close:
+            extra += b"Connection: close\r\n"
+        head = (
+            b"HTTP/1.1 %d %b\r\n"
+            b"Content-Type: application/json\r\n"
+            b"Content-Length: %d\r\n"
+            b"Briarspoke-Code: %d\r\n"
+            b"Briarspoke-Class: %b\r\n"
+            b"Briarspoke-Run: %b\r\n"
+            b"Briarspoke-Request-Id: %b\r\n"
+            b"%b\r\n"
+        ) % (
+            code.http_status,
+            REASONS.get(code.http_status, b""),
+            len(body),
+            code.number,
+            code.kind.value.encode(),
+            self.run.encode(),
+            self.request_id.encode(),
+            extra,
+        )
+        return head if without_body else head + body
--- a/briarspoke/node.py
+++ b/briarspoke/node.py
@@ -12,6 +12,7 @@
 from briarspoke.configuration.snapshot import Configuration, split_address
 from briarspoke.errors import UserError
 from briarspoke.http.callers import CallerFactory
+from briarspoke.http.peers import PeerFactory
 from briarspoke.http.router import TICK_S, Router
 from briarspoke.metrics import Metrics
 from briarspoke.ownership.document import OwnershipDocument
@@ -43,7 +44,12 @@
         self.settings = settings
         self.metrics = Metrics(node_id=settings.node)
         self.router = Router(
-            reactor=reactor, clock=clock.monotonic, metrics=self.metrics
+            reactor=reactor,
+            clock=clock.monotonic,
+            metrics=self.metrics,
+            node_id=settings.node,
+            zone=settings.zone,
+            cluster_key=settings.cluster_key,
         )
         self.store = StoreClient(reactor=reactor, base_url=settings.store_url)
         self.ports = []
@@ -65,6 +71,9 @@
         self._listen(
             self.settings.caller_listen, CallerFactory(router=self.router), "callers"
         )
+        self._listen(
+            self.settings.forward_listen, PeerFactory(router=self.router), "forward"
+        )
         site = server.Site(_MetricsResource(self.metrics))
         site.noisy = False
         self._listen(self.settings.metrics_listen, site, "metrics")
