Add the proxy bench and its processes

Cause: the throughput bound had no measurement.

Change: entry, backend, Agent proxy and load client run as processes of their own; the backend stand-in can inject faults and read slowly.

--- /dev/null
+++ b/briarspoke/benches/parts/backend.py
@@ -0,0 +1,115 @@
+"""Backend servers of a bench."""
+
+from __future__ import annotations
+
+import hashlib
+import random
+
+from briarspoke import clock
+from briarspoke.benches import parts
+from briarspoke.standins.backend import BackendFactory, BackendStandIn, Fault
+
+_FAULTS = tuple(Fault)
+
+
+def echo_answer(request_id, size):
+    """Returns the answer that belongs to exactly one request.
+
+    :param size: bytes of the answer.
+    """
+    digest = hashlib.sha256(request_id).hexdigest().encode()
+    return (digest * (size // len(digest) + 1))[:size]
+
+
+def _echo(size):
+    def answer(connection):
+        return echo_answer(connection.headers[b"briarspoke-request-id"], size)
+
+    return answer
+
+
+def _faults(rate, seed):
+    chance = random.Random(seed)
+
+    def fault(connection):
+        return chance.choice(_FAULTS) if chance.random() < rate else None
+
+    return fault
+
+
+class _Servers:
+    def __init__(self, reactor, parameters):
+        self.reactor = reactor
+        self.backends = []
+        self.listening = []
+        self.freezes = 0
+        self.outages = 0
+        size = parameters.get("answer_bytes", 200)
+        echo = _echo(size) if parameters.get("echo") else b"x" * size
+        for name in parameters["names"]:
+            rate = parameters.get("fault_rate", 0.0)
+            backend = BackendStandIn(
+                name=name,
+                reactor=reactor,
+                clock=clock.monotonic,
+                slots=parameters.get("slots", 6),
+                service_s=parameters.get("service_s", 0.0),
+                keep_records=parameters.get("keep_records", False),
+                answer=echo,
+                fault=_faults(rate, f"{name}{parameters['seed']}") if rate else None,
+                read_rate=parameters.get("read_rate"),
+            )
+            self.backends.append(backend)
+            self.listening.append(self._listen(backend, 0))
+        self.ports = [port.getHost().port for port in self.listening]
+        if parameters.get("fault_rate"):
+            self.chance = random.Random(parameters["seed"])
+            reactor.callLater(1.0, self._freeze)
+            reactor.callLater(1.5, self._stop_listening)
+
+    def _listen(self, backend, port):
+        return self.reactor.listenTCP(
+            port, BackendFactory(backend), interface="127.0.0.1"
+        )
+
+    def _freeze(self):
+        backend = self.chance.choice(self.backends)
+        backend.freeze()
+        self.freezes += 1
+        self.reactor.callLater(0.7, backend.thaw)
+        self.reactor.callLater(1.5, self._freeze)
+
+    def _stop_listening(self):
+        index = self.chance.randrange(len(self.backends))
+        self.listening[index].stopListening()
+        for connection in list(self.backends[index].connections):
+            connection.transport.abortConnection()
+        self.outages += 1
+        self.reactor.callLater(0.5, self._listen_again, index)
+
+    def _listen_again(self, index):
+        self.listening[index] = self._listen(self.backends[index], self.ports[index])
+        self.reactor.callLater(1.0, self._stop_listening)
+
+    def handle(self, command):
+        """Returns the servers' own records."""
+        executions = {}
+        for backend in self.backends:
+            for execution in backend.executions:
+                executions.setdefault(execution.request_id, []).append(
+                    execution.body_hash
+                )
+        faults = {"freeze": self.freezes, "stop-listening": self.outages}
+        for backend in self.backends:
+            for name, count in backend.faults.items():
+                faults[name] = faults.get(name, 0) + count
+        return {"executions": executions, "faults": faults}
+
+
+def _start(reactor, parameters):
+    servers = _Servers(reactor, parameters)
+    return {"ports": servers.ports}, servers.handle
+
+
+if __name__ == "__main__":
+    parts.run(_start)
--- /dev/null
+++ b/briarspoke/benches/proxy.py
@@ -0,0 +1,151 @@
+"""Throughput and latency of one entry VM against a plain Agent proxy."""
+
+from __future__ import annotations
+
+import statistics
+
+from briarspoke.benches import Bound, Report, bench
+from briarspoke.benches.parts import Parts
+
+BACKEND_PROCESSES = 3
+SERVERS_PER_PROCESS = 4
+CONNECTIONS = 48
+MEASURED_S = 3.0
+ROUNDS = 2
+# 1.8 million requests/s on 440 nodes.
+TARGET_PER_NODE = 4_100
+ENTRY_PROCESSES = 3
+
+
+def configuration_of(ports_by_name, *, service=None, slots=6):
+    """Returns the resources of one service on the given ports, as JSON."""
+    return {
+        "zones": [{"name": "poa"}],
+        "services": [service or {"name": "tabela"}],
+        "servers": [
+            {
+                "name": name,
+                "service": "tabela",
+                "zone": "poa",
+                "address": f"127.0.0.1:{port}",
+                "slots": slots,
+            }
+            for name, port in ports_by_name.items()
+        ],
+    }
+
+
+def start_entries(running, configuration, count):
+    """Starts entry processes that know each other and returns them."""
+    entries = [
+        running.start(
+            "entry", node=f"entry-{number}", zone="poa", configuration=configuration
+        )
+        for number in range(count)
+    ]
+    peers = [
+        {
+            "node_id": f"entry-{number}",
+            "zone": "poa",
+            "forward_host": "127.0.0.1",
+            "forward_port": entry.ready["forward_port"],
+        }
+        for number, entry in enumerate(entries)
+    ]
+    if count > 1:
+        for entry in entries:
+            entry.ask(peers=peers)
+    return entries
+
+
+def _start_servers(running, seed):
+    ports_by_name = {}
+    for number in range(BACKEND_PROCESSES):
+        names = [f"tabela-{number}-{index}" for index in range(SERVERS_PER_PROCESS)]
+        part = running.start("backend", names=names, seed=seed)
+        ports_by_name.update(zip(names, part.ready["ports"], strict=True))
+    return ports_by_name
+
+
+def _several(running, configuration, loads, seconds):
+    """Returns the summed rate of several entry processes that forward."""
+    entries = start_entries(running, configuration, ENTRY_PROCESSES)
+    ports = [entry.ready["port"] for entry in entries]
+    for load in loads:
+        load.send({"ports": ports, "connections": CONNECTIONS, "seconds": seconds})
+    results = [load.receive() for load in loads]
+    forwards = {}
+    for entry in entries:
+        for direction, count in entry.ask()["counters"]["forwards_total"].items():
+            forwards[direction] = forwards.get(direction, 0) + count
+    return {
+        "processes": ENTRY_PROCESSES,
+        "rate": round(sum(result["rate"] for result in results), 1),
+        "failed": sum(result["failed"] for result in results),
+        "forwards": forwards,
+    }
+
+
+@bench("proxy")
+def run(*, seed, long):
+    """Measures capacity, latency at half of it, and where the time goes."""
+    seconds = MEASURED_S * (4 if long else 1)
+    with Parts() as running:
+        ports_by_name = _start_servers(running, seed)
+        server_ports = list(ports_by_name.values())
+        configuration = configuration_of(ports_by_name)
+        (entry,) = start_entries(running, configuration, 1)
+        agent = running.start("agent_proxy", ports=server_ports)
+        loads = [running.start("load") for _ in range(2)]
+        load = loads[0]
+
+        def measure(ports, **kwargs):
+            return load.ask(
+                ports=ports, connections=CONNECTIONS, seconds=seconds, **kwargs
+            )
+
+        own, baseline = [], []
+        for _ in range(ROUNDS):
+            baseline.append(measure([agent.ready["port"]]))
+            own.append(measure([entry.ready["port"]]))
+        rate = statistics.median(result["rate"] for result in own)
+        baseline_rate = statistics.median(result["rate"] for result in baseline)
+        direct = measure(server_ports, rate=rate / 2)
+        half = measure([entry.ready["port"]], rate=rate / 2)
+        entry.ask(profile="start")
+        measure([entry.ready["port"]], warmup_s=0.5)
+        profile = entry.ask(profile="stop", top=30)["profile"]
+        top = profile.pop("top")
+        several = _several(running, configuration, loads, seconds)
+    figures = {
+        "briarspoke": own,
+        "agent_proxy": baseline,
+        "rate": rate,
+        "baseline_rate": baseline_rate,
+        "share_of_target_per_node": round(rate / TARGET_PER_NODE, 3),
+        "direct_at_half": direct,
+        "proxied_at_half": half,
+        "profile": profile,
+        "profile_top": top,
+        "several_processes": several,
+    }
+    failed = sum(result["failed"] + result["lost"] for result in [*own, half])
+    return Report(
+        bench="proxy",
+        seed=seed,
+        figures=figures,
+        bounds=[
+            Bound(
+                name="requests/s over the Agent proxy's",
+                limit=2.0,
+                value=round(rate / baseline_rate, 2),
+                at_most=False,
+            ),
+            Bound(
+                name="p99 over direct at half capacity in ms",
+                limit=12.0,
+                value=round(half["p99_ms"] - direct["p99_ms"], 2),
+            ),
+            Bound(name="failed requests", limit=0, value=failed),
+        ],
+    )
--- a/briarspoke/standins/backend.py
+++ b/briarspoke/standins/backend.py
@@ -3,12 +3,30 @@
 from __future__ import annotations
 
 import collections
+import enum
 import hashlib
 import json
 
 import httptools
 from twisted.internet import protocol
 
+# Beyond the deadlines that benches set.
+LATE_S = 1.0
+
+
+class Fault(enum.Enum):
+    """What goes wrong with one request."""
+
+    SHED = "shed"
+    CLOSE_BEFORE = "close-before"
+    CLOSE_AFTER = "close-after"
+    CUT_HEAD = "cut-head"
+    CUT_BODY = "cut-body"
+    CUT_CHUNKED = "cut-chunked"
+    MALFORMED = "malformed"
+    EXTRA = "extra"
+    LATE = "late"
+
 
 class Execution:
     """One request that the stand-in has run."""
@@ -33,6 +51,9 @@
     :param service_s: function from the rank's header to seconds of work.
     :param fenced: whether it checks grants and epochs.
     :param keep_records: whether every execution is kept.
+    :param answer: body of every answer, or a function from the connection to it.
+    :param fault: function from the connection to a :class:`Fault` or None.
+    :param read_rate: bytes per second read from each connection, or None.
     """
 
     def __init__(
@@ -47,6 +68,8 @@
         fenced=True,
         keep_records=True,
         answer=b"",
+        fault=None,
+        read_rate=None,
     ):
         self.name = name
         self.reactor = reactor
@@ -57,6 +80,9 @@
         self.fenced = fenced
         self.keep_records = keep_records
         self.answer = answer or f'{{"server": "{name}"}}'.encode()
+        self.fault = fault
+        self.read_rate = read_rate
+        self.faults = collections.Counter()
         self.executions = []
         self.running = 0
         self.peak_running = 0
@@ -72,8 +98,16 @@
 
     def arrived(self, connection):
         """Runs, queues or sheds a request that has arrived whole."""
+        connection.fault = self.fault(connection) if self.fault else None
+        if connection.fault is not None:
+            self.faults[connection.fault.value] += 1
         reason = self.fence_reason(connection.headers)
-        if reason is not None:
+        if connection.fault is Fault.CLOSE_BEFORE:
+            connection.transport.abortConnection()
+        elif connection.fault is Fault.SHED:
+            self.shed += 1
+            connection.reply(503, b"", b"Briarspoke-Shed: 1\r\n")
+        elif reason is not None:
             self.fenced_off += 1
             connection.reply(409, b"", f"Briarspoke-Fence: {reason}\r\n".encode())
         elif self.running < self.slots:
@@ -114,7 +148,11 @@
 
     def _ran(self, connection):
         self.running -= 1
-        connection.reply(200, self.answer, b"")
+        answer = self.answer(connection) if callable(self.answer) else self.answer
+        if connection.fault is None:
+            connection.reply(200, answer, b"")
+        else:
+            connection.reply_with_fault(answer)
         while self.waiting and self.running < self.slots:
             self._run(self.waiting.popleft())
 
@@ -141,6 +179,7 @@
 
     def __init__(self, backend):
         self.backend = backend
+        self.fault = None
         self._held_writes = []
 
     def connectionMade(self):
@@ -164,11 +203,19 @@
         self._parser = httptools.HttpRequestParser(self)
 
     def dataReceived(self, data):
+        rate = self.backend.read_rate
+        if rate is not None:
+            self.transport.pauseProducing()
+            self.backend.reactor.callLater(len(data) / rate, self._read_on)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError:
             self.transport.abortConnection()
 
+    def _read_on(self):
+        if not self.backend.frozen:
+            self.transport.resumeProducing()
+
     def on_url(self, url):
         self.target += url
 
@@ -203,11 +250,39 @@
             body if self._parser.get_method() != b"HEAD" else b"",
         )
         self._reset()
+        self._write(content)
+
+    def _write(self, content):
         if self.backend.frozen:
             self._held_writes.append(content)
         else:
             self.transport.write(content)
 
+    def reply_with_fault(self, body):
+        """Answers a request that has run in a way that goes wrong."""
+        fault = self.fault
+        head = b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n" % len(body)
+        if fault is Fault.CLOSE_AFTER:
+            self.transport.abortConnection()
+        elif fault is Fault.CUT_HEAD:
+            self._cut(head[:-7])
+        elif fault is Fault.CUT_BODY:
+            self._cut(head + body[: len(body) // 2])
+        elif fault is Fault.CUT_CHUNKED:
+            head = b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n"
+            self._cut(b"%b%x\r\n%b\r\n" % (head, len(body), body))
+        elif fault is Fault.MALFORMED:
+            self._cut(b"HTTP/1.1 two hundred\r\n\r\n")
+        elif fault is Fault.EXTRA:
+            self.reply(200, body, b"")
+            self._write(head + b"x" * len(body))
+        else:
+            self.backend.reactor.callLater(LATE_S, self.reply, 200, body, b"")
+
+    def _cut(self, content):
+        self.transport.write(content)
+        self.transport.loseConnection()
+
     def flush(self):
         """Writes what was held while the server was frozen."""
         held, self._held_writes = self._held_writes, []
