--- /dev/null
+++ b/briarspoke/benches/uploads.py
@@ -0,0 +1,88 @@
+"""Concurrent uploads to a slow server: completeness and memory."""
+
+from __future__ import annotations
+
+import time
+
+from briarspoke.benches import Bound, Report, bench
+from briarspoke.benches.parts import Parts
+from briarspoke.benches.proxy import configuration_of, start_entries
+
+UPLOADS = 50
+UPLOAD_BYTES = 20_000_000
+# 50 connections at this rate take 1 GB in about 12 s.
+READ_RATE = 1_700_000
+MEMORY_LIMIT_BYTES = 32 * 1_048_576
+SLOTS = 64
+WARMUP_REQUESTS_S = 1.0
+SERVICE = {
+    "name": "tabela",
+    "warmup_s": 0,
+    "rank_rules": [{"rank": "bulk", "methods": ["PUT"]}],
+    "ranks": {"bulk": {"queue": 2 * UPLOADS}},
+}
+
+
+@bench("uploads")
+def run(*, seed, long):
+    """Uploads through one entry VM, and through a gateway in the long version."""
+    with Parts() as running:
+        server = running.start(
+            "backend",
+            names=["tabela-1"],
+            seed=seed,
+            slots=SLOTS,
+            keep_records=True,
+            read_rate=READ_RATE,
+        )
+        configuration = configuration_of(
+            {"tabela-1": server.ready["ports"][0]}, service=SERVICE, slots=SLOTS
+        )
+        entries = start_entries(running, configuration, 2 if long else 1)
+        ports = [entry.ready["port"] for entry in entries]
+        # The first requests import modules and fill caches; that is no growth
+        # caused by uploads.
+        running.start("load").ask(
+            ports=ports, connections=UPLOADS, seconds=WARMUP_REQUESTS_S, rate=200
+        )
+        before = [entry.ask()["rss_bytes"] for entry in entries]
+        load = running.start("upload_load")
+        rounds = []
+        for index, port in enumerate(ports):
+            began = time.monotonic()
+            uploads = load.ask(
+                port=port, count=UPLOADS, size=UPLOAD_BYTES, seed=f"{seed}-{index}"
+            )
+            rounds.append((uploads, time.monotonic() - began))
+        after = [entry.ask() for entry in entries]
+        executions = server.ask()["executions"]
+    incomplete = 0
+    for index, (uploads, _) in enumerate(rounds):
+        for request_id, status, body_hash in uploads:
+            hashes = executions.get(request_id, [])
+            whole = len(hashes) == len(rounds) and hashes[index] == body_hash
+            incomplete += status != 200 or not whole
+    growth = max(
+        state["rss_peak_bytes"] - rss for state, rss in zip(after, before, strict=True)
+    )
+    return Report(
+        bench="uploads",
+        seed=seed,
+        figures={
+            "uploads": UPLOADS * len(rounds),
+            "bytes_each": UPLOAD_BYTES,
+            "seconds": [round(elapsed, 1) for _, elapsed in rounds],
+            "rss_before_bytes": before,
+            "rss_peak_bytes": [state["rss_peak_bytes"] for state in after],
+            "growth_mb": round(growth / 1_048_576, 2),
+            "counters": [state["counters"] for state in after],
+        },
+        bounds=[
+            Bound(name="incomplete uploads", limit=0, value=incomplete),
+            Bound(
+                name="growth of the entry process in bytes",
+                limit=MEMORY_LIMIT_BYTES,
+                value=growth,
+            ),
+        ],
+    )
