--- a/briarspoke/ownership/document.py
+++ b/briarspoke/ownership/document.py
@@ -57,6 +57,40 @@
         return f"<Partition {self.owner}@{self.epoch} {self.state.name}>"
 
 
+class Authority:
+    """A term under which a zone's servers may hold grants.
+
+    :param term: store revision at which the lease record was created.
+    :param node_id: entry VM that holds or held the lease.
+    :param incarnation: incarnation of its process, 0 if unknown.
+    :param move_after_s: seconds without the store after which the holder stops
+        renewing grants of this service, or None if it holds them.
+    """
+
+    __slots__ = ("incarnation", "move_after_s", "node_id", "term")
+
+    def __init__(self, *, term, node_id, move_after_s, incarnation=0):
+        self.incarnation = incarnation
+        self.term = term
+        self.node_id = node_id
+        self.move_after_s = move_after_s
+
+    def __eq__(self, other):
+        if not isinstance(other, Authority):
+            return NotImplemented
+        return self.as_list() == other.as_list()
+
+    def __hash__(self):
+        return hash(tuple(self.as_list()))
+
+    def as_list(self):
+        """Returns the fields in the order of the encoding."""
+        return [self.term, self.node_id, self.move_after_s, self.incarnation]
+
+    def __repr__(self):
+        return f"<Authority {self.node_id}@{self.term}>"
+
+
 class OwnershipDocument:
     """Partitions of a service at one version; never changed in place.
 
@@ -64,11 +98,22 @@
     :param version: grows by one with each accepted write.
     :param write_ids: identifiers of the last writes, newest last.
     :param partitions: list of :class:`Partition`, by partition number.
+    :param authorities_by_zone: tuple of :class:`Authority` per zone, the
+        controller's own last; earlier ones may still renew grants.
     """
 
-    __slots__ = ("partitions", "service", "version", "write_ids")
-
-    def __init__(self, *, service, version, write_ids, partitions):
+    __slots__ = (
+        "authorities_by_zone",
+        "partitions",
+        "service",
+        "version",
+        "write_ids",
+    )
+
+    def __init__(
+        self, *, service, version, write_ids, partitions, authorities_by_zone=None
+    ):
+        self.authorities_by_zone = authorities_by_zone or {}
         self.service = service
         self.version = version
         self.write_ids = tuple(write_ids)
@@ -82,11 +127,18 @@
             service=service, version=0, write_ids=(), partitions=[unowned] * count
         )
 
-    def with_changes(self, changes_by_partition, write_id):
+    def term_of(self, zone):
+        """Returns the term that may change a zone's partitions, 0 if none."""
+        authorities = self.authorities_by_zone.get(zone)
+        return authorities[-1].term if authorities else 0
+
+    def with_changes(self, changes_by_partition, write_id, *, zone=None, chain=None):
         """Returns the next version with some partitions replaced.
 
         :param changes_by_partition: new :class:`Partition` per number.
         :param write_id: unique identifier of this write.
+        :param zone: zone whose authorities are replaced, or None.
+        :param chain: the zone's new tuple of :class:`Authority`.
         :raises InvariantError: if an owner changes and the epoch does not grow.
         """
         partitions = list(self.partitions)
@@ -99,7 +151,11 @@
                 EPOCH_NOT_GROWING,
             )
             partitions[number] = new
+        authorities_by_zone = self.authorities_by_zone
+        if zone is not None:
+            authorities_by_zone = {**authorities_by_zone, zone: tuple(chain)}
         return OwnershipDocument(
+            authorities_by_zone=authorities_by_zone,
             service=self.service,
             version=self.version + 1,
             write_ids=(*self.write_ids, write_id)[-WRITE_IDS_KEPT:],
@@ -127,6 +183,10 @@
                 [index_by_name.get(p.owner, -1) for p in self.partitions],
                 [p.epoch for p in self.partitions],
                 [n for n, p in enumerate(self.partitions) if p.state is State.MOVING],
+                {
+                    zone: [authority.as_list() for authority in chain]
+                    for zone, chain in sorted(self.authorities_by_zone.items())
+                },
             ]
         )
 
@@ -137,10 +197,29 @@
         :raises ValueError: if the data is not such a document.
         """
         try:
-            service, version, write_ids, names, owners, epochs, moving = cbor2.loads(
-                data
-            )
+            (
+                service,
+                version,
+                write_ids,
+                names,
+                owners,
+                epochs,
+                moving,
+                authorities,
+            ) = cbor2.loads(data)
             moving = set(moving)
+            authorities_by_zone = {
+                zone: tuple(
+                    Authority(
+                        term=term,
+                        node_id=node_id,
+                        move_after_s=move_after_s,
+                        incarnation=incarnation,
+                    )
+                    for term, node_id, move_after_s, incarnation in chain
+                )
+                for zone, chain in authorities.items()
+            }
             partitions = [
                 Partition(
                     owner=names[owner] if owner >= 0 else None,
@@ -151,8 +230,18 @@
                     zip(owners, epochs, strict=True)
                 )
             ]
-        except (cbor2.CBORDecodeError, TypeError, IndexError) as error:
+        except (
+            AttributeError,
+            IndexError,
+            TypeError,
+            ValueError,
+            cbor2.CBORDecodeError,
+        ) as error:
             raise ValueError(f"not an ownership document: {error}") from error
         return cls(
-            service=service, version=version, write_ids=write_ids, partitions=partitions
+            service=service,
+            version=version,
+            write_ids=write_ids,
+            partitions=partitions,
+            authorities_by_zone=authorities_by_zone,
         )
--- /dev/null
+++ b/briarspoke/standins/grants.py
@@ -0,0 +1,167 @@
+"""The backend server's side of the grant protocol."""
+
+from __future__ import annotations
+
+from briarspoke.ownership.grants import grants_digest
+from briarspoke.ownership.timing import GRANT_S
+
+
+class Interval:
+    """Time during which a partition was held at one epoch, on one clock."""
+
+    __slots__ = ("begin", "end", "epoch", "partition")
+
+    def __init__(self, *, partition, epoch, begin, end):
+        self.partition = partition
+        self.epoch = epoch
+        self.begin = begin
+        self.end = end
+
+
+class GrantTable:
+    """Grants of one server and the record of what it held when.
+
+    :param server: name that control calls must carry.
+    :param clock: function that returns the server's monotonic seconds.
+    :param incarnation: differs after each restart of the server.
+    """
+
+    def __init__(self, *, server, clock, incarnation="1"):
+        self.server = server
+        self.clock = clock
+        self.incarnation = incarnation
+        self.term = 0
+        self.expires_at = 0.0
+        self.held = {}
+        self.intervals = []
+        self.calls = 0
+        self._open_by_partition = {}
+        self._highest_epoch = {}
+        self._running = {}
+
+    def restart(self, incarnation):
+        """Loses everything but the evidence, as a new process does."""
+        self._close_all()
+        self.incarnation = incarnation
+        self.term = 0
+        self.expires_at = 0.0
+        self.held = {}
+        self._highest_epoch = {}
+        self._running = {}
+
+    def holds(self, partition, epoch):
+        """Returns whether the grants allow a request now."""
+        return self.clock() < self.expires_at and self.held.get(partition) == epoch
+
+    def fence_reason(self, headers):
+        """Returns why the grants forbid a request, or None.
+
+        :param headers: header values as bytes by lower-case name.
+        """
+        partition = headers.get(b"briarspoke-partition", b"").decode()
+        owner = headers.get(b"briarspoke-owner", b"").decode()
+        try:
+            epoch = int(headers.get(b"briarspoke-epoch", b""))
+        except ValueError:
+            return "no-epoch"
+        if owner and owner != self.server:
+            return "other-server"
+        if self.clock() >= self.expires_at:
+            return "expired"
+        if partition not in self.held:
+            return "not-held"
+        if self.held[partition] != epoch:
+            return "other-epoch"
+        return None
+
+    def began(self, partition):
+        """Notes a request in flight."""
+        self._running[partition] = self._running.get(partition, 0) + 1
+
+    def ended(self, partition):
+        """Notes that a request in flight has ended."""
+        left = self._running.get(partition, 0) - 1
+        if left > 0:
+            self._running[partition] = left
+        else:
+            self._running.pop(partition, None)
+
+    def control(self, path, body):
+        """Answers a call of the control endpoint; returns (status, JSON)."""
+        if path != "/_control/grants":
+            return 404, {}
+        self.calls += 1
+        try:
+            return self._grants(body)
+        except (AttributeError, KeyError, TypeError, ValueError):
+            return 400, {}
+
+    def _grants(self, body):
+        now = self.clock()
+        if body["server"] != self.server:
+            return 400, {}
+        expires_at = body["expires_at"]
+        # A clock that restarted would give an old message a long life.
+        foreign = expires_at is not None and body["incarnation"] != self.incarnation
+        if body["term"] < self.term or foreign:
+            return 409, self._state(now)
+        self.term = body["term"]
+        value = self._state(now)
+        value["busy"] = []
+        if expires_at is not None:
+            changed = self._apply(body, min(expires_at, now + GRANT_S))
+            if changed:
+                value["held"] = dict(self.held)
+            value["busy"] = sorted(p for p in body["revoke"] if p in self._running)
+        value["digest"] = grants_digest(self.held)
+        return 200, value
+
+    def _apply(self, body, expires_at):
+        before = dict(self.held)
+        if now_expired := self.clock() >= self.expires_at:
+            self._close_all()
+        for partition in body["revoke"]:
+            self.held.pop(partition, None)
+        if body["grants"] is not None:
+            self.held = {
+                partition: int(epoch)
+                for partition, epoch in body["grants"].items()
+                if int(epoch) >= self._highest_epoch.get(partition, 0)
+                and partition not in body["revoke"]
+            }
+            self._highest_epoch.update(self.held)
+        elif body["digest"] != grants_digest(self.held):
+            # What the controller means is not what is held: nothing is extended.
+            self._record(expired=now_expired)
+            return before != self.held
+        self.expires_at = max(self.expires_at, expires_at)
+        self._record(expired=self.clock() >= self.expires_at)
+        return before != self.held
+
+    def _state(self, now):
+        return {"clock": now, "incarnation": self.incarnation, "term": self.term}
+
+    # Evidence.
+
+    def _record(self, *, expired):
+        now = self.clock()
+        held = {} if expired else self.held
+        for partition, interval in list(self._open_by_partition.items()):
+            if held.get(partition) != interval.epoch:
+                interval.end = min(now, interval.end)
+                del self._open_by_partition[partition]
+        for partition, epoch in held.items():
+            interval = self._open_by_partition.get(partition)
+            if interval is None:
+                interval = Interval(
+                    partition=partition, epoch=epoch, begin=now, end=self.expires_at
+                )
+                self._open_by_partition[partition] = interval
+                self.intervals.append(interval)
+            interval.end = self.expires_at
+
+    def _close_all(self):
+        now = self.clock()
+        for interval in self._open_by_partition.values():
+            interval.end = min(now, interval.end)
+        self._open_by_partition = {}
