--- a/briarspoke/ownership/candidate.py
+++ b/briarspoke/ownership/candidate.py
@@ -106,6 +106,7 @@
         "_keepalive_due_at",
         "_keepalive_sent_at",
         "_lease",
+        "_members",
         "_nonce",
         "_nonce_count",
         "_nonce_prefix",
@@ -137,6 +138,7 @@
         self._keepalive_due_at = 0.0
         self._vacant_since = None
         self._own_alive_since = None
+        self._members = None
         self._rank = None
         self._read_at = 0.0
         self._retry_at = 0.0
@@ -186,20 +188,25 @@
 
     def _note_members(self, members, now):
         """Notes rank and the zone's own nodes; returns the delay of a try."""
-        members = {**members, self.node_id: self.node_zone}
+        foreign = self.node_zone != self.zone
+        if members != self._members:
+            self._members = dict(members)
+            self._rank_members(foreign, now)
+        delay_s = RANK_DELAY_S * self._rank + (OTHER_ZONE_DELAY_S if foreign else 0.0)
+        return min(delay_s, LONGEST_DELAY_S)
+
+    def _rank_members(self, foreign, now):
+        members = {**self._members, self.node_id: self.node_zone}
         own = [node for node, zone in members.items() if zone == self.zone]
         others = [node for node in members if members[node] != self.zone]
         order = rendezvous(self.zone, dict.fromkeys(own, 1.0))
         order += rendezvous(self.zone, dict.fromkeys(others, 1.0))
         self._rank = order.index(self.node_id)
-        foreign = self.node_zone != self.zone
         if own and foreign:
             if self._own_alive_since is None:
                 self._own_alive_since = now
         else:
             self._own_alive_since = None
-        delay_s = RANK_DELAY_S * self._rank + (OTHER_ZONE_DELAY_S if foreign else 0.0)
-        return min(delay_s, LONGEST_DELAY_S)
 
     def _should_hand_back(self, now):
         return (
@@ -282,14 +289,13 @@
     def _acquired(self, revision, now):
         self._stage = _Stage.HOLDING
         self.holder = self.node_id
-        vacated_at = now if self._vacant_since is None else self._vacant_since
         self._vacant_since = None
         self._keepalive_sent_at = None
         self._keepalive_due_at = self._sent_at + KEEPALIVE_EVERY_S
         return [
-            events.LeaseAcquired(
-                term=revision, sent_at=self._sent_at, vacated_at=vacated_at
-            )
+            # An earlier sighting of a vacant lease may be out of date; the
+            # record cannot have existed when this one was created.
+            events.LeaseAcquired(term=revision, sent_at=self._sent_at, vacated_at=now)
         ]
 
     # Keeping it.
--- a/briarspoke/ownership/commands.py
+++ b/briarspoke/ownership/commands.py
@@ -100,3 +100,14 @@
     sent_at: float
     duration_s: float
     version_by_service: dict
+
+
+@dataclass(slots=True, kw_only=True)
+class RequestRoutingLease:
+    """Ask a zone's controller for a routing lease.
+
+    :param request: the :class:`events.RoutingLeaseRequested`.
+    """
+
+    zone: str
+    request: object
--- a/briarspoke/platform/store.py
+++ b/briarspoke/platform/store.py
@@ -64,7 +64,9 @@
 
 
 @implementer(IBodyProducer)
-class _BytesProducer:
+class BytesProducer:
+    """Writes a whole body at once."""
+
     def __init__(self, body):
         self.body = body
         self.length = len(body)
@@ -179,7 +181,7 @@
 
     @defer.inlineCallbacks
     def _call(self, method, path, body=None, timeout_s=CALL_TIMEOUT_S):
-        producer = None if body is None else _BytesProducer(json.dumps(body).encode())
+        producer = None if body is None else BytesProducer(json.dumps(body).encode())
         request = self._agent.request(
             method.encode(),
             (self._base_url + path).encode(),
--- a/briarspoke/standins/backend.py
+++ b/briarspoke/standins/backend.py
@@ -33,6 +33,7 @@
     :param service_s: function from the rank's header to seconds of work.
     :param fenced: whether it checks grants and epochs.
     :param keep_records: whether every execution is kept.
+    :param grants: the :class:`GrantTable` of a fenced server, or None.
     """
 
     def __init__(
@@ -47,6 +48,7 @@
         fenced=True,
         keep_records=True,
         answer=b"",
+        grants=None,
     ):
         self.name = name
         self.reactor = reactor
@@ -56,6 +58,7 @@
         self.service_s = service_s
         self.fenced = fenced
         self.keep_records = keep_records
+        self.grants = grants
         self.answer = answer or f'{{"server": "{name}"}}'.encode()
         self.executions = []
         self.running = 0
@@ -68,7 +71,7 @@
 
     def fence_reason(self, headers):
         """Returns why the grants forbid a request, or None."""
-        return None
+        return self.grants.fence_reason(headers) if self.grants else None
 
     def arrived(self, connection):
         """Runs, queues or sheds a request that has arrived whole."""
@@ -88,6 +91,8 @@
         self.running += 1
         self.peak_running = max(self.peak_running, self.running)
         self.record(connection)
+        if self.grants:
+            self.grants.began(_partition(connection))
         service_s = self.service_s
         if callable(service_s):
             service_s = service_s(connection)
@@ -114,13 +119,16 @@
 
     def _ran(self, connection):
         self.running -= 1
+        if self.grants:
+            self.grants.ended(_partition(connection))
         connection.reply(200, self.answer, b"")
         while self.waiting and self.running < self.slots:
-            self._run(self.waiting.popleft())
+            # The grant may have ended while the request waited.
+            self.arrived(self.waiting.popleft())
 
     def control(self, path, body):
         """Answers a call of the control endpoint; returns (status, JSON)."""
-        return 404, {}
+        return self.grants.control(path, body) if self.grants else (404, {})
 
     def freeze(self):
         """Stops reading and answering, as a paused process does."""
@@ -136,6 +144,10 @@
             connection.flush()
 
 
+def _partition(connection):
+    return connection.headers.get(b"briarspoke-partition", b"").decode()
+
+
 class _BackendConnection(protocol.Protocol):
     """One HTTP/1.1 connection of the stand-in."""
 
