--- a/briarspoke/ownership/controller.py
+++ b/briarspoke/ownership/controller.py
@@ -20,6 +20,7 @@
     RESIGN_EVERY_S,
     RESIGN_TIMES,
     SILENT_AFTER_S,
+    TRANSIT_S,
 )
 
 log = logging.getLogger(__name__)
@@ -716,7 +717,7 @@
             return frozenset()
         # Leases of earlier terms are unknown, and so are the requests under them.
         longest_s = max(policy.deadline_ms for policy in service.ranks.values()) / 1000
-        if not self._predecessors_gone(state, now, longest_s * CLOCK_RATE):
+        if not self._predecessors_gone(state, now, longest_s * CLOCK_RATE + TRANSIT_S):
             return frozenset()
         version = self._book.required_by_service.get(service.name, 0)
         names = (partition_name(service.name, number) for number in moving)
--- a/briarspoke/ownership/routing_leases.py
+++ b/briarspoke/ownership/routing_leases.py
@@ -8,6 +8,7 @@
     CLOCK_RATE,
     ROUTING_LEASE_S,
     ROUTING_REQUEST_EVERY_S,
+    TRANSIT_S,
 )
 
 # Lets a move of an unfenced partition end within the budget of 4 s.
@@ -50,7 +51,7 @@
         holder.version_by_service = dict(event.version_by_service)
         holder.in_flight = event.in_flight
         lease_end = now + ROUTING_LEASE_S * CLOCK_RATE
-        end = lease_end + event.longest_deadline_s * CLOCK_RATE
+        end = lease_end + event.longest_deadline_s * CLOCK_RATE + TRANSIT_S
         versions = {}
         for service in services:
             lowest = self.required_by_service.get(service, 0)
--- a/briarspoke/ownership/timing.py
+++ b/briarspoke/ownership/timing.py
@@ -24,6 +24,8 @@
 
 ROUTING_LEASE_S = 2.0
 ROUTING_REQUEST_EVERY_S = 0.5
+# A server counts a request's deadline from its arrival.
+TRANSIT_S = 0.1
 
 RESIGN_EVERY_S = 1.0
 RESIGN_TIMES = 10
--- /dev/null
+++ b/briarspoke/standins/world_node.py
@@ -0,0 +1,487 @@
+"""An entry VM of the virtual world: the real decision code on fake I/O."""
+
+from __future__ import annotations
+
+import collections
+
+from briarspoke.ownership import candidate as lease
+from briarspoke.ownership import commands, events
+from briarspoke.ownership.candidate import Candidate, Settled
+from briarspoke.ownership.controller import ZoneController
+from briarspoke.ownership.document import OwnershipDocument
+from briarspoke.ownership.routing_leases import RoutingLeaseHolder
+from briarspoke.ownership.timing import LEASE_S
+from briarspoke.routing.table import RoutingTable
+from briarspoke.standins.world import SkewedClock
+
+TICK_S = 0.1
+PAUSE_S = 0.2
+CALL_TIMEOUT_S = 0.35
+DEADLINE_S = 1.2
+
+
+class FakeNode:
+    """One process on an entry VM; a restart makes a new object.
+
+    :param configuration: the configuration that it starts with.
+    """
+
+    def __init__(self, *, world, name, zone, configuration):
+        self.world = world
+        self.name = name
+        self.zone = zone
+        self.incarnation = next(world.boots)
+        self.alive = True
+        self.paused = False
+        self.table = RoutingTable()
+        self.holder = RoutingLeaseHolder(node_id=name, incarnation=self.incarnation)
+        self.clock = SkewedClock(
+            scheduler=world.scheduler,
+            rate=world.random.uniform(0.9905, 1.0095),
+            base=world.random.uniform(0.0, 1000.0),
+        )
+        self.configuration = configuration
+        self.candidates = {}
+        self.controllers = {}
+        self.acknowledged = []
+        self._queue = collections.deque()
+        self._visited_at = self.clock()
+        for zone_name in configuration.zones_by_name:
+            self.candidates[zone_name] = Candidate(
+                zone=zone_name,
+                node_id=name,
+                node_zone=zone,
+                nonce_prefix=f"{self.incarnation}-",
+            )
+            self.controllers[zone_name] = ZoneController(
+                zone=zone_name, node_id=name, incarnation=self.incarnation
+            )
+        self.configure(configuration)
+        world.scheduler.call_later(world.random.uniform(0, TICK_S), self._tick)
+
+    # Faults.
+
+    def kill(self):
+        """Ends the process."""
+        self.alive = False
+
+    def pause(self, *, clock_stops):
+        """Stops the process."""
+        self.paused = True
+        if clock_stops:
+            self.clock.stop()
+
+    def resume(self):
+        """Goes on with everything that has arrived."""
+        self.paused = False
+        if self.clock.stopped:
+            self.clock.resume()
+        while self._queue and not self.paused and self.alive:
+            function, arguments = self._queue.popleft()
+            self._visit(function, arguments)
+
+    def deliver(self, function, *arguments):
+        """Runs a function in the process, later if it is paused."""
+        if not self.alive:
+            return
+        if self.paused:
+            self._queue.append((function, arguments))
+        else:
+            self._visit(function, arguments)
+
+    def _visit(self, function, arguments):
+        now = self.clock()
+        if now - self._visited_at - TICK_S > PAUSE_S:
+            self._visited_at = now
+            for zone, candidate in self.candidates.items():
+                self._run(zone, candidate.paused(now))
+        function(*arguments)
+
+    # Time.
+
+    def _tick(self):
+        if not self.alive:
+            return
+        self.world.scheduler.call_later(TICK_S, self._tick)
+        if not self.paused:
+            self._visit(self._on_tick, ())
+
+    def _on_tick(self):
+        now = self._visited_at = self.clock()
+        members = {
+            node.name: node.zone
+            for node in self.world.nodes_by_name.values()
+            if node.alive and not self.world.is_cut(self.name, node.name)
+        }
+        zones = frozenset(members.values())
+        for zone in self.candidates:
+            self._decide(zone, events.ZonesAlive(zones=zones))
+            self._decide(
+                zone, events.VmsListed(state_by_id=dict(self.world.vm_state_by_id))
+            )
+            self._run(zone, self.candidates[zone].tick(now, members))
+            self._decide(zone, events.Tick())
+            if self.holder.is_due(zone, now):
+                self._request_routing_lease(zone, now)
+        self._offer_documents(members)
+
+    def configure(self, configuration):
+        """Takes a configuration."""
+        self.configuration = configuration
+        for zone in self.controllers:
+            self._decide(zone, events.ConfigurationChanged(configuration=configuration))
+
+    # Documents.
+
+    def _offer_documents(self, members):
+        others = sorted(name for name in members if name != self.name)
+        if not others:
+            return
+        peer = self.world.random.choice(others)
+        self.world.send(
+            self.name,
+            peer,
+            self.world.nodes_by_name[peer].peer_offers,
+            self.name,
+            self.incarnation,
+            dict(self.table.documents_by_service),
+        )
+
+    def peer_offers(self, name, incarnation, documents):
+        """Takes a peer's heartbeat with its documents."""
+        for zone in self.controllers:
+            self._decide(zone, events.NodeHeard(node_id=name))
+            self._decide(zone, events.PeerSeen(node_id=name, incarnation=incarnation))
+        for document in documents.values():
+            self._learn(document)
+
+    def _learn(self, document):
+        if document is not None and self.table.apply(document):
+            for zone in self.controllers:
+                self._decide(
+                    zone,
+                    events.VersionSeen(
+                        service=document.service, version=document.version
+                    ),
+                )
+
+    def _publish(self, document):
+        self._learn(document)
+        for node in list(self.world.nodes_by_name.values()):
+            if node is not self:
+                self.world.send(self.name, node.name, node._learn, document)
+
+    # Routing leases.
+
+    def _request_routing_lease(self, zone, now):
+        versions = {
+            service: document.version
+            for service, document in self.table.documents_by_service.items()
+        }
+        request = self.holder.request(zone, versions, now)
+        holder = self.world.nodes_by_name.get(self.candidates[zone].holder)
+        if holder is self:
+            self._decide(zone, request)
+        elif holder is not None:
+            self.world.send(self.name, holder.name, holder._decide, zone, request)
+
+    def routing_lease_granted(self, command):
+        """Takes a routing lease."""
+        self.holder.granted(
+            zone=command.zone,
+            term=command.term,
+            sent_at=command.sent_at,
+            duration_s=command.duration_s,
+            version_by_service=command.version_by_service,
+        )
+
+    # Requests of callers.
+
+    def request(self, service, partition):
+        """Sends one request to the owner that this node knows."""
+        if not self.alive or self.paused:
+            return
+        document = self.table.documents_by_service.get(service)
+        if document is None:
+            return
+        route = self.table.route(service, partition)
+        if route is None or route.server is None or route.moving:
+            return
+        server = self.world.servers_by_name[route.server]
+        name = f"{service}/{partition}"
+        deadline_at = self.world.scheduler.now + DEADLINE_S
+        if not server.fenced and not self.holder.may_send(
+            zone=server.zone,
+            service=service,
+            version=document.version,
+            deadline_s=DEADLINE_S * 1.01,
+            now=self.clock(),
+        ):
+            self.world.counts["no-routing-lease"] += 1
+            return
+        self.world.counts["requests"] += 1
+        self.holder.began(name)
+        ended = {"done": False}
+        self.world.scheduler.call_later(
+            DEADLINE_S, self.deliver, self._ended, name, ended
+        )
+        self.world.send(
+            self.name,
+            server.name,
+            self._at_server,
+            server,
+            name,
+            route.epoch,
+            deadline_at,
+            ended,
+        )
+
+    def _at_server(self, server, name, epoch, deadline_at, ended):
+        work_s = server.run_request(name, epoch, deadline_at)
+        if work_s is not False:
+            self.world.scheduler.call_later(
+                work_s,
+                self.world.send,
+                server.name,
+                self.name,
+                self._ended,
+                name,
+                ended,
+            )
+
+    def _ended(self, name, ended):
+        if not ended["done"]:
+            ended["done"] = True
+            self.holder.ended(name)
+
+    # Decisions and their execution.
+
+    def _decide(self, zone, event):
+        self._run(zone, self.controllers[zone].handle(event, self.clock()))
+
+    def _run(self, zone, found):
+        for command in found:
+            execute = _executors.get(type(command))
+            if execute is None:
+                self._decide(zone, command)
+            else:
+                execute(self, zone, command)
+
+    def _grant_lease(self, zone, command):
+        candidate = self.candidates[zone]
+
+        def settled(status, value):
+            if status == "ok":
+                self._run(zone, candidate.lease_granted(value, self.clock()))
+            else:
+                self._run(zone, candidate.lease_failed(self.clock()))
+
+        self.world.store.call(
+            self, "lease", lambda state, now: state.grant_lease(LEASE_S, now), settled
+        )
+
+    def _put_record(self, zone, command):
+        candidate = self.candidates[zone]
+
+        def settled(status, value):
+            outcome, revision = Settled.UNKNOWN, 0
+            if status == "ok":
+                taken, revision = value
+                outcome = Settled.DONE if taken == "taken" else Settled.REFUSED
+                self.world.counts[f"record-{taken}"] += 1
+            elif status == "not-sent":
+                outcome = Settled.REFUSED
+            self._run(zone, candidate.put_settled(outcome, revision, self.clock()))
+
+        store = self.world.store
+        operation = store.put(command.key, command.value, 0, command.lease)
+        store.call(self, "put", operation, settled)
+
+    def _read_record(self, zone, command):
+        candidate = self.candidates[zone]
+
+        def operation(state, now):
+            entry = state.entries.get(command.key)
+            return (entry.value, entry.revision) if entry else (None, 0)
+
+        def settled(status, value):
+            now = self.clock()
+            if status == "ok":
+                self._run(zone, candidate.record_read(*value, now))
+            else:
+                self._run(zone, candidate.read_failed(now))
+
+        self.world.store.call(self, "get", operation, settled)
+
+    def _keep_alive(self, zone, command):
+        candidate = self.candidates[zone]
+
+        def settled(status, value):
+            outcome = Settled.UNKNOWN
+            if status == "ok":
+                outcome = Settled.DONE if value is not None else Settled.REFUSED
+            self._run(zone, candidate.keepalive_settled(outcome, self.clock()))
+
+        self.world.store.call(
+            self,
+            "keepalive",
+            lambda state, now: state.keep_alive(command.lease, now),
+            settled,
+        )
+
+    def _revoke_lease(self, zone, command):
+        self.world.store.call(
+            self,
+            "lease",
+            lambda state, now: state.revoke(command.lease),
+            lambda status, value: None,
+        )
+
+    def _write_document(self, zone, command):
+        def settled(status, value):
+            revision = 0
+            if status == "ok":
+                taken, revision = value
+                outcome = events.WriteOutcome(taken)
+                if taken == "taken":
+                    self.acknowledged.append(command)
+                    self.world.counts["acknowledged"] += 1
+                    self._publish(command.document)
+            elif status == "not-sent":
+                outcome = events.WriteOutcome.NOT_SENT
+            else:
+                outcome = events.WriteOutcome.UNKNOWN
+            self._decide(
+                zone,
+                events.WriteSettled(
+                    service=command.service,
+                    write_id=command.write_id,
+                    outcome=outcome,
+                    revision=revision,
+                ),
+            )
+
+        store = self.world.store
+        operation = store.put(
+            f"ownership/{command.service}",
+            command.document.encode(),
+            command.expected_revision,
+            None,
+        )
+        store.call(self, "put", operation, settled)
+
+    def _read_document(self, zone, command):
+        service = command.service
+
+        def operation(state, now):
+            entry = state.entries.get(f"ownership/{service}")
+            return (entry.value, entry.revision) if entry else (None, 0)
+
+        def settled(status, value):
+            if status != "ok":
+                self._decide(zone, events.DocumentReadFailed(service=service))
+                return
+            content, revision = value
+            document = OwnershipDocument.decode(content) if content else None
+            self._publish(document) if document else None
+            self._decide(
+                zone,
+                events.DocumentRead(
+                    service=service, revision=revision, document=document
+                ),
+            )
+
+        self.world.store.call(self, "get", operation, settled)
+
+    def _send_grants(self, zone, command):
+        world = self.world
+        server = world.servers_by_name[command.server]
+        call = {"done": False}
+
+        def fail(refused):
+            if not call["done"]:
+                call["done"] = True
+                event = events.GrantFailed(
+                    server=command.server, call_id=command.call_id, refused=refused
+                )
+                self._decide(zone, event)
+
+        def answer(status, value):
+            if not call["done"]:
+                call["done"] = True
+                event = events.GrantAnswered(
+                    server=command.server,
+                    call_id=command.call_id,
+                    accepted=status == 200,
+                    clock=value["clock"],
+                    incarnation=value["incarnation"],
+                    term=value["term"],
+                    digest=value.get("digest", ""),
+                    busy=frozenset(value.get("busy", ())),
+                )
+                self._decide(zone, event)
+
+        def at_server():
+            status, value = server.table.control("/_control/grants", command.body())
+            world.send(server.name, self.name, answer, status, value)
+
+        if not server.alive and not world.is_cut(self.name, server.name):
+            world.scheduler.call_later(0.001, self.deliver, fail, True)
+            return
+        world.scheduler.call_later(CALL_TIMEOUT_S, self.deliver, fail, False)
+        if world.random.random() < world.delayed_calls:
+            world.counts["call-delayed"] += 1
+            delay_s = world.random.uniform(0.3, 4.0)
+            world.scheduler.call_later(
+                delay_s, world.send, self.name, server.name, at_server
+            )
+        else:
+            world.send(self.name, server.name, at_server)
+
+    def _probe_server(self, zone, command):
+        world = self.world
+        server = world.servers_by_name[command.server]
+        # A frozen process still accepts connections, but no gateway gets answers.
+        reachable = (
+            server.alive
+            and not server.frozen
+            and not world.is_cut(self.name, server.name)
+        )
+        event = events.ProbeSettled(server=command.server, reachable=reachable)
+        world.scheduler.call_later(0.002, self.deliver, self._decide, zone, event)
+
+    def _confirm_lease(self, zone, command):
+        self._run(zone, self.candidates[zone].keep_alive(self.clock()))
+
+    def _give_up_lease(self, zone, command):
+        self._run(zone, self.candidates[zone].give_up(self.clock()))
+
+    def _resign(self, zone, command):
+        event = events.PeerResigned(term=command.term, remaining_s=command.remaining_s)
+        for node in list(self.world.nodes_by_name.values()):
+            if node is not self:
+                self.world.send(self.name, node.name, node._decide, zone, event)
+
+    def _grant_routing_lease(self, zone, command):
+        node = self.world.nodes_by_name.get(command.node_id)
+        if node is self:
+            self.routing_lease_granted(command)
+        elif node is not None:
+            self.world.send(self.name, node.name, node.routing_lease_granted, command)
+
+
+_executors = {
+    lease.GrantLease: FakeNode._grant_lease,
+    lease.PutRecord: FakeNode._put_record,
+    lease.ReadRecord: FakeNode._read_record,
+    lease.KeepAlive: FakeNode._keep_alive,
+    lease.RevokeLease: FakeNode._revoke_lease,
+    commands.ConfirmLease: FakeNode._confirm_lease,
+    commands.GiveUpLease: FakeNode._give_up_lease,
+    commands.Resign: FakeNode._resign,
+    commands.GrantRoutingLease: FakeNode._grant_routing_lease,
+    commands.WriteDocument: FakeNode._write_document,
+    commands.ReadDocument: FakeNode._read_document,
+    commands.SendGrants: FakeNode._send_grants,
+    commands.ProbeServer: FakeNode._probe_server,
+}
