--- a/briarspoke/standins/backend.py
+++ b/briarspoke/standins/backend.py
@@ -54,6 +54,7 @@
     :param answer: body of every answer, or a function from the connection to it.
     :param fault: function from the connection to a :class:`Fault` or None.
     :param read_rate: bytes per second read from each connection, or None.
+    :param grants: the :class:`GrantTable` of a fenced server, or None.
     """
 
     def __init__(
@@ -70,6 +71,7 @@
         answer=b"",
         fault=None,
         read_rate=None,
+        grants=None,
     ):
         self.name = name
         self.reactor = reactor
@@ -79,6 +81,7 @@
         self.service_s = service_s
         self.fenced = fenced
         self.keep_records = keep_records
+        self.grants = grants
         self.answer = answer or f'{{"server": "{name}"}}'.encode()
         self.fault = fault
         self.read_rate = read_rate
@@ -94,7 +97,7 @@
 
     def fence_reason(self, headers):
         """Returns why the grants forbid a request, or None."""
-        return None
+        return self.grants.fence_reason(headers) if self.grants else None
 
     def arrived(self, connection):
         """Runs, queues or sheds a request that has arrived whole."""
@@ -122,6 +125,8 @@
         self.running += 1
         self.peak_running = max(self.peak_running, self.running)
         self.record(connection)
+        if self.grants:
+            self.grants.began(_partition(connection))
         service_s = self.service_s
         if callable(service_s):
             service_s = service_s(connection)
@@ -148,17 +153,20 @@
 
     def _ran(self, connection):
         self.running -= 1
+        if self.grants:
+            self.grants.ended(_partition(connection))
         answer = self.answer(connection) if callable(self.answer) else self.answer
         if connection.fault is None:
             connection.reply(200, answer, b"")
         else:
             connection.reply_with_fault(answer)
         while self.waiting and self.running < self.slots:
-            self._run(self.waiting.popleft())
+            # The grant may have ended while the request waited.
+            self.arrived(self.waiting.popleft())
 
     def control(self, path, body):
         """Answers a call of the control endpoint; returns (status, JSON)."""
-        return 404, {}
+        return self.grants.control(path, body) if self.grants else (404, {})
 
     def freeze(self):
         """Stops reading and answering, as a paused process does."""
@@ -174,6 +182,10 @@
             connection.flush()
 
 
+def _partition(connection):
+    return connection.headers.get(b"briarspoke-partition", b"").decode()
+
+
 class _BackendConnection(protocol.Protocol):
     """One HTTP/1.1 connection of the stand-in."""
 
