--- /dev/null
+++ b/briarspoke/configuration/changes.py
@@ -0,0 +1,347 @@
+"""Changes to the configuration document, and differences between versions."""
+
+from __future__ import annotations
+
+from briarspoke.configuration import codes, validation
+from briarspoke.configuration.resources import by_kind
+from briarspoke.schema import OPTION_TYPE, OPTION_UNKNOWN, Problem
+
+# Expected version of a resource that may be at any version but must exist.
+EXISTS = -1
+
+
+class Put:
+    """Creates or replaces one resource.
+
+    :param value: the resource as a JSON value, not yet checked.
+    :param path: JSON path of the value in the operator's input, for problems.
+    :param name: name that the operator addressed, None to take the value's own.
+    """
+
+    __slots__ = ("kind", "name", "path", "value")
+
+    def __init__(self, *, kind, value, path="$", name=None):
+        self.kind = kind
+        self.value = value
+        self.path = path
+        self.name = name
+
+
+class Delete:
+    """Removes one resource; it is a problem if there is none."""
+
+    __slots__ = ("kind", "name", "path")
+
+    def __init__(self, *, kind, name, path="$"):
+        self.kind = kind
+        self.name = name
+        self.path = path
+
+
+class Change:
+    """Several puts and deletes that take effect together or not at all.
+
+    :param write_id: unique identifier of this write.
+    :param expected: version by (kind, name): 0 for absent, :data:`EXISTS` for
+        any version; resources without an entry are not compared.
+    :param replace: True removes every resource that is not put.
+    :param expected_version: version of the whole document, or None.
+    """
+
+    __slots__ = (
+        "deletes",
+        "expected",
+        "expected_version",
+        "puts",
+        "replace",
+        "write_id",
+    )
+
+    def __init__(
+        self,
+        *,
+        write_id,
+        puts=(),
+        deletes=(),
+        expected=None,
+        replace=False,
+        expected_version=None,
+    ):
+        self.write_id = write_id
+        self.puts = tuple(puts)
+        self.deletes = tuple(deletes)
+        self.expected = dict(expected or {})
+        self.replace = replace
+        self.expected_version = expected_version
+
+    def touched(self, document):
+        """Returns (kind, name) of every resource that the change decides on."""
+        keys = {(put.kind, _name_of(put)) for put in self.puts}
+        keys.update((delete.kind, delete.name) for delete in self.deletes)
+        if self.replace:
+            keys.update(document.entries)
+        return keys
+
+
+class Conflict:
+    """A resource that is not at the expected version.
+
+    ``kind`` and ``name`` are None for the whole document.
+    """
+
+    __slots__ = ("expected", "found", "kind", "name")
+
+    def __init__(self, *, kind, name, expected, found):
+        self.kind = kind
+        self.name = name
+        self.expected = expected
+        self.found = found
+
+    def __repr__(self):
+        return f"<Conflict {self.kind}/{self.name} {self.expected} {self.found}>"
+
+    def as_json(self):
+        """Returns the conflict as a JSON object; version 0 means absent."""
+        return {
+            "kind": self.kind,
+            "name": self.name,
+            "expected_version": "any" if self.expected == EXISTS else self.expected,
+            "found_version": self.found,
+        }
+
+
+class Difference:
+    """One resource that differs between two documents.
+
+    :param before: JSON object, None if it is new.
+    :param after: JSON object, None if it is removed.
+    """
+
+    __slots__ = ("after", "before", "kind", "name")
+
+    def __init__(self, *, kind, name, before, after):
+        self.kind = kind
+        self.name = name
+        self.before = before
+        self.after = after
+
+    @property
+    def action(self):
+        """``create``, ``update`` or ``delete``."""
+        if self.before is None:
+            return "create"
+        return "delete" if self.after is None else "update"
+
+    def options(self):
+        """Returns ``{path: (before, after)}`` of the options that differ."""
+        found = {}
+        _compare("$", self.before, self.after, found)
+        return found
+
+    def as_json(self):
+        """Returns the difference as a JSON object."""
+        return {
+            "kind": self.kind,
+            "name": self.name,
+            "action": self.action,
+            "before": self.before,
+            "after": self.after,
+        }
+
+
+class Plan:
+    """What a change would do to one document.
+
+    :param document: the next document; the same one if nothing differs, None
+        with problems or conflicts.
+    """
+
+    __slots__ = ("conflicts", "differences", "document", "problems")
+
+    def __init__(self, *, document=None, differences=(), problems=(), conflicts=()):
+        self.document = document
+        self.differences = list(differences)
+        self.problems = list(problems)
+        self.conflicts = list(conflicts)
+
+
+def plan(document, change):
+    """Returns the :class:`Plan` of a change; the document stays as it is."""
+    conflicts = _conflicts(document, change)
+    if conflicts:
+        return Plan(conflicts=conflicts)
+    problems = []
+    values, paths = _checked_values(change, problems)
+    deletions = _deletions(document, change, values, problems)
+    if problems:
+        return Plan(problems=problems)
+    differing = {
+        key: value
+        for key, value in values.items()
+        if key not in document.entries or document.entries[key].value != value
+    }
+    if not differing and not deletions:
+        return Plan(document=document)
+    after = document.with_changes(differing, deletions, change.write_id)
+    problems = validation.check(after.configuration(), paths=paths)
+    problems += validation.check_transition(document, after, paths=paths)
+    if problems:
+        return Plan(problems=_unique(problems))
+    return Plan(document=after, differences=differences(document, after))
+
+
+def differences(before, after):
+    """Returns the list of :class:`Difference` between two documents."""
+    found = []
+    for key in sorted(before.entries.keys() | after.entries.keys()):
+        old, new = before.entries.get(key), after.entries.get(key)
+        old_value = old.value if old else None
+        new_value = new.value if new else None
+        if old_value != new_value:
+            found.append(
+                Difference(kind=key[0], name=key[1], before=old_value, after=new_value)
+            )
+    return found
+
+
+def puts_of(value, path, problems):
+    """Returns the puts of ``{kind: [resource, ...]}``."""
+    puts = []
+    for kind, entries in _by_kind(value, path, problems):
+        puts += [
+            Put(kind=kind, value=entry, path=f"{path}.{kind}[{index}]")
+            for index, entry in enumerate(entries)
+        ]
+    return puts
+
+
+def deletes_of(value, path, problems):
+    """Returns the deletes of ``{kind: [name, ...]}``."""
+    deletes = []
+    for kind, names in _by_kind(value, path, problems):
+        for index, name in enumerate(names):
+            where = f"{path}.{kind}[{index}]"
+            if isinstance(name, str):
+                deletes.append(Delete(kind=kind, name=name, path=where))
+            else:
+                problems.append(
+                    Problem(path=where, code=OPTION_TYPE, message="is not a string")
+                )
+    return deletes
+
+
+def _by_kind(value, path, problems):
+    if not isinstance(value, dict):
+        problems.append(
+            Problem(path=path, code=OPTION_TYPE, message="is not an object")
+        )
+        return
+    for kind, entries in value.items():
+        if kind not in by_kind:
+            message = "is not a kind of resource"
+            problems.append(
+                Problem(path=f"{path}.{kind}", code=OPTION_UNKNOWN, message=message)
+            )
+        elif not isinstance(entries, list):
+            problems.append(
+                Problem(
+                    path=f"{path}.{kind}", code=OPTION_TYPE, message="is not a list"
+                )
+            )
+        else:
+            yield kind, entries
+
+
+def _name_of(put):
+    if put.name is not None:
+        return put.name
+    name = put.value.get("name") if isinstance(put.value, dict) else None
+    return name if isinstance(name, str) else ""
+
+
+def _conflicts(document, change):
+    conflicts = []
+    expected = change.expected_version
+    if expected is not None and expected != document.version:
+        conflicts.append(
+            Conflict(kind=None, name=None, expected=expected, found=document.version)
+        )
+    for (kind, name), version in sorted(change.expected.items()):
+        found = document.changed_at(kind, name)
+        if version == EXISTS and found > 0:
+            continue
+        if found != version:
+            conflicts.append(
+                Conflict(kind=kind, name=name, expected=version, found=found)
+            )
+    return conflicts
+
+
+def _checked_values(change, problems):
+    values, paths = {}, {}
+    for put in change.puts:
+        value = put.value
+        if isinstance(value, dict) and put.name is not None:
+            value = {"name": put.name, **value}
+        resource = by_kind[put.kind].from_json(value, put.path, problems)
+        if resource is None:
+            continue
+        key = (put.kind, resource.name)
+        if put.name not in (None, resource.name):
+            problems.append(
+                Problem(
+                    path=f"{put.path}.name",
+                    code=codes.NAME_MISMATCH,
+                    message=f"is not {put.name}",
+                )
+            )
+        if key in values:
+            problems.append(
+                Problem(
+                    path=f"{put.path}.name",
+                    code=codes.DUPLICATE_NAME,
+                    message=f"is also the name of {paths[key]}",
+                )
+            )
+        values[key] = resource.as_json()
+        paths[key] = put.path
+    return values, paths
+
+
+def _deletions(document, change, values, problems):
+    deletions = set()
+    for delete in change.deletes:
+        key = (delete.kind, delete.name)
+        if key in values:
+            message = "is put by the same change"
+            problems.append(
+                Problem(path=delete.path, code=codes.DUPLICATE_NAME, message=message)
+            )
+        elif key not in document.entries:
+            message = f"{delete.kind} has no {delete.name[:63]!r}"
+            problems.append(
+                Problem(
+                    path=delete.path, code=codes.RESOURCE_NOT_FOUND, message=message
+                )
+            )
+        deletions.add(key)
+    if change.replace:
+        deletions |= document.entries.keys() - values.keys()
+    return deletions
+
+
+def _unique(problems):
+    # A name that no longer exists is both unknown and in use; one is enough.
+    in_use = {
+        p.path for p in problems if p.code in (codes.ZONE_IN_USE, codes.SERVICE_IN_USE)
+    }
+    unknown = (codes.UNKNOWN_SERVICE_NAMED, codes.UNKNOWN_ZONE_NAMED)
+    return [p for p in problems if not (p.path in in_use and p.code in unknown)]
+
+
+def _compare(path, before, after, found):
+    if isinstance(before, dict) and isinstance(after, dict):
+        for name in sorted(before.keys() | after.keys()):
+            _compare(f"{path}.{name}", before.get(name), after.get(name), found)
+    elif before != after:
+        found[path] = (before, after)
