Add the operators' API

Cause: operators had no way to change or watch the configuration of a running fleet. Change: resource API on its own port with bearer tokens, optimistic concurrency by ETag, several resources at once, dry run, a bounded JSON-lines watch, status views, look-up of write identifiers, health and readiness.

--- a/briarspoke/configuration/holder.py
+++ b/briarspoke/configuration/holder.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import collections
+import logging
 
 from briarspoke.configuration.changes import differences
 from briarspoke.configuration.document import ConfigurationDocument
 
+log = logging.getLogger(__name__)
+
 # Watches that ask for an older version get a snapshot instead of changes.
 TRANSITIONS_KEPT = 64
 
@@ -65,7 +68,11 @@
         )
         self.document = document
         for observer in list(self._observers):
-            observer(self)
+            try:
+                observer(self)
+            except Exception:
+                # A failing observer must not undo an accepted version.
+                log.exception("configuration: an observer failed")
         return True
 
     def transitions_since(self, version):
--- a/briarspoke/configuration/writer.py
+++ b/briarspoke/configuration/writer.py
@@ -160,6 +160,8 @@
     def read(self):
         """Returns (document, revision of its key); raises :exc:`_Stop`."""
         self.store_calls += 1
+        # Taken before the call: a version that appears during it is no revert.
+        highest = max(self._highest_version, self.holder.document.version)
         try:
             stored = yield self.store.get(STORE_KEY)
         except StoreError as error:
@@ -174,12 +176,11 @@
             except (ValueError, CodedError) as error:
                 log.error("configuration: cannot decode the stored one: %s", error)
                 raise _Stop(codes.CONFIGURATION_UNREADABLE) from error
-        highest = max(self._highest_version, self.holder.document.version)
         if document.version < highest:
             detail = f"the store has version {document.version}, seen was {highest}"
             log.error("configuration: %s", detail)
             raise _Stop(codes.CONFIGURATION_REVERTED, detail)
-        self._highest_version = document.version
+        self._highest_version = max(self._highest_version, document.version)
         return document, stored.revision
 
     def pause(self, attempt):
@@ -316,7 +317,7 @@
         return WriteResult(
             status=Status.UNKNOWN if is_unknown else Status.REFUSED,
             write_id=self.change.write_id,
-            version=self.base.version,
+            version=max(self.base.version, self.writer.holder.document.version),
             base_version=base,
             code=code,
             detail=detail,
--- /dev/null
+++ b/briarspoke/http/admin.py
@@ -0,0 +1,571 @@
+"""The operators' API."""
+
+from __future__ import annotations
+
+import hmac
+import io
+import json
+import logging
+import os
+import re
+from urllib.parse import unquote
+
+from twisted.internet import defer
+from twisted.web import resource, server
+
+from briarspoke.codes import INTERNAL_ERROR, NOT_READY
+from briarspoke.configuration import codes
+from briarspoke.configuration.changes import (
+    EXISTS,
+    Change,
+    Delete,
+    Put,
+    deletes_of,
+    puts_of,
+)
+from briarspoke.configuration.resources import by_kind
+from briarspoke.configuration.writer import Status
+from briarspoke.errors import CodedError
+from briarspoke.http.admin_watch import Watches
+
+log = logging.getLogger(__name__)
+
+MAX_BODY_BYTES = 4_000_000
+# A larger body closes the connection instead of being read to its end.
+DISCARDED_BODY_BYTES = 16_000_000
+IDLE_TIMEOUT_S = 60
+MAX_VERSION = 2**53
+WRITE_ID_PATTERN = "[A-Za-z0-9._-]{1,64}"
+_ETAG_PATTERN = r'(?:W/)?"(\d{1,16})"'
+_STATUS_VIEWS = ("nodes", "ownership", "refusals")
+
+_routes = []
+
+
+def _route(method, pattern, *, role="reader"):
+    """Registers a method of :class:`AdminApi` for a path pattern.
+
+    :param role: role needed, None for a call without a token.
+    """
+
+    def decorate(function):
+        _routes.append(
+            _Route(
+                method=method,
+                pattern=re.compile(pattern),
+                role=role,
+                function=function,
+            )
+        )
+        return function
+
+    return decorate
+
+
+class _Route:
+    __slots__ = ("function", "method", "pattern", "role")
+
+    def __init__(self, *, method, pattern, role, function):
+        self.method = method
+        self.pattern = pattern
+        self.role = role
+        self.function = function
+
+
+class ApiError(CodedError):
+    """A call is answered with an error.
+
+    :param fields: further members of the JSON answer.
+    """
+
+    def __init__(self, code, detail="", **fields):
+        super().__init__(code, detail)
+        self.fields = fields
+
+
+class Call:
+    """One call to the API.
+
+    :param operator: name of the authenticated operator, or None.
+    """
+
+    __slots__ = ("body", "operator", "request")
+
+    def __init__(self, *, request, body, operator):
+        self.request = request
+        self.body = body
+        self.operator = operator
+
+    def header(self, name):
+        """Returns a request header, or None."""
+        return self.request.getHeader(name)
+
+    def argument(self, name):
+        """Returns the last value of a query parameter, or None."""
+        values = self.request.args.get(name.encode())
+        return values[-1].decode("utf-8", "replace") if values else None
+
+    def flag(self, name):
+        """Returns whether a query parameter is 1."""
+        value = self.argument(name)
+        if value not in (None, "0", "1"):
+            raise ApiError(codes.BAD_PARAMETER, f"{name} is neither 0 nor 1")
+        return value == "1"
+
+    def number(self, name):
+        """Returns a whole number of the query, or None."""
+        value = self.argument(name)
+        if value is None:
+            return None
+        is_number = value.isascii() and value.isdigit() and len(value) <= 16
+        if not is_number or int(value) > MAX_VERSION:
+            raise ApiError(codes.BAD_PARAMETER, f"{name} is not a version")
+        return int(value)
+
+    def json(self):
+        """Returns the JSON object of the body."""
+        if self.body is None:
+            raise ApiError(
+                codes.CALL_BODY_TOO_LARGE, f"more than {MAX_BODY_BYTES} bytes"
+            )
+        try:
+            value = json.loads(self.body, parse_constant=_reject_constant)
+        except (ValueError, RecursionError) as error:
+            raise ApiError(codes.CALL_BODY_MALFORMED, "the body is not JSON") from error
+        if not isinstance(value, dict):
+            raise ApiError(codes.CALL_BODY_MALFORMED, "the body is not a JSON object")
+        return value
+
+    def write_id(self):
+        """Returns the operator's write identifier or a new one."""
+        write_id = self.header("Briarspoke-Write-Id")
+        if write_id is None:
+            return f"w-{os.urandom(9).hex()}"
+        if not re.fullmatch(WRITE_ID_PATTERN, write_id):
+            message = f"Briarspoke-Write-Id does not match {WRITE_ID_PATTERN}"
+            raise ApiError(codes.BAD_PARAMETER, message)
+        return write_id
+
+    def expected_version(self):
+        """Returns the version of ``If-Match`` or ``If-None-Match``, or None."""
+        match, none_match = self.header("If-Match"), self.header("If-None-Match")
+        if match is not None and none_match is not None:
+            raise ApiError(codes.BAD_PARAMETER, "both If-Match and If-None-Match")
+        if none_match is not None:
+            if none_match != "*":
+                raise ApiError(codes.BAD_PARAMETER, "If-None-Match is not *")
+            return 0
+        if match is None:
+            return None
+        return EXISTS if match == "*" else _etag_version(match)
+
+
+class AdminApi(resource.Resource):
+    """The API as a ``twisted.web`` resource.
+
+    :param operators: ``{name: {"token", "role"}}`` of the settings.
+    :param writer: the :class:`ConfigurationWriter`.
+    :param holder: the :class:`ConfigurationHolder` that reads are served from.
+    :param status: a :class:`briarspoke.http.admin_status.NodeStatus`.
+    :param count: function of a result code's number that counts an error.
+    """
+
+    isLeaf = True
+
+    def __init__(self, *, reactor, operators, writer, holder, status, count=None):
+        super().__init__()
+        self.writer = writer
+        self.holder = holder
+        self.status = status
+        self.watches = Watches(reactor=reactor, holder=holder)
+        self._count = count or (lambda number: None)
+        self._operators = [
+            (name, operator["token"].encode(), operator["role"])
+            for name, operator in operators.items()
+        ]
+
+    def render(self, request):
+        """Answers one call."""
+        handling = defer.maybeDeferred(self._handle, request)
+        handling.addErrback(lambda failure: self._error(request, failure.value))
+        return server.NOT_DONE_YET
+
+    @defer.inlineCallbacks
+    def _handle(self, request):
+        route, arguments, error = _find_route(request)
+        operator = self._authenticate(request, route)
+        if error is not None:
+            raise ApiError(error)
+        call = Call(request=request, body=request.body(), operator=operator)
+        if call.body is None:
+            call.json()
+        answer = yield route.function(self, call, *arguments)
+        if answer is not None:
+            self._reply(request, 200, answer)
+
+    def _authenticate(self, request, route):
+        if route is not None and route.role is None:
+            return None
+        name, role = self._operator_of(request.getHeader("Authorization") or "")
+        if name is None:
+            raise ApiError(codes.UNAUTHENTICATED)
+        if route is not None and route.role == "writer" and role != "writer":
+            raise ApiError(codes.ROLE_REQUIRED, "the call needs the role writer")
+        return name
+
+    def _operator_of(self, header):
+        scheme, _, token = header.partition(" ")
+        found = None, None
+        # Every token is compared, so the time does not tell which one is near.
+        for name, known, role in self._operators:
+            is_equal = hmac.compare_digest(
+                token.strip().encode("utf-8", "surrogateescape"), known
+            )
+            if is_equal and scheme.lower() == "bearer":
+                found = name, role
+        return found
+
+    # Answers.
+
+    def _reply(self, request, status, value, *, etag=None):
+        if request.is_gone:
+            return
+        request.setResponseCode(status)
+        request.setHeader(b"Content-Type", b"application/json")
+        request.setHeader(b"Cache-Control", b"no-store")
+        if etag is not None:
+            request.setHeader(b"ETag", f'"{etag}"'.encode())
+        version = self.holder.document.version
+        request.setHeader("Briarspoke-Configuration-Version", str(version))
+        value = {"configuration_version": version, **value}
+        request.write(json.dumps(value).encode() + b"\n")
+        request.finish()
+
+    def _error(self, request, error):
+        if not isinstance(error, CodedError):
+            log.error("admin: a call failed", exc_info=error)
+            error = ApiError(INTERNAL_ERROR)
+        self._count(error.code.number)
+        code = error.code
+        if not request.is_gone:
+            request.setHeader("Briarspoke-Code", str(code.number))
+            request.setHeader("Briarspoke-Class", code.kind.value)
+            if code is codes.UNAUTHENTICATED:
+                request.setHeader(b"WWW-Authenticate", b"Bearer")
+        value = {
+            "code": code.number,
+            "name": code.name,
+            "class": code.kind.value,
+            "detail": error.detail,
+            **getattr(error, "fields", {}),
+        }
+        self._reply(request, code.http_status, value)
+
+    # Reading.
+
+    @_route("GET", "/v1/healthz", role=None)
+    def _healthz(self, call):
+        return {"status": "alive"}
+
+    @_route("GET", "/v1/readyz", role=None)
+    def _readyz(self, call):
+        if not self.status.ready():
+            raise ApiError(NOT_READY)
+        return {"status": "ready"}
+
+    @_route("GET", "/v1/watch")
+    def _watch(self, call):
+        from_version = call.number("from") or 0
+        if self.watches.is_full:
+            raise ApiError(codes.TOO_MANY_WATCHES)
+        version = str(self.holder.document.version)
+        call.request.setHeader("Briarspoke-Configuration-Version", version)
+        self.watches.start(call.request, from_version)
+
+    @_route("GET", "/v1/status/([a-z]+)")
+    def _status(self, call, view):
+        if view not in _STATUS_VIEWS:
+            raise ApiError(codes.UNKNOWN_PATH)
+        return {view: getattr(self.status, view)()}
+
+    @_route("GET", "/v1/configuration")
+    def _configuration(self, call):
+        document = self.holder.document
+        return {"version": document.version, "resources": document.as_json()}
+
+    @_route("GET", f"/v1/writes/({WRITE_ID_PATTERN})")
+    @defer.inlineCallbacks
+    def _write(self, call, write_id):
+        base_version = call.number("base")
+        state, version = yield self.writer.find(write_id, base_version)
+        return {"write_id": write_id, "status": state.value, "version": version}
+
+    @_route("GET", "/v1/([a-z]+)")
+    def _list(self, call, kind):
+        _check_kind(kind)
+        entries = self.holder.document.values(kind)
+        return {
+            "kind": kind,
+            "items": [
+                {"version": entry.changed_at, "resource": entry.value}
+                for entry in entries
+            ],
+        }
+
+    @_route("GET", "/v1/([a-z]+)/([^/]+)")
+    def _get(self, call, kind, name):
+        _check_kind(kind)
+        entry = self.holder.document.entry(kind, name)
+        if entry is None:
+            raise ApiError(codes.RESOURCE_NOT_FOUND, f"{kind} has no such resource")
+        value = {"version": entry.changed_at, "resource": entry.value}
+        self._reply(call.request, 200, value, etag=entry.changed_at)
+
+    # Writing.
+
+    @_route("PUT", "/v1/([a-z]+)/([^/]+)", role="writer")
+    def _put(self, call, kind, name):
+        _check_kind(kind)
+        put = Put(kind=kind, name=name, value=call.json())
+        change = Change(
+            write_id=call.write_id(), puts=[put], expected=_expected(call, kind, name)
+        )
+        return self._submit(call, change, f"put {kind}/{name}", key=(kind, name))
+
+    @_route("DELETE", "/v1/([a-z]+)/([^/]+)", role="writer")
+    def _delete(self, call, kind, name):
+        _check_kind(kind)
+        change = Change(
+            write_id=call.write_id(),
+            deletes=[Delete(kind=kind, name=name)],
+            expected=_expected(call, kind, name),
+        )
+        return self._submit(call, change, f"delete {kind}/{name}")
+
+    @_route("POST", "/v1/apply", role="writer")
+    def _apply(self, call):
+        change = change_of(call.json(), call.write_id())
+        return self._submit(
+            call,
+            change,
+            f"apply {len(change.puts)} puts, {len(change.deletes)} deletes"
+            + (", replacing all" if change.replace else ""),
+        )
+
+    @defer.inlineCallbacks
+    def _submit(self, call, change, action, key=None):
+        dry_run = call.flag("dry_run")
+        result = yield self.writer.submit(change, dry_run=dry_run)
+        log.info(
+            "admin: operator %s: %s%s, write %s %s at version %d",
+            call.operator,
+            action,
+            " (dry run)" if dry_run else "",
+            result.write_id,
+            result.status.value,
+            result.version,
+        )
+        fields = _result_json(result, dry_run)
+        if result.status is not Status.ACCEPTED:
+            code = result.code
+            if [p.code for p in result.problems] == [codes.RESOURCE_NOT_FOUND]:
+                code = codes.RESOURCE_NOT_FOUND
+            raise ApiError(code, result.detail, **fields)
+        etag = None
+        if key is not None and not dry_run:
+            etag = result.document.changed_at(*key)
+        self._reply(call.request, 200, fields, etag=etag)
+
+
+def change_of(value, write_id):
+    """Returns the :class:`Change` of the body of ``POST /v1/apply``.
+
+    :raises ApiError: if the body has another form.
+    """
+    problems = []
+    known = {"resources", "delete", "replace", "expected_version", "expected"}
+    for name in value:
+        if name not in known:
+            raise ApiError(codes.CALL_BODY_MALFORMED, f"{name[:40]!r} is not known")
+    replace = value.get("replace", False)
+    if not isinstance(replace, bool):
+        raise ApiError(codes.CALL_BODY_MALFORMED, "replace is not true or false")
+    puts = puts_of(value.get("resources", {}), "$.resources", problems)
+    deletes = deletes_of(value.get("delete", {}), "$.delete", problems)
+    if problems:
+        raise ApiError(
+            codes.CALL_BODY_MALFORMED,
+            f"{len(problems)} problem(s)",
+            problems=[problem.as_json() for problem in problems],
+        )
+    return Change(
+        write_id=write_id,
+        puts=puts,
+        deletes=deletes,
+        replace=replace,
+        expected=_expected_of_apply(value.get("expected", {})),
+        expected_version=_version(value.get("expected_version"), "expected_version"),
+    )
+
+
+def _expected_of_apply(value):
+    if not isinstance(value, dict):
+        raise ApiError(codes.CALL_BODY_MALFORMED, "expected is not an object")
+    expected = {}
+    for path, version in value.items():
+        kind, _, name = path.partition("/")
+        if kind not in by_kind or not name:
+            raise ApiError(codes.CALL_BODY_MALFORMED, "expected has no kind/name")
+        if version is None:
+            raise ApiError(codes.CALL_BODY_MALFORMED, "expected has a null version")
+        expected[kind, name] = _version(version, "expected")
+    return expected
+
+
+def _version(value, name):
+    if value is None:
+        return None
+    is_whole = isinstance(value, int) and not isinstance(value, bool)
+    if not is_whole or not 0 <= value <= MAX_VERSION:
+        raise ApiError(codes.CALL_BODY_MALFORMED, f"{name} is not a version")
+    return value
+
+
+def _expected(call, kind, name):
+    version = call.expected_version()
+    return {} if version is None else {(kind, name): version}
+
+
+def _etag_version(value):
+    match = re.fullmatch(_ETAG_PATTERN, value)
+    if match is None:
+        raise ApiError(codes.BAD_PARAMETER, "If-Match is not an ETag of this API")
+    return int(match[1])
+
+
+def _check_kind(kind):
+    if kind not in by_kind:
+        raise ApiError(codes.UNKNOWN_PATH)
+
+
+def _reject_constant(name):
+    raise ValueError(f"{name} is not JSON")
+
+
+def _result_json(result, dry_run):
+    fields = {
+        "status": result.status.value,
+        "write_id": result.write_id,
+        "version": result.version,
+        "dry_run": dry_run,
+        "changes": [difference.as_json() for difference in result.differences],
+    }
+    if result.problems:
+        fields["problems"] = [problem.as_json() for problem in result.problems]
+    if result.conflicts:
+        fields["conflicts"] = [conflict.as_json() for conflict in result.conflicts]
+    if result.status is Status.UNKNOWN:
+        fields["base_version"] = result.base_version
+        fields["resolve"] = f"/v1/writes/{result.write_id}?base={result.base_version}"
+    return fields
+
+
+def _find_route(request):
+    """Returns (route, arguments of the path, code of an error or None).
+
+    Errors are raised after authentication, so that they tell strangers nothing.
+    """
+    path = request.path.decode("utf-8", "replace")
+    method = request.method.decode("ascii", "replace")
+    error = codes.UNKNOWN_PATH
+    for route in _routes:
+        match = route.pattern.fullmatch(path)
+        if match is None:
+            continue
+        if method == route.method:
+            arguments = tuple(unquote(group) for group in match.groups())
+            return route, arguments, None
+        error = codes.METHOD_NOT_ALLOWED
+    return None, (), error
+
+
+class AdminRequest(server.Request):
+    """A request whose body stays in memory and is bounded.
+
+    ``twisted.web`` writes large bodies to a temporary file, and entry VMs have
+    no disks.
+    """
+
+    _body_size = 0
+    is_gone = False
+
+    def gotLength(self, length):
+        """Prepares for a body of a declared length, None if chunked."""
+        self.content = io.BytesIO()
+        self._body_size = 0
+        if length is not None and length > DISCARDED_BODY_BYTES:
+            self._refuse_body()
+
+    def handleContentChunk(self, data):
+        """Takes a part of the body and drops what is beyond the limit."""
+        self._body_size += len(data)
+        if self._body_size <= MAX_BODY_BYTES:
+            self.content.write(data)
+        elif self._body_size > DISCARDED_BODY_BYTES:
+            self._refuse_body()
+
+    def process(self):
+        """Answers the request."""
+        self.notifyFinish().addErrback(self._gone)
+        super().process()
+
+    def body(self):
+        """Returns the body, or None if it is too large."""
+        if self._body_size > MAX_BODY_BYTES:
+            return None
+        self.content.seek(0)
+        return self.content.read()
+
+    def _gone(self, _):
+        self.is_gone = True
+
+    def _refuse_body(self):
+        code = codes.CALL_BODY_TOO_LARGE
+        body = json.dumps(
+            {
+                "code": code.number,
+                "name": code.name,
+                "class": code.kind.value,
+                "detail": f"more than {MAX_BODY_BYTES} bytes",
+            }
+        ).encode()
+        transport = self.channel.transport
+        transport.write(
+            b"HTTP/1.1 413 Content Too Large\r\nContent-Type: application/json\r\n"
+            b"Briarspoke-Code: %d\r\nConnection: close\r\nContent-Length: %d\r\n\r\n"
+            % (code.number, len(body))
+            + body
+        )
+        self.channel.loseConnection()
+
+
+class AdminSite(server.Site):
+    """The API's HTTP factory.
+
+    :param api: the :class:`AdminApi`.
+    """
+
+    noisy = False
+    displayTracebacks = False
+
+    def __init__(self, api):
+        super().__init__(api, requestFactory=AdminRequest, timeout=IDLE_TIMEOUT_S)
+        self.api = api
+
+    def log(self, request):
+        """Writes no access log; changes are logged by the API itself."""
+
+    def doStop(self):
+        """Ends the watches with the listening port."""
+        self.api.watches.stop()
+        super().doStop()
