--- a/briarspoke/cli.py
+++ b/briarspoke/cli.py
@@ -4,24 +4,72 @@
 
 import sys
 
-from cyclopts import App
+from briarspoke import __version__
 
-from briarspoke import __version__, commands
-from briarspoke.errors import UserError
+EXIT_USER_ERROR = 2
+EXIT_INTERRUPTED = 130
+HELP_FLAGS = ("--help", "-h")
 
-app = App(
-    name="briarspoke",
-    help="A router for backend servers that own keys exclusively.",
-    version=__version__,
-)
-commands.register_all(app)
 
+def build_app(*, lazily=True):
+    """Returns the cyclopts application with every command.
+
+    :param lazily: False imports every command for the list of commands.
+    """
+    from cyclopts import App
+
+    from briarspoke import commands
+
+    app = App(
+        name="briarspoke",
+        help="A router for backend servers that own keys exclusively.",
+        help_epilogue="Exit status: 0 fine, 1 refused or differs, 2 user error, "
+        "3 unavailable or outcome unknown.",
+        version=__version__,
+        result_action="return_value",
+        exit_on_error=False,
+        print_error=False,
+    )
+    commands.register_all(app, lazily=lazily)
+    return app
+
+
+def execute(arguments):
+    """Runs one command line and returns its exit status."""
+    if arguments == ["version"]:
+        # Skips the import of cyclopts, which takes most of the time.
+        print(__version__)
+        return 0
+    from cyclopts import CycloptsError
+
+    from briarspoke.client import CallError
+    from briarspoke.errors import UserError
+    from briarspoke.output import print_json
 
-def main():
-    """Runs the command line and exits."""
     try:
-        status = app()
+        is_list = not arguments or arguments[0] in HELP_FLAGS
+        return build_app(lazily=not is_list)(arguments) or 0
+    except CycloptsError as error:
+        message = str(error).strip() or "the command line cannot be understood"
+        print(f"briarspoke: {message}", file=sys.stderr)
+        print("briarspoke: see briarspoke --help", file=sys.stderr)
+        return EXIT_USER_ERROR
     except UserError as error:
         print(f"briarspoke: {error}", file=sys.stderr)
-        status = 2
-    sys.exit(status or 0)
+        return EXIT_USER_ERROR
+    except CallError as error:
+        if error.output == "json":
+            print_json(error.answer)
+        print(f"briarspoke: {error}", file=sys.stderr)
+        return error.exit_status
+    except KeyboardInterrupt:
+        return EXIT_INTERRUPTED
+    except BrokenPipeError:
+        # The reader, such as head, has seen enough.
+        sys.stderr.close()
+        return 0
+
+
+def main():
+    """Runs the command line and exits."""
+    sys.exit(execute(sys.argv[1:]))
--- a/briarspoke/commands/__init__.py
+++ b/briarspoke/commands/__init__.py
@@ -1,4 +1,9 @@
-"""The commands of the command line, one module each."""
+"""The commands of the command line, one module each.
+
+A module has a function ``run`` and a constant ``NAME``, which is the module's
+own name. Modules are imported only when their command runs or the help lists
+it, so a short command does not wait for the imports of the others.
+"""
 
 from __future__ import annotations
 
@@ -6,11 +11,19 @@
 import pkgutil
 
 
-def register_all(app):
+def names():
+    """Returns the names of all commands, sorted."""
+    return sorted(module.name for module in pkgutil.iter_modules(__path__))
+
+
+def register_all(app, *, lazily=True):
     """Registers the command of every module in this package.
 
-    Each module has a function ``run`` and a constant ``NAME``.
+    :param lazily: False imports the modules at once, so that the list of
+        commands shows what each is for.
     """
-    for module in sorted(pkgutil.iter_modules(__path__), key=lambda m: m.name):
-        command = importlib.import_module(f"{__name__}.{module.name}")
-        app.command(command.run, name=command.NAME)
+    for name in names():
+        command = f"{__name__}.{name}:run"
+        if not lazily:
+            command = importlib.import_module(f"{__name__}.{name}").run
+        app.command(command, name=name)
--- /dev/null
+++ b/briarspoke/commands/diff.py
@@ -0,0 +1,39 @@
+"""``briarspoke diff``."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated
+
+from cyclopts import Parameter
+
+from briarspoke import output
+from briarspoke.client import Api
+from briarspoke.commands.apply import body_of, submit
+
+NAME = "diff"
+EXIT_DIFFERS = 1
+
+
+def run(
+    file: Path,
+    *,
+    replace: bool = False,
+    api: Annotated[Api | None, Parameter(name="*")] = None,
+):
+    """Show what a file would change; the exit status is 1 if anything.
+
+    Parameters
+    ----------
+    file:
+        JSON file ``{kind: [resource, ...]}``.
+    replace:
+        Also show resources that the file does not hold.
+    """
+    api = api or Api()
+    answer = submit(api, body_of(file, [], replace), dry_run=True)
+    if api.output == "json":
+        output.print_json(answer)
+    else:
+        output.print_differences(answer["changes"])
+    return EXIT_DIFFERS if answer["changes"] else 0
--- /dev/null
+++ b/briarspoke/commands/get.py
@@ -0,0 +1,95 @@
+"""``briarspoke get``."""
+
+from __future__ import annotations
+
+import json
+from typing import Annotated
+from urllib.parse import quote
+
+from cyclopts import Parameter
+
+from briarspoke import output
+from briarspoke.client import Api
+from briarspoke.configuration.resources import by_kind
+from briarspoke.errors import UserError
+
+NAME = "get"
+VIEWS = ("nodes", "ownership", "refusals")
+
+
+def run(
+    what: str,
+    name: str | None = None,
+    *,
+    base: int | None = None,
+    api: Annotated[Api | None, Parameter(name="*")] = None,
+):
+    """Show resources, a status view or the outcome of a write.
+
+    Parameters
+    ----------
+    what:
+        A kind (zones, services, servers, limits), configuration, nodes,
+        ownership, refusals or writes.
+    name:
+        Name of one resource, or a write identifier.
+    base:
+        Version that a write was based on, to tell whether it can still happen.
+    """
+    api = api or Api()
+    path = _path(what, name, base)
+    with output.progress(f"waiting for {what}"):
+        answer = api.call("GET", path)
+    if api.output == "json":
+        output.print_json(answer)
+    elif "items" in answer:
+        _print_items(answer["items"])
+    elif "resource" in answer:
+        print(json.dumps(answer["resource"], indent=2))
+    elif what == "ownership":
+        _print_ownership(answer[what])
+    elif isinstance(answer.get(what), list):
+        _print_rows(answer[what])
+    elif what == "configuration":
+        print(json.dumps(answer["resources"], indent=2))
+    else:
+        print(f"{answer['write_id']}: {answer['status']}, version {answer['version']}")
+    return 0
+
+
+def _path(what, name, base):
+    if what == "configuration" and name is None:
+        return "/v1/configuration"
+    if what in VIEWS and name is None:
+        return f"/v1/status/{what}"
+    if what == "writes" and name is not None:
+        query = "" if base is None else f"?base={base}"
+        return f"/v1/writes/{quote(name, safe='')}{query}"
+    if what in by_kind:
+        return f"/v1/{what}" + (f"/{quote(name, safe='')}" if name else "")
+    known = ", ".join([*by_kind, "configuration", *VIEWS, "writes ID"])
+    raise UserError(f"cannot get {what}; there are: {known}")
+
+
+def _print_items(items):
+    rows = [{**item["resource"], "version": item["version"]} for item in items]
+    _print_rows(
+        [
+            {key: value for key, value in row.items() if not isinstance(value, dict)}
+            for row in rows
+        ]
+    )
+
+
+def _print_rows(rows):
+    columns = list(rows[0]) if rows else ["nothing"]
+    output.print_table(columns, [[row.get(c) for c in columns] for row in rows])
+
+
+def _print_ownership(by_service):
+    rows = []
+    for service, view in sorted(by_service.items()):
+        for server, count in sorted(view["partitions"].items()):
+            rows.append([service, view["version"], server, count])
+        rows.append([service, view["version"], "(none)", view["unowned"]])
+    output.print_table(["service", "version", "server", "partitions"], rows)
--- /dev/null
+++ b/briarspoke/output.py
@@ -0,0 +1,83 @@
+"""Prints results of commands."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import sys
+import threading
+
+PROGRESS_AFTER_S = 1.0
+
+
+def print_json(value):
+    """Prints a JSON value on one line."""
+    print(json.dumps(value), flush=True)
+
+
+def print_table(columns, rows):
+    """Prints rows below their column names, aligned on the left."""
+    cells = [columns, *([_cell(value) for value in row] for row in rows)]
+    widths = [max(len(row[i]) for row in cells) for i in range(len(columns))]
+    for row in cells:
+        line = "  ".join(
+            cell.ljust(width) for cell, width in zip(row, widths, strict=True)
+        )
+        print(line.rstrip())
+    sys.stdout.flush()
+
+
+def print_differences(changes):
+    """Prints the changes of an API answer, one option per line."""
+    for change in changes:
+        sign = {"create": "+", "update": "~", "delete": "-"}[change["action"]]
+        print(f"{sign} {change['kind']}/{change['name']}")
+        if change["action"] == "update":
+            _print_options("", change["before"], change["after"])
+    sys.stdout.flush()
+
+
+def print_change(form, text, version):
+    """Prints the outcome of a change as text or JSON."""
+    if form == "json":
+        print_json({"result": text, "version": version})
+    else:
+        print(f"{text}, configuration version {version}", flush=True)
+
+
+def _print_options(path, before, after):
+    if isinstance(before, dict) and isinstance(after, dict):
+        for name in sorted(before.keys() | after.keys()):
+            _print_options(f"{path}.{name}", before.get(name), after.get(name))
+    elif before != after:
+        print(f"    {path[1:]}: {json.dumps(before)} -> {json.dumps(after)}")
+
+
+@contextlib.contextmanager
+def progress(text):
+    """Says on standard error what takes longer than a second."""
+    done = threading.Event()
+
+    def report():
+        seconds = 0
+        while not done.wait(PROGRESS_AFTER_S):
+            seconds += 1
+            print(f"briarspoke: {text}, {seconds} s", file=sys.stderr, flush=True)
+
+    thread = threading.Thread(target=report, daemon=True)
+    thread.start()
+    try:
+        yield
+    finally:
+        done.set()
+        thread.join()
+
+
+def _cell(value):
+    if value is None:
+        return "-"
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    if isinstance(value, dict | list):
+        return json.dumps(value, separators=(",", ":"))
+    return str(value)
--- a/briarspoke/settings.py
+++ b/briarspoke/settings.py
@@ -2,13 +2,37 @@
 
 from __future__ import annotations
 
+import ipaddress
 import json
 
-from briarspoke import schema
+from briarspoke import codes, schema
 from briarspoke.configuration.resources import ADDRESS_PATTERN, NAME_PATTERN
 from briarspoke.errors import UserError
 
 MIN_KEY_LENGTH = 16
+MAX_PORT = 65535
+LISTEN_OPTIONS = (
+    "caller_listen",
+    "peer_listen",
+    "forward_listen",
+    "admin_listen",
+    "metrics_listen",
+)
+
+ADDRESS_TAKEN = codes.register(
+    8006,
+    "address-taken",
+    codes.Kind.CALLER_ERROR,
+    422,
+    "Two ports of the process have the same address.",
+)
+TOKEN_TAKEN = codes.register(
+    8007,
+    "token-taken",
+    codes.Kind.CALLER_ERROR,
+    422,
+    "Two operators have the same token.",
+)
 
 
 class InvalidValuesError(UserError):
@@ -128,11 +152,53 @@
 
     :raises InvalidValuesError: with every problem found.
     """
-    problems = []
-    settings = SCHEMA.check(value, "$", problems)
+    problems = problems_of(value)
     if problems:
         raise InvalidValuesError(source, problems)
-    return settings
+    return SCHEMA.check(value, "$", problems)
+
+
+def problems_of(value):
+    """Returns every problem of a JSON object, checks across options included."""
+    problems = []
+    settings = SCHEMA.check(value, "$", problems)
+    if not problems:
+        _check_addresses(settings, problems)
+        _check_tokens(settings, problems)
+    return problems
+
+
+def _check_addresses(settings, problems):
+    first_by_address = {}
+    for name in LISTEN_OPTIONS:
+        address = getattr(settings, name)
+        host, _, port = address.rpartition(":")
+        if int(port) > MAX_PORT:
+            message = f"has a port above {MAX_PORT}"
+            problems.append(_problem(name, schema.OPTION_RANGE, message))
+        try:
+            ipaddress.ip_address(host.strip("[]"))
+        except ValueError:
+            message = "has no IP number"
+            problems.append(_problem(name, schema.OPTION_FORMAT, message))
+        # Port 0 lets the kernel choose a free one for each.
+        first = first_by_address.setdefault(address, name)
+        if first != name and int(port) != 0:
+            problems.append(_problem(name, ADDRESS_TAKEN, f"is also $.{first}"))
+
+
+def _check_tokens(settings, problems):
+    first_by_token = {}
+    for name, operator in settings.operators.items():
+        first = first_by_token.setdefault(operator["token"], name)
+        if first != name:
+            message = f"is also the token of $.operators.{first}"
+            path = f"operators.{name}.token"
+            problems.append(_problem(path, TOKEN_TAKEN, message))
+
+
+def _problem(name, code, message):
+    return schema.Problem(path=f"$.{name}", code=code, message=message)
 
 
 def load(path):
@@ -153,5 +219,5 @@
             return json.load(file)
     except OSError as error:
         raise UserError(f"cannot read {path}: {error.strerror}") from error
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise UserError(f"{path} is not JSON: {error}") from error
