--- /dev/null
+++ b/briarspoke/links/link.py
@@ -0,0 +1,284 @@
+"""One websocket link as a Twisted protocol."""
+
+from __future__ import annotations
+
+import collections
+import logging
+
+from twisted.internet import protocol
+from twisted.internet.interfaces import IPushProducer
+from websockets.client import ClientProtocol
+from websockets.exceptions import PayloadTooBig
+from websockets.frames import Opcode
+from websockets.http11 import Request, Response
+from websockets.protocol import State
+from websockets.server import ServerProtocol
+from websockets.uri import parse_uri
+from zope.interface import implementer
+
+from briarspoke.links import messages, rejections
+from briarspoke.links.messages import MalformedMessageError
+from briarspoke.links.rejections import LinkError
+from briarspoke.links.session import Session
+
+log = logging.getLogger(__name__)
+
+MAX_FRAME_BYTES = 2**20
+# A hello takes about 200 bytes; a stranger cannot make the node buffer more.
+MAX_HANDSHAKE_FRAME_BYTES = 4096
+HANDSHAKE_TIMEOUT_S = 2.0
+CLOSE_TIMEOUT_S = 0.5
+# Two documents of the largest size; a peer that is further behind is cut off
+# and takes the newest documents after it has linked again.
+MAX_QUEUED_BYTES = 2 * MAX_FRAME_BYTES
+# Websocket close codes from 4000 on are free for applications.
+CLOSE_CODE_BASE = 4000 - 6000
+# The library logs each connection at INFO, which says nothing that the link
+# layer does not log itself.
+_ws_log = logging.getLogger("briarspoke.links.websocket")
+_ws_log.setLevel(logging.CRITICAL)
+
+
+@implementer(IPushProducer)
+class Link(protocol.Protocol):
+    """A link to another entry VM.
+
+    :param owner: has ``hello()``, ``cluster_key``, ``check_peer(link)``,
+        ``link_ready(link)``, ``link_received(link, message)``,
+        ``link_closed(link)``, ``count_link(code)``, ``count_bytes(direction, n)``
+        and ``count_frame(direction)``.
+    :param dialled: address that was dialled, or None for an accepted link.
+    """
+
+    def __init__(self, *, owner, reactor, dialled=None):
+        self.owner = owner
+        self.reactor = reactor
+        self.dialled = dialled
+        self.session = Session(
+            cluster_key=owner.cluster_key,
+            is_dialler=dialled is not None,
+            hello=owner.hello(),
+        )
+        if dialled is None:
+            self._ws = ServerProtocol(
+                max_size=MAX_HANDSHAKE_FRAME_BYTES, logger=_ws_log
+            )
+        else:
+            # Not the small limit: the acceptor's first large frames may arrive
+            # in one read with its proof.
+            self._ws = ClientProtocol(
+                parse_uri(f"ws://{dialled}/link"),
+                max_size=MAX_FRAME_BYTES,
+                logger=_ws_log,
+            )
+        self.code = None
+        self.heard_at = None
+        self.digest_mark = 0
+        self.heartbeats = 0
+        self.phase = 0
+        self.unwanted_since = None
+        self._paused = False
+        self._queue = collections.deque()
+        self._queued_bytes = 0
+        self._timer = None
+        self._closed = False
+
+    @property
+    def is_dialler(self):
+        """Whether this side opened the connection."""
+        return self.session.is_dialler
+
+    @property
+    def is_ready(self):
+        """Whether the peer is authenticated and the link is open."""
+        return self.session.is_ready and self.code is None and not self._closed
+
+    @property
+    def node_id(self):
+        """Node id of the peer, None before its hello."""
+        return self.session.peer.node_id if self.session.peer else None
+
+    # Twisted's callbacks.
+
+    def connectionMade(self):
+        """Starts the handshake."""
+        self.transport.registerProducer(self, True)
+        if hasattr(self.transport, "setTcpNoDelay"):
+            self.transport.setTcpNoDelay(True)
+        self._timer = self.reactor.callLater(
+            HANDSHAKE_TIMEOUT_S, self.close, rejections.HANDSHAKE_TIMEOUT
+        )
+        if self.is_dialler:
+            self._ws.send_request(self._ws.connect())
+            self._flush()
+
+    def dataReceived(self, data):
+        """Takes bytes from the peer."""
+        self.owner.count_bytes("received", len(data))
+        if self.code is not None:
+            return
+        self._ws.receive_data(data)
+        try:
+            for event in self._ws.events_received():
+                self._on_event(event)
+                if self.code is not None:
+                    return
+            self._check_websocket()
+        except LinkError as error:
+            self.close(error.code, error.detail)
+            return
+        self._flush()
+
+    def connectionLost(self, reason=None):
+        """Ends the link."""
+        self._cancel_timer()
+        self._closed = True
+        self._queue.clear()
+        if self.code is None and not self.session.is_ready:
+            is_open = self._ws.state is not State.CONNECTING
+            self.code = rejections.PEER_CLOSED if is_open else rejections.BAD_HANDSHAKE
+            self.owner.count_link(self.code)
+        self.owner.link_closed(self)
+
+    # IPushProducer: the transport's buffer is full, or has room again.
+
+    def pauseProducing(self):
+        """Queues frames from now on."""
+        self._paused = True
+
+    def resumeProducing(self):
+        """Writes the queued frames."""
+        self._paused = False
+        while self._queue and not self._paused:
+            data = self._queue.popleft()
+            self._queued_bytes -= len(data)
+            self._write_now(data)
+
+    def stopProducing(self):
+        """Stops writing."""
+        self._queue.clear()
+
+    # Sending and closing.
+
+    def send(self, message):
+        """Sends a message."""
+        self.send_payload(messages.encode(message))
+
+    def send_payload(self, payload):
+        """Sends an encoded message."""
+        if not self.is_ready or self._ws.state is not State.OPEN:
+            return
+        self.owner.count_frame("sent")
+        self._ws.send_binary(self.session.seal(payload))
+        self._flush()
+
+    def close(self, code, detail=""):
+        """Closes the link for a reason, which is counted and told to the peer."""
+        if self.code is not None or self._closed:
+            return
+        self.code = code
+        self.owner.count_link(code)
+        log.info(
+            "link: closing the link to %s: %d %s %s",
+            self.node_id or self.dialled or "an unknown peer",
+            code.number,
+            code.name,
+            detail,
+        )
+        self._cancel_timer()
+        if self._paused:
+            self.transport.abortConnection()
+            return
+        if self._ws.state is State.OPEN:
+            self._ws.fail(CLOSE_CODE_BASE + code.number, f"{code.number} {code.name}")
+            self._flush()
+        self.transport.loseConnection()
+        self._timer = self.reactor.callLater(CLOSE_TIMEOUT_S, self._abort)
+
+    def _abort(self):
+        self._timer = None
+        self.transport.abortConnection()
+
+    def _cancel_timer(self):
+        timer, self._timer = self._timer, None
+        if timer is not None and timer.active():
+            timer.cancel()
+
+    def _flush(self):
+        for data in self._ws.data_to_send():
+            # An empty string asks for the end of the stream.
+            if not data:
+                self.transport.loseConnection()
+            elif not self._paused:
+                self._write_now(data)
+            else:
+                self._queue.append(data)
+                self._queued_bytes += len(data)
+        if self._queued_bytes > MAX_QUEUED_BYTES:
+            self._queue.clear()
+            self._queued_bytes = 0
+            self.close(rejections.SLOW_PEER)
+
+    def _write_now(self, data):
+        self.owner.count_bytes("sent", len(data))
+        self.transport.write(data)
+
+    # Receiving.
+
+    def _check_websocket(self):
+        error = self._ws.parser_exc or self._ws.handshake_exc
+        if isinstance(error, PayloadTooBig):
+            raise LinkError(rejections.OVERSIZED)
+        if error is not None and not isinstance(error, EOFError):
+            code = (
+                rejections.MALFORMED
+                if self.session.is_ready
+                else rejections.BAD_HANDSHAKE
+            )
+            raise LinkError(code, type(error).__name__)
+
+    def _on_event(self, event):
+        if isinstance(event, Request):
+            response = self._ws.accept(event)
+            self._ws.send_response(response)
+        elif isinstance(event, Response):
+            if self._ws.handshake_exc is None:
+                self._send_handshake(self.session.first())
+        elif event.opcode is Opcode.BINARY and event.fin:
+            self._on_frame(bytes(event.data))
+        elif event.opcode is Opcode.CLOSE:
+            log.info(
+                "link: %s closed the link: %s",
+                self.node_id or self.dialled or "an unknown peer",
+                self._ws.close_rcvd and self._ws.close_rcvd.reason,
+            )
+        elif event.opcode not in (Opcode.PING, Opcode.PONG):
+            raise LinkError(rejections.MALFORMED, "not a whole binary frame")
+
+    def _on_frame(self, frame):
+        self.owner.count_frame("received")
+        if not self.session.is_ready:
+            self._on_handshake_frame(frame)
+            return
+        try:
+            message = messages.decode(self.session.open(frame))
+        except MalformedMessageError as error:
+            raise LinkError(rejections.MALFORMED, str(error)) from error
+        self.owner.link_received(self, message)
+
+    def _on_handshake_frame(self, frame):
+        had_peer = self.session.peer is not None
+        answers = self.session.receive_handshake(frame)
+        if not had_peer:
+            self.owner.check_peer(self)
+        self._send_handshake(answers)
+        if self.session.is_ready:
+            self._cancel_timer()
+            self._ws.max_message_size = MAX_FRAME_BYTES
+            self.owner.link_ready(self)
+
+    def _send_handshake(self, frames):
+        for frame in frames:
+            self.owner.count_frame("sent")
+            self._ws.send_binary(frame)
+        self._flush()
--- a/briarspoke/metrics.py
+++ b/briarspoke/metrics.py
@@ -14,6 +14,14 @@
     "attempts_total": ("outcome", "Attempts that ended, by outcome."),
     "forwards_total": ("direction", "Requests forwarded between entry VMs."),
     "invariants_total": ("code", "Failed assertions inside the program."),
+    "link_results_total": ("code", "Links and messages rejected, by result code."),
+    "link_frames_total": ("direction", "Frames on links between entry VMs."),
+    "link_bytes_total": ("direction", "Bytes on links between entry VMs."),
+    "member_changes_total": ("status", "Changes of members, by new status."),
+    "documents_taken_total": ("source", "Documents taken from store or links."),
+    "store_calls_total": ("kind", "Calls to the platform's store, by kind."),
+    "store_failures_total": ("kind", "Failed calls to the store, by kind."),
+    "store_bytes_total": ("direction", "Bytes of bodies of store calls, estimated."),
 }
 
 GAUGES = {
--- a/briarspoke/platform/store.py
+++ b/briarspoke/platform/store.py
@@ -14,6 +14,10 @@
 from briarspoke.errors import BriarspokeError
 
 CALL_TIMEOUT_S = 1.0
+# Size of the fixed headers of a request and a response of the stand-in, for the
+# estimate of bytes; the agent does not tell what it sends.
+REQUEST_HEAD_BYTES = 110
+RESPONSE_HEAD_BYTES = 160
 
 
 class StoreError(BriarspokeError):
@@ -43,6 +47,10 @@
     """The lease is no longer live."""
 
 
+class StoreHistoryGoneError(StoreError):
+    """A watch began before the store's event history; list again."""
+
+
 class StoreRejectedError(StoreError):
     """The store refused the call as invalid."""
 
@@ -87,12 +95,16 @@
     """Calls the store; every method returns a Deferred.
 
     :param base_url: such as ``http://127.0.0.1:2379``.
+    :param metrics: :class:`briarspoke.metrics.Metrics` that count the calls.
     """
 
-    def __init__(self, *, reactor, base_url):
+    def __init__(self, *, reactor, base_url, metrics=None):
         self._reactor = reactor
+        self._metrics = metrics
         self._base_url = base_url.rstrip("/")
         self._pool = client.HTTPConnectionPool(reactor, persistent=True)
+        # Three watches wait at a time, beside leases, reads and writes.
+        self._pool.maxPersistentPerHost = 8
         # A retry inside the client could repeat a write unseen.
         self._pool.retryAutomatically = False
         self._agent = client.Agent(
@@ -102,7 +114,7 @@
     @defer.inlineCallbacks
     def get(self, key):
         """Returns the :class:`StoredValue` of a key."""
-        status, value = yield self._call("GET", f"/v1/kv/{quote(key)}")
+        status, value = yield self._call("get", "GET", f"/v1/kv/{quote(key)}")
         if status == 404:
             return StoredValue(key=key, value=None, revision=0)
         return _stored(value)
@@ -111,7 +123,7 @@
     def list(self, prefix):
         """Returns (store revision, list of :class:`StoredValue`)."""
         query = urlencode({"prefix": prefix})
-        _, value = yield self._call("GET", f"/v1/kv?{query}")
+        _, value = yield self._call("list", "GET", f"/v1/kv?{query}")
         return value["revision"], [_stored(entry) for entry in value["entries"]]
 
     @defer.inlineCallbacks
@@ -127,7 +139,7 @@
             "expected_revision": expected_revision,
             "lease": lease,
         }
-        status, answer = yield self._call("PUT", f"/v1/kv/{quote(key)}", body)
+        status, answer = yield self._call("put", "PUT", f"/v1/kv/{quote(key)}", body)
         if status == 409:
             raise StoreConflictError(answer["revision"])
         if status == 404:
@@ -137,7 +149,7 @@
     @defer.inlineCallbacks
     def grant_lease(self, ttl_s):
         """Returns the identifier of a new lease."""
-        _, value = yield self._call("POST", "/v1/leases", {"ttl_s": ttl_s})
+        _, value = yield self._call("lease", "POST", "/v1/leases", {"ttl_s": ttl_s})
         return value["lease"]
 
     @defer.inlineCallbacks
@@ -146,13 +158,15 @@
 
         :raises LeaseLapsedError: if it is no longer live.
         """
-        status, _ = yield self._call("POST", f"/v1/leases/{lease}/keepalive")
+        status, _ = yield self._call(
+            "keepalive", "POST", f"/v1/leases/{lease}/keepalive"
+        )
         if status == 404:
             raise LeaseLapsedError(f"lease {lease} is not live")
 
     def revoke_lease(self, lease):
         """Ends a lease and deletes its keys."""
-        return self._call("DELETE", f"/v1/leases/{lease}")
+        return self._call("lease", "DELETE", f"/v1/leases/{lease}")
 
     @defer.inlineCallbacks
     def watch(self, prefix, *, after, wait_s):
@@ -160,17 +174,18 @@
 
         :returns: (store revision, list of :class:`StoredValue`); the list is
             empty when nothing changed within ``wait_s``.
+        :raises StoreHistoryGoneError: if ``after`` is older than the history.
         """
         query = urlencode({"prefix": prefix, "after": after, "wait_s": wait_s})
         _, value = yield self._call(
-            "GET", f"/v1/watch?{query}", timeout_s=wait_s + CALL_TIMEOUT_S
+            "watch", "GET", f"/v1/watch?{query}", timeout_s=wait_s + CALL_TIMEOUT_S
         )
         return value["revision"], [_stored(event) for event in value["events"]]
 
     @defer.inlineCallbacks
     def vms(self):
         """Returns the VM list as a list of dicts."""
-        _, value = yield self._call("GET", "/v1/vms")
+        _, value = yield self._call("vms", "GET", "/v1/vms")
         return value["vms"]
 
     def close(self):
@@ -178,13 +193,33 @@
         return self._pool.closeCachedConnections()
 
     @defer.inlineCallbacks
-    def _call(self, method, path, body=None, timeout_s=CALL_TIMEOUT_S):
-        producer = None if body is None else _BytesProducer(json.dumps(body).encode())
+    def _call(self, kind, method, path, body=None, timeout_s=CALL_TIMEOUT_S):
+        self._count("store_calls_total", kind)
+        try:
+            status, value = yield self._exchange(method, path, body, timeout_s)
+        except StoreError:
+            self._count("store_failures_total", kind)
+            raise
+        if status == 410:
+            raise StoreHistoryGoneError(f"{method} {path}: status 410")
+        if status not in (200, 404, 409):
+            self._count("store_failures_total", kind)
+            raise StoreRejectedError(f"{method} {path}: status {status}")
+        return status, value
+
+    @defer.inlineCallbacks
+    def _exchange(self, method, path, body, timeout_s):
+        content = b"" if body is None else json.dumps(body).encode()
+        self._count(
+            "store_bytes_total",
+            "sent",
+            len(method) + len(path) + len(content) + REQUEST_HEAD_BYTES,
+        )
         request = self._agent.request(
             method.encode(),
             (self._base_url + path).encode(),
             http_headers.Headers({"Content-Type": ["application/json"]}),
-            producer,
+            None if body is None else _BytesProducer(content),
         )
         request.addTimeout(timeout_s, self._reactor)
         try:
@@ -192,16 +227,20 @@
             reading = client.readBody(response)
             reading.addTimeout(timeout_s, self._reactor)
             content = yield reading
-            value = json.loads(content) if content else {}
+            self._count(
+                "store_bytes_total", "received", len(content) + RESPONSE_HEAD_BYTES
+            )
+            return response.code, json.loads(content) if content else {}
         except (error.ConnectError, error.ConnectingCancelledError) as failure:
             raise StoreUnavailableError(str(failure)) from failure
         except Exception as failure:
             raise StoreOutcomeUnknownError(
                 f"{method} {path}: {type(failure).__name__}"
             ) from failure
-        if response.code not in (200, 404, 409):
-            raise StoreRejectedError(f"{method} {path}: status {response.code}")
-        return response.code, value
+
+    def _count(self, name, label, by=1):
+        if self._metrics is not None:
+            self._metrics.count(name, label, by)
 
 
 def _stored(entry):
