--- /dev/null
+++ b/briarspoke/benches/control.py
@@ -0,0 +1,404 @@
+"""Bench ``control``: what membership and watching cost an idle node."""
+
+from __future__ import annotations
+
+import collections
+import json
+import math
+import os
+import pathlib
+import random
+import re
+import socket
+import subprocess
+import sys
+import tempfile
+
+from twisted.internet import defer, task
+from twisted.web import client
+
+from briarspoke import clock, loop
+from briarspoke.benches import Bound, Report, bench
+from briarspoke.ownership.document import OwnershipDocument, Partition
+from briarspoke.standins.store import StoreStandIn, site
+
+# Replace by ("briarspoke", "serve", "--settings") when nodes run through serve.
+NODE_COMMAND = ("briarspoke.benches.control_node",)
+BARE_COMMAND = ("briarspoke.benches.control_node", "--bare")
+SIZES = (5, 10, 20, 40)
+TARGET_NODES = 440
+START_TIMEOUT_S = 12.0
+SETTLE_S = 2.0
+MEASURE_S = 4.0
+LONG_MEASURE_S = 40.0
+CPU_LIMIT = 0.027
+MEMORY_LIMIT_MB = 32.0
+BYTES_LIMIT = 8 * 1024
+WRITES_LIMIT = 500.0
+READS_LIMIT = 2000.0
+# Headers of IPv4 and TCP with timestamps, for the estimate on the wire.
+PACKET_HEAD_BYTES = 52
+PORTS_PER_NODE = 5
+FIRST_PORT, LAST_PORT = 20_000, 32_000
+
+# Zones and services of both deployments: {service: number of servers}.
+DEPLOYMENTS = (
+    (
+        ("poa", "cwb", "fln", "cxs"),
+        {"tabela": 14, "orcamento": 8, "vistoria": 8, "sinal": 8},
+    ),
+    (
+        ("halle-a", "buero", "scheune"),
+        {"lager": 13, "abfuellung": 8, "etiketten": 6, "bestellung": 6},
+    ),
+)
+WRITE_KINDS = ("put", "delete", "lease", "keepalive")
+READ_KINDS = ("get", "list", "watch", "vms")
+_METRIC = re.compile(r'briarspoke_(\w+)\{(?:(?!node=)\w+="([^"]*)",)?.*\} (\S+)')
+
+
+@bench("control")
+def run(*, seed, long):
+    """Measures sizes one after the other and extrapolates to the target."""
+    reactor = loop.install()
+    control = Control(reactor=reactor, seed=seed, long=long)
+    outcome = []
+
+    def end(result):
+        outcome.append(result)
+        reactor.stop()
+
+    reactor.callWhenRunning(lambda: control.run().addBoth(end))
+    try:
+        reactor.run()
+    finally:
+        control.stop_processes()
+    if hasattr(outcome[0], "raiseException"):
+        outcome[0].raiseException()
+    return outcome[0]
+
+
+class Control:
+    """One run of the bench.
+
+    :param long: measure each size for longer.
+    """
+
+    def __init__(self, *, reactor, seed, long):
+        self.reactor = reactor
+        self.seed = seed
+        self.measure_s = LONG_MEASURE_S if long else MEASURE_S
+        self._rng = random.Random(seed)
+        self._processes = []
+        self._agent = client.Agent(reactor)
+
+    @defer.inlineCallbacks
+    def run(self):
+        """Returns the :class:`Report`."""
+        bare_mb = yield self._bare_memory()
+        by_size = {}
+        for size in SIZES:
+            by_size[size] = yield self._measure(size, bare_mb)
+        figures = {"bare_interpreter_mb": bare_mb, "measured_s": self.measure_s}
+        figures["by_size"] = by_size
+        figures["at_440"] = extrapolated = {
+            name: extrapolate({n: f[name] for n, f in by_size.items()})
+            for name in (
+                "cpu_share",
+                "memory_above_bare_mb",
+                "bytes_per_s",
+                "store_writes_per_s",
+                "store_reads_per_s",
+            )
+        }
+        return Report(
+            bench="control",
+            seed=self.seed,
+            figures=figures,
+            bounds=[
+                Bound(name=f"{name} at 440", value=extrapolated[name]["value"], limit=n)
+                for name, n in (
+                    ("cpu_share", CPU_LIMIT),
+                    ("memory_above_bare_mb", MEMORY_LIMIT_MB),
+                    ("bytes_per_s", BYTES_LIMIT),
+                    ("store_writes_per_s", WRITES_LIMIT),
+                    ("store_reads_per_s", READS_LIMIT),
+                )
+            ]
+            + [
+                Bound(
+                    name=f"members known at {size}",
+                    value=figures["by_size"][size]["members_known"],
+                    limit=size,
+                    at_most=False,
+                )
+                for size in SIZES
+            ],
+        )
+
+    @defer.inlineCallbacks
+    def _bare_memory(self):
+        process = self._spawn(*BARE_COMMAND)
+        yield self._sleep(1.5)
+        memory_mb = resident_mb(process.pid)
+        self.stop_processes()
+        return memory_mb
+
+    @defer.inlineCallbacks
+    def _measure(self, size, bare_mb):
+        stand_in = StoreStandIn(reactor=self.reactor, clock=clock.monotonic)
+        port = self.reactor.listenTCP(0, site(stand_in), interface="127.0.0.1")
+        store_url = f"http://127.0.0.1:{port.getHost().port}"
+        put_documents(stand_in.state)
+        with tempfile.TemporaryDirectory() as directory:
+            nodes = self._settings(size, store_url)
+            stand_in.state.vms_by_id = {
+                n["node"]: {
+                    "id": n["node"],
+                    "address": n["peer_listen"],
+                    "zone": n["zone"],
+                    "kind": "entry",
+                    "state": "live",
+                }
+                for n in nodes
+            }
+            for number, node in enumerate(nodes):
+                path = pathlib.Path(directory, f"{number}.json")
+                path.write_text(json.dumps(node))
+                self._spawn(*NODE_COMMAND, str(path))
+            try:
+                result = yield self._observe(nodes, stand_in, bare_mb)
+            finally:
+                self.stop_processes()
+                yield port.stopListening()
+        return result
+
+    @defer.inlineCallbacks
+    def _observe(self, nodes, stand_in, bare_mb):
+        yield self._wait_until_linked(nodes, stand_in)
+        yield self._sleep(SETTLE_S)
+        before = yield self._metrics(nodes)
+        started, cpu = clock.monotonic(), [cpu_seconds(p.pid) for p in self._processes]
+        calls = collections.Counter(stand_in.calls_by_kind)
+        yield self._sleep(self.measure_s)
+        elapsed = clock.monotonic() - started
+        cpu = [
+            (cpu_seconds(p.pid) - c) / elapsed
+            for p, c in zip(self._processes, cpu, strict=True)
+        ]
+        calls = collections.Counter(stand_in.calls_by_kind) - calls
+        memory = [resident_mb(p.pid) for p in self._processes]
+        after = yield self._metrics(nodes)
+        rates = [
+            {key: (value - b.get(key, 0)) / elapsed for key, value in a.items()}
+            for b, a in zip(before, after, strict=True)
+        ]
+        return summarise(after, rates, cpu, memory, bare_mb, calls, elapsed)
+
+    @defer.inlineCallbacks
+    def _wait_until_linked(self, nodes, stand_in):
+        deadline = clock.monotonic() + START_TIMEOUT_S
+        keys = len(stand_in.state.entries)
+        while clock.monotonic() < deadline:
+            yield self._sleep(0.5)
+            try:
+                metrics = yield self._metrics(nodes)
+            except Exception:
+                # A node that does not listen yet.
+                continue
+            if all(
+                m.get(("member_changes_total", "alive"), 0) >= len(nodes) - 1
+                and sum(v for (n, _), v in m.items() if n == "documents_taken_total")
+                >= keys
+                for m in metrics
+            ):
+                return
+        raise RuntimeError(f"{len(nodes)} nodes did not link in {START_TIMEOUT_S} s")
+
+    def _metrics(self, nodes):
+        return defer.gatherResults(
+            [self._metrics_of(node) for node in nodes], consumeErrors=True
+        )
+
+    @defer.inlineCallbacks
+    def _metrics_of(self, node):
+        url = f"http://{node['metrics_listen']}/"
+        response = yield self._agent.request(b"GET", url.encode())
+        content = yield client.readBody(response)
+        return {
+            (name, label): float(value)
+            for name, label, value in _METRIC.findall(content.decode())
+        }
+
+    def _settings(self, size, store_url):
+        zones = [zone for names, _ in DEPLOYMENTS for zone in names]
+        addresses = iter(
+            f"127.0.0.1:{p}" for p in free_ports(self._rng, size * PORTS_PER_NODE)
+        )
+        nodes = [
+            {
+                "node": f"entry-{number:03}",
+                "zone": zones[number % len(zones)],
+                "store_url": store_url,
+                "cluster_key": "bench-cluster-key-only",
+                "peer_listen": next(addresses),
+                "metrics_listen": next(addresses),
+                "forward_listen": next(addresses),
+                "caller_listen": next(addresses),
+                "admin_listen": next(addresses),
+            }
+            for number in range(size)
+        ]
+        for node in nodes:
+            node["peers"] = [n["peer_listen"] for n in nodes[:3]]
+        return nodes
+
+    def _spawn(self, module, *arguments):
+        root = pathlib.Path(__file__).parents[2]
+        process = subprocess.Popen(
+            [sys.executable, "-m", module, *arguments],
+            env={**os.environ, "PYTHONPATH": str(root)},
+            stdin=subprocess.DEVNULL,
+            stdout=subprocess.DEVNULL,
+        )
+        self._processes.append(process)
+        return process
+
+    def stop_processes(self):
+        """Ends every process that this run started."""
+        processes, self._processes = self._processes, []
+        for process in processes:
+            process.terminate()
+        for process in processes:
+            try:
+                process.wait(timeout=2)
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+
+    def _sleep(self, seconds):
+        return task.deferLater(self.reactor, seconds, lambda: None)
+
+
+def summarise(counters, rates, cpu, memory, bare_mb, calls, elapsed):
+    """Returns the figures of one size.
+
+    :param counters: counters of each node at the end.
+    :param rates: counters per second of each node.
+    :param calls: calls that the stand-in counted, by kind.
+    """
+    count = len(rates)
+
+    def mean(name, label=None):
+        return (
+            sum(
+                value
+                for rate in rates
+                for (n, lab), value in rate.items()
+                if n == name and label in (None, lab)
+            )
+            / count
+        )
+
+    by_kind = {kind: round(number / elapsed, 3) for kind, number in calls.items()}
+    link_bytes = mean("link_bytes_total")
+    store_bytes = mean("store_bytes_total")
+    return {
+        "cpu_share": sum(cpu) / count,
+        "cpu_share_max": max(cpu),
+        "memory_mb": sum(memory) / count,
+        "memory_above_bare_mb": sum(memory) / count - bare_mb,
+        "memory_above_bare_mb_max": max(memory) - bare_mb,
+        "bytes_per_s": link_bytes + store_bytes,
+        "link_bytes_sent_per_s": mean("link_bytes_total", "sent"),
+        "link_bytes_received_per_s": mean("link_bytes_total", "received"),
+        "store_bytes_per_s": store_bytes,
+        "link_frames_per_s": mean("link_frames_total"),
+        "link_bytes_with_packet_heads_per_s": link_bytes
+        + PACKET_HEAD_BYTES * mean("link_frames_total"),
+        "store_calls_per_s_by_kind": by_kind,
+        "store_writes_per_s": sum(by_kind.get(k, 0.0) for k in WRITE_KINDS),
+        "store_reads_per_s": sum(by_kind.get(k, 0.0) for k in READ_KINDS),
+        "members_known": 1
+        + min(c.get(("member_changes_total", "alive"), 0) for c in counters),
+    }
+
+
+def extrapolate(values_by_size):
+    """Fits value = a + b log2(n) and a + b n and returns both at the target.
+
+    ``value`` is the one with the smaller sum of squared residuals.
+    """
+    sizes, values = zip(*sorted(values_by_size.items()), strict=True)
+    fits = {}
+    for name, scale in (("log2", math.log2), ("linear", float)):
+        xs = [scale(n) for n in sizes]
+        mean_x, mean_y = sum(xs) / len(xs), sum(values) / len(values)
+        slope = sum(
+            (x - mean_x) * (y - mean_y) for x, y in zip(xs, values, strict=True)
+        ) / sum((x - mean_x) ** 2 for x in xs)
+        residual = sum(
+            (y - mean_y - slope * (x - mean_x)) ** 2
+            for x, y in zip(xs, values, strict=True)
+        )
+        at_target = mean_y + slope * (scale(TARGET_NODES) - mean_x)
+        fits[name] = {"slope": slope, "residual": residual, "at_440": at_target}
+    best = min(fits, key=lambda name: fits[name]["residual"])
+    return {"value": fits[best]["at_440"], "fit": best, "fits": fits}
+
+
+def put_documents(state):
+    """Puts the configuration and ownership of both deployments into a store."""
+    configuration = {"zones": [], "services": [], "servers": []}
+    for zones, servers_by_service in DEPLOYMENTS:
+        configuration["zones"] += [{"name": zone} for zone in zones]
+        for service, count in servers_by_service.items():
+            names = [f"{service}-{n:02}" for n in range(count)]
+            configuration["services"].append({"name": service})
+            configuration["servers"] += [
+                {
+                    "name": name,
+                    "service": service,
+                    "zone": zones[n % len(zones)],
+                    "address": f"127.0.0.1:{9000 + n}",
+                }
+                for n, name in enumerate(names)
+            ]
+            document = OwnershipDocument.empty(service, 256).with_changes(
+                {n: Partition(owner=names[n % count], epoch=1) for n in range(256)},
+                "bench",
+            )
+            state.put(f"ownership/{service}", document.encode(), 0, None)
+    state.put("config", json.dumps(configuration).encode(), 0, None)
+
+
+def free_ports(rng, count):
+    """Returns free TCP ports below the range of outgoing connections."""
+    sockets = []
+    try:
+        for port in rng.sample(range(FIRST_PORT, LAST_PORT), LAST_PORT - FIRST_PORT):
+            listener = socket.socket()
+            try:
+                listener.bind(("127.0.0.1", port))
+            except OSError:
+                listener.close()
+                continue
+            sockets.append(listener)
+            if len(sockets) == count:
+                break
+        return [listener.getsockname()[1] for listener in sockets]
+    finally:
+        for listener in sockets:
+            listener.close()
+
+
+def cpu_seconds(pid):
+    """Returns user and system seconds of a process."""
+    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def resident_mb(pid):
+    """Returns the resident memory of a process in MB (10^6 bytes)."""
+    pages = int(pathlib.Path(f"/proc/{pid}/statm").read_text().split()[1])
+    return pages * os.sysconf("SC_PAGE_SIZE") / 1e6
--- a/briarspoke/standins/store.py
+++ b/briarspoke/standins/store.py
@@ -10,6 +10,15 @@
 
 MAX_VALUE_BYTES = 1_000_000
 EVENTS_KEPT = 10_000
+EVENT_BYTES_KEPT = 32_000_000
+# The platform allows several hundred writes/s and about 2,000 reads/s. Calls
+# beyond that wait in the order of their arrival, at most MAX_WAIT_S.
+WRITES_PER_S = 500.0
+READS_PER_S = 2000.0
+MAX_WAIT_S = 1.0
+BURST_S = 0.05
+MAX_WATCH_WAIT_S = 60.0
+MAX_LEASE_TTL_S = 3600.0
 
 
 class Entry:
@@ -39,14 +48,28 @@
     Every method takes the monotonic time in seconds.
     """
 
-    __slots__ = ("_next_lease", "entries", "events", "leases", "revision", "vms_by_id")
-
-    def __init__(self):
+    __slots__ = (
+        "_event_bytes",
+        "_events_kept",
+        "_next_lease",
+        "entries",
+        "events",
+        "forgotten",
+        "leases",
+        "revision",
+        "vms_by_id",
+    )
+
+    def __init__(self, *, events_kept=EVENTS_KEPT):
         self.revision = 0
         self.entries = {}
         self.leases = {}
-        self.events = collections.deque(maxlen=EVENTS_KEPT)
+        self.events = collections.deque()
+        # Revision of the newest event that is no longer in the history.
+        self.forgotten = 0
         self.vms_by_id = {}
+        self._events_kept = events_kept
+        self._event_bytes = 0
         self._next_lease = 0
 
     def expire(self, now):
@@ -68,7 +91,7 @@
             return False, current
         self.revision += 1
         self.entries[key] = Entry(value=value, revision=self.revision, lease=lease)
-        self.events.append((self.revision, key, value))
+        self._record(key, value)
         return True, self.revision
 
     def delete(self, key, expected_revision):
@@ -82,7 +105,16 @@
     def _delete(self, key):
         del self.entries[key]
         self.revision += 1
-        self.events.append((self.revision, key, None))
+        self._record(key, None)
+
+    def _record(self, key, value):
+        self.events.append((self.revision, key, value))
+        self._event_bytes += len(value or b"")
+        while (
+            len(self.events) > self._events_kept or self._event_bytes > EVENT_BYTES_KEPT
+        ):
+            self.forgotten, _, old = self.events.popleft()
+            self._event_bytes -= len(old or b"")
 
     def grant_lease(self, ttl_s, now):
         """Returns the identifier of a new lease."""
@@ -98,9 +130,43 @@
             lease.expires_at = now + lease.ttl_s
         return lease
 
+    def next_expiry(self):
+        """Returns when the next lease lapses, None without leases."""
+        return min((lease.expires_at for lease in self.leases.values()), default=None)
+
+    def covers(self, revision):
+        """Returns whether every event after a revision is in the history."""
+        return self.forgotten <= revision <= self.revision
+
     def events_after(self, prefix, revision):
         """Returns the events of a prefix that are newer than a revision."""
-        return [e for e in self.events if e[0] > revision and e[1].startswith(prefix)]
+        events = []
+        for event in reversed(self.events):
+            if event[0] <= revision:
+                break
+            if event[1].startswith(prefix):
+                events.append(event)
+        events.reverse()
+        return events
+
+
+class Pacer:
+    """Spreads calls over time at a rate, in the order of their arrival."""
+
+    __slots__ = ("_free_at", "per_s")
+
+    def __init__(self, *, per_s):
+        self.per_s = per_s
+        self._free_at = 0.0
+
+    def delay(self, now):
+        """Returns the seconds that a call has to wait, None if too many wait."""
+        free_at = max(self._free_at, now - BURST_S)
+        wait_s = max(0.0, free_at - now)
+        if wait_s > MAX_WAIT_S:
+            return None
+        self._free_at = free_at + 1.0 / self.per_s
+        return wait_s
 
 
 class Faults:
@@ -108,16 +174,33 @@
 
     :param down: refuse every call by closing its connection.
     :param delay_s: wait before every call takes effect.
+    :param read_delay_s: wait before every read but watches, in addition.
     :param lose_answers: number of coming writes that take effect without an
         answer.
+    :param lose_lease_answers: the same for grants and keepalives of leases.
+    :param fail_writes: number of coming writes and lease calls that are answered
+        with status 503 and have no effect.
+    :param stale_vms: VM list that is served instead of the present one, or None.
     """
 
-    __slots__ = ("delay_s", "down", "lose_answers")
+    __slots__ = (
+        "delay_s",
+        "down",
+        "fail_writes",
+        "lose_answers",
+        "lose_lease_answers",
+        "read_delay_s",
+        "stale_vms",
+    )
 
     def __init__(self):
         self.down = False
         self.delay_s = 0.0
+        self.read_delay_s = 0.0
         self.lose_answers = 0
+        self.lose_lease_answers = 0
+        self.fail_writes = 0
+        self.stale_vms = None
 
 
 class _Watch:
@@ -138,24 +221,47 @@
 
     isLeaf = True
 
-    def __init__(self, *, reactor, clock):
+    def __init__(
+        self,
+        *,
+        reactor,
+        clock,
+        writes_per_s=WRITES_PER_S,
+        reads_per_s=READS_PER_S,
+        events_kept=EVENTS_KEPT,
+    ):
         super().__init__()
         self.reactor = reactor
         self.clock = clock
-        self.state = StoreState()
+        self.state = StoreState(events_kept=events_kept)
         self.faults = Faults()
         self.calls_by_kind = collections.Counter()
         self._watches = []
+        self._writes = Pacer(per_s=writes_per_s)
+        self._reads = Pacer(per_s=reads_per_s)
+        self._expiry = None
 
     def render(self, request):
         """Answers one call, faults included."""
+        body = request.content.read()
+        if request.path == b"/_faults":
+            self._reply(request, [], *self._faults_call(request, body))
+            return server.NOT_DONE_YET
         if self.faults.down:
             request.transport.abortConnection()
             return server.NOT_DONE_YET
-        body = request.content.read()
         gone = []
         request.notifyFinish().addErrback(lambda _: gone.append(True))
-        self.reactor.callLater(self.faults.delay_s, self._handle, request, body, gone)
+        is_read = request.method == b"GET"
+        delay_s = (self._reads if is_read else self._writes).delay(self.clock())
+        if delay_s is None:
+            self.calls_by_kind["limited"] += 1
+            self._reply(request, gone, 429, {})
+            return server.NOT_DONE_YET
+        delay_s += self.faults.delay_s
+        if is_read and not request.path.startswith(b"/v1/watch"):
+            delay_s += self.faults.read_delay_s
+        self.reactor.callLater(delay_s, self._handle, request, body, gone)
         return server.NOT_DONE_YET
 
     def _handle(self, request, body, gone):
@@ -163,6 +269,8 @@
             if not gone:
                 request.transport.abortConnection()
             return
+        if gone and request.method == b"GET":
+            return
         self.state.expire(self.clock())
         path = request.path.decode().removeprefix("/v1/")
         method = request.method.decode()
@@ -171,21 +279,34 @@
         if handler is None:
             self._reply(request, gone, 404, {})
             return
+        if method != "GET" and self.faults.fail_writes > 0:
+            self.faults.fail_writes -= 1
+            self.calls_by_kind["failed"] += 1
+            self._reply(request, gone, 503, {})
+            return
         try:
             value = json.loads(body) if body else {}
             reply = handler(request, rest, value)
         except (ValueError, KeyError, TypeError):
             reply = 400, {}
-        self._notify_watches()
+        self._state_changed()
         if reply is None:
             return
-        if method in ("PUT", "DELETE") and self.faults.lose_answers > 0:
-            self.faults.lose_answers -= 1
+        if self._loses_answer(method):
             if not gone:
                 request.transport.abortConnection()
             return
         self._reply(request, gone, *reply)
 
+    def _loses_answer(self, method):
+        if method in ("PUT", "DELETE") and self.faults.lose_answers > 0:
+            self.faults.lose_answers -= 1
+            return True
+        if method == "POST" and self.faults.lose_lease_answers > 0:
+            self.faults.lose_lease_answers -= 1
+            return True
+        return False
+
     def _reply(self, request, gone, status, value):
         if gone:
             return
@@ -194,10 +315,87 @@
         request.write(json.dumps(value).encode())
         request.finish()
 
+    def _state_changed(self):
+        self._notify_watches()
+        # Leases lapse on time, not only when the next call arrives.
+        if self._expiry is not None and self._expiry.active():
+            self._expiry.cancel()
+        self._expiry = None
+        at = self.state.next_expiry()
+        if at is not None:
+            delay_s = max(0.0, at - self.clock())
+            self._expiry = self.reactor.callLater(delay_s, self._expire)
+
+    def _expire(self):
+        self.state.expire(self.clock())
+        self._state_changed()
+
+    # Faults.
+
+    def set_down(self, down):
+        """Takes the store down, waiting watches included, or up again."""
+        self.faults.down = down
+        if down:
+            for watch in list(self._watches):
+                self._drop_watch(watch)
+                watch.request.transport.abortConnection()
+
+    def lapse_leases(self, lease_ids=None):
+        """Lets leases lapse early.
+
+        :param lease_ids: identifiers; None stands for all.
+        """
+        for lease_id in list(self.state.leases) if lease_ids is None else lease_ids:
+            self.state.revoke(lease_id)
+        self._state_changed()
+
+    def freeze_vms(self, frozen):
+        """Serves the present VM list until further notice, or lists again."""
+        vms = list(self.state.vms_by_id.values())
+        self.faults.stale_vms = vms if frozen else None
+
+    def _faults_call(self, request, body):
+        if request.method not in (b"GET", b"POST"):
+            return 405, {}
+        if request.method == b"POST":
+            try:
+                self._set_faults(json.loads(body))
+            except (ValueError, KeyError, TypeError, AttributeError) as error:
+                return 400, {"error": str(error)}
+        return 200, {
+            "faults": {name: getattr(self.faults, name) for name in Faults.__slots__},
+            "calls_by_kind": dict(self.calls_by_kind),
+            "leases": sorted(self.state.leases),
+            "revision": self.state.revision,
+            "watches": len(self._watches),
+        }
+
+    def _set_faults(self, changes):
+        handlers = {
+            "down": lambda value: self.set_down(bool(value)),
+            "stale_vms": lambda value: self.freeze_vms(bool(value)),
+            "lapse_leases": lambda value: self.lapse_leases(
+                None if value is True else value
+            ),
+            "vms": self._set_vms,
+        }
+        for name in ("delay_s", "read_delay_s"):
+            handlers[name] = lambda value, n=name: setattr(self.faults, n, float(value))
+        for name in ("lose_answers", "lose_lease_answers", "fail_writes"):
+            handlers[name] = lambda value, n=name: setattr(self.faults, n, int(value))
+        unknown = sorted(changes.keys() - handlers.keys())
+        if unknown:
+            raise ValueError(f"unknown faults: {', '.join(unknown)}")
+        for name, value in changes.items():
+            handlers[name](value)
+
+    def _set_vms(self, vms):
+        self.state.vms_by_id = {vm["id"]: vm for vm in vms}
+
     # Key-value calls.
 
     def _kv_get(self, request, key, body):
-        self.calls_by_kind["get"] += 1
+        self.calls_by_kind["get" if key else "list"] += 1
         if not key:
             prefix = _argument(request, "prefix", "")
             entries = [
@@ -231,7 +429,7 @@
         lease_id = rest.partition("/")[0]
         if not lease_id:
             self.calls_by_kind["lease"] += 1
-            ttl_s = float(body["ttl_s"])
+            ttl_s = min(float(body["ttl_s"]), MAX_LEASE_TTL_S)
             lease_id = self.state.grant_lease(ttl_s, self.clock())
             return 200, {"lease": lease_id, "ttl_s": ttl_s}
         self.calls_by_kind["keepalive"] += 1
@@ -245,6 +443,8 @@
 
     def _vms_get(self, request, rest, body):
         self.calls_by_kind["vms"] += 1
+        if self.faults.stale_vms is not None:
+            return 200, {"vms": self.faults.stale_vms}
         return 200, {"vms": list(self.state.vms_by_id.values())}
 
     # Watches.
@@ -253,7 +453,9 @@
         self.calls_by_kind["watch"] += 1
         prefix = _argument(request, "prefix", "")
         after = int(_argument(request, "after", "0"))
-        wait_s = min(float(_argument(request, "wait_s", "30")), 60.0)
+        wait_s = min(float(_argument(request, "wait_s", "30")), MAX_WATCH_WAIT_S)
+        if not self.state.covers(after):
+            return 410, {"revision": self.state.revision}
         events = self.state.events_after(prefix, after)
         if events:
             return 200, self._events_json(events)
