--- a/briarspoke/membership/documents.py
+++ b/briarspoke/membership/documents.py
@@ -14,7 +14,7 @@
 MAX_DOCUMENTS = 4096
 
 DOCUMENT_CONFLICT = codes.register(
-    7201,
+    7301,
     "document-conflict",
     codes.Kind.INTERNAL,
     500,
