Wire controllers, links, configuration and API into the node

Cause: the node read ownership once at start and had no links. Change: the node joins the other entry VMs, spreads and applies documents, runs the zone controllers, serves the operators' API and reports load. The store gives each process its incarnation, so that no wall clock orders them. Controllers hear of records through the one watcher instead of their own.

--- a/briarspoke/http/router.py
+++ b/briarspoke/http/router.py
@@ -17,6 +17,7 @@
 from briarspoke.http.pool import ConnectionPool
 from briarspoke.retry.policy import RetryBudget, may_retry
 from briarspoke.routing.classify import classify
+from briarspoke.routing.load import PartitionLoad
 from briarspoke.routing.table import RoutingTable
 
 log = logging.getLogger(__name__)
@@ -51,6 +52,11 @@
         self.pools_by_server = {}
         self.pools_by_peer_address = {}
         self.budgets_by_service = {}
+        self.load = PartitionLoad()
+        # Set by the node: the RoutingLeaseHolder, and a function of (server name,
+        # whether it answers) for unfenced servers.
+        self.routing_leases = None
+        self.on_server_report = None
         self.relays = set()
         self.channels = set()
         self.closing = False
@@ -72,6 +78,10 @@
                 self.pools_by_server.pop(name).close()
         return True
 
+    def apply_ownership(self, document):
+        """Takes a newer ownership document into use."""
+        return self.table.apply(document)
+
     # Called by relays.
 
     def request_started(self, relay):
--- a/briarspoke/links/messages.py
+++ b/briarspoke/links/messages.py
@@ -375,13 +375,15 @@
 
     :ivar serial: number chosen by the sender, repeated in the answer.
     :ivar versions: ownership version in force per service.
-    :ivar in_flight: number of requests in flight per server.
+    :ivar instance: random number of the sender's process.
+    :ivar in_flight: number of requests in flight per ``service/partition``.
     :ivar longest_s: longest remaining deadline of these requests.
     """
 
     FIELDS = {
         "zone": Text(minimum=1),
         "serial": Uint(),
+        "instance": Uint(),
         "versions": MapOf(Uint()),
         "in_flight": MapOf(Uint()),
         "longest_s": Seconds(),
@@ -391,13 +393,17 @@
 
 @message(18)
 class RoutingLease(Message):
-    """Grants a routing lease, counted from when its request was sent."""
+    """Grants a routing lease, counted from when its request was sent.
+
+    :ivar versions: lowest ownership version to send by, per service.
+    """
 
     FIELDS = {
         "zone": Text(minimum=1),
         "serial": Uint(),
         "term": Uint(),
         "duration_s": Seconds(),
+        "versions": MapOf(Uint()),
     }
     __slots__ = tuple(FIELDS)
 
@@ -408,3 +414,45 @@
 
     FIELDS = {"node_id": Text(minimum=1), "version": Uint()}
     __slots__ = tuple(FIELDS)
+
+
+@message(20)
+class InForceRequest(Message):
+    """Asks every node which configuration version it has in force."""
+
+    FIELDS = {}
+    __slots__ = ()
+
+
+@message(21)
+class AskTerm(Message):
+    """Asks the holder of an earlier term whether that term has ended.
+
+    :ivar incarnation: incarnation of the process that held the term.
+    :ivar by_term: the term of the controller that asks.
+    """
+
+    FIELDS = {
+        "zone": Text(minimum=1),
+        "term": Uint(),
+        "incarnation": Uint(),
+        "by_term": Uint(),
+    }
+    __slots__ = tuple(FIELDS)
+
+
+@message(22)
+class LoadReport(Message):
+    """Tells the controllers how much work a gateway sent to a server.
+
+    :ivar interval_s: time over which the requests were counted.
+    :ivar counts: requests by partition number, as text.
+    """
+
+    FIELDS = {
+        "service": Text(minimum=1),
+        "server": Text(minimum=1),
+        "interval_s": Seconds(),
+        "counts": MapOf(Uint()),
+    }
+    __slots__ = tuple(FIELDS)
--- a/briarspoke/node.py
+++ b/briarspoke/node.py
@@ -2,24 +2,46 @@
 
 from __future__ import annotations
 
-import json
 import logging
+import os
+import random
 
 from twisted.internet import defer, task
 from twisted.web import resource, server
 
 from briarspoke import clock
-from briarspoke.configuration.snapshot import Configuration, split_address
-from briarspoke.errors import UserError
+from briarspoke.configuration.document import STORE_KEY, ConfigurationDocument
+from briarspoke.configuration.holder import ConfigurationHolder
+from briarspoke.configuration.snapshot import split_address
+from briarspoke.configuration.writer import ConfigurationWriter
+from briarspoke.errors import UserError, invariant_observers
+from briarspoke.http.admin import AdminApi, AdminSite
 from briarspoke.http.callers import CallerFactory
 from briarspoke.http.peers import PeerFactory
 from briarspoke.http.router import TICK_S, Router
+from briarspoke.links.hub import LinkHub
+from briarspoke.membership.documents import Documents
+from briarspoke.membership.in_force import InForceViews
+from briarspoke.membership.members import Member, Members
 from briarspoke.metrics import Metrics
+from briarspoke.node_status import RouterStatus
 from briarspoke.ownership.document import OwnershipDocument
-from briarspoke.platform.store import StoreClient
+from briarspoke.ownership.messaging import ControlMessaging
+from briarspoke.ownership.runner import OWNERSHIP_PREFIX, RECORD_PREFIX, ControlRunner
+from briarspoke.platform.store import StoreClient, StoreConflictError, StoreError
+from briarspoke.platform.vms import VmPoller
+from briarspoke.platform.watcher import StoreWatcher
+from briarspoke.routing.load import LoadReporter
+from briarspoke.routing.peers import peers_of
 
 log = logging.getLogger(__name__)
 
+DUTIES_S = 0.25
+# A peer that answers at all does so much earlier; then the store is asked again.
+SYNC_TIMEOUT_S = 2.0
+RETRY_S = 0.25
+INCARNATION_PREFIX = "nodes/"
+
 
 class _MetricsResource(resource.Resource):
     isLeaf = True
@@ -42,7 +64,13 @@
     def __init__(self, *, reactor, settings):
         self.reactor = reactor
         self.settings = settings
+        self.ports_by_name = {}
+        self.vm_list = []
+        self.ready = False
+        self._stopping = False
+        self._rng = random.Random()
         self.metrics = Metrics(node_id=settings.node)
+        invariant_observers.append(self._invariant_failed)
         self.router = Router(
             reactor=reactor,
             clock=clock.monotonic,
@@ -51,64 +79,318 @@
             zone=settings.zone,
             cluster_key=settings.cluster_key,
         )
-        self.store = StoreClient(reactor=reactor, base_url=settings.store_url)
-        self.ports = []
-        self._ticker = task.LoopingCall(self.router.tick)
-        self._ticker.clock = reactor
-        self.metrics.gauge("requests_in_flight", lambda: len(self.router.relays))
-        self.metrics.gauge(
-            "configuration_version", lambda: self.router.configuration.version
+        self.store = StoreClient(
+            reactor=reactor, base_url=settings.store_url, metrics=self.metrics
+        )
+        self.documents = Documents()
+        self.holder = ConfigurationHolder()
+        self.holder.observe(self._configuration_in_force)
+        self.writer = ConfigurationWriter(
+            store=self.store,
+            holder=self.holder,
+            clock=clock.monotonic,
+            sleep=lambda seconds: task.deferLater(reactor, seconds, lambda: None),
         )
+        self._timers = []
+
+    # Start.
 
     @defer.inlineCallbacks
     def start(self):
-        """Reads configuration and ownership, then listens.
+        """Listens, joins the other entry VMs and gets ready to serve.
 
         :raises UserError: if an address cannot be listened on.
         """
-        yield self.load()
-        self._ticker.start(TICK_S, now=False)
-        self._listen(
-            self.settings.caller_listen, CallerFactory(router=self.router), "callers"
-        )
+        self._listen("forward", self.settings.forward_listen, self._forward_factory())
+        self._join()
+        self._listen("metrics", self.settings.metrics_listen, self._metrics_site())
+        self._listen("admin", self.settings.admin_listen, self._admin_site())
         self._listen(
-            self.settings.forward_listen, PeerFactory(router=self.router), "forward"
+            "callers", self.settings.caller_listen, CallerFactory(router=self.router)
         )
-        site = server.Site(_MetricsResource(self.metrics))
-        site.noisy = False
-        self._listen(self.settings.metrics_listen, site, "metrics")
+        self._every(TICK_S, self.router.tick)
+        self._every(DUTIES_S, self._duties)
+        self._every(LoadReporter.INTERVAL_S, self._report_load)
+        self.control.start()
+        self.vms.start()
+        self._identify().addErrback(self._failed, "identification")
+        yield self._load()
+        self.ready = True
+        self.reactor.callLater(0, self.watcher.set_active, self._watches_store())
         log.info("node: %s is ready", self.settings.node)
 
+    def _join(self):
+        settings = self.settings
+        forward_host, _ = split_address(settings.forward_listen)
+        forward_port = self.ports_by_name["forward"].getHost().port
+        instance = os.urandom(8)
+        me = Member(
+            node_id=settings.node,
+            zone=settings.zone,
+            link_address=settings.advertise or settings.peer_listen,
+            forward_address=f"{forward_host}:{forward_port}",
+            instance=instance,
+        )
+        self.members = Members(me=me, seeds=settings.peers)
+        self.links = LinkHub(
+            reactor=self.reactor,
+            clock=clock.monotonic,
+            metrics=self.metrics,
+            members=self.members,
+            documents=self.documents,
+            cluster_key=settings.cluster_key,
+            listen=settings.peer_listen,
+        )
+        self.watcher = StoreWatcher(
+            reactor=self.reactor,
+            store=self.store,
+            documents=self.documents,
+            rng=self._rng,
+            version_of=document_version,
+        )
+        self.vms = VmPoller(
+            reactor=self.reactor,
+            store=self.store,
+            observer=self._vms_listed,
+            is_watcher=lambda: self.watcher.is_active,
+            peer_port=split_address(settings.peer_listen)[1],
+            rng=self._rng,
+        )
+        messaging = ControlMessaging(links=self.links)
+        self.control = ControlRunner(
+            reactor=self.reactor,
+            clock=clock.monotonic,
+            node_id=settings.node,
+            zone=settings.zone,
+            store=self.store,
+            publish=self._publish,
+            links=messaging,
+            members=lambda: {m.node_id: m.zone for m in self.members.usable()},
+            vms=lambda: self.vm_list,
+            # 48 bits fit every encoding that the number passes through.
+            instance=int.from_bytes(instance[:6], "big"),
+        )
+        messaging.connect(self.control)
+        self.router.routing_leases = self.control.routing_leases
+        self.router.on_server_report = self.control.server_reported
+        self.load_reporter = LoadReporter(
+            load=self.router.load, links=self.links, control=self.control
+        )
+        self.in_force = InForceViews(
+            links=self.links,
+            node_id=settings.node,
+            version=lambda: self.holder.document.version,
+        )
+        self.documents.observe(STORE_KEY, self._configuration_seen)
+        self.documents.observe(OWNERSHIP_PREFIX, self._ownership_seen)
+        self.documents.observe(RECORD_PREFIX, self._record_seen)
+        self.links.start()
+
+    @defer.inlineCallbacks
+    def _load(self):
+        """Takes configuration and ownership from the store, or else from peers."""
+        loaded = False
+        while not loaded and not self._stopping:
+            loaded = yield self._load_from_store()
+            if not loaded:
+                loaded = yield self.links.when_synced(SYNC_TIMEOUT_S)
+
+    @defer.inlineCallbacks
+    def _load_from_store(self):
+        try:
+            for prefix in (STORE_KEY, OWNERSHIP_PREFIX, RECORD_PREFIX):
+                revision, entries = yield self.store.list(prefix)
+                self.watcher.offer_listing(prefix, revision, entries)
+        except StoreError as error:
+            log.warning("node: cannot read the store, asking peers: %s", error)
+            return False
+        return True
+
     @defer.inlineCallbacks
-    def load(self):
-        """Reads configuration and ownership from the store."""
-        stored = yield self.store.get("config")
-        if stored.value is not None:
-            problems = []
-            configuration = Configuration.from_json(
-                json.loads(stored.value), problems, version=stored.revision
+    def _identify(self):
+        """Gets an incarnation above that of every earlier process of this node.
+
+        The ports are bound before, so an earlier process on this VM has ended.
+        """
+        key = INCARNATION_PREFIX + self.settings.node
+        while not self._stopping:
+            try:
+                stored = yield self.store.get(key)
+                revision = yield self.store.put(
+                    key, b"", expected_revision=stored.revision
+                )
+            except StoreConflictError:
+                continue
+            except StoreError:
+                yield task.deferLater(self.reactor, RETRY_S, lambda: None)
+                continue
+            self.control.identified(revision)
+            return
+
+    # Documents.
+
+    def _publish(self, key, version, content):
+        self.documents.offer(key, version, content)
+
+    def _configuration_seen(self, document):
+        if document.key != STORE_KEY or not document.content:
+            return
+        self.holder.apply(ConfigurationDocument.decode(document.content))
+
+    def _configuration_in_force(self, holder):
+        document = holder.document
+        self._publish(STORE_KEY, document.version, document.encode())
+        configuration = document.configuration()
+        self.router.apply_configuration(configuration)
+        self.control.configuration_changed(configuration)
+        self.in_force.changed()
+
+    def _ownership_seen(self, document):
+        if document.content:
+            ownership = OwnershipDocument.decode(document.content)
+            self.router.apply_ownership(ownership)
+            self.control.document_changed(
+                document.key, document.version, document.content
             )
-            self.router.apply_configuration(configuration)
-        _, entries = yield self.store.list("ownership/")
-        for entry in entries:
-            self.router.table.apply(OwnershipDocument.decode(entry.value))
+
+    def _record_seen(self, document):
+        self.control.document_changed(document.key, document.version, document.content)
+
+    # Duties that recur.
+
+    def _duties(self):
+        self.router.peers_by_id = peers_of(self.members)
+        self.watcher.set_active(self._watches_store())
+        for member in self.members.by_id.values():
+            if member is not self.members.me and member.usable:
+                self.control.node_heard(member.node_id)
+
+    def _watches_store(self):
+        # Holders hear of changes in their own zone first and pass them on.
+        holders = {
+            holder
+            for zone in self.holder.document.configuration().zones_by_name
+            if (holder := self.control.holder_of(zone)) is not None
+        }
+        return self.control.watching() or self.members.watches_store(holders)
+
+    def _report_load(self):
+        self.load_reporter.report()
+
+    def _vms_listed(self, entry_vms, entries):
+        self.vm_list = entries
+        self.links.vms_listed(entry_vms)
+
+    def _every(self, interval_s, function):
+        timer = task.LoopingCall(self._guarded, function)
+        timer.clock = self.reactor
+        timer.start(interval_s, now=False)
+        self._timers.append(timer)
+
+    def _guarded(self, function):
+        # An error in one round must not end all later rounds.
+        try:
+            function()
+        except Exception:
+            log.exception("node: %s failed", function.__name__)
+
+    def _invariant_failed(self, code):
+        self.metrics.count("invariants_total", code.number)
+
+    def _failed(self, failure, what):
+        log.error("node: %s failed: %s", what, failure.value)
+
+    # Ports.
+
+    def _forward_factory(self):
+        return PeerFactory(router=self.router)
+
+    def _metrics_site(self):
+        self.metrics.gauge("requests_in_flight", lambda: len(self.router.relays))
+        self.metrics.gauge(
+            "configuration_version", lambda: self.holder.document.version
+        )
+        return _quiet_site(_MetricsResource(self.metrics))
+
+    def _admin_site(self):
+        status = RouterStatus(node=self)
+        api = AdminApi(
+            reactor=self.reactor,
+            operators=self.settings.operators,
+            writer=self.writer,
+            holder=self.holder,
+            status=status,
+            count=lambda number: self.metrics.count("refusals_total", number),
+        )
+        return AdminSite(api)
+
+    def _listen(self, name, address, factory):
+        host, port = split_address(address)
+        try:
+            listening = self.reactor.listenTCP(
+                port, factory, interface=host, backlog=1024
+            )
+        except Exception as error:
+            raise UserError(f"cannot listen on {address}: {error}") from error
+        self.ports_by_name[name] = listening
+        log.info("node: %s on %s:%d", name, host, listening.getHost().port)
+
+    def port(self, name):
+        """Returns the port number listened on under a name."""
+        return self.ports_by_name[name].getHost().port
+
+    # End.
+
+    @defer.inlineCallbacks
+    def shutdown(self):
+        """Finishes what is in flight within ``shutdown_s``, then stops."""
+        self.ready = False
+        self.links.leave()
+        for name in ("callers", "forward"):
+            yield self.ports_by_name.pop(name).stopListening()
+        left = yield self.router.drain(self.settings.shutdown_s)
+        log.info("node: %d requests were cut off by the shutdown", left)
+        yield self.stop()
 
     @defer.inlineCallbacks
     def stop(self):
         """Closes every port and connection at once."""
-        if self._ticker.running:
-            self._ticker.stop()
-        for port in self.ports:
+        self._stopping = True
+        invariant_observers.remove(self._invariant_failed)
+        for timer in self._timers:
+            if timer.running:
+                timer.stop()
+        self.watcher.set_active(False)
+        self.vms.stop()
+        yield self.control.stop()
+        yield self.links.stop()
+        for port in self.ports_by_name.values():
             yield port.stopListening()
-        for pool in self.router.pools_by_server.values():
-            pool.close()
         yield self.store.close()
 
-    def _listen(self, address, factory, name):
-        host, port = split_address(address)
-        try:
-            listening = self.reactor.listenTCP(port, factory, interface=host)
-        except OSError as error:
-            raise UserError(f"cannot listen on {address}: {error}") from error
-        self.ports.append(listening)
-        log.info("node: %s on %s", name, address)
+
+def document_version(key, revision, content):
+    """Returns the version of a document read from the store.
+
+    Configuration and ownership carry a version of their own, which every node
+    derives alike; lease records are known by their store revision.
+    """
+    if not key.startswith((STORE_KEY, OWNERSHIP_PREFIX)):
+        return revision
+    if not content:
+        return None
+    decode = ConfigurationDocument.decode
+    if key.startswith(OWNERSHIP_PREFIX):
+        decode = OwnershipDocument.decode
+    try:
+        return decode(content).version
+    except ValueError as error:
+        log.error("node: %s in the store is malformed: %s", key, error)
+        return None
+
+
+def _quiet_site(root):
+    site = server.Site(root)
+    site.noisy = False
+    site.displayTracebacks = False
+    return site
--- a/briarspoke/ownership/runner.py
+++ b/briarspoke/ownership/runner.py
@@ -27,8 +27,6 @@
 # A longer gap between two visits of the event loop is a pause.
 PAUSE_S = 0.2
 MEMBERS_EVERY_S = 0.25
-WATCH_S = 20.0
-WATCH_RETRY_S = 0.25
 OWNERSHIP_PREFIX = "ownership/"
 RECORD_PREFIX = "controllers/"
 
@@ -57,7 +55,7 @@
         :class:`commands.GrantRoutingLease`.
     :param members: function that returns ``{node_id: zone}`` of live entry VMs.
     :param vms: function that returns the VM list as last seen.
-    :param incarnation: incarnation of this process, 0 if unknown.
+    :param instance: random number of this process.
     """
 
     def __init__(
@@ -72,7 +70,7 @@
         links,
         members,
         vms,
-        incarnation=0,
+        instance,
     ):
         self.reactor = reactor
         self.clock = clock
@@ -83,11 +81,9 @@
         self.links = links
         self.members = members
         self.vms = vms
-        self.incarnation = incarnation
+        self.incarnation = 0
         self.running = False
-        self.routing_leases = RoutingLeaseHolder(
-            node_id=node_id, incarnation=incarnation
-        )
+        self.routing_leases = RoutingLeaseHolder(node_id=node_id, incarnation=instance)
         self._configuration = None
         self._zones = {}
         self._version_by_key = {}
@@ -95,7 +91,6 @@
         self._members_at = 0.0
         self._members = {}
         self._visited_at = None
-        self._watches = {}
         self._calls = ServerCalls(reactor=reactor, settled=self._server_settled)
         self._ticker = task.LoopingCall(self._tick)
         self._ticker.clock = reactor
@@ -105,6 +100,19 @@
         self.running = True
         self._ticker.start(TICK_S, now=False)
 
+    def identified(self, incarnation):
+        """Takes this process's incarnation; until then it holds no lease.
+
+        :param incarnation: higher than that of any earlier process of the node.
+        """
+        self.incarnation = incarnation
+        for zone in self._zones.values():
+            zone.controller.incarnation = incarnation
+
+    def watching(self):
+        """Returns whether a candidate here needs to see the lease records."""
+        return any(zone.candidate.watching for zone in self._zones.values())
+
     def stop(self):
         """Gives up every lease and stops; returns a Deferred."""
         if not self.running:
@@ -118,8 +126,6 @@
         self.running = False
         if self._ticker.running:
             self._ticker.stop()
-        for watch in self._watches.values():
-            watch.cancel()
         done = defer.DeferredList(revoked, consumeErrors=True)
         done.addCallback(lambda _: self._calls.close())
         return done
@@ -136,7 +142,7 @@
                         zone=name,
                         node_id=self.node_id,
                         node_zone=self.zone,
-                        nonce_prefix=f"{self.incarnation}-{id(self):x}-",
+                        nonce_prefix=f"{self.routing_leases.incarnation:x}-",
                     ),
                     controller=ZoneController(
                         zone=name, node_id=self.node_id, incarnation=self.incarnation
@@ -215,6 +221,16 @@
         zone = self._zones.get(zone_name)
         return zone is not None and zone.controller.active
 
+    def holder_of(self, zone_name):
+        """Returns the node that holds a zone's lease, as known here, or None."""
+        zone = self._zones.get(zone_name)
+        return zone.candidate.holder if zone is not None else None
+
+    def holder_of_server(self, server_name):
+        """Returns the controller's node of a server's zone, or None."""
+        server = self._configuration.servers_by_name.get(server_name)
+        return self.holder_of(server.zone) if server is not None else None
+
     # Time.
 
     def _tick(self):
@@ -225,10 +241,10 @@
             self._members_at = now + MEMBERS_EVERY_S
             self._read_members(now)
         for name, zone in self._zones.items():
-            self._run(name, zone.candidate.tick(now, self._members))
+            if self.incarnation:
+                self._run(name, zone.candidate.tick(now, self._members))
             self._decide(name, events.Tick())
             self._request_routing_lease(name, zone, now)
-        self._watch_if_needed()
 
     def _observe_pause(self, now):
         """Notices a pause, also when an answer is read before the first tick."""
@@ -479,55 +495,6 @@
             self.document_changed(key, version, content)
             self.publish(key, version, content)
 
-    # Watches.
-
-    def _watch_if_needed(self):
-        needed = any(zone.candidate.watching for zone in self._zones.values())
-        for prefix in (RECORD_PREFIX, OWNERSHIP_PREFIX):
-            if needed and prefix not in self._watches:
-                watch = self._watch(prefix)
-                watch.addErrback(lambda failure: failure.trap(defer.CancelledError))
-                self._watches[prefix] = watch
-
-    @defer.inlineCallbacks
-    def _watch(self, prefix):
-        after = None
-        while self.running:
-            try:
-                if after is None:
-                    after, entries = yield self.store.list(prefix)
-                    self._note_vacant(prefix, entries)
-                else:
-                    after, entries = yield self.store.watch(
-                        prefix, after=after, wait_s=WATCH_S
-                    )
-            except StoreError:
-                after = None
-                yield task.deferLater(self.reactor, WATCH_RETRY_S, lambda: None)
-                continue
-            if self.running:
-                for entry in entries:
-                    self._watched(entry)
-
-    def _note_vacant(self, prefix, entries):
-        if prefix != RECORD_PREFIX or not self.running:
-            return
-        held = {entry.key for entry in entries}
-        for zone in self._zones.values():
-            if zone.candidate.key not in held:
-                zone.candidate.record_seen(None, self.clock())
-
-    def _watched(self, entry):
-        if entry.key.startswith(RECORD_PREFIX):
-            self._accepted(entry.key, entry.revision, entry.value or b"")
-        elif entry.value is not None:
-            try:
-                document = OwnershipDocument.decode(entry.value)
-            except ValueError as error:
-                log.warning("ownership: %s is malformed: %s", entry.key, error)
-                return
-            self._accepted(entry.key, document.version, entry.value)
-
 
 _executors = {
     lease.GrantLease: ControlRunner._grant_lease,
--- a/briarspoke/platform/vms.py
+++ b/briarspoke/platform/vms.py
@@ -24,7 +24,8 @@
 class VmPoller:
     """Hands the VM list to an observer now and then.
 
-    :param observer: called with a list of :class:`Vm` of entry VMs.
+    :param observer: called with a list of :class:`Vm` of entry VMs and the
+        whole list as the platform sent it.
     :param is_watcher: function that tells whether to poll at the short period.
     :param peer_port: port of links, for VMs whose address has none.
     """
@@ -60,7 +61,7 @@
             log.info("vms: the list is not available: %s", error)
         else:
             if not self._stopped:
-                self._observer(self._entry_vms(entries))
+                self._observer(self._entry_vms(entries), entries)
         if not self._stopped:
             period_s = WATCHER_PERIOD_S if self._is_watcher() else OTHER_PERIOD_S
             self._timer = self._reactor.callLater(
--- a/briarspoke/platform/watcher.py
+++ b/briarspoke/platform/watcher.py
@@ -22,17 +22,20 @@
 class StoreWatcher:
     """Follows the documents in the store while it is told to.
 
-    :param documents: :class:`briarspoke.membership.documents.Documents`; the
-        version of a document is the revision of its key, and a deleted key is
-        an empty document.
+    :param documents: :class:`briarspoke.membership.documents.Documents`; a
+        deleted key is an empty document.
     :param rng: a ``random.Random`` for the jitter of the backoff.
+    :param version_of: function from (key, store revision, content) to the version
+        of a document, or None to pass over it; without it the version is the
+        store revision.
     """
 
-    def __init__(self, *, reactor, store, documents, rng):
+    def __init__(self, *, reactor, store, documents, rng, version_of=None):
         self._reactor = reactor
         self._store = store
         self._documents = documents
         self._rng = rng
+        self._version_of = version_of or (lambda key, revision, content: revision)
         self._watches = []
 
     @property
@@ -53,8 +56,11 @@
             for watch in watches:
                 watch.stop()
 
-    def offer(self, key, version, content):
+    def offer(self, key, revision, content):
         """Offers one document as seen in the store."""
+        version = self._version_of(key, revision, content)
+        if version is None:
+            return
         try:
             self._documents.offer(key, version, content, "store")
         except InvariantError as error:
--- /dev/null
+++ b/briarspoke/routing/peers.py
@@ -0,0 +1,57 @@
+"""The entry VMs that requests can be forwarded to."""
+
+from __future__ import annotations
+
+from briarspoke.configuration.snapshot import split_address
+from briarspoke.membership.members import Status
+
+
+class Peer:
+    """Another entry VM as a gateway.
+
+    :param forward_host: IP number, and ``forward_port`` the port, for requests.
+    """
+
+    __slots__ = ("forward_host", "forward_port", "node_id", "zone")
+
+    def __init__(self, *, node_id, zone, forward_host, forward_port):
+        self.node_id = node_id
+        self.zone = zone
+        self.forward_host = forward_host
+        self.forward_port = forward_port
+
+    def __eq__(self, other):
+        if not isinstance(other, Peer):
+            return NotImplemented
+        return self._fields() == other._fields()
+
+    def __hash__(self):
+        return hash(self._fields())
+
+    def _fields(self):
+        return self.node_id, self.zone, self.forward_host, self.forward_port
+
+
+def peers_of(members):
+    """Returns ``{node_id: Peer}`` of the members that take forwarded requests.
+
+    A suspect member is left out: waiting for it would cost every request of its
+    servers a timeout.
+    """
+    peers = {}
+    for member in members.by_id.values():
+        if (
+            member is members.me
+            or member.leaving
+            or member.status is not Status.ALIVE
+            or not member.forward_address
+        ):
+            continue
+        host, port = split_address(member.forward_address)
+        peers[member.node_id] = Peer(
+            node_id=member.node_id,
+            zone=member.zone,
+            forward_host=host,
+            forward_port=port,
+        )
+    return peers
--- a/briarspoke/standins/demo.py
+++ b/briarspoke/standins/demo.py
@@ -2,18 +2,19 @@
 
 from __future__ import annotations
 
-import json
 import logging
 
-from twisted.internet import defer
+from twisted.internet import defer, task
 from twisted.web import client
 
 from briarspoke import clock, settings
-from briarspoke.configuration.snapshot import Configuration
+from briarspoke.configuration.document import STORE_KEY, ConfigurationDocument
+from briarspoke.errors import BriarspokeError
 from briarspoke.node import Node
 from briarspoke.ownership.document import OwnershipDocument, Partition
 from briarspoke.platform.store import StoreClient
 from briarspoke.standins.backend import BackendFactory, BackendStandIn
+from briarspoke.standins.grants import GrantTable
 from briarspoke.standins.store import StoreStandIn, site
 
 log = logging.getLogger(__name__)
@@ -21,7 +22,9 @@
 ZONES = ("poa", "cwb")
 SERVERS_PER_ZONE = 2
 PARTITIONS = 32
-CALLER_PORT = 8080
+PORTS = CALLER_PORT, _, ADMIN_PORT, METRICS_PORT, _ = 8080, 8081, 8082, 8083, 8084
+OPERATOR_TOKEN = "demo-operator-token"
+OWNED_TIMEOUT_S = 10.0
 
 
 def demo_configuration(addresses_by_server):
@@ -97,32 +100,45 @@
         stand_in = StoreStandIn(reactor=self.reactor, clock=clock.monotonic)
         port = self.reactor.listenTCP(0, site(stand_in), interface="127.0.0.1")
         store_url = f"http://127.0.0.1:{port.getHost().port}"
-        value = demo_configuration(self._start_backends())
-        store = StoreClient(reactor=self.reactor, base_url=store_url)
-        revision = yield store.put(
-            "config", json.dumps(value).encode(), expected_revision=0
+        document = ConfigurationDocument.from_configuration(
+            demo_configuration(self._start_backends())
         )
-        configuration = Configuration.from_json(value, [], version=revision)
-        for service in configuration.services_by_name.values():
-            document = static_ownership(configuration, service)
-            yield store.put(
-                f"ownership/{service.name}", document.encode(), expected_revision=0
-            )
+        store = StoreClient(reactor=self.reactor, base_url=store_url)
+        yield store.put(STORE_KEY, document.encode(), expected_revision=0)
         yield store.close()
-        self.node = Node(
-            reactor=self.reactor,
-            settings=settings.from_json(
-                {
-                    "node": "entry-1",
-                    "zone": ZONES[0],
-                    "store_url": store_url,
-                    "cluster_key": "demo-cluster-key-only",
-                    "caller_listen": f"127.0.0.1:{0 if self.check else CALLER_PORT}",
-                    "metrics_listen": f"127.0.0.1:{0 if self.check else 8083}",
-                }
-            ),
-        )
+        self.node = Node(reactor=self.reactor, settings=self._settings(store_url))
         yield self.node.start()
+        yield self._owned()
+
+    def _settings(self, store_url):
+        # The check may run beside a demo, so it takes any free ports.
+        ports = (0, 0, 0, 0, 0) if self.check else PORTS
+        names = ("caller", "peer", "admin", "metrics", "forward")
+        listen = {
+            f"{name}_listen": f"127.0.0.1:{port}"
+            for name, port in zip(names, ports, strict=True)
+        }
+        return settings.from_json(
+            {
+                "node": "entry-1",
+                "zone": ZONES[0],
+                "store_url": store_url,
+                "cluster_key": "demo-cluster-key-only",
+                "operators": {"demo": {"token": OPERATOR_TOKEN, "role": "writer"}},
+                **listen,
+            }
+        )
+
+    @defer.inlineCallbacks
+    def _owned(self):
+        """Waits until the backend servers hold every partition."""
+        deadline = clock.monotonic() + OWNED_TIMEOUT_S
+        while clock.monotonic() < deadline:
+            held = sum(len(b.grants.held) for b in self.backends_by_name.values())
+            if held == PARTITIONS:
+                return
+            yield task.deferLater(self.reactor, 0.05, lambda: None)
+        raise BriarspokeError("the partitions were not granted in time")
 
     def _start_backends(self):
         addresses = {}
@@ -130,7 +146,10 @@
             for number in range(1, SERVERS_PER_ZONE + 1):
                 name = f"tabela-{zone}-{number}"
                 backend = BackendStandIn(
-                    name=name, reactor=self.reactor, clock=clock.monotonic
+                    name=name,
+                    reactor=self.reactor,
+                    clock=clock.monotonic,
+                    grants=GrantTable(server=name, clock=clock.monotonic),
                 )
                 port = self.reactor.listenTCP(
                     0, BackendFactory(backend), interface="127.0.0.1"
@@ -141,7 +160,7 @@
 
     @defer.inlineCallbacks
     def _check(self):
-        port = self.node.ports[0].getHost().port
+        port = self.node.port("callers")
         agent = client.Agent(self.reactor)
         base = f"http://127.0.0.1:{port}"
         expected = [
@@ -153,10 +172,12 @@
         passed = 0
         for method, path, status in expected:
             response = yield agent.request(method.encode(), (base + path).encode())
-            yield client.readBody(response)
+            body = yield client.readBody(response)
             ok = response.code == status
             passed += ok
             print(f"{'ok' if ok else 'FAILED':6} {method:4} {path} -> {response.code}")
+            if not ok:
+                print(body.decode(errors="replace"))
         print(f"{passed} of {len(expected)} requests answered as expected")
         self.exit_status = 0 if passed == len(expected) else 1
 
@@ -166,5 +187,9 @@
         print(f"booking:  curl -i -d '{{}}' {base}/tabela/42")
         print(f"bulk:     curl -i -T README.md {base}/tabela/photos")
         print(f"refused:  curl -i {base}/nothing/42")
-        print("metrics:  curl http://127.0.0.1:8083/")
+        print(f"metrics:  curl http://127.0.0.1:{METRICS_PORT}/")
+        print(
+            f"operator: curl -H 'Authorization: Bearer {OPERATOR_TOKEN}' "
+            f"http://127.0.0.1:{ADMIN_PORT}/v1/status/ownership"
+        )
         print("stop with Ctrl-C", flush=True)
