--- a/briarspoke/benches/parts/__init__.py
+++ b/briarspoke/benches/parts/__init__.py
@@ -7,7 +7,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
+import os
+import signal
 import subprocess
 import sys
 import threading
@@ -78,6 +81,32 @@
             raise RuntimeError("a process of the bench ended too early")
         return json.loads(line)
 
+    @property
+    def pid(self):
+        """Process identifier."""
+        return self._process.pid
+
+    def pause(self):
+        """Freezes the process, as a paused VM is."""
+        os.kill(self.pid, signal.SIGSTOP)
+
+    def resume(self):
+        """Lets a frozen process go on."""
+        os.kill(self.pid, signal.SIGCONT)
+
+    def kill(self):
+        """Ends the process at once."""
+        self._process.kill()
+        self._process.wait()
+
+    def usage(self):
+        """Returns (processor seconds, resident bytes) of the process."""
+        with open(f"/proc/{self.pid}/stat") as file:
+            fields = file.read().rpartition(")")[2].split()
+        ticks = int(fields[11]) + int(fields[12])
+        pages = int(fields[21])
+        return ticks / os.sysconf("SC_CLK_TCK"), pages * os.sysconf("SC_PAGE_SIZE")
+
     def ask(self, **command):
         """Sends a command and returns its answer."""
         self.send(command)
@@ -85,7 +114,10 @@
 
     def stop(self):
         """Ends the process."""
-        self._process.stdin.close()
+        if self._process.poll() is None:
+            self.resume()
+        with contextlib.suppress(BrokenPipeError):
+            self._process.stdin.close()
         try:
             self._process.wait(STOP_TIMEOUT_S)
         except subprocess.TimeoutExpired:
--- /dev/null
+++ b/briarspoke/benches/parts/network.py
@@ -0,0 +1,117 @@
+"""A reactor whose connections between loopback prefixes can be cut."""
+
+from __future__ import annotations
+
+from twisted.internet import error
+from twisted.protocols import policies
+from twisted.python.failure import Failure
+from zope.interface import directlyProvides, providedBy
+
+
+class _CuttableProtocol(policies.ProtocolWrapper):
+    """Drops data both ways while its remote host is cut off."""
+
+    host = ""
+    broken = False
+
+    def dataReceived(self, data):
+        # Bytes after lost ones would corrupt the stream.
+        self.broken = self.broken or self.factory.network.is_cut(self.host)
+        if not self.broken:
+            super().dataReceived(data)
+
+    def write(self, data):
+        self.broken = self.broken or self.factory.network.is_cut(self.host)
+        if not self.broken:
+            super().write(data)
+
+    def writeSequence(self, data):
+        self.write(b"".join(data))
+
+    def connectionLost(self, reason):
+        self.factory.network.connections.discard(self)
+        super().connectionLost(reason)
+
+
+class _CuttableFactory(policies.WrappingFactory):
+    protocol = _CuttableProtocol
+    noisy = False
+
+    def __init__(self, network, host, wrapped):
+        super().__init__(wrapped)
+        self.network = network
+        self.host = host
+
+    def buildProtocol(self, address):
+        built = super().buildProtocol(address)
+        if built is not None:
+            built.host = self.host
+            self.network.connections.add(built)
+        return built
+
+
+class _NeverConnects:
+    """A connector whose attempt times out, as packets to a cut zone do."""
+
+    def __init__(self, reactor, factory, timeout_s):
+        self._factory = factory
+        factory.doStart()
+        factory.startedConnecting(self)
+        self._timer = reactor.callLater(timeout_s, self._fail)
+
+    def _fail(self):
+        self._factory.clientConnectionFailed(self, Failure(error.TimeoutError()))
+        self._factory.doStop()
+
+    def stopConnecting(self):
+        if self._timer.active():
+            self._timer.cancel()
+            self._factory.clientConnectionFailed(self, Failure(error.UserError()))
+            self._factory.doStop()
+
+    def disconnect(self):
+        self.stopConnecting()
+
+
+class CuttableReactor:
+    """Passes everything to a reactor, but can cut outgoing connections.
+
+    Both ends of a link between entry VMs use one, so a cut holds in both
+    directions although only outgoing connections are looked at.
+    """
+
+    def __init__(self, reactor):
+        self._reactor = reactor
+        self._cut_prefixes = ()
+        self.connections = set()
+        directlyProvides(self, providedBy(reactor))
+
+    def __getattr__(self, name):
+        return getattr(self._reactor, name)
+
+    def is_cut(self, host):
+        """Returns whether an IP number is cut off."""
+        return host.startswith(self._cut_prefixes) if self._cut_prefixes else False
+
+    def cut(self, prefixes):
+        """Cuts off all IP numbers that start with one of the prefixes."""
+        self._cut_prefixes = tuple(prefixes)
+
+    def heal(self):
+        """Ends the cut; connections that lost data are closed."""
+        self._cut_prefixes = ()
+        for connection in list(self.connections):
+            if connection.broken:
+                connection.transport.abortConnection()
+
+    def connectTCP(self, host, port, factory, timeout=30, bindAddress=None):
+        """Connects unless the host is cut off."""
+        if self.is_cut(host):
+            return _NeverConnects(self._reactor, factory, timeout)
+        return self._reactor.connectTCP(
+            host,
+            port,
+            _CuttableFactory(self, host, factory),
+            timeout,
+            bindAddress,
+        )
