Keep the lease of another zone while the store is silent

Cause: a holder from another zone handed the lease back 15 s after the zone's own entry VM appeared, also while the store was down; nobody could take it and the zone's grants expired.

--- /dev/null
+++ b/briarspoke/benches/admin_client.py
@@ -0,0 +1,32 @@
+"""Calls of the operators' API in benches."""
+
+from __future__ import annotations
+
+import http.client
+import json
+
+from briarspoke.benches.deployment import OPERATOR_TOKEN
+
+TIMEOUT_S = 8.0
+
+
+def call(host, port, method, path, value=None):
+    """Returns (status, JSON) of a call; status 0 if it could not be made."""
+    connection = http.client.HTTPConnection(host, port, timeout=TIMEOUT_S)
+    body = None if value is None else json.dumps(value)
+    try:
+        connection.request(
+            method,
+            path,
+            body,
+            {
+                "Authorization": f"Bearer {OPERATOR_TOKEN}",
+                "Content-Type": "application/json",
+            },
+        )
+        response = connection.getresponse()
+        return response.status, json.loads(response.read())
+    except (OSError, http.client.HTTPException, ValueError):
+        return 0, {}
+    finally:
+        connection.close()
--- /dev/null
+++ b/briarspoke/benches/store_outage.py
@@ -0,0 +1,147 @@
+"""What an outage of the platform's store does to callers and operators."""
+
+from __future__ import annotations
+
+import time
+
+from briarspoke.benches import Bound, Report, bench, parts
+from briarspoke.benches.admin_client import call
+from briarspoke.benches.deployment import Deployment
+from briarspoke.benches.records import (
+    between,
+    count_by_code,
+    records_of,
+    share_ok,
+)
+from briarspoke.clock import monotonic
+
+RATE = 800.0
+OUTAGE_S = 15.0
+LONG_OUTAGE_S = 120.0
+LIMIT_REFUSED = 0.001
+LIMIT_CHANGE_S = 3.0
+SERVICE = {"name": "tabela", "partitions": 64}
+SERVICE_CHANGE = {"name": "limite", "service": "tabela", "rate": 1e6, "burst": 1e6}
+
+
+@bench("store-outage")
+def store_outage(*, seed, long):
+    """Takes the store away under load and gives it back."""
+    outage_s = LONG_OUTAGE_S if long else OUTAGE_S
+    deployment = Deployment(
+        seed=seed,
+        zones=("poa", "cwb", "fln"),
+        nodes_by_zone=2,
+        servers_by_zone=2,
+        services=[SERVICE],
+    )
+    with deployment, parts.Parts() as own:
+        callers = own.start(
+            "callers",
+            service="tabela",
+            keys=500,
+            rate=RATE,
+            ports=deployment.call_ports(),
+        )
+        callers.ask(start=True)
+        time.sleep(2.0)
+        outage = _Outage(deployment)
+        outage.run(outage_s)
+        time.sleep(1.0)
+        records = records_of(callers.ask(stop=True))
+        two_owners = deployment.two_owners()
+    return _report(seed, records, outage, two_owners)
+
+
+class _Outage:
+    """An outage and what operators and nodes saw of it."""
+
+    def __init__(self, deployment):
+        self.deployment = deployment
+        self.begin = self.end = 0.0
+        self.change_during = None
+        self.change_after_s = None
+        self.in_force_s = None
+        self.reverted = 0
+        self._versions = {}
+
+    def run(self, seconds):
+        """Makes the outage and tries changes during and after it."""
+        store = self.deployment.store
+        self.begin = monotonic()
+        store.ask(faults={"down": True})
+        while monotonic() - self.begin < seconds:
+            self._watch_versions()
+            if self.change_during is None and monotonic() - self.begin > seconds / 2:
+                self.change_during = self._change()[1].get("code", 0)
+            time.sleep(0.2)
+        self.end = monotonic()
+        store.ask(faults={"down": False})
+        self._change_again()
+        self._watch_versions()
+
+    def _change_again(self):
+        deadline = self.end + 10.0
+        while monotonic() < deadline:
+            status, answer = self._change()
+            if status == 200:
+                self.change_after_s = monotonic() - self.end
+                version = answer["configuration_version"]
+                self.deployment.wait_until(
+                    lambda: self._all_in_force(version), 10.0, "the change is in force"
+                )
+                self.in_force_s = monotonic() - self.end
+                return
+            time.sleep(0.1)
+
+    def _change(self):
+        node = next(iter(self.deployment.nodes_by_name.values()))
+        host = self.deployment.host(node.zone)
+        path = f"/v1/limits/{SERVICE_CHANGE['name']}"
+        return call(host, node.ready["admin"], "PUT", path, SERVICE_CHANGE)
+
+    def _all_in_force(self, version):
+        return all(
+            node.ask()["configuration"] >= version
+            for node in self.deployment.nodes_by_name.values()
+        )
+
+    def _watch_versions(self):
+        for name, node in self.deployment.nodes_by_name.items():
+            state = node.ask()
+            versions = {"configuration": state["configuration"], **state["ownership"]}
+            for key, version in versions.items():
+                known = self._versions.get((name, key), 0)
+                self.reverted += version < known
+                self._versions[name, key] = max(known, version)
+
+
+def _report(seed, records, outage, two_owners):
+    during = between(records, outage.begin, outage.end)
+    refused = None if not during else 1 - share_ok(during)
+    return Report(
+        bench="store-outage",
+        seed=seed,
+        figures={
+            "outage_s": round(outage.end - outage.begin, 2),
+            "requests_during": len(during),
+            "refused_during": refused,
+            "failed_by_code": count_by_code(during),
+            "change_during_code": outage.change_during,
+            "first_change_accepted_s": outage.change_after_s,
+            "first_change_in_force_s": outage.in_force_s,
+            "reverted": outage.reverted,
+            "two_owners": two_owners,
+        },
+        bounds=[
+            Bound(name="refused_during", value=refused, limit=LIMIT_REFUSED),
+            Bound(name="requests_during", value=len(during), limit=1000, at_most=False),
+            Bound(name="reverted", value=outage.reverted, limit=0),
+            Bound(
+                name="first_change_in_force_s",
+                value=outage.in_force_s,
+                limit=LIMIT_CHANGE_S,
+            ),
+            Bound(name="two_owners", value=two_owners, limit=0),
+        ],
+    )
--- a/briarspoke/ownership/candidate.py
+++ b/briarspoke/ownership/candidate.py
@@ -103,6 +103,7 @@
     """
 
     __slots__ = (
+        "_confirmed_at",
         "_keepalive_due_at",
         "_keepalive_sent_at",
         "_lease",
@@ -134,6 +135,7 @@
         self._stage = _Stage.WATCHING
         self._lease = None
         self._sent_at = 0.0
+        self._confirmed_at = 0.0
         self._keepalive_sent_at = None
         self._keepalive_due_at = 0.0
         self._vacant_since = None
@@ -209,9 +211,12 @@
             self._own_alive_since = None
 
     def _should_hand_back(self, now):
+        # Without the store nobody could take the lease, and the zone's grants
+        # would expire.
         return (
             self._own_alive_since is not None
             and now - self._own_alive_since >= HAND_BACK_AFTER_S
+            and now - self._confirmed_at < 2 * KEEPALIVE_EVERY_S
         )
 
     # The record, as the store or another node shows it.
@@ -289,6 +294,7 @@
     def _acquired(self, revision, now):
         self._stage = _Stage.HOLDING
         self.holder = self.node_id
+        self._confirmed_at = now
         self._vacant_since = None
         self._keepalive_sent_at = None
         self._keepalive_due_at = self._sent_at + KEEPALIVE_EVERY_S
@@ -314,6 +320,7 @@
         if self._stage is not _Stage.HOLDING or sent_at is None:
             return []
         if settled is Settled.DONE:
+            self._confirmed_at = now
             return [events.LeaseConfirmed(sent_at=sent_at)]
         if settled is Settled.REFUSED:
             self._vacant_since = None
