Free relays without the cyclic collector

Cause: exchange and relay referred to each other, so each full collection found 1,000 to 3,300 objects and paused the entry process for 19 to 27 ms.

Change: the exchange drops its relay at the end of the request; objects that exist at the first tick are frozen.

--- a/briarspoke/http/callers.py
+++ b/briarspoke/http/callers.py
@@ -121,16 +121,23 @@
             self._guarded(self.relay.body_end)
 
     def connectionLost(self, reason):
-        self.finished = True
         if self.relay is not None:
             self._guarded(self.relay.caller_gone)
+        self._end()
 
     def _guarded(self, function, *args):
+        relay = self.relay
         try:
             function(*args)
         except Exception:
-            log.exception("callers: request %s failed", self.relay.request_id)
-            self.relay.crash()
+            log.exception("callers: request %s failed", relay.request_id)
+            relay.crash()
+
+    def _end(self):
+        self.finished = True
+        # Without the reference cycle the relay is freed at once; left to the
+        # cyclic collector, thousands of relays pause the process for 20 ms.
+        self.relay = None
 
     # Called by the relay.
 
@@ -187,7 +194,7 @@
     def abort(self):
         """Cuts the connection, so that the answer is not taken for whole."""
         if not self.finished:
-            self.finished = True
+            self._end()
             self.channel.transport.abortConnection()
 
     def register_producer(self, producer):
@@ -209,7 +216,7 @@
     def _finish(self, reusable):
         if self.finished:
             return
-        self.finished = True
+        self._end()
         if self._producer:
             self.channel.unregisterProducer()
         if self.channel.router.closing:
@@ -301,7 +308,7 @@
             if now - self.quiet_since > limit:
                 self.linger()
         elif self.requests[0].relay is None:
-            if now - self.head_since > HEAD_TIMEOUT_S:
+            if not self.requests[0].finished and now - self.head_since > HEAD_TIMEOUT_S:
                 self._reject(codes.REQUEST_TIMEOUT)
         elif self._body_stalled(self.requests[0], now):
             self.requests[0].relay.broken_off(codes.REQUEST_TIMEOUT)
@@ -338,10 +345,11 @@
         if self._abort_at is not None:
             return
         exchange = self.requests[-1] if self.requests else None
+        if exchange is not None and exchange.finished:
+            self.linger()
+            return
         if exchange is not None and exchange.relay is not None:
             exchange.relay.broken_off(code)
-            if not exchange.finished:
-                exchange.abort()
             return
         self.router.count_result(code)
         result = wire.Result(
--- a/briarspoke/http/router.py
+++ b/briarspoke/http/router.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import gc
 import logging
 
 from twisted.internet import defer, task
@@ -58,6 +59,7 @@
         self._next_sweep = 0.0
         self._commands = collections.deque()
         self._running = False
+        self._settled = False
 
     # Configuration and ownership.
 
@@ -239,6 +241,12 @@
     def tick(self):
         """Ends requests whose deadline has passed; called every ``TICK_S``."""
         now = self.now()
+        if not self._settled:
+            self._settled = True
+            # Full collections would visit every object of the program's modules
+            # and pause the process for 20 ms.
+            gc.collect()
+            gc.freeze()
         self.gateways.refresh(self.peers_by_id)
         for queue in list(self.queues_by_server.values()):
             self._run(queue.tick(now))
