Write head and body of an answer together

Cause: with direct writes, head and body of a short answer left in two segments.

Change: the exchange joins what one packet of the server brought.

--- a/briarspoke/http/callers.py
+++ b/briarspoke/http/callers.py
@@ -80,6 +80,7 @@
         self._head_request = False
         self._chunked = False
         self._producer = False
+        self._out = []
         channel.head_since = channel.router.now()
 
     # Called by HTTPChannel.
@@ -155,11 +156,11 @@
             self.channel.transport.resumeProducing()
 
     def answer_head(self, head, request_id, *, from_peer=False):
-        """Writes status and headers of an answer."""
+        """Takes status and headers of an answer, which :meth:`flush` writes."""
         # HTTP/1.0 knows no chunks; there the end of the connection ends the
         # body, and a cut shows as a reset.
         self._chunked = head.length is None and not self._old_version
-        self._write(
+        self._out.append(
             wire.answer_head(
                 head,
                 request_id,
@@ -170,8 +171,14 @@
         )
 
     def answer_data(self, data):
-        """Writes body data of an answer."""
-        self._write(b"%x\r\n%b\r\n" % (len(data), data) if self._chunked else data)
+        """Takes body data of an answer, which :meth:`flush` writes."""
+        self._out.append(b"%x\r\n%b\r\n" % (len(data), data) if self._chunked else data)
+
+    def flush(self):
+        """Writes what has been taken; head and body leave in one segment."""
+        if self._out:
+            out, self._out = self._out, []
+            self._write(out[0] if len(out) == 1 else b"".join(out))
 
     def answer_end(self, *, reusable):
         """Ends the answer.
@@ -180,7 +187,8 @@
             request was not read.
         """
         if self._chunked:
-            self._write(b"0\r\n\r\n")
+            self._out.append(b"0\r\n\r\n")
+        self.flush()
         self._finish(reusable)
 
     def result(self, result, *, reusable):
--- a/briarspoke/http/relay.py
+++ b/briarspoke/http/relay.py
@@ -326,6 +326,10 @@
         self.forwarded_bytes += len(data)
         self.exchange.answer_data(data)
 
+    def answer_flush(self):
+        """Writes what the server's last packet has brought."""
+        self.exchange.flush()
+
     def answer_complete(self):
         """Ends the request after its whole answer."""
         self.connection = None
--- a/briarspoke/http/upstream.py
+++ b/briarspoke/http/upstream.py
@@ -61,6 +61,9 @@
     def answer_data(self, data):
         pass
 
+    def answer_flush(self):
+        pass
+
     def answer_complete(self):
         pass
 
@@ -75,7 +78,7 @@
     """One connection that carries one exchange at a time.
 
     The listener of an exchange has ``answer_head(head)``, ``answer_data(data)``,
-    ``answer_complete()`` and ``attempt_failed(attempt)``.
+    ``answer_flush()``, ``answer_complete()`` and ``attempt_failed(attempt)``.
     """
 
     def __init__(self, pool):
@@ -155,8 +158,11 @@
                 self._fail("malformed", codes.ANSWER_MALFORMED)
                 return
             self.reusable = False
-        if self._complete and self.listener is not None:
-            self._finish()
+        if self.listener is not None:
+            if self._complete:
+                self._finish()
+            else:
+                self.listener.answer_flush()
 
     def on_message_begin(self):
         if self._complete:
