Inject ownership faults alone, in pairs and mixed

Cause: a random mix alone does not show which fault breaks a rule. Change: one scenario per fault, one per pair and 20 mixed; every third runs with clocks that stop during a pause, with fenced servers only.

--- a/briarspoke/benches/ownership.py
+++ b/briarspoke/benches/ownership.py
@@ -26,8 +26,8 @@
 FAULTS_PER_SCENARIO = 44
 HEAL_S = 12.0
 REQUEST_EVERY_S = 0.02
-SCENARIOS = 50
-LONG_SCENARIOS = 500
+MIXED_SCENARIOS = 20
+LONG_FACTOR = 10
 MIN_FAULTS = 2000
 # A state or a fault that is visited less often was not tested.
 MIN_VISITS = 5
@@ -43,13 +43,17 @@
     return function
 
 
-def configuration_json():
-    """Returns the configuration of the virtual deployment as JSON."""
+def configuration_json(services):
+    """Returns the configuration of the virtual deployment as JSON.
+
+    :param services: names of the services.
+    """
     return {
         "zones": [{"name": zone} for zone in ZONES],
         "services": [
             {"name": name, "partitions": PARTITIONS, "ranks": _RANKS, **rules}
             for name, rules in SERVICES.items()
+            if name in services
         ],
         "servers": [
             {
@@ -58,7 +62,7 @@
                 "zone": zone,
                 "address": "127.0.0.1:1",
             }
-            for service in SERVICES
+            for service in services
             for zone in ZONES
             for number in range(SERVERS_PER_ZONE)
         ],
@@ -70,13 +74,21 @@
 
     :param seed: seed of every random choice.
     :param kinds: names of the faults to draw from, all if None.
+    :param clocks_stop: whether clocks may stop with a paused process. The only
+        guard of unfenced servers is the entry VMs' clock, so they take no part.
     """
 
-    def __init__(self, *, seed, kinds=None):
+    def __init__(self, *, seed, kinds=None, clocks_stop=False):
         self.world = World(seed=seed)
+        self.clocks_stop = clocks_stop
+        self.services = [
+            name
+            for name, rules in SERVICES.items()
+            if rules["fenced"] or not clocks_stop
+        ]
         self.random = random.Random(seed + 1_000_003)
         self.kinds = sorted(kinds or faults_by_name)
-        self.value = configuration_json()
+        self.value = configuration_json(self.services)
         self.version = 1
         self.faults = collections.Counter()
         self.pairs = 0
@@ -166,7 +178,7 @@
         scheduler.call_later(REQUEST_EVERY_S, self._traffic)
         node = self.live_node()
         if node is not None:
-            service = self.random.choice(list(SERVICES))
+            service = self.random.choice(self.services)
             node.request(service, self.random.randrange(PARTITIONS))
 
     def _inject(self):
@@ -199,7 +211,7 @@
                 node.resume()
             if not node.alive:
                 self._replace(node)
-        self.value = configuration_json()
+        self.value = configuration_json(self.services)
         self.configure()
 
     def _replace(self, node):
@@ -238,46 +250,58 @@
     return None
 
 
-def _pause(scenario, node, clock_stops):
-    if node is None or node.paused:
+def _pause(scenario, node):
+    if node is None or node.paused or not node.alive:
         return None
-    node.pause(clock_stops=clock_stops)
+    node.pause(clock_stops=scenario.clocks_stop)
     return lambda: node.resume() if node.paused else None
 
 
 @fault
 def entry_vm_paused(scenario):
-    return _pause(scenario, scenario.controller_node(), False)
-
-
-@fault
-def entry_vm_paused_clock_stops(scenario):
-    # Routing leases need a clock that runs on, so that the page excludes this
-    # for services whose servers do not check epochs.
-    return _pause(scenario, scenario.controller_node(), False)
+    return _pause(scenario, scenario.controller_node())
 
 
 @fault
 def controller_paused_in_move(scenario):
     server = scenario.server()
     _set_state(scenario, server.name, "draining")
-    scenario.world.scheduler.call_later(0.1, scenario.configure)
-    end = []
+    scenario.configure()
+    ends = []
+    give_up_at = scenario.world.scheduler.now + 1.0
 
-    def pause():
-        end.append(_pause(scenario, scenario.controller_node(), False))
+    def pause_when_moving():
+        for node in list(scenario.world.nodes_by_name.values()):
+            if _moves_from(node, server):
+                scenario.world.counts["paused-in-move"] += 1
+                ends.append(_pause(scenario, node))
+                return
+        if scenario.world.scheduler.now < give_up_at:
+            scenario.world.scheduler.call_later(0.002, pause_when_moving)
 
-    scenario.world.scheduler.call_later(scenario.random.uniform(0.1, 0.7), pause)
+    pause_when_moving()
 
     def finish():
-        if end and end[0]:
-            end[0]()
+        for end in ends:
+            if end is not None:
+                end()
         _set_state(scenario, server.name, "active")
         scenario.configure()
 
     return finish
 
 
+def _moves_from(node, server):
+    """Whether a running controller is moving partitions off a server."""
+    controller = node.controllers[server.zone]
+    return (
+        node.alive
+        and not node.paused
+        and controller.active
+        and controller.moves_from(server.name)
+    )
+
+
 def _cut(scenario, test):
     scenario.world.cut(test)
     return lambda: scenario.world.mend(test)
@@ -473,8 +497,8 @@
                 self.counts.update(controller.counts)
         self.executions = len(world.executions)
         self.two_owners = self._two_owners(world)
-        self.lost = _lost_assignments(world, nodes)
-        self.unserved = self._unserved(world)
+        self.lost = _lost_assignments(world, nodes, scenario.services)
+        self.unserved = self._unserved(world, scenario.services)
 
     @staticmethod
     def _two_owners(world):
@@ -489,10 +513,10 @@
         return found
 
     @staticmethod
-    def _unserved(world):
+    def _unserved(world, services):
         """Returns the partitions that are not served after everything healed."""
         found = []
-        for service, rules in SERVICES.items():
+        for service in services:
             entry = world.store.state.entries.get(f"ownership/{service}")
             if entry is None:
                 found.append(f"{service}: no document")
@@ -504,10 +528,7 @@
                 if (
                     server is None
                     or partition.state
-                    or (
-                        rules["fenced"]
-                        and not server.table.holds(name, partition.epoch)
-                    )
+                    or (server.fenced and not server.table.holds(name, partition.epoch))
                 ):
                     found.append(f"{name}: {partition!r}")
         return found
@@ -564,11 +585,11 @@
     return found
 
 
-def _lost_assignments(world, nodes):
+def _lost_assignments(world, nodes, services):
     """Finds acknowledged writes that the store's history does not keep."""
     found = []
     ids_by_service = {}
-    for service in SERVICES:
+    for service in services:
         ids = ids_by_service[service] = set()
         before = None
         for content in world.store.history_by_key[f"ownership/{service}"]:
@@ -598,6 +619,8 @@
     "barriers",
     "assignments",
     "paused",
+    "paused-in-move",
+    "clock-stopped",
     "fenced-by-term",
     "write-conflict",
     "write-unknown",
@@ -609,16 +632,35 @@
 )
 
 
-def run_scenarios(seeds, kinds=None):
-    """Returns the results of one scenario per seed."""
-    return [Scenario(seed=seed, kinds=kinds).run() for seed in seeds]
+def scenarios(seed, mixed):
+    """Yields scenarios: each fault alone, then in pairs, then all mixed.
+
+    :param mixed: number of scenarios with all faults.
+    """
+    chooser = random.Random(seed)
+    names = sorted(faults_by_name)
+    kinds = [[name] for name in names]
+    kinds += [[name, chooser.choice(names)] for name in names]
+    kinds += [None] * mixed
+    for number, chosen in enumerate(kinds):
+        yield Scenario(
+            seed=seed * 1_000_000 + number,
+            kinds=chosen,
+            # Two of three scenarios have both kinds of servers.
+            clocks_stop=number % 3 == 2,
+        )
+
+
+def all_scenarios(seed, long):
+    """Yields the scenarios of a short or a long run."""
+    for number in range(LONG_FACTOR if long else 1):
+        yield from scenarios(seed * 100 + number, MIXED_SCENARIOS)
 
 
 @bench("ownership")
 def run(*, seed, long):
     """Runs the scenarios and checks the invariants of ownership."""
-    count = LONG_SCENARIOS if long else SCENARIOS
-    results = run_scenarios([seed * 1_000_000 + n for n in range(count)])
+    results = [scenario.run() for scenario in all_scenarios(seed, long)]
     faults, counts = collections.Counter(), collections.Counter()
     for result in results:
         faults.update(result.faults)
@@ -630,7 +672,7 @@
     total = sum(faults.values())
     pairs = sum(result.pairs for result in results)
     figures = {
-        "scenarios": count,
+        "scenarios": len(results),
         "faults": dict(sorted(faults.items())),
         "fault_events": total,
         "faults_during_another": pairs,
--- a/briarspoke/ownership/controller.py
+++ b/briarspoke/ownership/controller.py
@@ -373,7 +373,7 @@
                 out.append(commands.GiveUpLease())
             return
         remaining_s = max(0.0, self._ended_until - now)
-        if event.incarnation < self.incarnation:
+        if event.incarnation < self.incarnation or not self.incarnation:
             # What an earlier process granted is not known here.
             remaining_s = GRANT_WAIT_S
         out.append(
@@ -421,6 +421,13 @@
                 )
             )
 
+    def moves_from(self, server_name):
+        """Returns whether partitions of a server are ``moving``."""
+        return any(
+            state.stored is not None and server_name in state.stored.moving_by_owner
+            for state in self._states.values()
+        )
+
     # Authority.
 
     def _note_pause(self, now):
