--- a/briarspoke/benches/ownership.py
+++ b/briarspoke/benches/ownership.py
@@ -26,6 +26,8 @@
 FAULTS_PER_SCENARIO = 44
 HEAL_S = 12.0
 REQUEST_EVERY_S = 0.02
+BURST_REQUESTS = 8
+BURST_EVERY_S = 0.03
 MIXED_SCENARIOS = 20
 LONG_FACTOR = 10
 MIN_FAULTS = 2000
@@ -96,6 +98,8 @@
         self.ended_nodes = []
         self.configuration = Configuration.from_json(self.value, [], version=1)
         self._active = collections.Counter()
+        self._documents = {}
+        self.world.document_observers.append(self._document_accepted)
         for name, server in self.configuration.servers_by_name.items():
             service = self.configuration.services_by_name[server.service]
             self.world.servers_by_name[name] = FakeServer(
@@ -182,6 +186,31 @@
             service = self.random.choice(self.services)
             node.request(service, self.random.randrange(PARTITIONS))
 
+    def _document_accepted(self, document):
+        """Sends requests where an owner changes: there, two could work."""
+        known = self._documents.get(document.service)
+        if known is not None and known.version >= document.version:
+            return
+        self._documents[document.service] = document
+        if known is None:
+            return
+        changed = [
+            number
+            for number, (old, new) in enumerate(
+                zip(known.partitions, document.partitions, strict=True)
+            )
+            if old != new
+        ]
+        for count in range(BURST_REQUESTS):
+            self.world.scheduler.call_later(
+                count * BURST_EVERY_S, self._burst, document.service, changed
+            )
+
+    def _burst(self, service, numbers):
+        for node in list(self.world.nodes_by_name.values()):
+            for number in numbers:
+                node.request(service, number)
+
     def _inject(self):
         name = self.random.choice(self.kinds)
         end = faults_by_name[name](self)
--- a/briarspoke/standins/world_node.py
+++ b/briarspoke/standins/world_node.py
@@ -167,6 +167,8 @@
 
     def _publish(self, document):
         self._learn(document)
+        for observe in self.world.document_observers:
+            observe(document)
         for node in list(self.world.nodes_by_name.values()):
             if node is not self:
                 self.world.send(self.name, node.name, node._learn, document)
@@ -422,7 +424,7 @@
                 self._decide(zone, event)
 
         def at_server():
-            status, value = server.table.control("/_control/grants", command.body())
+            status, value = server.control(command.body())
             world.send(server.name, self.name, answer, status, value)
 
         if not server.alive and not world.is_cut(self.name, server.name):
