--- /dev/null
+++ b/tests/test_store_standin.py
@@ -0,0 +1,152 @@
+from __future__ import annotations
+
+import io
+import json
+from urllib.parse import urlsplit
+
+import pytest
+from twisted.internet import task
+from twisted.web.test.requesthelper import DummyRequest
+
+from briarspoke.standins.store import Pacer, StoreStandIn, StoreState
+
+
+class FakeRequest(DummyRequest):
+    """A request whose connection can be aborted."""
+
+    def __init__(self, method, url, body):
+        split = urlsplit(url)
+        super().__init__([])
+        self.method = method.encode()
+        self.path = split.path.encode()
+        for pair in filter(None, split.query.split("&")):
+            name, _, value = pair.partition("=")
+            self.args.setdefault(name.encode(), []).append(value.encode())
+        self.content = io.BytesIO(b"" if body is None else json.dumps(body).encode())
+        self.transport = self
+        self.aborted = False
+        self.responseCode = None
+
+    def abortConnection(self):
+        self.aborted = True
+
+    @property
+    def answer(self):
+        if not self.finished:
+            return None
+        return self.responseCode, json.loads(b"".join(self.written))
+
+
+@pytest.fixture
+def clock():
+    return task.Clock()
+
+
+@pytest.fixture
+def store(clock):
+    return StoreStandIn(reactor=clock, clock=clock.seconds, events_kept=5)
+
+
+@pytest.fixture
+def call(clock, store):
+    def send(method, url, body=None, seconds=0.01):
+        request = FakeRequest(method, url, body)
+        store.render(request)
+        clock.advance(seconds)
+        return request
+
+    return send
+
+
+PUT = {"value": "eA==", "expected_revision": 0, "lease": None}
+
+
+class TestStoreState:
+    def test_history_is_bounded_and_says_so(self):
+        # Guards against a watcher that misses events without being told.
+        state = StoreState(events_kept=3)
+        for number in range(5):
+            state.put(f"k{number}", b"x", 0, None)
+        assert not state.covers(1)
+        assert state.covers(2)
+        assert [e[1] for e in state.events_after("k", 2)] == ["k2", "k3", "k4"]
+        assert not state.covers(6)
+
+
+class TestPacer:
+    def test_calls_wait_their_turn_and_too_many_are_refused(self):
+        # Guards against a stand-in that allows more than the platform does.
+        pacer = Pacer(per_s=10.0)
+        waits = [pacer.delay(5.0) for _ in range(30)]
+        served = [w for w in waits if w is not None]
+        assert served == sorted(served)
+        assert len(served) == 11
+        assert pacer.delay(6.0) is not None
+
+
+class TestFaults:
+    def test_lost_answer_takes_effect(self, call, store):
+        # Guards against benches that never see a write whose answer is lost.
+        call("POST", "/_faults", {"lose_answers": 1})
+        assert call("PUT", "/v1/kv/a", PUT).aborted
+        assert call("GET", "/v1/kv/a").answer[0] == 200
+
+    def test_failed_write_has_no_effect(self, call):
+        # Guards against confusing a refused write with a lost answer.
+        call("POST", "/_faults", {"fail_writes": 1})
+        assert call("PUT", "/v1/kv/a", PUT).answer[0] == 503
+        assert call("GET", "/v1/kv/a").answer[0] == 404
+
+    def test_down_cuts_watches_and_comes_back(self, call, store):
+        # Guards against an outage that waiting watches do not notice.
+        watch = call("GET", "/v1/watch?prefix=&after=0&wait_s=9")
+        call("POST", "/_faults", {"down": True})
+        assert watch.aborted
+        assert call("GET", "/v1/kv/a").aborted
+        call("POST", "/_faults", {"down": False})
+        assert call("GET", "/v1/kv/a").answer[0] == 404
+
+    def test_lease_lapses_early_and_on_time(self, call, clock):
+        # Guards against keys of a lapsed lease that stay until the next call.
+        for cause in ("fault", "time"):
+            lease = call("POST", "/v1/leases", {"ttl_s": 1.0}).answer[1]["lease"]
+            put = call("PUT", "/v1/kv/a", {**PUT, "lease": lease})
+            revision = put.answer[1]["revision"]
+            watch = call("GET", f"/v1/watch?prefix=a&after={revision}&wait_s=9")
+            assert watch.answer is None
+            if cause == "fault":
+                call("POST", "/_faults", {"lapse_leases": [lease]})
+            else:
+                clock.advance(1.0)
+            assert watch.answer[1]["events"][0]["value"] is None
+            assert call("POST", f"/v1/leases/{lease}/keepalive").answer[0] == 404
+
+    def test_slow_reads_leave_writes_alone(self, call, clock):
+        # Guards against a fault that slows down more than it names.
+        call("POST", "/_faults", {"read_delay_s": 1.0})
+        read = call("GET", "/v1/kv/a")
+        assert call("PUT", "/v1/kv/a", PUT).answer[0] == 200
+        assert read.answer is None
+        clock.advance(1.0)
+        assert read.answer[0] == 200
+
+    def test_stale_vm_list(self, call):
+        # Guards against decisions that trust the list to be current.
+        vms = [{"id": "a"}]
+        call("POST", "/_faults", {"vms": vms, "stale_vms": True})
+        call("POST", "/_faults", {"vms": []})
+        assert call("GET", "/v1/vms").answer[1]["vms"] == vms
+        call("POST", "/_faults", {"stale_vms": False})
+        assert call("GET", "/v1/vms").answer[1]["vms"] == []
+
+    def test_unknown_fault_is_refused(self, call, store):
+        # Guards against a bench with a misspelt fault that proves nothing.
+        answer = call("POST", "/_faults", {"down": True, "dwon": True}).answer
+        assert answer[0] == 400
+        assert not store.faults.down
+
+    def test_watch_from_forgotten_revision(self, call):
+        # Guards against a watcher that waits for events that were dropped.
+        for number in range(7):
+            call("PUT", f"/v1/kv/k{number}", PUT)
+        assert call("GET", "/v1/watch?prefix=k&after=1&wait_s=9").answer[0] == 410
