--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import random
+import tracemalloc
 import zlib
 
 import pytest
@@ -17,8 +18,9 @@
     MalformedMessageError,
     Resign,
 )
+from briarspoke.links.rejections import LinkError
 from briarspoke.membership.documents import Documents
-from briarspoke.membership.members import Member, Members
+from briarspoke.membership.members import Member, Members, Status
 from briarspoke.metrics import Metrics
 
 KEY = "a-cluster-key-for-tests"
@@ -380,6 +382,34 @@
             a._tick()
         assert network.count("a", rejections.SILENT) == 1
 
+    def test_silent_link_of_a_living_node_is_closed(self, network):
+        # Guards against a dead link that is kept because others still reach the
+        # node, which refutes every suspicion.
+        a = network.hub("a")
+        linked(network).hold = {0, 1}
+        for number in range(13):
+            network.clock.advance(hub_module.TICK_S)
+            a._tick()
+            x = a.members.by_id["x"]
+            if x.status is Status.SUSPECT:
+                event = hub_module._update_of_member(x)
+                event.incarnation, event.status = 50 + number, 0
+                a._on_member_update("b", event)
+        assert x.status is Status.ALIVE
+        assert network.count("a", rejections.SILENT) == 1
+
+    def test_decompression_is_bounded(self):
+        # Guards against a small frame that takes up all memory.
+        compressed = zlib.compress(bytes(200_000_000))
+        tracemalloc.start()
+        try:
+            with pytest.raises(LinkError):
+                hub_module._decompress(compressed)
+            _, peak = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        assert peak < 10 * messages.MAX_CONTENT_BYTES
+
     def test_strangers_cannot_take_all_places(self, network):
         # Guards against half-open connections that use up memory.
         a = network.hub("a")
