--- a/briarspoke/configuration/document.py
+++ b/briarspoke/configuration/document.py
@@ -187,19 +187,21 @@
         try:
             unpacked = _decompress(data)
             number, version, write_ids, resources = cbor2.loads(unpacked)
+            if number != FORMAT:
+                raise ValueError(f"format {number} is not known")
+            if resources.keys() - by_kind.keys():
+                raise ValueError("a kind of resource is not known")
             document = cls(
                 version=_whole(version),
                 write_ids=[(_text(i), _whole(v)) for i, v in write_ids],
                 entries={
-                    (_kind(kind), _text(name)): Entry(
+                    (kind, _text(name)): Entry(
                         changed_at=_whole(changed_at), value=_resource(value, name)
                     )
                     for kind, by_name in resources.items()
                     for name, (changed_at, value) in by_name.items()
                 },
             )
-            if number != FORMAT:
-                raise ValueError(f"format {number} is not known")
             return document.check()
         except ValueError:
             raise
@@ -227,12 +229,6 @@
     return value
 
 
-def _kind(value):
-    if value not in by_kind:
-        raise ValueError(f"{value!r} is not a kind of resource")
-    return value
-
-
 def _resource(value, name):
     if not isinstance(value, dict) or value.get("name") != name:
         raise ValueError("a resource is not stored under its name")
--- a/briarspoke/http/admin.py
+++ b/briarspoke/http/admin.py
@@ -559,7 +559,12 @@
     displayTracebacks = False
 
     def __init__(self, api):
-        super().__init__(api, requestFactory=AdminRequest, timeout=IDLE_TIMEOUT_S)
+        super().__init__(
+            api,
+            requestFactory=AdminRequest,
+            timeout=IDLE_TIMEOUT_S,
+            reactor=api.watches.reactor,
+        )
         self.api = api
 
     def log(self, request):
--- /dev/null
+++ b/tests/test_configuration_writer.py
@@ -0,0 +1,285 @@
+from __future__ import annotations
+
+from hypothesis import settings, strategies
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+)
+from operators_fakes import FakeStore
+from twisted.internet import task
+
+from briarspoke.configuration import codes
+from briarspoke.configuration.changes import Change, Delete, Put
+from briarspoke.configuration.document import ConfigurationDocument
+from briarspoke.configuration.holder import ConfigurationHolder
+from briarspoke.configuration.writer import (
+    SETTLE_S,
+    ConfigurationWriter,
+    Status,
+    WriteState,
+)
+
+NAMES = ("za", "zb", "zc")
+REGIONS = ("north", "south")
+
+
+def writer_for(store, clock, seed=1):
+    return ConfigurationWriter(
+        store=store,
+        holder=ConfigurationHolder(),
+        clock=clock.seconds,
+        sleep=lambda seconds: task.deferLater(clock, seconds, lambda: None),
+        seed=seed,
+    )
+
+
+def put(name, region="north"):
+    return Put(kind="zones", name=name, value={"name": name, "region": region})
+
+
+def document_in(store):
+    return ConfigurationDocument.decode(store.value)
+
+
+class TestConfigurationWriter:
+    def setup_method(self):
+        self.clock = task.Clock()
+        self.store = FakeStore()
+        self.writer = writer_for(self.store, self.clock)
+
+    def submit(self, *puts, write_id="w", writer=None, **kwargs):
+        change = Change(write_id=write_id, puts=puts, **kwargs)
+        results = []
+        (writer or self.writer).submit(change).addCallback(results.append)
+        for _ in range(200):
+            if results:
+                break
+            self.clock.advance(0.1)
+        return results[0]
+
+    def test_lost_response_is_settled(self):
+        # Guards against a change that is reported as failed and is in force.
+        self.store.faults = ["lost"]
+        result = self.submit(put("za"))
+        assert (result.status, result.version) == (Status.ACCEPTED, 1)
+        assert len(self.store.history) == 1
+
+    def test_write_id_takes_effect_once(self):
+        # Guards against an operator's repetition that undoes a later change.
+        self.submit(put("za", "north"), write_id="w1")
+        self.submit(put("za", "south"), write_id="w2")
+        result = self.submit(put("za", "north"), write_id="w1")
+        assert (result.status, result.version) == (Status.ACCEPTED, 1)
+        entry = document_in(self.store).entry("zones", "za")
+        assert entry.value["region"] == "south"
+
+    def test_store_down(self):
+        # Guards against a refusal that leaves an unknown outcome unsaid.
+        self.store.is_down = True
+        result = self.submit(put("za"))
+        assert result.status is Status.REFUSED
+        assert result.code is codes.CONFIGURATION_STORE_UNAVAILABLE
+
+    def test_store_down_after_a_lost_write(self):
+        # Guards against a refusal of a change that still takes effect.
+        self.store.is_held = True
+        change = Change(write_id="w", puts=[put("za")])
+        results = []
+        self.writer.submit(change).addCallback(results.append)
+        self.store.release(0)
+        self.store.release(0, "dropped")
+        self.store.is_held, self.store.is_down = False, True
+        self.clock.pump([0.3] * 30)
+        assert [r.status for r in results] == [Status.UNKNOWN]
+        self.store.arrive_late(0)
+        assert document_in(self.store).version_of_write("w") == 1
+
+    def test_unknown_outcome_names_the_base(self):
+        self.submit(put("za"), write_id="w1")
+        self.store.faults = ["dropped"] * 10_000
+        result = self.submit(put("zb"), write_id="w2")
+        assert result.status is Status.UNKNOWN
+        assert result.base_version == 1
+        states = []
+        self.writer.find("w2", 1).addCallback(states.append)
+        self.store.faults = []
+        self.submit(put("zc"), write_id="w3")
+        self.writer.find("w2", 1).addCallback(states.append)
+        self.writer.find("w3", 1).addCallback(states.append)
+        self.writer.find("w0").addCallback(states.append)
+        assert states == [
+            (WriteState.PENDING, None),
+            (WriteState.NOT_ACCEPTED, None),
+            (WriteState.ACCEPTED, 2),
+            (WriteState.UNKNOWN, None),
+        ]
+
+    def test_reverted_store_is_refused(self):
+        # Guards against a store that lost data and takes the fleet back with it.
+        self.submit(put("za"), write_id="w1")
+        older = self.store.value
+        self.submit(put("zb"), write_id="w2")
+        self.store.value = older
+        result = self.submit(put("zc"), write_id="w3")
+        assert result.code is codes.CONFIGURATION_REVERTED
+        self.store.value = None
+        assert self.submit(put("zc")).code is codes.CONFIGURATION_REVERTED
+        assert self.store.value is None
+
+    def test_unreadable_document_is_kept(self):
+        # Guards against a writer that replaces what it cannot read.
+        self.store.value = b'{"zones": []}'
+        result = self.submit(put("za"))
+        assert result.code is codes.CONFIGURATION_UNREADABLE
+        assert self.store.value == b'{"zones": []}'
+
+    def test_dry_run_writes_nothing(self):
+        result = []
+        change = Change(write_id="w", puts=[put("za")])
+        self.writer.submit(change, dry_run=True).addCallback(result.append)
+        assert [d.action for d in result[0].differences] == ["create"]
+        assert self.store.puts == 0
+
+    def test_store_calls_of_a_change(self):
+        # Guards against changes that use up the store's calls.
+        assert self.submit(put("za")).store_calls == 2
+
+
+class _StoreView:
+    """One writer's access to the store; notes what each change saw first."""
+
+    def __init__(self, store):
+        self.store = store
+        self.waiting = []
+        self.first_version_by_id = {}
+
+    def get(self, key):
+        return self.store.get(key).addCallback(self._seen)
+
+    def put(self, key, value, **kwargs):
+        return self.store.put(key, value, **kwargs)
+
+    def _seen(self, stored):
+        version = 0
+        if stored.value is not None:
+            version = ConfigurationDocument.decode(stored.value).version
+        self.first_version_by_id.setdefault(self.waiting[0], version)
+        return stored
+
+
+class RacingWriters(RuleBasedStateMachine):
+    """Writers race on one key; a naive model replays what took effect.
+
+    Guards against lost, repeated, partially applied and reverted changes, and
+    against results that claim what did not happen.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.clock = task.Clock()
+        self.store = FakeStore(is_held=True)
+        self.views = [_StoreView(self.store) for _ in range(3)]
+        self.writers = [writer_for(view, self.clock) for view in self.views]
+        self.changes_by_id = {}
+        self.results_by_id = {}
+
+    def start(self, writer, **kwargs):
+        change = Change(write_id=f"w{len(self.changes_by_id)}", **kwargs)
+        self.changes_by_id[change.write_id] = change
+        self.views[writer].waiting.append(change.write_id)
+        result = self.writers[writer].submit(change)
+        result.addCallback(self.ended, writer)
+
+    def ended(self, result, writer):
+        assert self.views[writer].waiting.pop(0) == result.write_id
+        self.results_by_id[result.write_id] = result
+
+    @rule(
+        writer=strategies.integers(0, 2),
+        values=strategies.dictionaries(
+            strategies.sampled_from(NAMES), strategies.sampled_from(REGIONS), min_size=1
+        ),
+        replace=strategies.booleans(),
+    )
+    def put_zones(self, writer, values, replace):
+        puts = [put(name, region) for name, region in values.items()]
+        self.start(writer, puts=puts, replace=replace)
+
+    @rule(writer=strategies.integers(0, 2), name=strategies.sampled_from(NAMES))
+    def delete_zone(self, writer, name):
+        self.start(writer, deletes=[Delete(kind="zones", name=name)])
+
+    @precondition(lambda self: self.store.held)
+    @rule(
+        index=strategies.integers(0, 5),
+        fault=strategies.sampled_from(["", "", "", "lost", "dropped", "down"]),
+    )
+    def let_a_call_happen(self, index, fault):
+        self.store.release(index % len(self.store.held), fault)
+
+    @precondition(lambda self: self.store.late)
+    @rule(index=strategies.integers(0, 5))
+    def let_a_dropped_call_arrive(self, index):
+        self.store.arrive_late(index % len(self.store.late))
+
+    @rule(seconds=strategies.sampled_from([0.02, 0.3, SETTLE_S]))
+    def let_time_pass(self, seconds):
+        self.clock.advance(seconds)
+
+    @invariant()
+    def history_is_what_the_model_gives(self):
+        model = {}
+        changed_at = dict.fromkeys(NAMES, 0)
+        applied = []
+        for version, packed in enumerate(self.store.history, start=1):
+            document = ConfigurationDocument.decode(packed)
+            assert document.version == version
+            write_id, _ = document.write_ids[-1]
+            change = self.changes_by_id[write_id]
+            before = dict(model)
+            if change.replace:
+                model.clear()
+            model.update({p.name: p.value["region"] for p in change.puts})
+            for delete in change.deletes:
+                del model[delete.name]
+            seen = self.version_seen_by(write_id)
+            if change.replace:
+                assert seen == version - 1
+            for name in NAMES:
+                if before.get(name) != model.get(name):
+                    assert changed_at[name] <= seen
+                    # An absent resource has version 0, however it became absent.
+                    changed_at[name] = version if name in model else 0
+            stored = {n: e.value["region"] for (_, n), e in document.entries.items()}
+            assert stored == model
+            applied.append(write_id)
+        assert len(applied) == len(set(applied))
+        self._check_results(applied)
+
+    def version_seen_by(self, write_id):
+        views = [v for v in self.views if write_id in v.first_version_by_id]
+        return views[0].first_version_by_id[write_id]
+
+    def _check_results(self, applied):
+        for write_id, result in self.results_by_id.items():
+            if result.status is Status.ACCEPTED and result.differences:
+                assert applied[result.version - 1] == write_id
+            if result.status is Status.REFUSED:
+                assert write_id not in applied
+
+    def teardown(self):
+        while len(self.results_by_id) < len(self.changes_by_id):
+            while self.store.held:
+                self.store.release(0)
+            self.clock.advance(0.3)
+        while self.store.late:
+            self.store.arrive_late(0)
+        self.history_is_what_the_model_gives()
+
+
+RacingWriters.TestCase.settings = settings(
+    derandomize=True, max_examples=150, stateful_step_count=40, deadline=None
+)
+TestRacingWriters = RacingWriters.TestCase
