--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,249 @@
+from __future__ import annotations
+
+import http.client
+import io
+import json
+import subprocess
+import sys
+
+import pytest
+from operators_fakes import READER_TOKEN, WRITER_TOKEN, Answer, ApiInMemory
+
+from briarspoke import cli, client, commands, operations
+
+ZONES = {"zones": [{"name": "poa"}, {"name": "cwb"}]}
+SERVICE = {"name": "tabela"}
+SERVER = {
+    "name": "tabela-poa-1",
+    "service": "tabela",
+    "zone": "poa",
+    "address": "10.0.0.1:80",
+}
+
+
+class _Response(io.BytesIO):
+    def __init__(self, answer):
+        super().__init__(answer.content)
+        self.status = answer.status
+
+
+class _Connection:
+    """Stands in for ``http.client.HTTPConnection``."""
+
+    api = None
+    fault = ""
+
+    def __init__(self, host, port, timeout):
+        self.answer = None
+
+    def connect(self):
+        if self.fault == "unreachable":
+            raise ConnectionRefusedError(111, "Connection refused")
+
+    def request(self, method, path, content, headers):
+        token = headers.pop("Authorization").removeprefix("Bearer ")
+        self.answer = self.api.call(method, path, content, token=token, headers=headers)
+
+    def getresponse(self):
+        if self.fault == "lost":
+            raise http.client.RemoteDisconnected("closed")
+        if self.fault == "no-json":
+            return _Response(Answer(b"HTTP/1.1 502 Bad\r\n\r\n<html>"))
+        return _Response(self.answer)
+
+    def close(self):
+        pass
+
+
+@pytest.fixture
+def api(monkeypatch):
+    api = ApiInMemory()
+    connection = type("Connection", (_Connection,), {"api": api})
+    monkeypatch.setattr(client.http.client, "HTTPConnection", connection)
+    monkeypatch.setenv("BRIARSPOKE_TOKEN", WRITER_TOKEN)
+    monkeypatch.setattr(operations, "POLL_S", 0)
+    api.connection = connection
+    return api
+
+
+@pytest.fixture
+def file(tmp_path):
+    def write(value, name="file.json"):
+        path = tmp_path / name
+        path.write_text(value if isinstance(value, str) else json.dumps(value))
+        return str(path)
+
+    return write
+
+
+class TestExitStatus:
+    """Guards against scripts that take a failure for success."""
+
+    @pytest.mark.parametrize(
+        "arguments",
+        [
+            ["frobnicate"],
+            ["apply", "--nope"],
+            ["apply"],
+            ["apply", "--delete", "zones"],
+            ["apply", "--replace"],
+            ["get"],
+            ["get", "frogs"],
+            ["get", "zones", "poa"],
+            ["get", "zones", "--output", "xml"],
+            ["get", "zones", "--url", "ftp://x"],
+            ["get", "zones", "--url", "http://x:port"],
+            ["watch", "--from", "-1"],
+            ["watch", "--from", "x"],
+            ["check"],
+            ["check", "/does/not/exist.json"],
+            ["serve", "/does/not/exist.json"],
+            ["bench", "frogs"],
+        ],
+    )
+    def test_user_error(self, api, capsys, arguments):
+        assert cli.execute(arguments) == 2
+        error = capsys.readouterr().err
+        assert error.startswith(("briarspoke: ", "  "))
+        assert "Traceback" not in error
+
+    def test_refused(self, api, file, capsys):
+        value = {"zones": [{"name": "poa", "frogs": 1}, {"name": "Q"}]}
+        assert cli.execute(["apply", file(value)]) == 1
+        error = capsys.readouterr().err
+        assert "$.resources.zones[0].frogs" in error
+        assert "$.resources.zones[1].name" in error
+
+    def test_conflict(self, api, file, capsys):
+        arguments = ["apply", file(ZONES), "--expected-version", "7"]
+        assert cli.execute(arguments) == 1
+        assert "expected version 7, found 0" in capsys.readouterr().err
+
+    def test_token(self, api, monkeypatch, file, capsys):
+        monkeypatch.setenv("BRIARSPOKE_TOKEN", "wrong-token-0123456789")
+        assert cli.execute(["get", "zones"]) == 2
+        assert "wrong-token" not in capsys.readouterr().err
+        monkeypatch.delenv("BRIARSPOKE_TOKEN")
+        assert cli.execute(["get", "zones"]) == 2
+        path = file(READER_TOKEN + "\n", "token")
+        assert cli.execute(["get", "zones", "--token-file", path]) == 0
+        assert cli.execute(["apply", file(ZONES), "--token-file", path]) == 2
+        assert cli.execute(["get", "zones", "--token-file", path + "x"]) == 2
+
+    @pytest.mark.parametrize("fault", ["unreachable", "lost", "no-json"])
+    def test_unavailable(self, api, file, fault, capsys):
+        api.connection.fault = fault
+        assert cli.execute(["get", "zones"]) == 3
+        assert cli.execute(["apply", file(ZONES), "--output", "json"]) == 3
+        answer = json.loads(capsys.readouterr().out)
+        if fault == "lost":
+            # The operator needs the identifier to find out what happened.
+            assert answer["name"] == "outcome-unknown"
+            assert api.holder.document.version_of_write(answer["write_id"]) == 1
+
+    def test_unknown_outcome(self, api, file, capsys):
+        api.store.faults = ["dropped"] * 1000
+        assert cli.execute(["apply", file(ZONES), "--write-id", "w9"]) == 3
+        assert "briarspoke get writes w9 --base 0" in capsys.readouterr().err
+
+
+class TestCommands:
+    def run(self, capsys, *arguments, status=0):
+        assert cli.execute(list(arguments)) == status
+        return capsys.readouterr().out
+
+    def test_apply_diff_get(self, api, file, capsys):
+        path = file(ZONES)
+        assert "+ zones/poa" in self.run(capsys, "diff", path, status=1)
+        assert "2 resource(s) would change" in self.run(
+            capsys, "apply", path, "--dry-run"
+        )
+        assert api.store.puts == 0
+        assert "version 1" in self.run(capsys, "apply", path, "--write-id", "w1")
+        assert self.run(capsys, "diff", path) == ""
+        assert "w1: accepted, version 1" in self.run(capsys, "get", "writes", "w1")
+        table = self.run(capsys, "get", "zones").splitlines()
+        assert table[0].split() == ["name", "region", "evacuated", "version"]
+        assert table[1].split() == ["cwb", "region", "no", "1"]
+        answer = json.loads(self.run(capsys, "get", "zones", "--output", "json"))
+        assert len(answer["items"]) == 2
+        assert json.loads(self.run(capsys, "get", "zones", "poa"))["name"] == "poa"
+        self.run(capsys, "apply", "--delete", "zones/poa", "--delete", "zones/cwb")
+        assert api.holder.document.entries == {}
+
+    def test_status_views(self, api, capsys):
+        assert "entry-1" in self.run(capsys, "get", "nodes")
+        assert "tabela-poa-1" in self.run(capsys, "get", "ownership")
+        assert "queue-full" in self.run(capsys, "get", "refusals")
+        assert "zones" in self.run(capsys, "get", "configuration")
+
+    def test_drain_and_evacuate(self, api, file, capsys):
+        value = {**ZONES, "services": [SERVICE], "servers": [SERVER]}
+        self.run(capsys, "apply", file(value))
+        self.run(capsys, "drain", "tabela-poa-1")
+        document = api.holder.document
+        assert document.entry("servers", "tabela-poa-1").value["state"] == "draining"
+        arguments = ["drain", "tabela-poa-1", "--wait-s", "0.01"]
+        assert "4 partition(s) left" in self.run(capsys, *arguments, status=3)
+        api.status.owned = {}
+        self.run(capsys, *arguments)
+        self.run(capsys, "drain", "tabela-poa-1", "--undo")
+        self.run(capsys, "evacuate", "poa", "--wait-s", "0.01")
+        assert api.holder.document.entry("zones", "poa").value["evacuated"]
+        self.run(capsys, "evacuate", "poa", "--undo")
+        assert not api.holder.document.entry("zones", "poa").value["evacuated"]
+        self.run(capsys, "drain", "nothing", status=2)
+
+    def test_drain_keeps_a_concurrent_change(self, api, file, capsys, monkeypatch):
+        # Guards against a drain that undoes another operator's change.
+        value = {**ZONES, "services": [SERVICE], "servers": [SERVER]}
+        self.run(capsys, "apply", file(value))
+        fetch = client.Api.call
+        raced = []
+
+        def race(self, method, path, *arguments):
+            if method == "PUT" and not raced:
+                raced.append(path)
+                fetch(self, "PUT", path, {**SERVER, "slots": 3})
+            return fetch(self, method, path, *arguments)
+
+        monkeypatch.setattr(client.Api, "call", race)
+        self.run(capsys, "drain", "tabela-poa-1")
+        value = api.holder.document.entry("servers", "tabela-poa-1").value
+        assert (value["slots"], value["state"]) == (3, "draining")
+
+    def test_watch(self, api, file, capsys):
+        self.run(capsys, "apply", file(ZONES))
+        assert "version 1" in self.run(capsys, "watch", "--until", "1")
+        out = self.run(capsys, "watch", "--until", "1", "--output", "json")
+        assert json.loads(out)["event"] == "change"
+
+    def test_check(self, file, capsys):
+        settings = {"node": "N", "frogs": 1, "operators": {"a": {"token": "secret"}}}
+        out = self.run(capsys, "check", file(settings), file(ZONES, "c"), status=1)
+        assert "$.node" in out and "$.frogs" in out and "$.store_url" in out
+        assert "secret" not in out
+        assert "(configuration) is fine" in out
+        out = self.run(capsys, "check", "--output", "json", file([]), status=1)
+        assert json.loads(out)[0]["problems"]
+
+    def test_version_is_quick(self):
+        # Guards against a version command that waits for imports it needs not.
+        code = (
+            "import sys; from briarspoke import cli; cli.execute(['version']);"
+            "print([m for m in sys.modules if m.startswith(('twisted', 'cyclopts'))])"
+        )
+        run = subprocess.run(
+            [sys.executable, "-c", code], capture_output=True, text=True
+        )
+        assert run.stdout.splitlines()[1] == "[]"
+
+    @pytest.mark.parametrize("name", commands.names())
+    def test_registration(self, name, capsys):
+        # Guards against a command whose module and name differ, or without help.
+        module = __import__(f"briarspoke.commands.{name}", fromlist=["run"])
+        assert name == module.NAME
+        assert cli.execute([name, "--help"]) == 0
+        assert module.run.__doc__.split("\n")[0] in " ".join(
+            capsys.readouterr().out.split()
+        )
