Test the data path and split its modules

Change: tests with fake sockets; the caller's side moves to exchange.py, the ends of a request to ends.py.

--- a/briarspoke/http/peers.py
+++ b/briarspoke/http/peers.py
@@ -4,6 +4,7 @@
 
 from briarspoke.errors import Refusal
 from briarspoke.http.callers import CallerChannel, CallerFactory
+from briarspoke.http.exchange import request_id_of
 from briarspoke.http.forward import verify
 from briarspoke.http.relay import Relay
 
@@ -25,7 +26,7 @@
             request_id = forward.request_id
         except Refusal as error:
             refusal = error
-            request_id = self.request_id_of(head)
+            request_id = request_id_of(head)
         return Relay(
             router=router,
             exchange=exchange,
--- a/briarspoke/http/relay.py
+++ b/briarspoke/http/relay.py
@@ -8,9 +8,10 @@
 from briarspoke.admission.queue import Signal, Ticket
 from briarspoke.errors import Refusal
 from briarspoke.http import wire
+from briarspoke.http.ends import RelayEnds
 from briarspoke.http.heads import request_head
 from briarspoke.http.producers import CallerProducer, ServerProducer
-from briarspoke.retry.policy import Attempt, Outcome
+from briarspoke.retry.policy import Outcome
 
 log = logging.getLogger(__name__)
 
@@ -23,7 +24,7 @@
 FORWARD_GRACE_S = 0.1
 
 
-class Relay:
+class Relay(RelayEnds):
     """State of one request.
 
     :param router: the :class:`briarspoke.http.router.Router` of the node.
@@ -172,39 +173,6 @@
         elif self.connection is not None:
             self._end_upstream_body()
 
-    def broken_off(self, code, detail=""):
-        """Ends the request because the rest of it is invalid or missing."""
-        if self.done:
-            return
-        if self.answered:
-            self.router.count_result(code)
-            self.exchange.abort()
-            self._end()
-        elif self._may_have_run():
-            self.router.count_result(code)
-            self._report(codes.REQUEST_INTERRUPTED, detail or code.meaning, "unknown")
-        else:
-            self.refuse(Refusal(code, detail))
-
-    def caller_gone(self):
-        """Ends the request because its caller has closed the connection."""
-        if self.done:
-            return
-        self.router.count_result(codes.CALLER_GONE)
-        self._end()
-
-    def crash(self):
-        """Ends the request after an unexpected error of the program."""
-        if self.done:
-            return
-        if self.answered:
-            self.router.count_result(codes.INTERNAL_ERROR)
-            self.exchange.abort()
-            self._end()
-        else:
-            run = "unknown" if self._may_have_run() else "no"
-            self._report(codes.INTERNAL_ERROR, codes.INTERNAL_ERROR.meaning, run)
-
     # Routing and admission.
 
     def _route(self):
@@ -361,75 +329,6 @@
         if not self.router.retry(self, attempt):
             self.fail(attempt)
 
-    # Ends.
-
-    def refuse(self, refusal):
-        """Answers with a refusal; the request has not run."""
-        if self.unknown is not None:
-            self.fail(self.unknown)
-            return
-        self._report(refusal.code, refusal.detail, "no", refusal.retry_after_ms)
-
-    def fail(self, attempt):
-        """Answers with the result of the last attempt."""
-        attempt = self.unknown or attempt
-        run = "no" if attempt.outcome is Outcome.NOT_RUN else "unknown"
-        self._report(attempt.code, attempt.code.meaning, run)
-
-    def deadline_passed(self):
-        """Ends the request at its deadline."""
-        if self.done:
-            return
-        if self.connection is None:
-            waits_for_body = not self.streaming and not self.body_complete
-            code = codes.DEADLINE_IN_QUEUE
-            if waits_for_body:
-                code = codes.DEADLINE_PASSED
-            self.refuse(Refusal(code))
-            return
-        connection, self.connection = self.connection, None
-        connection.abort()
-        self.attempt_failed(
-            Attempt(
-                outcome=Outcome.UNKNOWN, reason="timeout", code=codes.ANSWER_TIMEOUT
-            )
-        )
-
-    def _may_have_run(self):
-        return self.connection is not None or self.unknown is not None
-
-    def _report(self, code, detail, run, retry_after_ms=None):
-        if self.done:
-            return
-        self.router.count_result(code)
-        self._end()
-        self.exchange.result(
-            wire.Result(
-                code=code,
-                detail=detail,
-                run=run,
-                request_id=self.request_id,
-                retry_after_ms=retry_after_ms,
-            ),
-            reusable=self.body_complete,
-        )
-
-    def _end(self):
-        self.done = True
-        self.body = None
-        if self.connection is not None:
-            self.connection.abort()
-            self.connection = None
-        if self.ticket is not None:
-            ticket, self.ticket = self.ticket, None
-            self.router.cancel(self.queue, ticket)
-        self.router.request_ended(self)
-
-    def _release(self, signal):
-        ticket, self.ticket = self.ticket, None
-        if ticket is not None:
-            self.router.release(self.queue, ticket, signal)
-
     # Backpressure.
 
     def pause_caller(self):
--- a/briarspoke/standins/demo.py
+++ b/briarspoke/standins/demo.py
@@ -119,6 +119,7 @@
                     "cluster_key": "demo-cluster-key-only",
                     "caller_listen": f"127.0.0.1:{0 if self.check else CALLER_PORT}",
                     "metrics_listen": f"127.0.0.1:{0 if self.check else 8083}",
+                    "forward_listen": f"127.0.0.1:{0 if self.check else 8084}",
                 }
             ),
         )
--- /dev/null
+++ b/tests/http_fakes.py
@@ -0,0 +1,154 @@
+"""Fakes of sockets and the reactor for tests of the data path."""
+
+from __future__ import annotations
+
+import json
+
+from twisted.internet import error, task
+from twisted.internet.testing import StringTransport
+from twisted.python.failure import Failure
+
+from briarspoke.configuration.snapshot import Configuration
+from briarspoke.http.callers import CallerFactory
+from briarspoke.http.peers import PeerFactory
+from briarspoke.http.router import Router
+from briarspoke.metrics import Metrics
+from briarspoke.standins.demo import static_ownership
+
+LOST = Failure(error.ConnectionLost())
+
+
+class Socket(StringTransport):
+    """A transport that takes everything at once."""
+
+    dataBuffer = b""
+    _tempDataBuffer = ()
+    connected = True
+    producerPaused = False
+    write_ended = False
+
+    def writeSomeData(self, data):
+        self.write(bytes(data))
+        return len(data)
+
+    def setTcpNoDelay(self, enabled):
+        pass
+
+    def loseWriteConnection(self):
+        self.write_ended = True
+
+    @property
+    def paused(self):
+        return self.producerState == "paused"
+
+    @property
+    def aborted(self):
+        return bool(self.disconnected or self.aborting)
+
+    def take(self):
+        """Returns what was written since the last call."""
+        data = self.value()
+        self.clear()
+        return data
+
+
+class Side:
+    """A protocol of the router with the socket it talks to."""
+
+    def __init__(self, protocol):
+        self.protocol = protocol
+        self.socket = Socket()
+        protocol.makeConnection(self.socket)
+
+    def send(self, data):
+        self.protocol.dataReceived(data)
+
+    def lose(self):
+        self.protocol.connectionLost(LOST)
+
+    def result(self):
+        """Returns the JSON body of a result made by briarspoke."""
+        return json.loads(self.socket.take().partition(b"\r\n\r\n")[2])
+
+
+class World(task.Clock):
+    """A router with a service ``s`` of one server, and the reactor it uses."""
+
+    def __init__(self, *, slots=2, peers=(), **service):
+        super().__init__()
+        self.connects = []
+        self.router = Router(
+            reactor=self,
+            clock=self.seconds,
+            metrics=Metrics(node_id="n1"),
+            node_id="n1",
+            zone="z1",
+            cluster_key="a key for tests only",
+        )
+        problems = []
+        configuration = Configuration.from_json(
+            {
+                "zones": [{"name": "z1"}],
+                "services": [{"name": "s", "warmup_s": 0, **service}],
+                "servers": [
+                    {
+                        "name": "s-1",
+                        "service": "s",
+                        "zone": "z1",
+                        "address": "127.0.0.1:1",
+                        "slots": slots,
+                    }
+                ],
+            },
+            problems,
+            version=1,
+        )
+        assert not problems
+        self.router.apply_configuration(configuration)
+        service = configuration.services_by_name["s"]
+        self.router.table.apply(static_ownership(configuration, service))
+        self.router.peers_by_id = {peer.node_id: peer for peer in peers}
+        self.router.tick()
+
+    def connectTCP(self, host, port, factory, timeout=30):
+        self.connects.append((port, factory))
+
+    def caller(self, factory=CallerFactory):
+        return Side(factory(router=self.router).buildProtocol(None))
+
+    def peer(self):
+        return self.caller(PeerFactory)
+
+    def accept(self):
+        """Accepts the oldest connect and returns the server's side."""
+        _, factory = self.connects.pop(0)
+        return Side(factory.buildProtocol(None))
+
+    def decline(self):
+        """Refuses the oldest connect."""
+        _, factory = self.connects.pop(0)
+        factory.clientConnectionFailed(None, LOST)
+
+    def wait(self, seconds):
+        self.advance(seconds)
+        self.router.tick()
+
+    def counted(self, code):
+        return self.router.metrics.value("refusals_total", code.number)
+
+
+GET = b"GET /s/k HTTP/1.1\r\nHost: x\r\n\r\n"
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+def post(body, *, length=None, extra=b""):
+    """Returns a request with a body, of which some may be missing."""
+    size = len(body) if length is None else length
+    head = b"POST /s/k HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n%b\r\n"
+    return head % (size, extra) + body
+
+
+def chunked(*chunks, end=True):
+    head = b"POST /s/k HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+    body = b"".join(b"%x\r\n%b\r\n" % (len(chunk), chunk) for chunk in chunks)
+    return head + body + (b"0\r\n\r\n" if end else b"")
--- /dev/null
+++ b/tests/test_callers.py
@@ -0,0 +1,122 @@
+from __future__ import annotations
+
+import pytest
+from http_fakes import GET, World, post
+
+from briarspoke import codes
+from briarspoke.http import callers
+
+_LENGTHS = b"Content-Length: 3\r\n"
+_CHUNKS = b"Transfer-Encoding: chunked\r\n"
+
+
+class TestMalformedRequests:
+    @pytest.mark.parametrize(
+        ("request_", "code"),
+        [
+            (b"POST /s/k HTTP/1.1\r\n" + _LENGTHS + _CHUNKS + b"\r\nabc", 4001),
+            (b"POST /s/k HTTP/1.1\r\n" + _LENGTHS * 2 + b"\r\nabc", 4001),
+            (b"POST /s/k HTTP/1.1\r\nContent-Length: -1\r\n\r\n", 4001),
+            (
+                b"POST /s/k HTTP/1.1\r\nContent-Length: " + b"9" * 5000 + b"\r\n\r\n",
+                4001,
+            ),
+            (b"POST /s/k HTTP/1.1\r\n" + _CHUNKS + b"\r\nzz\r\n", 4001),
+            (b"GET /s/k\r\n", 4001),
+            (b"GET /s/k HTTP/1.1\r\nno colon\r\n\r\n", 4001),
+            (b"GET /s/k HTTP/1.1\r\nA: " + b"x" * 20_000 + b"\r\n\r\n", 4006),
+            (b"GET /s/k HTTP/1.1\r\n" + b"A: 123456\r\n" * 3000 + b"\r\n", 4006),
+            (b"GET /other/k HTTP/1.1\r\n\r\n", 4002),
+            (b"GET /s HTTP/1.1\r\n\r\n", 4003),
+            (b"GET /s/k HTTP/1.1\r\nBriarspoke-Deadline-Ms: x\r\n\r\n", 4004),
+        ],
+    )
+    def test_numbered_answer(self, request_, code):
+        # Guards against tracebacks, silence, and requests smuggled behind
+        # framing that two parsers read differently.
+        world = World()
+        caller = world.caller()
+        caller.send(request_)
+        result = caller.result()
+        assert (result["code"], result["run"]) == (code, "no")
+        assert world.counted(codes.by_number[code]) == 1
+        assert not world.connects
+        assert not world.router.relays
+
+    def test_rest_of_a_rejected_head_is_not_a_request(self):
+        # Guards against a request hidden behind a bad one.
+        world = World()
+        caller = world.caller()
+        caller.send(b"GET bad\r\n" + GET)
+        caller.send(GET)
+        assert caller.socket.take().count(b"HTTP/1.1 ") == 1
+        assert caller.socket.write_ended
+
+    def test_refused_head_request_has_no_body(self):
+        # Guards against a body that the caller reads as the next answer.
+        caller = World().caller()
+        caller.send(b"HEAD /other/k HTTP/1.1\r\n\r\n")
+        assert caller.socket.take().endswith(b"\r\n\r\n")
+
+    def test_refused_small_body_keeps_the_connection(self):
+        # Guards against a reconnect after each refused booking.
+        caller = World().caller()
+        caller.send(post(b"body").replace(b"/s/", b"/other/"))
+        assert caller.result()["code"] == codes.UNKNOWN_SERVICE.number
+        caller.send(GET.replace(b"/s/", b"/other/"))
+        assert caller.result()["code"] == codes.UNKNOWN_SERVICE.number
+
+    @pytest.mark.parametrize(("path", "expected"), [(b"/s/", 1), (b"/other/", 0)])
+    def test_continue_is_sent_only_before_the_answer(self, path, expected):
+        # Guards against 100 Continue behind a final answer.
+        caller = World().caller()
+        request = post(b"", length=5, extra=b"Expect: 100-continue\r\n")
+        caller.send(request.replace(b"/s/", path))
+        assert caller.socket.take().count(b"100 Continue") == expected
+
+
+class TestStalls:
+    def test_head_that_trickles(self):
+        # Guards against a connection held for ever by one byte now and then.
+        world = World()
+        caller = world.caller()
+        caller.send(b"GET /s/k HTTP/1.1\r\n")
+        for _ in range(4):
+            world.wait(callers.HEAD_TIMEOUT_S / 3)
+            caller.send(b"A: b\r\n")
+        assert caller.result()["code"] == codes.REQUEST_TIMEOUT.number
+        world.wait(callers.LINGER_S + 1)
+        assert caller.socket.aborted
+
+    def test_body_that_stops(self):
+        # Guards against a request held for ever by its caller.
+        world = World(ranks={"booking": {"deadline_ms": 3_600_000}})
+        caller = world.caller()
+        caller.send(post(b"x", length=5))
+        world.wait(callers.BODY_STALL_S + 2)
+        assert caller.result()["code"] == codes.REQUEST_TIMEOUT.number
+
+    def test_body_that_the_router_has_paused(self):
+        # Guards against blaming the caller for a slow server.
+        world = World(ranks={"booking": {"deadline_ms": 3_600_000}})
+        caller = world.caller()
+        caller.send(post(b"x" * 70_000, length=100_000))
+        world.accept().socket.producer.pauseProducing()
+        world.wait(callers.BODY_STALL_S + 2)
+        assert not caller.socket.take()
+
+    def test_deadline_before_the_body_is_complete(self):
+        # Guards against a slow body that is reported as a full queue.
+        world = World()
+        caller = world.caller()
+        caller.send(post(b"x", length=5))
+        world.wait(11)
+        assert caller.result()["code"] == codes.DEADLINE_PASSED.number
+
+    def test_idle_connection(self):
+        # Guards against connections that are kept for ever.
+        world = World()
+        caller = world.caller()
+        world.wait(callers.IDLE_TIMEOUT_S + 2)
+        world.wait(callers.LINGER_S + 2)
+        assert caller.socket.aborted
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,281 @@
+from __future__ import annotations
+
+import pytest
+from http_fakes import GET, OK, World, chunked, post
+
+from briarspoke import codes
+
+LARGE = b"x" * 100_000
+
+
+class TestAnswers:
+    def test_answer_is_whole_and_the_connection_is_used_again(self):
+        # Guards against a connect per request.
+        world = World()
+        caller = world.caller()
+        caller.send(GET)
+        server = world.accept()
+        server.send(OK)
+        caller.send(GET)
+        server.send(OK)
+        assert caller.socket.take().count(b"\r\n\r\nok") == 2
+        assert not world.connects
+
+    @pytest.mark.parametrize(
+        "answer",
+        [
+            b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+        ],
+    )
+    def test_cut_answer_is_cut_for_the_caller(self, answer):
+        # Guards against a truncated answer that looks complete.
+        world = World()
+        caller = world.caller()
+        caller.send(GET)
+        server = world.accept()
+        server.send(answer)
+        server.lose()
+        assert caller.socket.aborted
+        assert not caller.socket.take().endswith(b"0\r\n\r\n")
+        assert not world.router.relays
+
+    def test_answer_without_a_length_is_not_passed_on(self):
+        # Guards against a cut that would pass for the end of the body.
+        world = World()
+        caller = world.caller()
+        caller.send(post(b""))
+        server = world.accept()
+        server.send(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nbody")
+        result = caller.result()
+        assert result["code"] == codes.ANSWER_MALFORMED.number
+        assert result["run"] == "unknown"
+
+    @pytest.mark.parametrize("surplus", [OK, b"stray"])
+    def test_data_after_the_answer_ends_the_connection(self, surplus):
+        # Guards against a stray answer given to the next request.
+        world = World()
+        caller = world.caller()
+        caller.send(GET)
+        server = world.accept()
+        server.send(OK + surplus)
+        caller.send(GET)
+        assert len(world.connects) == 1
+        assert caller.socket.take().count(b"200 OK") == 1
+
+    def test_interim_answer_and_bodyless_answers(self):
+        # Guards against 100 Continue taken for the answer, and against waiting
+        # for a body that HEAD and 204 do not have.
+        world = World()
+        caller = world.caller()
+        caller.send(GET)
+        server = world.accept()
+        server.send(b"HTTP/1.1 100 Continue\r\n\r\n" + OK)
+        caller.send(b"HEAD /s/k HTTP/1.1\r\n\r\n")
+        server.send(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n")
+        caller.send(GET)
+        server.send(b"HTTP/1.1 204 No Content\r\n\r\n")
+        assert caller.socket.take().count(b"HTTP/1.1 20") == 3
+        assert not world.connects
+        assert not world.router.relays
+
+    def test_servers_cannot_forge_results(self):
+        # Guards against a server's answer that reads as a refusal of the router.
+        world = World()
+        caller = world.caller()
+        caller.send(GET)
+        server = world.accept()
+        server.send(OK.replace(b"\r\n\r\n", b"\r\nBriarspoke-Run: no\r\n\r\n"))
+        assert b"riarspoke-run" not in caller.socket.take().lower()
+
+    def test_full_caller_pauses_the_server(self):
+        # Guards against a large answer held in memory for a slow caller.
+        world = World()
+        caller = world.caller()
+        caller.send(GET)
+        server = world.accept()
+        server.send(b"HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n")
+        caller.protocol.pauseProducing()
+        assert server.socket.paused
+        caller.protocol.resumeProducing()
+        assert not server.socket.paused
+
+
+class TestBodies:
+    def test_small_body_is_complete_before_a_slot_is_taken(self):
+        # Guards against slow callers that occupy the server's slots.
+        world = World()
+        caller = world.caller()
+        caller.send(post(b"half", length=8))
+        assert not world.connects
+        caller.send(b"half")
+        assert world.accept().socket.take().endswith(b"\r\n\r\nhalfhalf")
+
+    def test_small_chunked_body_gets_a_length(self):
+        # Guards against a held body that could not be repeated.
+        world = World()
+        world.caller().send(chunked(b"ab", b"cd"))
+        sent = world.accept().socket.take()
+        assert b"Content-Length: 4\r\n" in sent and sent.endswith(b"abcd")
+
+    @pytest.mark.parametrize("request_", [post(LARGE), chunked(LARGE)])
+    def test_full_server_pauses_the_caller(self, request_):
+        # Guards against an upload held in memory for a slow server.
+        world = World()
+        caller = world.caller()
+        caller.send(request_[:90_000])
+        assert caller.socket.paused
+        server = world.accept()
+        assert not caller.socket.paused
+        server.socket.producer.pauseProducing()
+        assert caller.socket.paused
+        # A drained answer buffer must not override the server's pause.
+        caller.protocol.resumeProducing()
+        assert caller.socket.paused
+        server.socket.producer.resumeProducing()
+        caller.send(request_[90_000:])
+        assert server.socket.take().count(b"x") >= len(LARGE)
+
+    @pytest.mark.parametrize("request_", [post(LARGE), chunked(LARGE)])
+    def test_cut_body_is_cut_for_the_server(self, request_):
+        # Guards against a partial upload that is stored as complete.
+        world = World(slots=1)
+        caller = world.caller()
+        caller.send(request_[:90_000])
+        server = world.accept()
+        caller.lose()
+        assert server.socket.aborted
+        assert not server.socket.take().endswith(b"0\r\n\r\n")
+        assert world.counted(codes.CALLER_GONE) == 1
+        assert world.router.queues_by_server["s-1"].in_flight == 0
+
+    def test_bad_chunk_in_a_streamed_body(self):
+        # Guards against a refusal that denies a run that has begun.
+        world = World()
+        caller = world.caller()
+        caller.send(chunked(LARGE, end=False))
+        server = world.accept()
+        caller.send(b"zz\r\n")
+        result = caller.result()
+        assert result["code"] == codes.REQUEST_INTERRUPTED.number
+        assert result["run"] == "unknown"
+        assert server.socket.aborted
+
+    def test_early_answer_ends_both_connections(self):
+        # Guards against a connection that is used again in mid-request.
+        world = World()
+        caller = world.caller()
+        caller.send(post(LARGE[:70_000], length=len(LARGE)))
+        server = world.accept()
+        server.send(OK)
+        answer = caller.socket.take()
+        assert answer.endswith(b"ok") and b"connection: close" not in answer
+        assert server.socket.aborted
+        assert caller.socket.write_ended
+
+    def test_large_chunked_body_beyond_the_limit(self):
+        # Guards against a chunked body that evades the operator's bound.
+        world = World(max_body_bytes=80_000)
+        caller = world.caller()
+        caller.send(chunked(LARGE, end=False))
+        assert caller.result()["code"] == codes.BODY_TOO_LARGE.number
+
+
+class TestRetries:
+    def test_shed_request_is_repeated_on_the_same_connection(self):
+        # Guards against a connect per shed request and against a lost body.
+        world = World()
+        caller = world.caller()
+        caller.send(post(b"body"))
+        server = world.accept()
+        server.send(
+            b"HTTP/1.1 503 X\r\nContent-Length: 0\r\nBriarspoke-Shed: 1\r\n\r\n"
+        )
+        world.wait(0.02)
+        assert server.socket.take().count(b"\r\n\r\nbody") == 2
+        server.send(OK)
+        assert caller.socket.take().endswith(b"ok")
+
+    def test_lost_booking_is_not_repeated(self):
+        # Guards against a second run of a non-idempotent request.
+        world = World()
+        caller = world.caller()
+        caller.send(post(b"body"))
+        world.accept().lose()
+        world.wait(0.1)
+        assert not world.connects
+        assert caller.result()["run"] == "unknown"
+
+    def test_result_after_an_unknown_attempt_is_unknown(self):
+        # Guards against "not run" after an attempt that may have run.
+        world = World()
+        caller = world.caller()
+        caller.send(GET)
+        world.accept().lose()
+        for _ in range(2):
+            world.wait(0.05)
+            world.decline()
+        result = caller.result()
+        assert result["run"] == "unknown"
+        assert result["code"] == codes.OUTCOME_UNKNOWN.number
+
+    def test_deadline_while_a_repeat_waits(self):
+        # Guards against "deadline in queue, not run" after a lost attempt.
+        world = World(slots=1)
+        caller = world.caller()
+        caller.send(GET)
+        server = world.accept()
+        blocker = world.caller()
+        blocker.send(GET)
+        server.lose()
+        world.wait(0.05)
+        world.wait(5)
+        assert caller.result()["run"] == "unknown"
+        assert blocker.result()["run"] == "no"
+
+    def test_long_queue_that_fails_at_once(self):
+        # Guards against recursion as deep as the queue is long.
+        world = World(slots=1, ranks={"lookup": {"queue": 3000}})
+        callers = [world.caller() for _ in range(2000)]
+        for caller in callers:
+            caller.send(GET)
+        world.router.pools_by_server["s-1"].maximum = 0
+        world.decline()
+        for _ in range(10):
+            world.wait(0.05)
+        codes_seen = {caller.result()["code"] for caller in callers[1:]}
+        assert codes_seen == {codes.NO_CONNECTION_FREE.number}
+        assert not world.router.relays
+
+
+class TestShutdown:
+    def test_requests_in_flight_are_finished(self):
+        # Guards against a shutdown that cuts answers off.
+        world = World()
+        caller, idle = world.caller(), world.caller()
+        caller.send(GET)
+        server = world.accept()
+        left = []
+        world.router.drain(10).addCallback(left.append)
+        world.wait(1.5)
+        assert idle.socket.write_ended
+        idle.lose()
+        server.send(OK)
+        assert b"connection: close" in caller.socket.take()
+        caller.lose()
+        world.pump([0.1] * 5)
+        assert left == [0]
+
+    def test_requests_left_at_the_timeout(self):
+        # Guards against a shutdown that waits for ever.
+        world = World()
+        caller = world.caller()
+        caller.send(post(b"x"))
+        world.accept()
+        left = []
+        world.router.drain(2).addCallback(left.append)
+        world.pump([0.1] * 25)
+        assert caller.result()["run"] == "unknown"
+        caller.lose()
+        world.pump([0.1] * 2)
+        assert left == [1]
