Answer malformed HTTP with codes and share checked resources

Cause: malformed HTTP and long headers at the operators' API got no code; JSON with a member named twice kept the last one; every change made each node check all resources anew; an address in use ended serve with a traceback. Change: an own channel answers with codes and the configuration version; parse_json is strict; unchanged resources are taken over from the version in force; serve reports the address; views of ownership and refusals for nodes.

--- a/briarspoke/commands/serve.py
+++ b/briarspoke/commands/serve.py
@@ -59,7 +59,10 @@
         return defer.maybeDeferred(stop)
 
     def _failed(self, failure):
-        if failure.check(UserError):
+        from twisted.internet.error import CannotListenError
+
+        # Twisted's error about an address in use is not an OSError.
+        if failure.check(UserError, CannotListenError):
             self.exit_status = 2
             print(f"briarspoke: {failure.value}", file=sys.stderr)
         else:
--- a/briarspoke/configuration/document.py
+++ b/briarspoke/configuration/document.py
@@ -31,11 +31,19 @@
     :param value: the resource as a JSON object with every option.
     """
 
-    __slots__ = ("changed_at", "value")
+    __slots__ = ("_resource", "changed_at", "value")
 
     def __init__(self, *, changed_at, value):
         self.changed_at = changed_at
         self.value = value
+        self._resource = None
+
+    def resource(self, kind, problems):
+        """Returns the checked resource, or None when a problem was added."""
+        if self._resource is None:
+            path = f"$.{kind}.{self.value['name']}"
+            self._resource = by_kind[kind].from_json(self.value, path, problems)
+        return self._resource
 
     def __eq__(self, other):
         if not isinstance(other, Entry):
@@ -144,14 +152,26 @@
         """
         if self._configuration is None:
             problems = []
-            configuration = Configuration.from_json(
-                self.as_json(), problems, version=self.version
-            )
+            resources = {f"{kind}_by_name": {} for kind in by_kind}
+            for (kind, name), entry in sorted(self.entries.items(), key=_key):
+                found = entry.resource(kind, problems)
+                resources[f"{kind}_by_name"][name] = found
             if problems:
                 raise ValueError("; ".join(map(str, problems)))
-            self._configuration = configuration
+            self._configuration = Configuration(version=self.version, **resources)
         return self._configuration
 
+    def share(self, other):
+        """Takes over the resources that another document has already checked.
+
+        Checking 5,000 servers anew takes about 50 ms, during which a node serves
+        nothing.
+        """
+        for key, entry in self.entries.items():
+            known = other.entries.get(key)
+            if known is not None and known == entry:
+                self.entries[key] = known
+
     def as_json(self):
         """Returns ``{kind: [resource, ...]}``, sorted by name."""
         return {kind: [e.value for e in self.values(kind)] for kind in by_kind}
@@ -209,6 +229,10 @@
             raise ValueError(f"no configuration document: {error}") from error
 
 
+def _key(item):
+    return item[0]
+
+
 def _decompress(data):
     decompressor = zlib.decompressobj()
     unpacked = decompressor.decompress(data, MAX_UNPACKED_BYTES)
--- a/briarspoke/configuration/holder.py
+++ b/briarspoke/configuration/holder.py
@@ -58,6 +58,7 @@
         """
         if document.version <= self.document.version:
             return False
+        document.share(self.document)
         document.configuration()
         self.transitions.append(
             Transition(
--- a/briarspoke/configuration/writer.py
+++ b/briarspoke/configuration/writer.py
@@ -172,6 +172,7 @@
         else:
             try:
                 document = ConfigurationDocument.decode(stored.value)
+                document.share(self.holder.document)
                 document.configuration()
             except (ValueError, CodedError) as error:
                 log.error("configuration: cannot decode the stored one: %s", error)
--- a/briarspoke/http/admin.py
+++ b/briarspoke/http/admin.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hmac
+import http
 import io
 import json
 import logging
@@ -12,8 +13,14 @@
 
 from twisted.internet import defer
 from twisted.web import resource, server
+from twisted.web.http import HTTPChannel
 
-from briarspoke.codes import INTERNAL_ERROR, NOT_READY
+from briarspoke.codes import (
+    HEAD_TOO_LARGE,
+    INTERNAL_ERROR,
+    MALFORMED_REQUEST,
+    NOT_READY,
+)
 from briarspoke.configuration import codes
 from briarspoke.configuration.changes import (
     EXISTS,
@@ -27,12 +34,14 @@
 from briarspoke.configuration.writer import Status
 from briarspoke.errors import CodedError
 from briarspoke.http.admin_watch import Watches
+from briarspoke.schema import parse_json
 
 log = logging.getLogger(__name__)
 
 MAX_BODY_BYTES = 4_000_000
 # A larger body closes the connection instead of being read to its end.
 DISCARDED_BODY_BYTES = 16_000_000
+MAX_HEAD_BYTES = 16_384
 IDLE_TIMEOUT_S = 60
 MAX_VERSION = 2**53
 WRITE_ID_PATTERN = "[A-Za-z0-9._-]{1,64}"
@@ -129,8 +138,8 @@
                 codes.CALL_BODY_TOO_LARGE, f"more than {MAX_BODY_BYTES} bytes"
             )
         try:
-            value = json.loads(self.body, parse_constant=_reject_constant)
-        except (ValueError, RecursionError) as error:
+            value = parse_json(self.body)
+        except ValueError as error:
             raise ApiError(codes.CALL_BODY_MALFORMED, "the body is not JSON") from error
         if not isinstance(value, dict):
             raise ApiError(codes.CALL_BODY_MALFORMED, "the body is not a JSON object")
@@ -178,7 +187,7 @@
         self.holder = holder
         self.status = status
         self.watches = Watches(reactor=reactor, holder=holder)
-        self._count = count or (lambda number: None)
+        self.count = count or (lambda number: None)
         self._operators = [
             (name, operator["token"].encode(), operator["role"])
             for name, operator in operators.items()
@@ -245,20 +254,14 @@
         if not isinstance(error, CodedError):
             log.error("admin: a call failed", exc_info=error)
             error = ApiError(INTERNAL_ERROR)
-        self._count(error.code.number)
+        self.count(error.code.number)
         code = error.code
         if not request.is_gone:
             request.setHeader("Briarspoke-Code", str(code.number))
             request.setHeader("Briarspoke-Class", code.kind.value)
             if code is codes.UNAUTHENTICATED:
                 request.setHeader(b"WWW-Authenticate", b"Bearer")
-        value = {
-            "code": code.number,
-            "name": code.name,
-            "class": code.kind.value,
-            "detail": error.detail,
-            **getattr(error, "fields", {}),
-        }
+        value = error_json(code, error.detail) | getattr(error, "fields", {})
         self._reply(request, code.http_status, value)
 
     # Reading.
@@ -377,6 +380,16 @@
         self._reply(call.request, 200, fields, etag=etag)
 
 
+def error_json(code, detail):
+    """Returns the JSON object of an error."""
+    return {
+        "code": code.number,
+        "name": code.name,
+        "class": code.kind.value,
+        "detail": detail,
+    }
+
+
 def change_of(value, write_id):
     """Returns the :class:`Change` of the body of ``POST /v1/apply``.
 
@@ -448,10 +461,6 @@
         raise ApiError(codes.UNKNOWN_PATH)
 
 
-def _reject_constant(name):
-    raise ValueError(f"{name} is not JSON")
-
-
 def _result_json(result, dry_run):
     fields = {
         "status": result.status.value,
@@ -530,23 +539,54 @@
         self.is_gone = True
 
     def _refuse_body(self):
-        code = codes.CALL_BODY_TOO_LARGE
+        self.channel.refuse(
+            codes.CALL_BODY_TOO_LARGE, f"more than {MAX_BODY_BYTES} bytes"
+        )
+
+
+class AdminChannel(HTTPChannel):
+    """One connection; errors below the level of calls are JSON too."""
+
+    requestFactory = AdminRequest
+    totalHeadersSize = MAX_HEAD_BYTES
+    timeOut = IDLE_TIMEOUT_S
+
+    def __init__(self, site):
+        super().__init__()
+        self.site = site
+        self.factory = site
+        self.callLater = site.api.watches.reactor.callLater
+
+    def refuse(self, code, detail=""):
+        """Answers with an error and closes the connection."""
+        self.site.api.count(code.number)
+        version = self.site.api.holder.document.version
         body = json.dumps(
             {
-                "code": code.number,
-                "name": code.name,
-                "class": code.kind.value,
-                "detail": f"more than {MAX_BODY_BYTES} bytes",
+                "configuration_version": version,
+                **error_json(code, detail or code.meaning),
             }
         ).encode()
-        transport = self.channel.transport
-        transport.write(
-            b"HTTP/1.1 413 Content Too Large\r\nContent-Type: application/json\r\n"
-            b"Briarspoke-Code: %d\r\nConnection: close\r\nContent-Length: %d\r\n\r\n"
-            % (code.number, len(body))
-            + body
+        phrase = http.HTTPStatus(code.http_status).phrase
+        head = (
+            f"HTTP/1.1 {code.http_status} {phrase}\r\n"
+            "Content-Type: application/json\r\n"
+            f"Content-Length: {len(body)}\r\n"
+            f"Briarspoke-Code: {code.number}\r\n"
+            f"Briarspoke-Class: {code.kind.value}\r\n"
+            f"Briarspoke-Configuration-Version: {version}\r\n"
+            "Connection: close\r\n\r\n"
         )
-        self.channel.loseConnection()
+        self.transport.write(head.encode() + body)
+        self.loseConnection()
+
+    def lineLengthExceeded(self, line):
+        """Refuses a header that is longer than a line may be."""
+        self.refuse(HEAD_TOO_LARGE)
+
+    def _respondToBadRequestAndDisconnect(self):
+        is_large = self._receivedHeaderSize > self.totalHeadersSize
+        self.refuse(HEAD_TOO_LARGE if is_large else MALFORMED_REQUEST)
 
 
 class AdminSite(server.Site):
@@ -559,14 +599,13 @@
     displayTracebacks = False
 
     def __init__(self, api):
-        super().__init__(
-            api,
-            requestFactory=AdminRequest,
-            timeout=IDLE_TIMEOUT_S,
-            reactor=api.watches.reactor,
-        )
+        super().__init__(api, reactor=api.watches.reactor)
         self.api = api
 
+    def buildProtocol(self, address):
+        """Returns the channel of a new connection."""
+        return AdminChannel(self)
+
     def log(self, request):
         """Writes no access log; changes are logged by the API itself."""
 
--- a/briarspoke/http/admin_status.py
+++ b/briarspoke/http/admin_status.py
@@ -2,6 +2,11 @@
 
 from __future__ import annotations
 
+import collections
+
+from briarspoke import codes
+from briarspoke.ownership.document import State
+
 
 class NodeStatus:
     """Read interface of a node, subclassed by the node and by test fakes.
@@ -31,3 +36,38 @@
     def refusals(self):
         """Returns a list of ``{"code", "name", "class", "count"}``."""
         return []
+
+
+def ownership_view(documents):
+    """Returns the JSON value of :meth:`NodeStatus.ownership`.
+
+    :param documents: the :class:`OwnershipDocument` of each service.
+    """
+    view = {}
+    for document in documents:
+        owners = collections.Counter(p.owner for p in document.partitions)
+        unowned = owners.pop(None, 0)
+        view[document.service] = {
+            "version": document.version,
+            "partitions": dict(sorted(owners.items())),
+            "unowned": unowned,
+            "moving": sum(p.state is State.MOVING for p in document.partitions),
+        }
+    return view
+
+
+def refusals_view(counts):
+    """Returns the JSON value of :meth:`NodeStatus.refusals`.
+
+    :param counts: count by the number of the result code.
+    """
+    found = [(codes.by_number[int(number)], n) for number, n in counts.items()]
+    return [
+        {
+            "code": code.number,
+            "name": code.name,
+            "class": code.kind.value,
+            "count": count,
+        }
+        for code, count in sorted(found, key=lambda pair: pair[0].number)
+    ]
--- a/briarspoke/schema.py
+++ b/briarspoke/schema.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import re
 
 from briarspoke import codes
@@ -37,6 +38,35 @@
 )
 
 
+def parse_json(data):
+    """Returns the value of JSON text or bytes.
+
+    Unlike ``json.loads`` it refuses what is no JSON (``NaN``) and objects that
+    name a member twice, of which only one would count.
+
+    :raises ValueError: if it is not JSON.
+    """
+    try:
+        return json.loads(
+            data, parse_constant=_no_constant, object_pairs_hook=_members_once
+        )
+    except RecursionError as error:
+        raise ValueError("it is nested too deeply") from error
+
+
+def _no_constant(name):
+    raise ValueError(f"{name} is not a JSON value")
+
+
+def _members_once(pairs):
+    value = dict(pairs)
+    if len(value) < len(pairs):
+        names = [name for name, _ in pairs]
+        twice = next(name for name in names if names.count(name) > 1)
+        raise ValueError(f"member {twice[:40]!r} is named twice")
+    return value
+
+
 class Problem:
     """One thing wrong with a value.
 
--- a/briarspoke/settings.py
+++ b/briarspoke/settings.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import ipaddress
-import json
 
 from briarspoke import codes, schema
 from briarspoke.configuration.resources import ADDRESS_PATTERN, NAME_PATTERN
@@ -216,8 +215,8 @@
     """
     try:
         with open(path, encoding="utf-8") as file:
-            return json.load(file)
+            return schema.parse_json(file.read())
     except OSError as error:
         raise UserError(f"cannot read {path}: {error.strerror}") from error
-    except (ValueError, RecursionError) as error:
+    except ValueError as error:
         raise UserError(f"{path} is not JSON: {error}") from error
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -8,6 +8,8 @@
 
 from briarspoke.configuration import codes
 from briarspoke.http import admin, admin_watch
+from briarspoke.http.admin_status import ownership_view, refusals_view
+from briarspoke.ownership.document import OwnershipDocument, Partition, State
 
 ZONE = {"region": "sul"}
 
@@ -29,6 +31,13 @@
             ("PUT", "/v1/zones/poa", b"[1]", {}, codes.CALL_BODY_MALFORMED),
             ("PUT", "/v1/zones/poa", b"[" * 99_999, {}, codes.CALL_BODY_MALFORMED),
             ("PUT", "/v1/zones/poa", b'{"x": NaN}', {}, codes.CALL_BODY_MALFORMED),
+            (
+                "PUT",
+                "/v1/zones/poa",
+                b'{"a": 1, "a": 2}',
+                {},
+                codes.CALL_BODY_MALFORMED,
+            ),
             ("PUT", "/v1/zones/poa", {"region": 5}, {}, codes.CONFIGURATION_INVALID),
             ("PUT", "/v1/zones/POA", {}, {}, codes.CONFIGURATION_INVALID),
             ("PUT", "/v1/zones/poa", {"name": "x"}, {}, codes.CONFIGURATION_INVALID),
@@ -148,6 +157,23 @@
             assert transport.disconnecting
         assert api.store.puts == 0
 
+    @pytest.mark.parametrize(
+        ("data", "number"),
+        [
+            (b"nonsense\r\n\r\n", 4001),
+            (b"PUT /v1/zones/a HTTP/1.1\r\nContent-Length: x\r\n\r\n", 4001),
+            (b"GET /v1/zones HTTP/1.1\r\nX: " + b"x" * 20_000, 4006),
+        ],
+    )
+    def test_malformed_http(self, api, data, number):
+        # Guards against errors that programs cannot read.
+        _, transport = api.send(data)
+        answer = Answer(transport.value())
+        assert answer.json["code"] == number
+        assert answer.headers["briarspoke-configuration-version"] == "0"
+        assert transport.disconnecting
+        assert api.counted == [number]
+
     def test_internal_error_shows_nothing(self, api, monkeypatch):
         monkeypatch.setattr(api.status, "nodes", lambda: 1 / 0)
         answer = api.call("GET", "/v1/status/nodes")
@@ -250,6 +276,27 @@
         answer = api.call("GET", f"/v1/status/{view}", token=READER_TOKEN)
         assert answer.json[view] == getattr(api.status, view)()
 
+    def test_ownership_view(self):
+        # Guards against an evacuation that looks complete and is not.
+        changes = {
+            0: Partition(owner="a", epoch=1),
+            1: Partition(owner="a", epoch=1, state=State.MOVING),
+        }
+        document = OwnershipDocument.empty("tabela", 4).with_changes(changes, "w")
+        assert ownership_view([document])["tabela"] == {
+            "version": 1,
+            "partitions": {"a": 2},
+            "unowned": 2,
+            "moving": 1,
+        }
+
+    def test_refusals_view(self):
+        found = refusals_view({2001: 3, 1001: 1})
+        assert [(f["code"], f["class"], f["count"]) for f in found] == [
+            (1001, "operator-rule", 1),
+            (2001, "load", 3),
+        ]
+
     def test_health_needs_no_token(self, api):
         assert api.call("GET", "/v1/healthz", token=None).status == 200
         assert api.call("GET", "/v1/readyz", token=None).status == 200
--- a/tests/test_configuration_document.py
+++ b/tests/test_configuration_document.py
@@ -105,6 +105,20 @@
         assert not holder.apply(second)
         assert holder.document is second
 
+    def test_unchanged_resources_are_shared(self):
+        # Guards against a node that checks every resource at every change.
+        holder = ConfigurationHolder()
+        first = document_of("poa", "cwb")
+        holder.apply(ConfigurationDocument.decode(first.encode()))
+        before = holder.document.configuration().zones_by_name
+        second = first.with_changes(
+            {("zones", "cwb"): {**ZONE, "name": "cwb"}}, (), "w"
+        )
+        holder.apply(ConfigurationDocument.decode(second.encode()))
+        after = holder.document.configuration().zones_by_name
+        assert after["poa"] is before["poa"]
+        assert (before["cwb"].region, after["cwb"].region) == ("region", "sul")
+
     def test_failing_observer_does_not_stop_others(self):
         # Guards against an accepted change that is reported as failed.
         holder = ConfigurationHolder()
