--- a/briarspoke/configuration/resources.py
+++ b/briarspoke/configuration/resources.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+
 from briarspoke import schema
 
 NAME_PATTERN = "[a-z][a-z0-9-]{0,62}"
@@ -115,7 +117,34 @@
     __slots__ = ("attempts", "budget_ratio")
 
 
-_KEY_RULE = schema.Section(
+KEY_INDEX_PATTERN = "[0-9]{1,2}"
+
+
+class _KeyRuleSection(schema.Section):
+    """A key rule; the name of a path rule has to be an index."""
+
+    __slots__ = ()
+
+    def check(self, value, path, problems):
+        rule = super().check(value, path, problems)
+        if isinstance(rule, KeyRule) and rule.source == "path":
+            if not re.fullmatch(KEY_INDEX_PATTERN, rule.name):
+                problems.append(
+                    schema.Problem(
+                        path=f"{path}.name",
+                        code=schema.OPTION_FORMAT,
+                        message="is not the index of a path segment, 0 to 99",
+                    )
+                )
+        return rule
+
+    def json_schema(self):
+        is_path = {"properties": {"source": {"const": "path"}}}
+        has_index = {"properties": {"name": {"pattern": f"^(?:{KEY_INDEX_PATTERN})$"}}}
+        return {**super().json_schema(), "if": is_path, "then": has_index}
+
+
+_KEY_RULE = _KeyRuleSection(
     {
         "source": schema.Choice(
             ("path", "header", "query"),
--- a/briarspoke/http/relay.py
+++ b/briarspoke/http/relay.py
@@ -152,6 +152,8 @@
     def slot_granted(self):
         """Sends the request; called when admission starts its ticket."""
         self.attempts += 1
+        if self.attempts == 1:
+            self.router.first_attempt(self.classified.service)
         self.router.pool_of(self.route.server).acquire(self)
 
     def connected(self, connection):
--- a/briarspoke/http/router.py
+++ b/briarspoke/http/router.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import logging
+import random
 
 from briarspoke import codes
+from briarspoke.admission.limits import Limits
 from briarspoke.admission.queue import ServerQueue, Start
 from briarspoke.configuration.snapshot import Configuration, split_address
 from briarspoke.errors import Refusal
 from briarspoke.http.upstream import ConnectionPool
-from briarspoke.retry.policy import RetryBudget
+from briarspoke.retry.policy import Backoff, Retry, RetryBudget, plan_retry
 from briarspoke.routing.classify import classify
 from briarspoke.routing.table import RoutingTable
 
@@ -33,6 +35,9 @@
         self.queues_by_server = {}
         self.pools_by_server = {}
         self.budgets_by_service = {}
+        self.limits = Limits(live_nodes=lambda: 1)
+        self.backoff = Backoff(random=random.Random())
+        self.warming_servers = set()
         self.relays = set()
         self.closing = False
 
@@ -42,13 +47,34 @@
         """Takes a newer configuration into use."""
         if configuration.version <= self.configuration.version:
             return False
+        if self.configuration.version:
+            self.warming_servers |= set(configuration.servers_by_name) - set(
+                self.configuration.servers_by_name
+            )
         self.configuration = configuration
-        for name in list(self.queues_by_server):
+        self.limits.apply(configuration.limits_by_name)
+        for name, queue in list(self.queues_by_server.items()):
             if name not in configuration.servers_by_name:
                 del self.queues_by_server[name]
                 self.pools_by_server.pop(name).close()
+            else:
+                self._reconfigure(queue, configuration.servers_by_name[name])
+        for service in configuration.services_by_name.values():
+            self.budget_of(service).ratio = service.retry.budget_ratio
         return True
 
+    def _reconfigure(self, queue, server):
+        service = self.configuration.services_by_name.get(server.service)
+        if service is not None:
+            self._run(
+                queue.reconfigure(
+                    slots=server.slots,
+                    policies_by_rank=service.ranks,
+                    warmup_s=service.warmup_s,
+                    now=self.now(),
+                )
+            )
+
     # Called by relays.
 
     def request_started(self, relay):
@@ -63,6 +89,10 @@
     def request_ended(self, relay):
         """Forgets a request."""
         self.relays.discard(relay)
+        classified = relay.classified
+        if classified is not None and classified.permit is not None:
+            permit, classified.permit = classified.permit, None
+            self.limits.release(permit)
 
     def admit(self, head):
         """Returns the classified request.
@@ -74,8 +104,8 @@
         if not self.configuration.version:
             raise Refusal(codes.NOT_READY)
         classified = classify(head, self.configuration, self.now())
+        classified.permit = self.limits.admit(classified, self.now())
         self.metrics.count("requests_total", classified.rank)
-        self.budget_of(classified.service).earn()
         return classified
 
     def route(self, classified):
@@ -97,7 +127,14 @@
         queue = self.queues_by_server.get(server_name)
         if queue is None:
             server = self.configuration.servers_by_name[server_name]
-            queue = ServerQueue(slots=server.slots, policies_by_rank=service.ranks)
+            queue = ServerQueue(
+                slots=server.slots,
+                policies_by_rank=service.ranks,
+                warmup_s=service.warmup_s,
+            )
+            if server_name in self.warming_servers:
+                self.warming_servers.discard(server_name)
+                queue.warm_up(self.now())
             self.queues_by_server[server_name] = queue
         return queue
 
@@ -131,17 +168,25 @@
 
     def retry(self, relay, attempt):
         """Starts another attempt and returns True if policy and budget allow."""
-        service = relay.classified.service
-        if relay.attempts >= service.retry.attempts:
-            return False
-        if relay.classified.deadline <= self.now():
-            return False
-        if not self.budget_of(service).spend():
+        plan = plan_retry(
+            attempts=relay.attempts,
+            rules=relay.classified.service.retry,
+            budget=self.budget_of(relay.classified.service),
+            backoff=self.backoff,
+            remaining_s=relay.classified.deadline - self.now(),
+            needed_s=relay.queue.fastest_s(relay.classified.rank),
+        )
+        if not isinstance(plan, Retry):
+            self.metrics.count("retries_denied_total", plan.value)
             return False
         self.metrics.count("retries_total", attempt.reason)
-        self.reactor.callLater(0.01 * relay.attempts, relay.retry_now)
+        self.reactor.callLater(plan.delay_s, relay.retry_now)
         return True
 
+    def first_attempt(self, service):
+        """Credits the retry budget of a service with a first attempt."""
+        self.budget_of(service).earn()
+
     def budget_of(self, service):
         """Returns the retry budget of a service."""
         budget = self.budgets_by_service.get(service.name)
--- a/briarspoke/metrics.py
+++ b/briarspoke/metrics.py
@@ -11,6 +11,7 @@
     "answers_total": ("rank", "Answers of servers passed on in whole, by rank."),
     "refusals_total": ("code", "Results made by briarspoke, by result code."),
     "retries_total": ("reason", "Attempts that were repeated, by reason."),
+    "retries_denied_total": ("reason", "Failed attempts not repeated, by reason."),
     "attempts_total": ("outcome", "Attempts that ended, by outcome."),
     "forwards_total": ("direction", "Requests forwarded between entry VMs."),
     "invariants_total": ("code", "Failed assertions inside the program."),
--- a/briarspoke/retry/policy.py
+++ b/briarspoke/retry/policy.py
@@ -4,6 +4,23 @@
 
 import enum
 
+from briarspoke import codes
+from briarspoke.errors import invariant
+
+RETRY_BUDGET_EXCEEDED = codes.register(
+    7221,
+    "retry-budget-exceeded",
+    codes.Kind.INTERNAL,
+    500,
+    "More retries were granted than the first attempts have earned.",
+)
+
+# Most tokens kept: a short fault may be retried faster than the ratio, but a
+# long quiet time does not save up for a storm.
+BUDGET_BURST = 10.0
+BACKOFF_BASE_S = 0.01
+BACKOFF_CAP_S = 0.25
+
 
 class Outcome(enum.Enum):
     """What is known about an attempt that has ended."""
@@ -32,29 +49,99 @@
 class RetryBudget:
     """A token bucket that bounds retries to a fraction of first attempts.
 
+    It starts empty, so attempts never exceed ``1 + ratio`` times the first
+    attempts, not even for the first requests of a new process.
+
     :param ratio: tokens earned by each first attempt.
     :param burst: most tokens that are kept.
     """
 
-    __slots__ = ("burst", "ratio", "tokens")
+    __slots__ = ("_earned", "_spent", "burst", "ratio", "tokens")
 
-    def __init__(self, *, ratio, burst=10.0):
-        self.ratio = ratio
+    def __init__(self, *, ratio, burst=BUDGET_BURST):
         self.burst = burst
-        self.tokens = burst
+        self.ratio = ratio
+        self.tokens = 0.0
+        self._earned = 0.0
+        self._spent = 0
 
     def earn(self):
         """Counts a first attempt."""
+        self._earned += self.ratio
         self.tokens = min(self.burst, self.tokens + self.ratio)
 
     def spend(self):
         """Takes a token for a retry and returns whether there was one."""
-        if self.tokens < 1.0:
+        # Ten tenths add up to a little less than one.
+        if self.tokens < 1.0 - 1e-9:
             return False
-        self.tokens -= 1.0
+        self.tokens = max(0.0, self.tokens - 1.0)
+        self._spent += 1
+        invariant(
+            self._spent <= self._earned + 1e-6 * (1 + self._earned),
+            f"{self._spent} retries with {self._earned} earned",
+            RETRY_BUDGET_EXCEEDED,
+        )
         return True
 
 
+class Backoff:
+    """Waiting times before retries: exponential with full jitter.
+
+    :param random: seeded ``random.Random``.
+    """
+
+    __slots__ = ("_random", "base_s", "cap_s")
+
+    def __init__(self, *, random, base_s=BACKOFF_BASE_S, cap_s=BACKOFF_CAP_S):
+        self._random = random
+        self.base_s = base_s
+        self.cap_s = cap_s
+
+    def delay_s(self, attempts):
+        """Returns the seconds to wait after a number of failed attempts."""
+        exponent = min(30, max(0, attempts - 1))
+        return self._random.uniform(0.0, min(self.cap_s, self.base_s * 2**exponent))
+
+
+class Denied(enum.Enum):
+    """Why a failed attempt is not tried again."""
+
+    UNSAFE = "unsafe"
+    ATTEMPTS = "attempts"
+    DEADLINE = "deadline"
+    BUDGET = "budget"
+
+
+class Retry:
+    """Decision: try again after a wait."""
+
+    __slots__ = ("delay_s",)
+
+    def __init__(self, delay_s):
+        self.delay_s = delay_s
+
+
+def plan_retry(*, attempts, rules, budget, backoff, remaining_s, needed_s=0.0):
+    """Returns a :class:`Retry` or the :class:`Denied` reason against it.
+
+    The budget is asked last, so that it is only charged for real retries.
+
+    :param attempts: attempts made so far.
+    :param rules: :class:`RetryRules` of the service.
+    :param remaining_s: seconds to the deadline.
+    :param needed_s: least seconds that an attempt takes.
+    """
+    if attempts >= rules.attempts:
+        return Denied.ATTEMPTS
+    delay_s = backoff.delay_s(attempts)
+    if delay_s + needed_s >= remaining_s:
+        return Denied.DEADLINE
+    if not budget.spend():
+        return Denied.BUDGET
+    return Retry(delay_s)
+
+
 def may_retry(attempt, *, idempotent, replayable, forwarded_bytes):
     """Returns whether an attempt may be repeated without a second run.
 
--- a/briarspoke/routing/classify.py
+++ b/briarspoke/routing/classify.py
@@ -1,8 +1,13 @@
-"""How a request becomes service, key, rank and deadline."""
+"""How a request becomes service, key, rank and deadline.
+
+An ``Idempotency-Key`` header is passed on to the server but does not make a
+request idempotent: only the operator knows whether the service's servers honour
+it. A rank rule with ``"header": "Idempotency-Key", "idempotent": true`` says so.
+"""
 
 from __future__ import annotations
 
-from urllib.parse import parse_qs, unquote
+from urllib.parse import parse_qsl, unquote_to_bytes
 
 from briarspoke import codes
 from briarspoke.configuration.resources import RANKS
@@ -12,6 +17,15 @@
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "PUT", "DELETE", "OPTIONS"})
 LOOKUP_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 MAX_DEADLINE_MS = 3_600_000
+MAX_QUERY_FIELDS = 1000
+
+AMBIGUOUS_KEY = codes.register(
+    4010,
+    "ambiguous-key",
+    codes.Kind.CALLER_ERROR,
+    400,
+    "The request carries several different keys.",
+)
 
 
 class RequestHead:
@@ -39,6 +53,7 @@
     :param partition: partition of its key.
     :param deadline: monotonic time in seconds.
     :param idempotent: whether a second run does no harm.
+    :ivar permit: what the operators' limits granted, or None.
     """
 
     __slots__ = (
@@ -46,6 +61,7 @@
         "deadline",
         "idempotent",
         "partition",
+        "permit",
         "rank",
         "service",
     )
@@ -57,6 +73,7 @@
         self.deadline = deadline
         self.idempotent = idempotent
         self.caller = caller
+        self.permit = None
 
 
 def classify(head, configuration, now):
@@ -65,7 +82,7 @@
     :param now: monotonic time in seconds.
     :raises Refusal: with a 1xxx or 4xxx code.
     """
-    path, _, query = head.target.partition("?")
+    path, _, query = _origin_form(head.target).partition("?")
     segments = path.split("/")
     name = segments[1] if len(segments) > 1 else ""
     service = configuration.services_by_name.get(name)
@@ -86,21 +103,52 @@
     )
 
 
+def _origin_form(target):
+    """Returns path and query of a target that may be an absolute URL."""
+    if target.startswith("/"):
+        return target
+    scheme, separator, rest = target.partition("://")
+    if not separator or scheme.lower() not in ("http", "https"):
+        return target
+    path_at = min(
+        (at for at in (rest.find("/"), rest.find("?")) if at >= 0), default=len(rest)
+    )
+    path = rest[path_at:]
+    return path if path.startswith("/") else "/" + path
+
+
 def _key(rule, segments, query, headers):
-    key = ""
+    """Returns the key as bytes, so that different keys stay different."""
+    key = b""
     if rule.source == "path":
         index = int(rule.name) + 2
-        key = unquote(segments[index]) if index < len(segments) else ""
+        key = unquote_to_bytes(segments[index]) if index < len(segments) else b""
     elif rule.source == "header":
-        key = headers.get(rule.name.lower(), "")
+        key = headers.get(rule.name.lower(), "").encode("latin-1", "replace")
     else:
-        key = parse_qs(query).get(rule.name, [""])[0]
+        key = _query_key(rule.name, query)
     if not key:
         raise Refusal(codes.MISSING_KEY, f"no {rule.source} {rule.name}")
     return key
 
 
+def _query_key(name, query):
+    try:
+        # Latin-1 maps each byte to one character and never fails.
+        fields = parse_qsl(query, encoding="latin-1", max_num_fields=MAX_QUERY_FIELDS)
+    except ValueError as error:
+        raise Refusal(codes.MALFORMED_REQUEST, "too many query fields") from error
+    wanted = name.encode().decode("latin-1")
+    values = {value for field, value in fields if field == wanted}
+    if len(values) > 1:
+        # The server might read another of the values and not own that key.
+        raise Refusal(AMBIGUOUS_KEY, f"query field {name} has several values")
+    return values.pop().encode("latin-1") if values else b""
+
+
 def _rank(service, rest, head):
+    # Rules see the decoded path; an escaped letter must not evade a rule.
+    rest = unquote_to_bytes(rest).decode("utf-8", "replace")
     for rule in service.rank_rules:
         if rule.methods and head.method not in rule.methods:
             continue
@@ -122,8 +170,8 @@
     value = headers.get("briarspoke-deadline-ms")
     if value is None:
         return default_ms
-    if not (value.isascii() and value.isdigit()) or not (
-        0 < int(value[:12]) <= MAX_DEADLINE_MS
-    ):
+    if not (value.isascii() and value.isdigit()) or len(value) > 12:
+        raise Refusal(codes.BAD_DEADLINE)
+    if not 0 < int(value) <= MAX_DEADLINE_MS:
         raise Refusal(codes.BAD_DEADLINE)
     return int(value)
