--- a/briarspoke/http/relay.py
+++ b/briarspoke/http/relay.py
@@ -202,9 +202,14 @@
 
     def slot_granted(self):
         """Sends the request; called when admission starts its ticket."""
-        self.attempts += 1
+        self._count_attempt()
         self.router.pool_of(self.route.server).acquire(self)
 
+    def _count_attempt(self):
+        self.attempts += 1
+        if self.attempts == 1:
+            self.router.first_attempt(self.classified.service)
+
     def connected(self, connection):
         """Writes the request on a connection."""
         if self.done:
--- a/briarspoke/http/router.py
+++ b/briarspoke/http/router.py
@@ -5,10 +5,12 @@
 import collections
 import gc
 import logging
+import random
 
 from twisted.internet import defer, task
 
 from briarspoke import codes
+from briarspoke.admission.limits import Limits
 from briarspoke.admission.queue import ServerQueue, Start
 from briarspoke.configuration.snapshot import Configuration, split_address
 from briarspoke.errors import Refusal
@@ -16,7 +18,14 @@
 from briarspoke.http.forward import classified_of, forward_key
 from briarspoke.http.gateways import Gateways
 from briarspoke.http.pool import ConnectionPool
-from briarspoke.retry.policy import RetryBudget, may_retry
+from briarspoke.retry.policy import (
+    Backoff,
+    Denied,
+    Retry,
+    RetryBudget,
+    may_retry,
+    plan_retry,
+)
 from briarspoke.routing.classify import classify
 from briarspoke.routing.load import PartitionLoad
 from briarspoke.routing.table import RoutingTable
@@ -53,6 +62,9 @@
         self.pools_by_server = {}
         self.pools_by_peer_address = {}
         self.budgets_by_service = {}
+        self.limits = Limits(live_nodes=lambda: 1 + len(self.peers_by_id))
+        self.backoff = Backoff(random=random.Random())
+        self.warming_servers = set()
         self.load = PartitionLoad()
         # Set by the node: the RoutingLeaseHolder, and a function of (server name,
         # whether it answers) for unfenced servers.
@@ -73,13 +85,34 @@
         """Takes a newer configuration into use."""
         if configuration.version <= self.configuration.version:
             return False
+        if self.configuration.version:
+            self.warming_servers |= set(configuration.servers_by_name) - set(
+                self.configuration.servers_by_name
+            )
         self.configuration = configuration
-        for name in list(self.queues_by_server):
+        self.limits.apply(configuration.limits_by_name)
+        for name, queue in list(self.queues_by_server.items()):
             if name not in configuration.servers_by_name:
                 del self.queues_by_server[name]
                 self.pools_by_server.pop(name).close()
+            else:
+                self._reconfigure(queue, configuration.servers_by_name[name])
+        for service in configuration.services_by_name.values():
+            self.budget_of(service).ratio = service.retry.budget_ratio
         return True
 
+    def _reconfigure(self, queue, server):
+        service = self.configuration.services_by_name.get(server.service)
+        if service is not None:
+            self._run(
+                queue.reconfigure(
+                    slots=server.slots,
+                    policies_by_rank=service.ranks,
+                    warmup_s=service.warmup_s,
+                    now=self.now(),
+                )
+            )
+
     def apply_ownership(self, document):
         """Takes a newer ownership document into use."""
         return self.table.apply(document)
@@ -98,6 +131,10 @@
     def request_ended(self, relay):
         """Forgets a request."""
         self.relays.discard(relay)
+        classified = relay.classified
+        if classified is not None and classified.permit is not None:
+            permit, classified.permit = classified.permit, None
+            self.limits.release(permit)
 
     def admit(self, head, forward=None):
         """Returns the classified request.
@@ -114,8 +151,8 @@
             self.metrics.count("forwards_total", "in")
             return classified_of(forward, self.configuration, now)
         classified = classify(head, self.configuration, now)
+        classified.permit = self.limits.admit(classified, now)
         self.metrics.count("requests_total", classified.rank)
-        self.budget_of(classified.service).earn()
         return classified
 
     def route(self, classified, forward=None):
@@ -171,7 +208,14 @@
         queue = self.queues_by_server.get(server_name)
         if queue is None:
             server = self.configuration.servers_by_name[server_name]
-            queue = ServerQueue(slots=server.slots, policies_by_rank=service.ranks)
+            queue = ServerQueue(
+                slots=server.slots,
+                policies_by_rank=service.ranks,
+                warmup_s=service.warmup_s,
+            )
+            if server_name in self.warming_servers:
+                self.warming_servers.discard(server_name)
+                queue.warm_up(self.now())
             self.queues_by_server[server_name] = queue
         return queue
 
@@ -212,16 +256,23 @@
             forwarded_bytes=relay.forwarded_bytes,
         )
         if not allowed:
+            self.metrics.count("retries_denied_total", Denied.UNSAFE.value)
             return False
-        service = relay.classified.service
-        if relay.attempts >= service.retry.attempts:
-            return False
-        if relay.classified.deadline <= self.now():
-            return False
-        if not self.budget_of(service).spend():
+        plan = plan_retry(
+            attempts=relay.attempts,
+            rules=relay.classified.service.retry,
+            budget=self.budget_of(relay.classified.service),
+            backoff=self.backoff,
+            remaining_s=relay.classified.deadline - self.now(),
+            needed_s=relay.queue.fastest_s(relay.classified.rank)
+            if relay.queue
+            else 0.0,
+        )
+        if not isinstance(plan, Retry):
+            self.metrics.count("retries_denied_total", plan.value)
             return False
         self.metrics.count("retries_total", attempt.reason)
-        self.reactor.callLater(0.01 * relay.attempts, self._retry_now, relay)
+        self.reactor.callLater(plan.delay_s, self._retry_now, relay)
         return True
 
     def _retry_now(self, relay):
@@ -230,6 +281,11 @@
         except Exception:
             self._crashed(relay)
 
+    def first_attempt(self, service):
+        """Credits the retry budget of a service with a first attempt."""
+        self.metrics.count("first_attempts_total")
+        self.budget_of(service).earn()
+
     def budget_of(self, service):
         """Returns the retry budget of a service."""
         budget = self.budgets_by_service.get(service.name)
