Let requests wait for an owner on the move

Change: such requests wait at most 1 s, one per partition tries every 25 ms; a server that cannot be connected to is tried by one request every 0.25 s and the others are refused with 3002 at once; a request checks its owner again before it is written, and for servers that check no epochs its routing lease; another gateway is tried without charge to the retry budget, since no server saw the request.

--- a/briarspoke/http/ends.py
+++ b/briarspoke/http/ends.py
@@ -63,6 +63,9 @@
         """Ends the request at its deadline."""
         if self.done:
             return
+        if self.parked is not None:
+            self.refuse(self.parked)
+            return
         if self.connection is None:
             waits_for_body = not self.streaming and not self.body_complete
             code = codes.DEADLINE_IN_QUEUE
@@ -100,6 +103,7 @@
     def _end(self):
         self.done = True
         self.body = None
+        self.router.attempt_ended(self, may_run=self.connection is not None)
         if self.connection is not None:
             self.connection.abort()
             self.connection = None
--- a/briarspoke/http/relay.py
+++ b/briarspoke/http/relay.py
@@ -53,6 +53,8 @@
         "head",
         "held",
         "length",
+        "parked",
+        "parked_until",
         "paused_caller",
         "peer",
         "queue",
@@ -64,6 +66,7 @@
         "router",
         "streaming",
         "ticket",
+        "tracked",
         "unknown",
     )
 
@@ -95,6 +98,11 @@
         self.ticket = None
         self.connection = None
         self.attempts = 0
+        # Refusal that is put off while the request waits for its owner.
+        self.parked = None
+        self.parked_until = None
+        # Name of the partition that counts this request as in flight.
+        self.tracked = None
         # Attempt whose outcome is unknown; from then on no result may say
         # that the request has not run.
         self.unknown = None
@@ -176,17 +184,20 @@
     # Routing and admission.
 
     def _route(self):
+        self.parked = None
         try:
             self.route = self.router.route(self.classified, self.forward)
+            self.peer = None
+            if self.forward is None:
+                self.peer = self.router.gateway_of(self.route.server)
+            if self.peer is None:
+                self.router.check_server(self.route.server)
         except Refusal as refusal:
-            self.refuse(refusal)
+            self._wait_or_refuse(refusal)
             return
-        self.peer = None
-        if self.forward is None:
-            self.peer = self.router.gateway_of(self.route.server)
         if self.peer is not None:
             self.expires_at = self.classified.deadline + FORWARD_GRACE_S
-            self.attempts += 1
+            self._count_attempt()
             self.router.forward(self)
             return
         self.queue = self.router.queue_of(self.route.server, self.classified.service)
@@ -195,6 +206,10 @@
         )
         self.router.offer(self.queue, self.ticket)
 
+    def _wait_or_refuse(self, refusal):
+        if not self.router.park(self, refusal):
+            self.refuse(refusal)
+
     def retry_now(self):
         """Routes the request again after a failed attempt."""
         if not self.done:
@@ -215,6 +230,17 @@
         if self.done:
             connection.pool.put_back(connection)
             return
+        if self.peer is None:
+            try:
+                self.router.check_ownership(self)
+            except Refusal as refusal:
+                connection.pool.put_back(connection)
+                # Nothing was sent, so the server has spent no attempt.
+                self.attempts -= 1
+                self._release(Signal.NOT_SENT)
+                self._wait_or_refuse(refusal)
+                return
+            self.router.attempt_began(self)
         self.connection = connection
         head = request_head(self, connection)
         if self.streaming:
@@ -312,6 +338,7 @@
         else:
             self.router.request_answered(self)
         self.exchange.answer_end(reusable=self.body_complete)
+        self.router.attempt_ended(self, may_run=False)
         self._release(Signal.OK)
 
     def attempt_failed(self, attempt):
@@ -328,12 +355,41 @@
             return
         if attempt.outcome is Outcome.UNKNOWN:
             self.unknown = attempt
-        elif self.peer is not None:
-            self.router.avoid_peer(self.peer)
+        elif self.peer is not None and self._passes_over_peer(attempt):
+            return
+        self.router.attempt_ended(self, may_run=attempt.outcome is Outcome.UNKNOWN)
+        if self.peer is None and attempt.reason == "connect-failed":
+            # Before the slot is free, or the next request would connect in vain.
+            self.router.server_unreachable(self.route.server)
         self._release(Signal.SHED if attempt.reason == "shed" else Signal.FAILED)
-        if not self.router.retry(self, attempt):
+        if self._waits_for_owner(attempt):
+            return
+        if not self.done and not self.router.retry(self, attempt):
             self.fail(attempt)
 
+    def _passes_over_peer(self, attempt):
+        """Returns whether another gateway is tried at once.
+
+        No server has seen the request, so this is no retry of its work; each
+        peer is passed over for a while, which bounds the tries.
+        """
+        self.router.avoid_peer(self.peer)
+        if self.body is None or attempt.reason != "connect-failed":
+            return False
+        self.attempts -= 1
+        self._route()
+        return True
+
+    def _waits_for_owner(self, attempt):
+        """Returns whether a request that its server fenced off waits instead."""
+        if self.peer is not None or attempt.reason != "fenced":
+            return False
+        if not self.router.park(self, Refusal(attempt.code)):
+            return False
+        # The server has done no work, so the attempt does not count.
+        self.attempts -= 1
+        return True
+
     # Backpressure.
 
     def pause_caller(self):
--- a/briarspoke/metrics.py
+++ b/briarspoke/metrics.py
@@ -14,6 +14,10 @@
     "retries_denied_total": ("reason", "Failed attempts not repeated, by reason."),
     "first_attempts_total": ("", "Requests whose first attempt was started."),
     "attempts_total": ("outcome", "Attempts that ended, by outcome."),
+    "handover_waits_total": (
+        "code",
+        "Waits of requests for an owner on the move, by the code they avoid.",
+    ),
     "forwards_total": ("direction", "Requests forwarded between entry VMs."),
     "invariants_total": ("code", "Failed assertions inside the program."),
     "link_results_total": ("code", "Links and messages rejected, by result code."),
--- a/briarspoke/routing/table.py
+++ b/briarspoke/routing/table.py
@@ -20,6 +20,14 @@
         self.epoch = epoch
         self.moving = moving
 
+    def same_as(self, other):
+        """Returns whether two routes lead to the same server at one epoch."""
+        return (self.server, self.epoch, self.moving) == (
+            other.server,
+            other.epoch,
+            other.moving,
+        )
+
 
 class RoutingTable:
     """Ownership documents by service, applied upward only."""
--- a/tests/http_fakes.py
+++ b/tests/http_fakes.py
@@ -106,6 +106,9 @@
         assert not problems
         self.router.apply_configuration(configuration)
         service = configuration.services_by_name["s"]
+        for _ in range(100):
+            # Earlier requests have earned a retry.
+            self.router.budget_of(service).earn()
         self.router.table.apply(static_ownership(configuration, service))
         self.router.peers_by_id = {peer.node_id: peer for peer in peers}
         self.router.tick()
