Resume uploads on connections whose last upload ended while paused

Cause: Twisted keeps producerPaused when a producer is unregistered while it is paused.

Change: the producer notes its own state.

Conclusion: fixed; a test fails without the change.

--- a/briarspoke/benches/uploads.py
+++ b/briarspoke/benches/uploads.py
@@ -25,7 +25,7 @@
 
 @bench("uploads")
 def run(*, seed, long):
-    """Uploads through one entry VM, and through a gateway in the long version."""
+    """Uploads through a gateway, then directly on the same connections."""
     with Parts() as running:
         server = running.start(
             "backend",
@@ -38,7 +38,7 @@
         configuration = configuration_of(
             {"tabela-1": server.ready["ports"][0]}, service=SERVICE, slots=SLOTS
         )
-        entries = start_entries(running, configuration, 2 if long else 1)
+        entries = start_entries(running, configuration, 2)
         ports = [entry.ready["port"] for entry in entries]
         # The first requests import modules and fill caches; that is no growth
         # caused by uploads.
@@ -48,7 +48,7 @@
         before = [entry.ask()["rss_bytes"] for entry in entries]
         load = running.start("upload_load")
         rounds = []
-        for index, port in enumerate(ports):
+        for index, port in enumerate(ports * (2 if long else 1)):
             began = time.monotonic()
             uploads = load.ask(
                 port=port, count=UPLOADS, size=UPLOAD_BYTES, seed=f"{seed}-{index}"
--- a/briarspoke/http/producers.py
+++ b/briarspoke/http/producers.py
@@ -6,15 +6,20 @@
 class CallerProducer:
     """Lets the server's connection pause the caller's body."""
 
-    __slots__ = ("_relay",)
+    # The transport's own producerPaused outlives a producer that was
+    # unregistered while it was paused, so it says nothing about the next one.
+    __slots__ = ("_relay", "paused")
 
     def __init__(self, relay):
         self._relay = relay
+        self.paused = False
 
     def pauseProducing(self):
+        self.paused = True
         self._relay.pause_caller()
 
     def resumeProducing(self):
+        self.paused = False
         self._relay.resume_caller()
 
     def stopProducing(self):
--- a/briarspoke/http/relay.py
+++ b/briarspoke/http/relay.py
@@ -215,11 +215,12 @@
         if self.streaming:
             connection.start(head, self, is_head=self.head.method == "HEAD")
             # Registered first, so that what was held counts as well.
-            connection.transport.registerProducer(CallerProducer(self), True)
+            producer = CallerProducer(self)
+            connection.transport.registerProducer(producer, True)
             body, self.body = self.body, None
             for data in body:
                 connection.write_body(self._encode(data))
-            if self.connection is not None and not connection.transport.producerPaused:
+            if self.connection is not None and not producer.paused:
                 self.resume_caller()
         else:
             # One write, so that head and body leave in one segment.
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -136,6 +136,18 @@
         caller.send(request_[90_000:])
         assert server.socket.take().count(b"x") >= len(LARGE)
 
+    def test_connection_whose_last_upload_ended_while_paused(self):
+        # Guards against an upload that is never read: the transport keeps
+        # producerPaused from the upload before.
+        world = World()
+        caller = world.caller()
+        caller.send(post(LARGE))
+        server = world.accept()
+        server.socket.producerPaused = True
+        server.send(OK)
+        caller.send(post(LARGE[:70_000], length=len(LARGE)))
+        assert not caller.socket.paused
+
     @pytest.mark.parametrize("request_", [post(LARGE), chunked(LARGE)])
     def test_cut_body_is_cut_for_the_server(self, request_):
         # Guards against a partial upload that is stored as complete.
