Time the first grant of each partition in bench takeover

Cause: granted_s took the last grant, so a rebalancing seconds later counted. Change: the first grant of each partition counts.

--- a/briarspoke/benches/takeover.py
+++ b/briarspoke/benches/takeover.py
@@ -85,13 +85,14 @@
     ]
     kill.written_at = min(applied)
     kill.spread_at = max(applied)
+    first_begins = {}
+    for server in deployment.alive_servers():
+        for partition, _, begin, _ in server.part.ask()["intervals"]:
+            if begin > kill.at:
+                known = first_begins.get(partition, begin)
+                first_begins[partition] = min(begin, known)
     wanted = {f"tabela/{number}" for number in kill.partitions}
-    begins = [
-        begin
-        for server in deployment.alive_servers()
-        for partition, _, begin, _ in server.part.ask()["intervals"]
-        if partition in wanted and begin > kill.at
-    ]
+    begins = [first_begins[name] for name in wanted if name in first_begins]
     kill.granted_at = max(begins, default=None)
 
 
