--- a/briarspoke/ownership/candidate.py
+++ b/briarspoke/ownership/candidate.py
@@ -105,11 +105,13 @@
     __slots__ = (
         "_keepalive_due_at",
         "_keepalive_sent_at",
+        "_last_holder",
         "_lease",
         "_members",
         "_nonce",
         "_nonce_count",
         "_nonce_prefix",
+        "_order",
         "_own_alive_since",
         "_rank",
         "_read_at",
@@ -139,7 +141,9 @@
         self._vacant_since = None
         self._own_alive_since = None
         self._members = None
+        self._order = []
         self._rank = None
+        self._last_holder = None
         self._read_at = 0.0
         self._retry_at = 0.0
 
@@ -192,7 +196,10 @@
         if members != self._members:
             self._members = dict(members)
             self._rank_members(foreign, now)
-        delay_s = RANK_DELAY_S * self._rank + (OTHER_ZONE_DELAY_S if foreign else 0.0)
+        before = self._order[: self._rank]
+        # The last holder has just lost the lease and is probably gone.
+        rank = sum(node != self._last_holder for node in before)
+        delay_s = RANK_DELAY_S * rank + (OTHER_ZONE_DELAY_S if foreign else 0.0)
         return min(delay_s, LONGEST_DELAY_S)
 
     def _rank_members(self, foreign, now):
@@ -201,6 +208,7 @@
         others = [node for node in members if members[node] != self.zone]
         order = rendezvous(self.zone, dict.fromkeys(own, 1.0))
         order += rendezvous(self.zone, dict.fromkeys(others, 1.0))
+        self._order = order
         self._rank = order.index(self.node_id)
         if own and foreign:
             if self._own_alive_since is None:
@@ -225,7 +233,7 @@
             if self._vacant_since is None:
                 self._vacant_since = now
         else:
-            self.holder = record_holder(value)
+            self.holder = self._last_holder = record_holder(value)
             self._vacant_since = None
             self._read_at = max(self._read_at, now + WATCHER_POLL_EVERY_S)
         return []
--- a/briarspoke/ownership/runner.py
+++ b/briarspoke/ownership/runner.py
@@ -156,7 +156,11 @@
         elif key.startswith(RECORD_PREFIX):
             zone = self._zones.get(key.removeprefix(RECORD_PREFIX))
             if zone is not None:
-                zone.candidate.record_seen(content or None, self.clock())
+                now = self.clock()
+                zone.candidate.record_seen(content or None, now)
+                self._settle(
+                    zone.candidate.zone, zone.candidate.tick(now, self._members)
+                )
 
     def resign_received(self, *, zone, term, remaining_s, node_id=None):
         """Takes a peer's message that its term has ended."""
--- a/briarspoke/standins/world.py
+++ b/briarspoke/standins/world.py
@@ -13,6 +13,7 @@
 LATENCY_S = (0.0002, 0.004)
 STORE_LATENCY_S = (0.001, 0.006)
 STORE_TIMEOUT_S = 1.0
+EXPIRE_EVERY_S = 0.02
 STORE = "store"
 # Mean time that a request takes; a few take until their deadline.
 WORK_S = 0.02
@@ -95,6 +96,24 @@
         self.lose_answers = 0.0
         self.history_by_key = collections.defaultdict(list)
         self.counts = collections.Counter()
+        self._notified = 0
+        world.scheduler.call_later(EXPIRE_EVERY_S, self._expire)
+
+    def _expire(self):
+        """Ends lapsed leases and tells the nodes that watch."""
+        world = self.world
+        world.scheduler.call_later(EXPIRE_EVERY_S, self._expire)
+        self.state.expire(world.scheduler.now)
+        if self.down or self.state.revision == self._notified:
+            return
+        for _, key, value in self.state.events_after("controllers/", self._notified):
+            for node in list(world.nodes_by_name.values()):
+                if node.is_watching() and not world.is_cut(node.name, STORE):
+                    delay_s = world.random.uniform(*STORE_LATENCY_S) + self.extra_s
+                    world.scheduler.call_later(
+                        delay_s, node.deliver, node.record_changed, key, value
+                    )
+        self._notified = self.state.revision
 
     def call(self, node, kind, operation, settled):
         """Runs an operation and settles it at the node.
--- a/briarspoke/standins/world_node.py
+++ b/briarspoke/standins/world_node.py
@@ -108,11 +108,7 @@
 
     def _on_tick(self):
         now = self._visited_at = self.clock()
-        members = {
-            node.name: node.zone
-            for node in self.world.nodes_by_name.values()
-            if node.alive and not self.world.is_cut(self.name, node.name)
-        }
+        members = self._members()
         zones = frozenset(members.values())
         for zone in self.candidates:
             self._decide(zone, events.ZonesAlive(zones=zones))
@@ -125,6 +121,24 @@
                 self._request_routing_lease(zone, now)
         self._offer_documents(members)
 
+    def _members(self):
+        return {
+            node.name: node.zone
+            for node in self.world.nodes_by_name.values()
+            if node.alive and not self.world.is_cut(self.name, node.name)
+        }
+
+    def is_watching(self):
+        """Returns whether this node watches the lease records."""
+        return any(candidate.watching for candidate in self.candidates.values())
+
+    def record_changed(self, key, value):
+        """Takes a change of a lease record from the watch."""
+        zone = key.removeprefix("controllers/")
+        candidate, now = self.candidates[zone], self.clock()
+        self._run(zone, candidate.record_seen(value, now))
+        self._run(zone, candidate.tick(now, self._members()))
+
     def configure(self, configuration):
         """Takes a configuration."""
         self.configuration = configuration
--- a/tests/test_bench_ownership.py
+++ b/tests/test_bench_ownership.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from briarspoke.benches.ownership import Scenario, faults_by_name
+from briarspoke.benches.ownership_faults import Scenario, faults_by_name
 from briarspoke.ownership.controller import ZoneController
 from briarspoke.ownership.grants import ServerGrants
 from briarspoke.ownership.routing_leases import RoutingLeaseBook
--- a/tests/test_ownership_model.py
+++ b/tests/test_ownership_model.py
@@ -12,7 +12,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from briarspoke.benches.ownership import (
+from briarspoke.benches.ownership_faults import (
     PARTITIONS,
     ZONES,
     Result,
--- /dev/null
+++ b/tests/test_ownership_runner.py
@@ -0,0 +1,230 @@
+from __future__ import annotations
+
+import pytest
+from twisted.internet import defer, task
+
+from briarspoke.configuration.snapshot import Configuration
+from briarspoke.ownership import events
+from briarspoke.ownership import runner as module
+from briarspoke.ownership.document import OwnershipDocument
+from briarspoke.ownership.runner import ControlRunner
+from briarspoke.platform.store import (
+    LeaseLapsedError,
+    StoreConflictError,
+    StoredValue,
+    StoreOutcomeUnknownError,
+)
+from briarspoke.standins.grants import GrantTable
+from briarspoke.standins.store import StoreState
+
+
+class MemoryStore:
+    """A store client that answers at once; ``lose`` loses answers of writes."""
+
+    def __init__(self, clock):
+        self.state = StoreState()
+        self.clock = clock
+        self.lose = 0
+        self.down = False
+
+    def _check(self):
+        if self.down:
+            raise StoreOutcomeUnknownError("down")
+        self.state.expire(self.clock.seconds())
+
+    def get(self, key):
+        return defer.execute(self._get, key)
+
+    def _get(self, key):
+        self._check()
+        entry = self.state.entries.get(key)
+        if entry is None:
+            return StoredValue(key=key, value=None, revision=0)
+        return StoredValue(key=key, value=entry.value, revision=entry.revision)
+
+    def list(self, prefix):
+        entries = [self._get(k) for k in self.state.entries if k.startswith(prefix)]
+        return defer.succeed((self.state.revision, entries))
+
+    def watch(self, prefix, *, after, wait_s):
+        return defer.Deferred()
+
+    def put(self, key, value, *, expected_revision, lease=None):
+        return defer.execute(self._put, key, value, expected_revision, lease)
+
+    def _put(self, key, value, expected_revision, lease):
+        self._check()
+        if lease is not None and lease not in self.state.leases:
+            raise LeaseLapsedError("lapsed")
+        taken, revision = self.state.put(key, value, expected_revision, lease)
+        if not taken:
+            raise StoreConflictError(revision)
+        if self.lose:
+            self.lose -= 1
+            raise StoreOutcomeUnknownError("lost")
+        return revision
+
+    def grant_lease(self, ttl_s):
+        return defer.execute(self.state.grant_lease, ttl_s, self.clock.seconds())
+
+    def keep_alive(self, lease):
+        return defer.execute(self._keep_alive, lease)
+
+    def _keep_alive(self, lease):
+        self._check()
+        if self.state.keep_alive(lease, self.clock.seconds()) is None:
+            raise LeaseLapsedError("lapsed")
+
+    def revoke_lease(self, lease):
+        return defer.execute(self.state.revoke, lease)
+
+
+class DirectCalls:
+    """Calls the grant tables without HTTP."""
+
+    tables = {}
+
+    def __init__(self, *, reactor, settled):
+        self._reactor = reactor
+        self._settled = settled
+
+    def send_grants(self, zone, command):
+        table = self.tables[command.server]
+        status, value = table.control("/_control/grants", command.body())
+        event = events.GrantAnswered(
+            server=command.server,
+            call_id=command.call_id,
+            accepted=status == 200,
+            clock=value["clock"],
+            incarnation=value["incarnation"],
+            term=value["term"],
+            digest=value.get("digest", ""),
+        )
+        self._reactor.callLater(0.001, self._settled, zone, event)
+
+    def close(self):
+        return defer.succeed(None)
+
+
+class Links:
+    def __init__(self):
+        self.sent = []
+
+    def send(self, node_id, message):
+        self.sent.append((node_id, message))
+
+    def broadcast(self, message):
+        self.sent.append((None, message))
+
+
+class Deployment:
+    """Two runners over one store in virtual time."""
+
+    def __init__(self):
+        self.clock = task.Clock()
+        self.store = MemoryStore(self.clock)
+        self.published = []
+        self.links = Links()
+        value = {
+            "zones": [{"name": "z"}],
+            "services": [{"name": "s", "partitions": 8}],
+            "servers": [
+                {"name": n, "service": "s", "zone": "z", "address": "127.0.0.1:1"}
+                for n in ("a", "b")
+            ],
+        }
+        configuration = Configuration.from_json(value, [], version=1)
+        DirectCalls.tables = {
+            name: GrantTable(server=name, clock=self.clock.seconds)
+            for name in configuration.servers_by_name
+        }
+        self.runners = [self._runner(name, configuration) for name in ("n1", "n2")]
+
+    def _runner(self, name, configuration):
+        runner = ControlRunner(
+            reactor=self.clock,
+            clock=self.clock.seconds,
+            node_id=name,
+            zone="z",
+            store=self.store,
+            publish=lambda *document: self.published.append(document),
+            links=self.links,
+            members=lambda: {"n1": "z", "n2": "z"},
+            vms=list,
+            incarnation=1,
+        )
+        runner.start()
+        runner.configuration_changed(configuration)
+        return runner
+
+    def advance(self, seconds):
+        self.clock.pump([0.05] * round(seconds / 0.05))
+
+    def holder(self):
+        (holder,) = [runner for runner in self.runners if runner.holds("z")]
+        return holder
+
+    def held(self):
+        tables = DirectCalls.tables.values()
+        return sorted(p for t in tables for p, e in t.held.items() if t.holds(p, e))
+
+
+@pytest.fixture
+def deployment(monkeypatch):
+    monkeypatch.setattr(module, "ServerCalls", DirectCalls)
+    return Deployment()
+
+
+ALL = [f"s/{number}" for number in range(8)]
+
+
+class TestControlRunner:
+    def test_grants_every_partition_once(self, deployment):
+        # Two candidates must not both control the zone.
+        deployment.advance(2.0)
+        assert deployment.holder()
+        assert deployment.held() == ALL
+
+    def test_stop_hands_over_without_a_gap(self, deployment):
+        # A restart of an entry VM must not make keys unavailable.
+        deployment.advance(2.0)
+        stopped = deployment.holder()
+        stopped.stop()
+        for _ in range(60):
+            deployment.advance(0.05)
+            assert deployment.held() == ALL
+        assert deployment.holder() is not stopped
+
+    def test_lost_answers(self, deployment):
+        # Each write took effect, so that a second one must not be made blindly.
+        deployment.store.lose = 3
+        deployment.advance(4.0)
+        assert deployment.held() == ALL
+
+    def test_outage_with_hold(self, deployment):
+        # Grants go on while the store is down.
+        deployment.advance(2.0)
+        deployment.store.down = True
+        deployment.advance(10.0)
+        assert deployment.held() == ALL
+        deployment.store.down = False
+        for _ in range(60):
+            deployment.advance(0.05)
+            assert deployment.held() == ALL
+
+    def test_pause_is_noticed_by_whatever_comes_first(self, deployment):
+        # An answer read after a pause must not be acted upon as if in time.
+        deployment.advance(2.0)
+        holder = deployment.holder()
+        deployment.clock.rightNow += 5.0
+        holder.node_heard("n2")
+        controller = holder._zones["z"].controller
+        assert controller.counts.get("paused") == 1 or not controller.active
+
+    def test_publishes_versions_upward_only(self, deployment):
+        # An older document would bring back an earlier owner.
+        deployment.advance(4.0)
+        versions = [v for key, v, _ in deployment.published if key == "ownership/s"]
+        assert versions
+        content = deployment.store.state.entries["ownership/s"].value
+        assert max(versions) == OwnershipDocument.decode(content).version
