--- a/tests/test_ownership_model.py
+++ b/tests/test_ownership_model.py
@@ -12,7 +12,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from briarspoke.benches.ownership import (
+from briarspoke.benches.ownership_faults import (
     PARTITIONS,
     ZONES,
     Result,
@@ -96,7 +96,7 @@
             assert stored.epoch > epoch or stored.owner == server
 
     def teardown(self):
-        result = Result(self.scenario)
+        result = Result(self.scenario, {})
         assert not result.two_owners
         assert not result.lost
 
