--- a/briarspoke/links/link.py
+++ b/briarspoke/links/link.py
@@ -221,7 +221,13 @@
 
     def _write_now(self, data):
         self.owner.count_bytes("sent", len(data))
-        self.transport.write(data)
+        try:
+            self.transport.write(data)
+        except RuntimeError:
+            # uvloop raises this for a connection that was reset a moment ago; it
+            # must not end a loop over the other links.
+            log.info("link: the connection to %s was reset", self.node_id)
+            self.transport.abortConnection()
 
     # Receiving.
 
--- a/briarspoke/metrics.py
+++ b/briarspoke/metrics.py
@@ -21,7 +21,8 @@
     "documents_taken_total": ("source", "Documents taken from store or links."),
     "store_calls_total": ("kind", "Calls to the platform's store, by kind."),
     "store_failures_total": ("kind", "Failed calls to the store, by kind."),
-    "store_bytes_total": ("direction", "Bytes of bodies of store calls, estimated."),
+    "store_sent_bytes_total": ("kind", "Estimated bytes sent to the store."),
+    "store_received_bytes_total": ("kind", "Estimated bytes received from the store."),
 }
 
 GAUGES = {
--- a/briarspoke/platform/store.py
+++ b/briarspoke/platform/store.py
@@ -196,7 +196,7 @@
     def _call(self, kind, method, path, body=None, timeout_s=CALL_TIMEOUT_S):
         self._count("store_calls_total", kind)
         try:
-            status, value = yield self._exchange(method, path, body, timeout_s)
+            status, value = yield self._exchange(kind, method, path, body, timeout_s)
         except StoreError:
             self._count("store_failures_total", kind)
             raise
@@ -208,11 +208,11 @@
         return status, value
 
     @defer.inlineCallbacks
-    def _exchange(self, method, path, body, timeout_s):
+    def _exchange(self, kind, method, path, body, timeout_s):
         content = b"" if body is None else json.dumps(body).encode()
         self._count(
-            "store_bytes_total",
-            "sent",
+            "store_sent_bytes_total",
+            kind,
             len(method) + len(path) + len(content) + REQUEST_HEAD_BYTES,
         )
         request = self._agent.request(
@@ -228,7 +228,9 @@
             reading.addTimeout(timeout_s, self._reactor)
             content = yield reading
             self._count(
-                "store_bytes_total", "received", len(content) + RESPONSE_HEAD_BYTES
+                "store_received_bytes_total",
+                kind,
+                len(content) + RESPONSE_HEAD_BYTES,
             )
             return response.code, json.loads(content) if content else {}
         except (error.ConnectError, error.ConnectingCancelledError) as failure:
