Check the index of a path key rule in one place

Cause: schema and cross-resource checks both refused a path key rule without an index, with codes 8005 and 5112; runner tests used the former constructor. A node is ready once it has read the store or its peers, also while no configuration exists, so that operators can write the first one.

--- a/briarspoke/configuration/codes.py
+++ b/briarspoke/configuration/codes.py
@@ -202,13 +202,6 @@
     422,
     "A service that servers or limits name cannot be deleted.",
 )
-KEY_RULE_INDEX = register(
-    5112,
-    "key-rule-index",
-    Kind.CALLER_ERROR,
-    422,
-    "The name of a path key rule is not the index of a path segment.",
-)
 DUPLICATE_NAME = register(
     5113,
     "duplicate-name",
--- a/briarspoke/configuration/validation.py
+++ b/briarspoke/configuration/validation.py
@@ -12,7 +12,6 @@
 RANKS_WITHOUT_RULE = frozenset({"lookup", "booking"})
 # Shares are decimal fractions, whose binary sum can miss 1 by a rounding error.
 SHARE_TOLERANCE = 1e-9
-MAX_PATH_INDEX = 63
 
 _checks = []
 
@@ -187,15 +186,3 @@
         if limit.scope == "rank" and limit.rank is None:
             message = "is null, but the scope is rank"
             findings.add(limit, "rank", codes.LIMIT_WITHOUT_RANK, message)
-
-
-@_check
-def _key_rules(configuration, findings):
-    for service in configuration.services_by_name.values():
-        rule = service.key
-        if rule.source != "path":
-            continue
-        is_number = rule.name.isascii() and rule.name.isdigit() and len(rule.name) < 4
-        if not is_number or int(rule.name) > MAX_PATH_INDEX:
-            message = f"is not an index from 0 to {MAX_PATH_INDEX}"
-            findings.add(service, "key.name", codes.KEY_RULE_INDEX, message)
--- a/briarspoke/node_status.py
+++ b/briarspoke/node_status.py
@@ -18,8 +18,7 @@
         self._node = node
 
     def ready(self):
-        node = self._node
-        return node.ready and bool(node.holder.document.version)
+        return self._node.ready
 
     def nodes(self):
         node = self._node
