Ask for InForce instead of flooding it

Change: the message InForceRequest, which an operator's node broadcasts and each node answers by send(). No handler yet: it belongs to the configuration. A test of two isolated nodes that find together again.

Figures: none measured; sizes of messages are in docs/design/membership.md.

Conclusion: the handler and the operators' API have to use it.

--- a/briarspoke/links/messages.py
+++ b/briarspoke/links/messages.py
@@ -404,7 +404,19 @@
 
 @message(19)
 class InForce(Message):
-    """Tells which configuration version a node has in force."""
+    """Tells which configuration version a node has in force.
+
+    It is sent to the node that asked by :class:`InForceRequest`; if every node
+    flooded it after each change, 440 nodes would exceed their budget of bytes.
+    """
 
     FIELDS = {"node_id": Text(minimum=1), "version": Uint()}
     __slots__ = tuple(FIELDS)
+
+
+@message(20)
+class InForceRequest(Message):
+    """Asks every node for its :class:`InForce`, on behalf of an operator."""
+
+    FIELDS = {"serial": Uint()}
+    __slots__ = tuple(FIELDS)
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -179,6 +179,26 @@
         assert c.documents.version("config") == 9
         assert sorted(c.members.by_id) == ["a", "b", "c"]
 
+    def test_isolated_nodes_find_together_again(self, network):
+        # Guards against nodes that stay down for each other after a partition.
+        a, b = network.hub("a"), network.hub("b")
+        network.connect("a", "b").hold = {0, 1}
+        seen = []
+        a.observe_members(lambda member, before: seen.append(member.status))
+        for _ in range(14):
+            network.clock.advance(hub_module.TICK_S)
+            a._tick()
+            b._tick()
+        assert a.members.by_id["b"].status is Status.DOWN
+        assert b.members.by_id["a"].status is Status.DOWN
+        network.wires[0].hold = set()
+        network.pump()
+        assert a.links_by_node == b.links_by_node == {}
+        network.connect("a", "b")
+        assert a.members.by_id["b"].status is Status.ALIVE
+        assert b.members.by_id["a"].status is Status.ALIVE
+        assert seen == [Status.SUSPECT, Status.DOWN, Status.ALIVE]
+
     @pytest.mark.parametrize("order", ["ab", "ba"])
     def test_one_of_two_links_is_kept_by_both(self, network, order):
         # Guards against both sides closing the link that the other one keeps.
