--- a/briarspoke/links/messages.py
+++ b/briarspoke/links/messages.py
@@ -410,7 +410,11 @@
 
 @message(19)
 class InForce(Message):
-    """Tells which configuration version a node has in force."""
+    """Tells which configuration version a node has in force.
+
+    It is sent to the node that asked by :class:`InForceRequest`; if every node
+    flooded it after each change, 440 nodes would exceed their budget of bytes.
+    """
 
     FIELDS = {"node_id": Text(minimum=1), "version": Uint()}
     __slots__ = tuple(FIELDS)
