--- a/briarspoke/benches/control.py
+++ b/briarspoke/benches/control.py
@@ -1,4 +1,4 @@
-"""Bench ``control``: what membership and watching cost an idle node."""
+"""Bench ``control``: what control costs an idle node."""
 
 from __future__ import annotations
 
@@ -19,15 +19,18 @@
 from twisted.web import client
 
 from briarspoke import clock, loop
-from briarspoke.benches import Bound, Report, bench
+from briarspoke.benches import Bound, Report, bench, parts
+from briarspoke.configuration.document import STORE_KEY, ConfigurationDocument
 from briarspoke.membership.members import Member, Members
-from briarspoke.ownership.document import OwnershipDocument, Partition
 from briarspoke.platform.vms import LIST_BYTES_PER_S, SHORTEST_JITTER
 from briarspoke.standins.store import StoreStandIn, site
 
-# Replace by ("briarspoke", "serve", "--settings") when nodes run through serve.
-NODE_COMMAND = ("briarspoke.benches.control_node",)
-BARE_COMMAND = ("briarspoke.benches.control_node", "--bare")
+NODE_COMMAND = ("briarspoke", "serve")
+# Waits with everything imported that a node imports.
+BARE_CODE = """import briarspoke.loop, time
+briarspoke.loop.install()
+import briarspoke.node
+time.sleep(60)"""
 SIZES = (5, 10, 20, 40)
 TARGET_NODES = 440
 START_TIMEOUT_S = 15.0
@@ -68,6 +71,14 @@
         {"lager": 13, "abfuellung": 8, "etiketten": 6, "bestellung": 6},
     ),
 )
+SERVICES = tuple(service for _, counts in DEPLOYMENTS for service in counts)
+ZONE_BY_SERVER = {
+    f"{service}-{number:02}": zones[number % len(zones)]
+    for zones, counts in DEPLOYMENTS
+    for service, count in counts.items()
+    for number in range(count)
+}
+PARTITIONS = 256
 WRITE_KINDS = ("put", "delete", "lease", "keepalive")
 STORE_BYTES = ("store_sent_bytes_total", "store_received_bytes_total")
 READ_KINDS = ("get", "list", "watch", "vms")
@@ -91,6 +102,7 @@
         reactor.run()
     finally:
         control.stop_processes()
+        control.stop_fleets()
     if hasattr(outcome[0], "raiseException"):
         outcome[0].raiseException()
     return outcome[0]
@@ -107,6 +119,7 @@
         self.seed = seed
         self.measure_s = LONG_MEASURE_S if long else MEASURE_S
         self._processes = []
+        self._fleets = []
         self._agent = client.Agent(reactor)
         ports = free_ports(random.Random(seed), sum(SIZES) * PORTS_PER_NODE)
         self._addresses = iter([f"127.0.0.1:{port}" for port in ports])
@@ -143,7 +156,7 @@
 
     @defer.inlineCallbacks
     def _bare_memory(self):
-        process = self._spawn(*BARE_COMMAND)
+        process = self._spawn(arguments=["-c", BARE_CODE])
         yield self._sleep(1.5)
         memory_mb = resident_mb(process.pid)
         self.stop_processes()
@@ -154,7 +167,9 @@
         stand_in = StoreStandIn(reactor=self.reactor, clock=clock.monotonic)
         port = self.reactor.listenTCP(0, site(stand_in), interface="127.0.0.1")
         store_url = f"http://127.0.0.1:{port.getHost().port}"
-        put_documents(stand_in.state)
+        servers = parts.Part("fleet", names=list(ZONE_BY_SERVER))
+        self._fleets.append(servers)
+        put_configuration(stand_in.state, servers.ready["ports"])
         nodes = self._settings(size, store_url)
         stand_in.state.vms_by_id = {n["node"]: vm_of(n) for n in nodes}
         with tempfile.TemporaryDirectory() as directory:
@@ -163,11 +178,13 @@
             for number, node in enumerate(nodes):
                 path = pathlib.Path(directory, f"{number}.json")
                 path.write_text(json.dumps(node))
-                processes.append(self._spawn(*NODE_COMMAND, str(path)))
+                arguments = ["-m", *NODE_COMMAND, str(path)]
+                processes.append(self._spawn(arguments=arguments))
             try:
-                yield self._wait_until_linked(nodes, stand_in)
+                yield self._wait_until_linked(nodes)
                 yield self._sleep(SETTLE_S)
                 result = yield self._observe(nodes, processes, stand_in, bare_mb)
+                result["partitions_held"] = servers.ask()["held"]
             finally:
                 self.stop_processes(processes)
                 yield port.stopListening()
@@ -203,9 +220,10 @@
         return figures
 
     @defer.inlineCallbacks
-    def _wait_until_linked(self, nodes, stand_in):
+    def _wait_until_linked(self, nodes):
         deadline = clock.monotonic() + START_TIMEOUT_S
-        keys = len(stand_in.state.entries)
+        # The configuration and one ownership document per service.
+        keys = 1 + len(SERVICES)
         while clock.monotonic() < deadline:
             yield self._sleep(0.5)
             try:
@@ -255,13 +273,14 @@
             node["peers"] = [n["peer_listen"] for n in nodes[:3]]
         return nodes
 
-    def _spawn(self, module, *arguments):
+    def _spawn(self, *, arguments):
         root = pathlib.Path(__file__).parents[2]
         process = subprocess.Popen(
-            [sys.executable, "-m", module, *arguments],
+            [sys.executable, *arguments],
             env={**os.environ, "PYTHONPATH": str(root)},
             stdin=subprocess.DEVNULL,
             stdout=subprocess.DEVNULL,
+            stderr=subprocess.DEVNULL,
         )
         self._processes.append(process)
         return process
@@ -277,6 +296,11 @@
                 process.kill()
                 process.wait()
 
+    def stop_fleets(self):
+        """Ends the processes of the backend servers."""
+        for fleet in self._fleets:
+            fleet.stop()
+
     def _sleep(self, seconds):
         return task.deferLater(self.reactor, seconds, lambda: None)
 
@@ -321,6 +345,15 @@
         Bound(name=f"{name} at 440", value=value, limit=limit)
         for name, value, limit in limits
     ]
+    bounds += [
+        Bound(
+            name=f"partitions held at {size}",
+            value=figures["partitions_held"],
+            limit=PARTITIONS * len(SERVICES),
+            at_most=False,
+        )
+        for size, figures in by_size.items()
+    ]
     bounds += [
         Bound(
             name=f"members known at {size}",
@@ -478,29 +511,30 @@
     return values
 
 
-def put_documents(state):
-    """Puts the configuration and ownership of both deployments into a store."""
-    configuration = {"zones": [], "services": [], "servers": []}
-    for zones, servers_by_service in DEPLOYMENTS:
-        configuration["zones"] += [{"name": zone} for zone in zones]
-        for service, count in servers_by_service.items():
-            names = [f"{service}-{n:02}" for n in range(count)]
-            configuration["services"].append({"name": service})
-            configuration["servers"] += [
+def put_configuration(state, ports):
+    """Puts the configuration of both deployments into a store.
+
+    :param ports: port per server, in the order of :data:`ZONE_BY_SERVER`.
+    """
+    zones = dict.fromkeys(ZONE_BY_SERVER.values())
+    document = ConfigurationDocument.from_configuration(
+        {
+            "zones": [{"name": zone} for zone in zones],
+            "services": [{"name": service} for service in SERVICES],
+            "servers": [
                 {
                     "name": name,
-                    "service": service,
-                    "zone": zones[n % len(zones)],
-                    "address": f"127.0.0.1:{9000 + n}",
+                    "service": name.rpartition("-")[0],
+                    "zone": zone,
+                    "address": f"127.0.0.1:{port}",
                 }
-                for n, name in enumerate(names)
-            ]
-            document = OwnershipDocument.empty(service, 256).with_changes(
-                {n: Partition(owner=names[n % count], epoch=1) for n in range(256)},
-                "bench",
-            )
-            state.put(f"ownership/{service}", document.encode(), 0, None)
-    state.put("config", json.dumps(configuration).encode(), 0, None)
+                for (name, zone), port in zip(
+                    ZONE_BY_SERVER.items(), ports, strict=True
+                )
+            ],
+        }
+    )
+    state.put(STORE_KEY, document.encode(), 0, None)
 
 
 def free_ports(rng, count):
--- a/tests/test_vms.py
+++ b/tests/test_vms.py
@@ -30,7 +30,7 @@
         self.poller = VmPoller(
             reactor=self.clock,
             store=self,
-            observer=self.seen.append,
+            observer=lambda vms, entries: self.seen.append(vms),
             is_watcher=lambda: True,
             peer_port=8081,
             rng=random.Random(1),
