Notice callers that leave while they are paused

Of 300 uploads that were reset after 70,000 bytes, 64 were still in flight 1 s later and went on taking slots.

Change: once a second all connections are checked with one poll() call; callers that have closed or reset and servers that have reset are dropped.

--- a/briarspoke/benches/parts/entry.py
+++ b/briarspoke/benches/parts/entry.py
@@ -92,7 +92,7 @@
             "cpu_s": sum(resource.getrusage(resource.RUSAGE_SELF)[:2]),
             "in_flight": len(self.router.relays),
             "connections": sum(
-                pool.open for pool in self.router.pools_by_server.values()
+                len(pool.connections) for pool in self.router.pools_by_server.values()
             ),
             "counters": {
                 name: self.router.metrics.values(name)
--- a/briarspoke/http/pool.py
+++ b/briarspoke/http/pool.py
@@ -54,7 +54,7 @@
         self.host = host
         self.port = port
         self.maximum = maximum
-        self.open = 0
+        self.connections = set()
         self.closed = False
         self._reactor = reactor
         self._clock = clock
@@ -81,7 +81,7 @@
             if connection.reusable:
                 waiter.connected(connection)
                 return
-        if self.open + self._connecting >= self.maximum:
+        if len(self.connections) + self._connecting >= self.maximum:
             waiter.attempt_failed(
                 Attempt(
                     outcome=Outcome.NOT_RUN,
@@ -114,7 +114,7 @@
 
     def connection_made(self, connection):
         self._connecting -= 1
-        self.open += 1
+        self.connections.add(connection)
         self.put_back(connection)
 
     def connect_failed(self, reason):
@@ -155,7 +155,7 @@
         self._discarding[connection] = self._clock()
 
     def connection_lost(self, connection):
-        self.open -= 1
+        self.connections.discard(connection)
         self._discarding.pop(connection, None)
         if connection in self._idle:
             self._idle.remove(connection)
--- a/briarspoke/http/router.py
+++ b/briarspoke/http/router.py
@@ -16,6 +16,7 @@
 from briarspoke.http.forward import classified_of, forward_key
 from briarspoke.http.gateways import Gateways
 from briarspoke.http.pool import ConnectionPool
+from briarspoke.http.probe import lost_transports
 from briarspoke.retry.policy import RetryBudget, may_retry
 from briarspoke.routing.classify import classify
 from briarspoke.routing.table import RoutingTable
@@ -267,8 +268,15 @@
     def _sweep(self, now):
         for channel in list(self.channels):
             channel.sweep(now)
-        for pool in self._pools():
+        pools = self._pools()
+        for pool in pools:
             pool.close_idle(now)
+        lost = lost_transports(
+            [channel.transport for channel in self.channels],
+            [connection.transport for pool in pools for connection in pool.connections],
+        )
+        for transport in lost:
+            transport.abortConnection()
 
     def _run(self, commands):
         """Carries commands out one after the other.
--- a/tests/http_fakes.py
+++ b/tests/http_fakes.py
@@ -31,6 +31,9 @@
         self.write(bytes(data))
         return len(data)
 
+    def fileno(self):
+        return -1
+
     def setTcpNoDelay(self, enabled):
         pass
 
