--- a/briarspoke/admission/queue.py
+++ b/briarspoke/admission/queue.py
@@ -410,19 +410,12 @@
         return self.in_flight - self.running(LOOKUP)
 
     def _leaves_room_for_lookups(self, rank, now):
-        """Whether a start leaves the slots that lookups have lately used.
-
-        Bulk leaves one standard deviation of Poisson arrivals more, because a
-        lookup that finds no slot waits longest for a bulk request.
-        """
+        """Whether a start leaves the slots that lookups have lately used."""
         if rank == LOOKUP:
             return True
-        kept = self._lookup_demand
-        if rank == BULK:
-            kept += math.sqrt(kept)
         slots = self.limit.current(now)
-        kept = min(slots - 1, math.ceil(kept - DEMAND_NOISE_SLOTS))
-        return self._non_lookups() < slots - kept
+        kept = math.ceil(self._lookup_demand - DEMAND_NOISE_SLOTS)
+        return self._non_lookups() < slots - min(slots - 1, kept)
 
     def _next_rank(self, now):
         """Returns the rank that gets the next slot, or None."""
