--- a/briarspoke/admission/queue.py
+++ b/briarspoke/admission/queue.py
@@ -299,7 +299,9 @@
     def _protected(self, rank):
         """Places a rank keeps, so that displacement cannot take its share."""
         policy = self.policies_by_rank[rank]
-        return min(policy.queue, self.slots) if policy.share else 0
+        # With fewer places the queue runs empty between arrivals, and an empty
+        # queue earns nothing: with one place per slot bulk got 0.06 of 0.1.
+        return (policy.queue + 1) // 2 if policy.share else 0
 
     def _enqueue(self, ticket, now):
         ticket.queued_at = now
@@ -435,8 +437,8 @@
             rank = self._next_rank(now)
             if rank is None:
                 break
-            ticket = next(iter(self.queues_by_rank[rank]))
-            self._remove(ticket, now)
+            # Credit is kept here, since the start is about to be charged to it.
+            ticket, _ = self.queues_by_rank[rank].popitem(last=False)
             if ticket.deadline <= now:
                 commands.append(Refuse(ticket, codes.DEADLINE_IN_QUEUE))
             elif self.in_flight and (
