--- a/briarspoke/admission/shares.py
+++ b/briarspoke/admission/shares.py
@@ -40,7 +40,7 @@
         """Returns the rank furthest below its share, None if none is below.
 
         Credit counts in proportion to the share. In order of urgency instead,
-        lookups with a demand just above their share left bulk 0.05 of 0.1.
+        bookings beside bulk requests of 100 times their length got 0.28 of 0.3.
         """
         below = [rank for rank in ranks if self.credit_by_rank[rank] > 0.0]
         return max(below, key=self._behind_s, default=None)
