--- a/briarspoke/benches/flood.py
+++ b/briarspoke/benches/flood.py
@@ -23,7 +23,7 @@
 }
 LONG_FACTOR = 5.0
 # The steady requests run before the flood begins, as they do in operation.
-LEAD_S = 1.0
+LEAD_S = 1.5
 # Shares are counted after the queues have filled.
 SETTLE_S = 1.0
 GRACE_S = 0.7
@@ -101,9 +101,9 @@
             )
 
     def end(self):
-        """Returns the records by rank of what was due since the flood began."""
+        """Returns the records by rank; due times count from the flood's begin."""
         steady = {
-            rank: [[due - LEAD_S, *rest] for due, *rest in records if due >= LEAD_S]
+            rank: [[due - LEAD_S, *rest] for due, *rest in records]
             for rank, records in self._steady.hear().items()
         }
         return {**steady, **self._flood.hear()}
@@ -120,17 +120,22 @@
 
 
 def _figures(records_by_rank, duration_s):
-    """Returns the figures of one phase by rank."""
+    """Returns the figures of one phase by rank.
+
+    Shares count every answer after the queues have filled, also to requests
+    from before the flood, because those hold slots as well. All other figures
+    are about requests due since the flood began.
+    """
     slot_s_by_rank = {}
     figures = {}
     for rank in RANKS:
-        records = records_by_rank.get(rank, [])
+        everything = records_by_rank.get(rank, [])
+        ends = [due + took for due, took, status, _ in everything if status == 200]
+        counted = sum(SETTLE_S <= end < duration_s for end in ends)
+        slot_s_by_rank[rank] = counted * SERVICE_S_BY_RANK[rank]
+        records = [record for record in everything if record[0] >= 0.0]
         answered = [record for record in records if record[2] == 200]
         seconds = [record[1] for record in answered]
-        counted = sum(
-            SETTLE_S <= due + took < duration_s for due, took, _, _ in answered
-        )
-        slot_s_by_rank[rank] = counted * SERVICE_S_BY_RANK[rank]
         codes = {}
         for record in records:
             if record[2] != 200:
--- a/briarspoke/standins/process.py
+++ b/briarspoke/standins/process.py
@@ -34,13 +34,14 @@
         from briarspoke.http.callers import CallerFactory
         from briarspoke.http.router import TICK_S, Router
         from briarspoke.metrics import Metrics
+        from briarspoke.retry.policy import Backoff
         from briarspoke.standins.demo import static_ownership
         from briarspoke.standins.naive import VARIANTS
 
         self.metrics = Metrics(node_id="entry-1")
         self.router = Router(reactor=reactor, clock=monotonic, metrics=self.metrics)
         router = self.router
-        router.backoff._random = random.Random(seed)
+        router.backoff = Backoff(random=random.Random(seed))
         if variant is not None:
             VARIANTS[variant](router)
         snapshot = Configuration.from_json(configuration, [], version=1)
