--- a/briarspoke/admission/queue.py
+++ b/briarspoke/admission/queue.py
@@ -290,16 +290,27 @@
         )
 
     def _displaced_rank(self, rank):
-        """Returns the least urgent rank that gives up a place, or None."""
+        """Returns the rank that gives up a place to a rank, or None.
+
+        It is the least urgent one that has more than its protected places. A
+        rank short of those takes them back from one above its own bound.
+        """
         for lower in reversed(RANKS[RANKS.index(rank) + 1 :]):
             if len(self.queues_by_rank[lower]) > self._protected(lower):
                 return lower
+        if len(self.queues_by_rank[rank]) < self._protected(rank):
+            for other in reversed(RANKS):
+                bound = self.policies_by_rank[other].queue
+                if len(self.queues_by_rank[other]) > bound:
+                    return other
         return None
 
     def _protected(self, rank):
         """Places a rank keeps, so that displacement cannot take its share."""
         policy = self.policies_by_rank[rank]
-        return min(policy.queue, self.slots) if policy.share else 0
+        # With fewer places the queue runs empty between arrivals, and an empty
+        # queue earns nothing: with one place per slot bulk got 0.06 of 0.1.
+        return (policy.queue + 1) // 2 if policy.share else 0
 
     def _enqueue(self, ticket, now):
         ticket.queued_at = now
@@ -410,27 +421,20 @@
         return self.in_flight - self.running(LOOKUP)
 
     def _leaves_room_for_lookups(self, rank, now):
-        """Whether a start leaves the slots that lookups have lately used.
-
-        Bulk leaves one standard deviation of Poisson arrivals more, because a
-        lookup that finds no slot waits longest for a bulk request.
-        """
+        """Whether a start leaves the slots that lookups have lately used."""
         if rank == LOOKUP:
             return True
-        kept = self._lookup_demand
-        if rank == BULK:
-            kept += math.sqrt(kept)
         slots = self.limit.current(now)
-        kept = min(slots - 1, math.ceil(kept - DEMAND_NOISE_SLOTS))
-        return self._non_lookups() < slots - kept
+        kept = math.ceil(self._lookup_demand - DEMAND_NOISE_SLOTS)
+        return self._non_lookups() < slots - min(slots - 1, kept)
 
     def _next_rank(self, now):
         """Returns the rank that gets the next slot, or None."""
         waiting = [rank for rank in RANKS if self.queues_by_rank[rank]]
         startable = [rank for rank in waiting if self._may_start(rank, now)]
-        for rank in startable:
-            if self.shares.below(rank):
-                return rank
+        behind = self.shares.furthest_behind(startable)
+        if behind is not None:
+            return behind
         for rank in startable:
             if self._leaves_room_for_lookups(rank, now):
                 return rank
@@ -442,8 +446,8 @@
             rank = self._next_rank(now)
             if rank is None:
                 break
-            ticket = next(iter(self.queues_by_rank[rank]))
-            self._remove(ticket, now)
+            # Credit is kept here, since the start is about to be charged to it.
+            ticket, _ = self.queues_by_rank[rank].popitem(last=False)
             if ticket.deadline <= now:
                 commands.append(Refuse(ticket, codes.DEADLINE_IN_QUEUE))
             elif self.in_flight and (
