Ignore overtaken grants and releases of earlier moves

A delayed call brought back revoked partitions for the rest of the current grant, and a release from a move that was taken back counted for the next move of the same partition. Change: a server ignores a call whose expiry is over or earlier than one it has applied; a release counts only if the server holds what the call said, and is forgotten as soon as the partition may be granted again.

--- a/briarspoke/ownership/grants.py
+++ b/briarspoke/ownership/grants.py
@@ -125,6 +125,8 @@
         if renew:
             self._sent_digest = digest
             self._sent_revoke = frozenset(revoke)
+            # What may be granted again is not released for its next move.
+            self.released &= self._sent_revoke
             expires_at = self.reading + GRANT_S
             until = self.reading_at + GRANT_WAIT_S
             self.granted_until = max(self.granted_until, until)
@@ -173,7 +175,8 @@
             self.due_at = min(self.due_at, now + BUSY_POLL_S)
         self.server_digest = event.digest
         self.busy = event.busy
-        if call.digest is not None and now >= self.unanswered_until:
+        applied = call.digest is not None and event.digest == call.digest
+        if applied and now >= self.unanswered_until:
             # An earlier call that was lost could still arrive and grant again
             # what is revoked, so the answer settles nothing before it expires.
             self.released = call.revoke - event.busy
--- a/briarspoke/standins/grants.py
+++ b/briarspoke/standins/grants.py
@@ -38,6 +38,8 @@
         self._open_by_partition = {}
         self._highest_epoch = {}
         self._running = {}
+        # The latest expiry that a call has asked for.
+        self._latest = 0.0
 
     def restart(self, incarnation):
         """Loses everything but the evidence, as a new process does."""
@@ -48,6 +50,7 @@
         self.held = {}
         self._highest_epoch = {}
         self._running = {}
+        self._latest = 0.0
 
     def holds(self, partition, epoch):
         """Returns whether the grants allow a request now."""
@@ -107,12 +110,13 @@
             return 409, self._state(now)
         self.term = body["term"]
         value = self._state(now)
-        value["busy"] = []
-        if expires_at is not None:
+        # A call that was overtaken must not bring back what a later one revoked.
+        if expires_at is not None and expires_at > now and expires_at >= self._latest:
+            self._latest = expires_at
             changed = self._apply(body, min(expires_at, now + GRANT_S))
             if changed:
                 value["held"] = dict(self.held)
-            value["busy"] = sorted(p for p in body["revoke"] if p in self._running)
+        value["busy"] = sorted(p for p in body["revoke"] if p in self._running)
         value["digest"] = grants_digest(self.held)
         return 200, value
 
--- a/tests/test_ownership_grants.py
+++ b/tests/test_ownership_grants.py
@@ -102,6 +102,21 @@
         calls.answer(calls.send(2.1, wanted={}, revoke=["s/1"]), 2.1)
         assert calls.grants.released == {"s/1"}
 
+    def test_release_of_an_earlier_move_does_not_count(self):
+        # A move that was taken back and begun again would complete at once.
+        calls = Calls().met()
+        calls.answer(calls.send(0.4, wanted={}, revoke=["s/1"]), 0.4)
+        calls.send(0.8)
+        assert not calls.grants.released
+
+    def test_call_that_was_not_applied_releases_nothing(self):
+        # The server ignores a call that was overtaken or has expired.
+        calls = Calls().met()
+        call = calls.send(0.4, wanted={}, revoke=["s/1"])
+        call.digest = grants_digest(HELD)
+        calls.answer(call, 0.4)
+        assert not calls.grants.released
+
 
 class TestTrust:
     def test_restarted_server_needs_a_later_confirmation(self):
--- a/tests/test_standins_grants.py
+++ b/tests/test_standins_grants.py
@@ -69,6 +69,13 @@
         call(table, grants={"s/1": 3}, expires_at=500.0)
         assert table.expires_at == clock[0] + 2.0
 
+    def test_overtaken_call_is_ignored(self, table, clock):
+        # It would bring back a revoked partition for the rest of the grant.
+        call(table, grants={"s/1": 3}, expires_at=11.8)
+        call(table, grants={}, revoke=["s/1"], expires_at=12.0)
+        assert call(table, grants={"s/1": 3}, expires_at=11.8)[0] == 200
+        assert not table.held
+
     def test_other_digest_extends_nothing(self, table):
         # The controller would renew partitions that it has moved away.
         call(table, grants={"s/1": 3}, expires_at=11.0)
