Hand a lease back without a gap in the zone's control

Cause: a holder from another zone stood back for 3 s, longer than grants last, and handed back again at once when the zone's own nodes did not take the lease. Change: it stands back for 0.6 s and waits 60 s before it tries again.

--- a/briarspoke/ownership/candidate.py
+++ b/briarspoke/ownership/candidate.py
@@ -21,8 +21,11 @@
 # A holder from another zone hands back to a node of the zone that has been
 # alive for this long.
 HAND_BACK_AFTER_S = 15.0
-# After giving up, others go first.
-STAND_BACK_S = 3.0
+# The zone's nodes were alive and did not take the lease: they may be without
+# the store, and each vain attempt to hand back uses up grant time.
+HAND_BACK_AGAIN_S = 60.0
+# After giving up, others go first, but the servers' grants must not run out.
+STAND_BACK_S = 0.6
 
 
 @dataclass(slots=True, kw_only=True)
@@ -300,6 +303,8 @@
         self._vacant_since = None
         self._keepalive_sent_at = None
         self._keepalive_due_at = self._sent_at + KEEPALIVE_EVERY_S
+        if self._own_alive_since is not None:
+            self._own_alive_since = now + HAND_BACK_AGAIN_S - HAND_BACK_AFTER_S
         return [
             # An earlier sighting of a vacant lease may be out of date; the
             # record cannot have existed when this one was created.
