Leave bounds of bench config open when nodes are not ready

Cause: with no node ready the bench called 'lost 0' and the like kept. Conclusion: the bench claims nothing that it has not seen.

--- a/briarspoke/benches/config.py
+++ b/briarspoke/benches/config.py
@@ -411,8 +411,9 @@
     # The outcome.
 
     def _report(self):
-        self._count()
         figures = self.figures
+        if figures["nodes_ready"] == NODES:
+            self._count()
         bounds = [
             Bound(
                 name="nodes_ready",
@@ -422,11 +423,11 @@
             ),
             Bound(
                 name="in_force_p99_s",
-                value=figures["in_force_s"]["p99"],
+                value=figures.get("in_force_s", {}).get("p99"),
                 limit=IN_FORCE_LIMIT_S,
             ),
             *(
-                Bound(name=name, value=figures[name], limit=0)
+                Bound(name=name, value=figures.get(name), limit=0)
                 for name in (
                     "never_in_force",
                     "reverted",
