--- a/.ci/check_binary.py
+++ b/.ci/check_binary.py
@@ -25,7 +25,8 @@
 def run(scratch, *arguments):
     """Runs the file with an empty environment; returns (seconds, children)."""
     environment = {
-        "PATH": "/usr/bin:/bin",
+        # The file's first line looks for the interpreter that built it.
+        "PATH": f"{sys.base_prefix}/bin:/usr/bin:/bin",
         "HOME": str(scratch / "home"),
         "SHIV_ROOT": str(scratch / "cache"),
     }
