Read back after a write that the store answered with an error

Cause: a status such as 500 was reported as 'nothing was changed', though a store can fail after the write took effect. Change: every failure but a refused connection is settled by reading back. Conclusion: a refusal now always means that the change does not happen.

--- a/briarspoke/configuration/writer.py
+++ b/briarspoke/configuration/writer.py
@@ -15,7 +15,6 @@
 from briarspoke.platform.store import (
     StoreConflictError,
     StoreError,
-    StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
 
@@ -276,15 +275,14 @@
             return None
         except StoreUnavailableError as error:
             raise _Stop(codes.CONFIGURATION_STORE_UNAVAILABLE) from error
-        except StoreOutcomeUnknownError:
+        except StoreError:
+            # An answer such as status 500 does not tell either what happened.
             log.info(
-                "configuration: write %s has no answer, reading back",
+                "configuration: write %s has no clear answer, reading back",
                 self.change.write_id,
             )
             self.unsettled_base = self.base.version
             return None
-        except StoreError as error:
-            raise _Stop(codes.CONFIGURATION_STORE_UNAVAILABLE, str(error)) from error
         self.writer.holder.apply(document)
         return self._accepted(document, document.version, planned.differences)
 
--- a/tests/operators_fakes.py
+++ b/tests/operators_fakes.py
@@ -15,6 +15,7 @@
     StoreConflictError,
     StoredValue,
     StoreOutcomeUnknownError,
+    StoreRejectedError,
     StoreUnavailableError,
 )
 
@@ -26,7 +27,7 @@
     """One key with compare-and-swap; calls wait if ``is_held``.
 
     :param faults: list of the faults of the coming puts: ``lost`` (effect without
-        answer), ``dropped`` (neither), ``down`` or ``""``.
+        answer), ``dropped`` (neither), ``rejected`` (status 500), ``down`` or ``""``.
     """
 
     def __init__(self, *, is_held=False):
@@ -71,6 +72,8 @@
         elif fault == "dropped":
             self.late.append((function, arguments))
             result.errback(StoreOutcomeUnknownError("dropped"))
+        elif fault == "rejected":
+            result.errback(StoreRejectedError("status 500"))
         else:
             try:
                 value = function(*arguments)
--- a/tests/test_configuration_writer.py
+++ b/tests/test_configuration_writer.py
@@ -66,6 +66,13 @@
         assert (result.status, result.version) == (Status.ACCEPTED, 1)
         assert len(self.store.history) == 1
 
+    def test_rejected_write_is_read_back(self):
+        # Guards against taking status 500 for proof that nothing was written.
+        self.store.faults = ["rejected"]
+        assert self.submit(put("za"), write_id="w1").status is Status.ACCEPTED
+        self.store.faults = ["rejected"] * 1000
+        assert self.submit(put("zb"), write_id="w2").status is Status.UNKNOWN
+
     def test_write_id_takes_effect_once(self):
         # Guards against an operator's repetition that undoes a later change.
         self.submit(put("za", "north"), write_id="w1")
