Apply the first configuration of bench config before readiness

Cause: a node gets ready only with a configuration, and the bench waited for ready nodes before it made one. Change: the bench waits for the operators' API, applies the configuration and then waits for readiness.

--- a/briarspoke/benches/config.py
+++ b/briarspoke/benches/config.py
@@ -141,16 +141,19 @@
 
         :param end: monotonic time until which to wait.
         """
-        end = end or time.monotonic() + READY_LIMIT_S
+        if not self.wait_until("/v1/readyz", end or time.monotonic() + READY_LIMIT_S):
+            return False
+        life = _Life(started_at=time.monotonic())
+        self.lives.append(life)
+        threading.Thread(target=self._watch, args=(life,), daemon=True).start()
+        return True
+
+    def wait_until(self, path, end):
+        """Returns whether a path was answered with 200 before a monotonic time."""
         while time.monotonic() < end and self.process.poll() is None:
-            with contextlib.suppress(OSError, http.client.HTTPException):
-                status, _ = call(self.port, "GET", "/v1/readyz", timeout_s=1.0)
+            with contextlib.suppress(OSError, ValueError, http.client.HTTPException):
+                status, _ = call(self.port, "GET", path, timeout_s=1.0)
                 if status == 200:
-                    life = _Life(started_at=time.monotonic())
-                    self.lives.append(life)
-                    watch = threading.Thread(target=self._watch, args=(life,))
-                    watch.daemon = True
-                    watch.start()
                     return True
             time.sleep(0.05)
         return False
@@ -317,10 +320,14 @@
         for node in self.nodes:
             node.start()
         end = time.monotonic() + READY_LIMIT_S
+        # Nodes become ready with their first configuration.
+        if self.nodes[0].wait_until("/v1/healthz", end):
+            self._initial()
         self.figures["nodes_ready"] = sum(node.wait_ready(end) for node in self.nodes)
 
     def _load(self):
-        self._initial()
+        # Ownership settles before calls are counted.
+        time.sleep(1.0)
         idle = self._idle()
         stop = threading.Event()
         markers = itertools.count(1)
@@ -356,7 +363,6 @@
         }
         _, answer = call(self.nodes[0].port, "POST", "/v1/apply", body)
         self.figures["initial"] = answer.get("status", answer.get("name"))
-        time.sleep(1.0)
 
     def _idle(self):
         seconds = 4.0 * self.factor
