--- a/briarspoke/http/relay.py
+++ b/briarspoke/http/relay.py
@@ -8,8 +8,10 @@
 from briarspoke.admission.queue import Signal, Ticket
 from briarspoke.errors import Refusal
 from briarspoke.http import wire
-from briarspoke.http.upstream import HOP_BY_HOP
-from briarspoke.retry.policy import Attempt, Outcome, may_retry
+from briarspoke.http.ends import RelayEnds
+from briarspoke.http.heads import request_head
+from briarspoke.http.producers import CallerProducer, ServerProducer
+from briarspoke.retry.policy import Outcome
 
 log = logging.getLogger(__name__)
 
@@ -17,20 +19,12 @@
 # request can be repeated.
 HELD_BODY_BYTES = 65_536
 STREAM_BUFFER_BYTES = 65_536
+# The gateway's own verdict on a deadline says whether the request has run, so
+# the node that forwarded it waits a little longer.
+FORWARD_GRACE_S = 0.1
 
-_DROPPED = HOP_BY_HOP | {
-    b"host",
-    b"content-length",
-    b"expect",
-    b"briarspoke-epoch",
-    b"briarspoke-partition",
-    b"briarspoke-owner",
-    b"briarspoke-deadline-ms",
-    b"briarspoke-request-id",
-}
 
-
-class Relay:
+class Relay(RelayEnds):
     """State of one request.
 
     :param router: the :class:`briarspoke.http.router.Router` of the node.
@@ -39,6 +33,9 @@
     :param head: the :class:`briarspoke.routing.classify.RequestHead`.
     :param raw_headers: list of (name, value) in bytes as the caller sent them.
     :param length: body length in bytes, or None for a chunked body.
+    :param forward: the verified :class:`briarspoke.http.forward.Forward` of a
+        request that another entry VM has forwarded.
+    :param refusal: a :class:`Refusal` that is certain from the start.
     """
 
     __slots__ = (
@@ -50,39 +47,72 @@
         "connection",
         "done",
         "exchange",
+        "expires_at",
+        "forward",
         "forwarded_bytes",
         "head",
         "held",
         "length",
+        "parked",
+        "parked_until",
         "paused_caller",
+        "peer",
         "queue",
         "raw_headers",
+        "refusal",
         "request_id",
+        "result_passed",
         "route",
         "router",
         "streaming",
         "ticket",
+        "tracked",
+        "unknown",
     )
 
-    def __init__(self, *, router, exchange, head, raw_headers, length, request_id):
+    def __init__(
+        self,
+        *,
+        router,
+        exchange,
+        head,
+        raw_headers,
+        length,
+        request_id,
+        forward=None,
+        refusal=None,
+    ):
         self.router = router
         self.exchange = exchange
         self.head = head
         self.raw_headers = raw_headers
         self.length = length
         self.request_id = request_id
+        self.forward = forward
+        self.refusal = refusal
         self.classified = None
+        self.expires_at = None
         self.route = None
+        self.peer = None
         self.queue = None
         self.ticket = None
         self.connection = None
         self.attempts = 0
+        # Refusal that is put off while the request waits for its owner.
+        self.parked = None
+        self.parked_until = None
+        # Name of the partition that counts this request as in flight.
+        self.tracked = None
+        # Attempt whose outcome is unknown; from then on no result may say
+        # that the request has not run.
+        self.unknown = None
         self.body = []
         self.held = 0
         self.body_complete = length == 0
-        self.streaming = length is None or length > HELD_BODY_BYTES
+        self.streaming = length is not None and length > HELD_BODY_BYTES
         self.paused_caller = False
         self.answered = False
+        self.result_passed = False
         self.forwarded_bytes = 0
         self.done = False
 
@@ -91,59 +121,95 @@
     def start(self):
         """Classifies the request and sends it once its body allows."""
         try:
-            self.classified = self.router.admit(self.head)
+            if self.refusal is not None:
+                raise self.refusal
+            self.classified = self.router.admit(self.head, self.forward)
+            self.expires_at = self.classified.deadline
             if self.length is not None:
                 wire.check_body_length(self.classified.service, self.length)
         except Refusal as refusal:
-            self.refuse(refusal)
+            self._refuse_head(refusal)
             return
         if self.streaming:
-            self._pause_caller()
+            self.pause_caller()
         if self.streaming or self.body_complete:
             self._route()
 
+    def _refuse_head(self, refusal):
+        small = self.length is not None and self.length <= HELD_BODY_BYTES
+        if small and not self.body_complete and not self.exchange.expects_continue:
+            # Reading a small body first keeps the caller's connection usable.
+            self.refusal = refusal
+        else:
+            self.refuse(refusal)
+
     def body_data(self, data):
         """Takes body data of the caller."""
-        if self.done:
+        if self.done or self.refusal is not None:
             return
         self.held += len(data)
-        if self.connection is not None and self.streaming:
-            self.connection.write_body(self._encode(data))
-            self.body = None
+        if self.body is None:
+            if self.connection is not None:
+                self.connection.write_body(self._encode(data))
         else:
             self.body.append(data)
-            self._pause_caller_if_full()
+            if self.streaming:
+                self.pause_caller()
+            elif self.held > HELD_BODY_BYTES:
+                self.streaming = True
+                self.pause_caller()
+                self._route()
+        if self.length is None and self.classified is not None:
+            self._check_chunked_length()
+
+    def _check_chunked_length(self):
+        try:
+            wire.check_body_length(self.classified.service, self.held)
+        except Refusal as refusal:
+            self.broken_off(refusal.code, refusal.detail)
 
     def body_end(self):
         """Notes that the body has arrived whole."""
         self.body_complete = True
         if self.done:
             return
-        if not self.streaming:
+        if self.refusal is not None:
+            self.refuse(self.refusal)
+        elif not self.streaming:
+            self.length = self.held
             self._route()
         elif self.connection is not None:
             self._end_upstream_body()
 
-    def caller_gone(self):
-        """Ends the request because its caller has closed the connection."""
-        if self.done:
-            return
-        self.router.count_result(codes.CALLER_GONE)
-        self._end()
-
     # Routing and admission.
 
     def _route(self):
+        self.parked = None
         try:
-            self.route, self.queue = self.router.route(self.classified)
+            self.route = self.router.route(self.classified, self.forward)
+            self.peer = None
+            if self.forward is None:
+                self.peer = self.router.gateway_of(self.route.server)
+            if self.peer is None:
+                self.router.check_server(self.route.server)
         except Refusal as refusal:
-            self.refuse(refusal)
+            self._wait_or_refuse(refusal)
             return
+        if self.peer is not None:
+            self.expires_at = self.classified.deadline + FORWARD_GRACE_S
+            self._count_attempt()
+            self.router.forward(self)
+            return
+        self.queue = self.router.queue_of(self.route.server, self.classified.service)
         self.ticket = Ticket(
             rank=self.classified.rank, deadline=self.classified.deadline, context=self
         )
         self.router.offer(self.queue, self.ticket)
 
+    def _wait_or_refuse(self, refusal):
+        if not self.router.park(self, refusal):
+            self.refuse(refusal)
+
     def retry_now(self):
         """Routes the request again after a failed attempt."""
         if not self.done:
@@ -151,60 +217,61 @@
 
     def slot_granted(self):
         """Sends the request; called when admission starts its ticket."""
-        self.attempts += 1
+        self._count_attempt()
         self.router.pool_of(self.route.server).acquire(self)
 
+    def _count_attempt(self):
+        self.attempts += 1
+        if self.attempts == 1:
+            self.router.first_attempt(self.classified.service)
+
     def connected(self, connection):
         """Writes the request on a connection."""
         if self.done:
-            connection.pool.exchange_ended(connection)
+            connection.pool.put_back(connection)
             return
+        if self.peer is None:
+            try:
+                self.router.check_ownership(self)
+            except Refusal as refusal:
+                connection.pool.put_back(connection)
+                # Nothing was sent, so the server has spent no attempt.
+                self.attempts -= 1
+                self._release(Signal.NOT_SENT)
+                self._wait_or_refuse(refusal)
+                return
+            self.router.attempt_began(self)
         self.connection = connection
-        connection.start(
-            self._upstream_head(), self, is_head=self.head.method == "HEAD"
-        )
-        for data in self.body or ():
-            connection.write_body(self._encode(data))
+        head = request_head(self, connection)
         if self.streaming:
-            self.body = None
-            connection.transport.registerProducer(_CallerProducer(self), True)
-            self._resume_caller()
+            connection.start(head, self, is_head=self.head.method == "HEAD")
+            # Registered first, so that what was held counts as well.
+            producer = CallerProducer(self)
+            connection.transport.registerProducer(producer, True)
+            body, self.body = self.body, None
+            for data in body:
+                connection.write_body(self._encode(data))
+            if self.connection is not None and not producer.paused:
+                self.resume_caller()
+        else:
+            # One write, so that head and body leave in one segment.
+            connection.start(
+                b"".join((head, *self.body)) if self.body else head,
+                self,
+                is_head=self.head.method == "HEAD",
+            )
         if self.body_complete:
             self._end_upstream_body()
 
-    def _upstream_head(self):
-        now = self.router.now()
-        lines = [f"{self.head.method} {self.head.target} HTTP/1.1".encode()]
-        lines += [
-            name + b": " + value
-            for name, value in self.raw_headers
-            if name.lower() not in _DROPPED
-        ]
-        remaining_ms = max(1, int((self.classified.deadline - now) * 1000))
-        lines.append(
-            f"Host: {self.connection.pool}\r\n"
-            f"Briarspoke-Epoch: {self.route.epoch}\r\n"
-            f"Briarspoke-Partition: {self.classified.service.name}/"
-            f"{self.classified.partition}\r\n"
-            f"Briarspoke-Owner: {self.route.server}\r\n"
-            f"Briarspoke-Deadline-Ms: {remaining_ms}\r\n"
-            f"Briarspoke-Request-Id: {self.request_id}".encode()
-        )
-        if self.length is None:
-            lines.append(b"Transfer-Encoding: chunked")
-        elif self.length or self.head.method not in ("GET", "HEAD", "DELETE"):
-            lines.append(b"Content-Length: %d" % self.length)
-        return b"\r\n".join(lines) + b"\r\n\r\n"
-
     def _encode(self, data):
         if self.length is None:
             return b"%x\r\n%b\r\n" % (len(data), data)
         return data
 
     def _end_upstream_body(self):
-        if self.length is None:
-            self.connection.write_body(b"0\r\n\r\n")
         if self.streaming:
+            if self.length is None:
+                self.connection.write_body(b"0\r\n\r\n")
             self.connection.transport.unregisterProducer()
         self.connection.end_request()
 
@@ -212,29 +279,68 @@
 
     def answer_head(self, head):
         """Passes on the head of the answer, or retries a refusal."""
-        attempt = wire.refusal_of_server(head)
-        if attempt is not None:
-            self.connection.abort()
-            self.connection = None
-            self.attempt_failed(attempt)
-            return
+        if self.peer is not None:
+            attempt = wire.result_of_peer(head)
+            if attempt is not None and not self._takes_result(attempt):
+                return
+        else:
+            attempt = wire.refusal_of_server(head)
+            if attempt is not None:
+                self._leave_connection()
+                self.attempt_failed(attempt)
+                return
         self.answered = True
-        self.exchange.answer_head(head, self.request_id)
+        self.exchange.answer_head(
+            head, self.request_id, from_peer=self.peer is not None
+        )
         if head.length is None or head.length > STREAM_BUFFER_BYTES:
-            self.exchange.register_producer(_ServerProducer(self))
+            self.exchange.register_producer(ServerProducer(self))
+
+    def _takes_result(self, attempt):
+        """Returns whether a peer's result is passed on as it is."""
+        self.router.count_attempt(attempt.outcome)
+        if attempt.code is codes.SHUTTING_DOWN:
+            self.router.avoid_peer(self.peer)
+        worth_it = (
+            attempt.outcome is Outcome.NOT_RUN
+            and attempt.code.kind is codes.Kind.UNAVAILABLE
+        )
+        if worth_it and self.router.retry(self, attempt):
+            self._leave_connection()
+            return False
+        if self.unknown is not None:
+            # The peer's result speaks of its own attempt alone.
+            self._leave_connection()
+            self.fail(attempt)
+            return False
+        self.router.count_result(attempt.code)
+        self.result_passed = True
+        return True
+
+    def _leave_connection(self):
+        connection, self.connection = self.connection, None
+        connection.discard_answer()
 
     def answer_data(self, data):
         """Passes on body data of the answer."""
         self.forwarded_bytes += len(data)
         self.exchange.answer_data(data)
 
+    def answer_flush(self):
+        """Writes what the server's last packet has brought."""
+        self.exchange.flush()
+
     def answer_complete(self):
         """Ends the request after its whole answer."""
         self.connection = None
         self.done = True
-        self._release(Signal.OK)
-        self.router.request_answered(self)
+        if self.result_passed:
+            self.router.request_ended(self)
+        else:
+            self.router.request_answered(self)
         self.exchange.answer_end(reusable=self.body_complete)
+        self.router.attempt_ended(self, may_run=False)
+        self._release(Signal.OK)
 
     def attempt_failed(self, attempt):
         """Tries again where that is safe, or reports the outcome."""
@@ -248,125 +354,53 @@
             self.exchange.abort()
             self._end()
             return
-        signal = {
-            Outcome.NOT_RUN: Signal.SHED if attempt.reason == "shed" else Signal.FAILED
-        }.get(attempt.outcome, Signal.FAILED)
-        self._release(signal)
-        replayable = self.body is not None
-        allowed = may_retry(
-            attempt,
-            idempotent=self.classified.idempotent,
-            replayable=replayable,
-            forwarded_bytes=self.forwarded_bytes,
-        )
-        if allowed and self.router.retry(self, attempt):
-            return
-        self.fail(attempt)
-
-    # Ends.
-
-    def refuse(self, refusal):
-        """Answers with a refusal; the request has not run."""
-        self.router.count_result(refusal.code)
-        self._answer(refusal.code, refusal.detail, "no", refusal.retry_after_ms)
-
-    def fail(self, attempt):
-        """Answers with the result of the last attempt."""
-        run = "no" if attempt.outcome is Outcome.NOT_RUN else "unknown"
-        self.router.count_result(attempt.code)
-        self._answer(attempt.code, attempt.code.meaning, run, None)
-
-    def deadline_passed(self):
-        """Ends the request at its deadline."""
-        if self.done:
-            return
-        if self.connection is None:
-            self.refuse(Refusal(codes.DEADLINE_IN_QUEUE))
+        if attempt.outcome is Outcome.UNKNOWN:
+            self.unknown = attempt
+        elif self.peer is not None and self._passes_over_peer(attempt):
             return
-        connection, self.connection = self.connection, None
-        connection.abort()
-        self.attempt_failed(
-            Attempt(
-                outcome=Outcome.UNKNOWN, reason="timeout", code=codes.ANSWER_TIMEOUT
-            )
-        )
-
-    def _answer(self, code, detail, run, retry_after_ms):
-        if self.done:
+        self.router.attempt_ended(self, may_run=attempt.outcome is Outcome.UNKNOWN)
+        if self.peer is None and attempt.reason == "connect-failed":
+            # Before the slot is free, or the next request would connect in vain.
+            self.router.server_unreachable(self.route.server)
+        self._release(Signal.SHED if attempt.reason == "shed" else Signal.FAILED)
+        if self._waits_for_owner(attempt):
             return
-        self._end()
-        self.exchange.result(
-            wire.result_head_and_body(
-                code, detail, run, self.request_id, retry_after_ms
-            ),
-            reusable=self.body_complete,
-        )
-
-    def _end(self):
-        self.done = True
-        if self.connection is not None:
-            self.connection.abort()
-            self.connection = None
-        if self.ticket is not None:
-            self.router.cancel(self.queue, self.ticket)
-            self.ticket = None
-        self.router.request_ended(self)
-
-    def _release(self, signal):
-        ticket, self.ticket = self.ticket, None
-        if ticket is not None:
-            self.router.release(self.queue, ticket, signal)
+        if not self.done and not self.router.retry(self, attempt):
+            self.fail(attempt)
+
+    def _passes_over_peer(self, attempt):
+        """Returns whether another gateway is tried at once.
+
+        No server has seen the request, so this is no retry of its work; each
+        peer is passed over for a while, which bounds the tries.
+        """
+        self.router.avoid_peer(self.peer)
+        if self.body is None or attempt.reason != "connect-failed":
+            return False
+        self.attempts -= 1
+        self._route()
+        return True
+
+    def _waits_for_owner(self, attempt):
+        """Returns whether a request that its server fenced off waits instead."""
+        if self.peer is not None or attempt.reason != "fenced":
+            return False
+        if not self.router.park(self, Refusal(attempt.code)):
+            return False
+        # The server has done no work, so the attempt does not count.
+        self.attempts -= 1
+        return True
 
     # Backpressure.
 
-    def _pause_caller(self):
-        if not self.paused_caller and not self.body_complete:
+    def pause_caller(self):
+        """Stops reading the body."""
+        if not self.paused_caller and not self.body_complete and not self.done:
             self.paused_caller = True
             self.exchange.pause_body()
 
-    def _pause_caller_if_full(self):
-        if self.streaming and self.connection is None:
-            self._pause_caller()
-
-    def _resume_caller(self):
-        if self.paused_caller:
+    def resume_caller(self):
+        """Reads the body again."""
+        if self.paused_caller and not self.done:
             self.paused_caller = False
             self.exchange.resume_body()
-
-
-class _CallerProducer:
-    """Lets the server's connection pause the caller's body."""
-
-    __slots__ = ("_relay",)
-
-    def __init__(self, relay):
-        self._relay = relay
-
-    def pauseProducing(self):
-        self._relay._pause_caller()
-
-    def resumeProducing(self):
-        self._relay._resume_caller()
-
-    def stopProducing(self):
-        """Does nothing; a lost connection is reported to the relay."""
-
-
-class _ServerProducer:
-    """Lets the caller's connection pause the server's answer."""
-
-    __slots__ = ("_relay",)
-
-    def __init__(self, relay):
-        self._relay = relay
-
-    def pauseProducing(self):
-        if self._relay.connection is not None:
-            self._relay.connection.transport.pauseProducing()
-
-    def resumeProducing(self):
-        if self._relay.connection is not None:
-            self._relay.connection.transport.resumeProducing()
-
-    def stopProducing(self):
-        """Does nothing; a lost caller is reported to the relay."""
--- a/briarspoke/http/router.py
+++ b/briarspoke/http/router.py
@@ -2,39 +2,91 @@
 
 from __future__ import annotations
 
+import collections
+import gc
 import logging
+import random
+
+from twisted.internet import defer, task
 
 from briarspoke import codes
+from briarspoke.admission.limits import Limits
 from briarspoke.admission.queue import ServerQueue, Start
 from briarspoke.configuration.snapshot import Configuration, split_address
 from briarspoke.errors import Refusal
-from briarspoke.http.upstream import ConnectionPool
-from briarspoke.retry.policy import RetryBudget
+from briarspoke.http.callers import CLOSING_GRACE_S, LINGER_S
+from briarspoke.http.forward import classified_of, forward_key
+from briarspoke.http.gateways import Gateways
+from briarspoke.http.pool import ConnectionPool
+from briarspoke.retry.policy import (
+    Backoff,
+    Denied,
+    Retry,
+    RetryBudget,
+    may_retry,
+    plan_retry,
+)
 from briarspoke.routing.classify import classify
+from briarspoke.routing.handover import WAIT_S, Handovers
+from briarspoke.routing.load import PartitionLoad
+from briarspoke.routing.reachability import Reachability
 from briarspoke.routing.table import RoutingTable
 
 log = logging.getLogger(__name__)
 
 TICK_S = 0.01
+SWEEP_S = 1.0
+DRAIN_POLL_S = 0.02
+# Each forwarded request that waits at its gateway holds a connection.
+CONNECTIONS_PER_PEER = 1024
+# A lost server's keys are served again after about this time.
+RETRY_AFTER_MS = 2_000
+WORTH_WAITING = frozenset(
+    {codes.PARTITION_MOVING, codes.OWNER_FENCED, codes.NO_ROUTING_LEASE}
+)
 
 
 class Router:
     """Routes requests of one entry VM.
 
     :param clock: function that returns monotonic seconds.
+    :param node_id: name of this node, and ``zone`` its availability zone.
+    :param cluster_key: secret shared by all entry VMs.
     """
 
-    def __init__(self, *, reactor, clock, metrics):
+    def __init__(self, *, reactor, clock, metrics, node_id="", zone="", cluster_key=""):
         self.reactor = reactor
         self.now = clock
         self.metrics = metrics
+        self.node_id = node_id
+        self.forward_key = forward_key(cluster_key)
         self.configuration = Configuration()
         self.table = RoutingTable()
+        self.gateways = Gateways(node_id=node_id, zone=zone)
+        # Live entry VMs, with node_id, zone, forward_host and forward_port.
+        self.peers_by_id = {}
         self.queues_by_server = {}
         self.pools_by_server = {}
+        self.pools_by_peer_address = {}
         self.budgets_by_service = {}
+        self.limits = Limits(live_nodes=lambda: 1 + len(self.peers_by_id))
+        self.backoff = Backoff(random=random.Random())
+        self.warming_servers = set()
+        self.load = PartitionLoad()
+        self.handovers = Handovers()
+        self.reachability = Reachability()
+        # Set by the node: the RoutingLeaseHolder, and a function of (server name,
+        # whether it answers) for unfenced servers.
+        self.routing_leases = None
+        self.on_server_report = None
         self.relays = set()
+        self.channels = set()
         self.closing = False
+        self._closing_since = None
+        self._next_sweep = 0.0
+        self._commands = collections.deque()
+        self._running = False
+        self._settled = False
 
     # Configuration and ownership.
 
@@ -42,11 +94,42 @@
         """Takes a newer configuration into use."""
         if configuration.version <= self.configuration.version:
             return False
+        if self.configuration.version:
+            self.warming_servers |= set(configuration.servers_by_name) - set(
+                self.configuration.servers_by_name
+            )
         self.configuration = configuration
-        for name in list(self.queues_by_server):
+        self.limits.apply(configuration.limits_by_name)
+        for name, queue in list(self.queues_by_server.items()):
             if name not in configuration.servers_by_name:
                 del self.queues_by_server[name]
                 self.pools_by_server.pop(name).close()
+                self.reachability.forget(name)
+            else:
+                self._reconfigure(queue, configuration.servers_by_name[name])
+        for service in configuration.services_by_name.values():
+            self.budget_of(service).ratio = service.retry.budget_ratio
+        return True
+
+    def _reconfigure(self, queue, server):
+        service = self.configuration.services_by_name.get(server.service)
+        if service is not None:
+            self._run(
+                queue.reconfigure(
+                    slots=server.slots,
+                    policies_by_rank=service.ranks,
+                    warmup_s=service.warmup_s,
+                    now=self.now(),
+                )
+            )
+
+    def apply_ownership(self, document):
+        """Takes a newer ownership document into use."""
+        if not self.table.apply(document):
+            return False
+        for service_name, partition in self.handovers.partitions():
+            if service_name == document.service:
+                self._wake(service_name, partition)
         return True
 
     # Called by relays.
@@ -57,47 +140,211 @@
 
     def request_answered(self, relay):
         """Counts a request whose answer was passed on in whole."""
-        self.metrics.count("answers_total", relay.classified.rank)
+        classified = relay.classified
+        self.metrics.count("answers_total", classified.rank)
+        if self.handovers.is_waiting((classified.service.name, classified.partition)):
+            self._wake(classified.service.name, classified.partition)
         self.request_ended(relay)
 
     def request_ended(self, relay):
         """Forgets a request."""
         self.relays.discard(relay)
+        classified = relay.classified
+        if relay.parked is not None:
+            self.handovers.forget(
+                (classified.service.name, classified.partition), relay
+            )
+        if classified is not None and classified.permit is not None:
+            permit, classified.permit = classified.permit, None
+            self.limits.release(permit)
 
-    def admit(self, head):
+    def admit(self, head, forward=None):
         """Returns the classified request.
 
+        :param forward: the signed fields of a forwarded request, or None.
         :raises Refusal: if an operator's rule or the request itself forbids it.
         """
-        if self.closing:
+        now = self.now()
+        if self.closing and now > self._closing_since + CLOSING_GRACE_S:
             raise Refusal(codes.SHUTTING_DOWN)
         if not self.configuration.version:
             raise Refusal(codes.NOT_READY)
-        classified = classify(head, self.configuration, self.now())
+        if forward is not None:
+            self.metrics.count("forwards_total", "in")
+            return classified_of(forward, self.configuration, now)
+        classified = classify(head, self.configuration, now)
+        classified.permit = self.limits.admit(classified, now)
         self.metrics.count("requests_total", classified.rank)
-        self.budget_of(classified.service).earn()
         return classified
 
-    def route(self, classified):
-        """Returns the route and the queue of the owning server.
+    def route(self, classified, forward=None):
+        """Returns the route of the owning server.
 
+        :param forward: the signed fields of a forwarded request, or None.
         :raises Refusal: if no server owns the partition.
         """
         route = self.table.route(classified.service.name, classified.partition)
         if route is None or route.server is None:
             raise Refusal(codes.NO_OWNER)
+        if forward is not None and route.epoch < forward.epoch:
+            raise Refusal(codes.OWNER_FENCED, "the gateway does not know the epoch yet")
         if route.moving:
             raise Refusal(codes.PARTITION_MOVING)
         if route.server not in self.configuration.servers_by_name:
             raise Refusal(codes.NO_OWNER, "the owner is not configured")
-        return route, self.queue_of(route.server, classified.service)
+        return route
+
+    # Handovers.
+
+    def park(self, relay, refusal):
+        """Lets a request wait for its owner and returns whether it does.
+
+        :param refusal: what it is refused with when the owner does not come.
+        """
+        if refusal.code not in WORTH_WAITING or relay.body is None:
+            return False
+        now = self.now()
+        if relay.parked_until is None:
+            relay.parked_until = min(now + WAIT_S, relay.classified.deadline)
+        if relay.parked_until <= now:
+            return False
+        key = (relay.classified.service.name, relay.classified.partition)
+        if not self.handovers.park(key, relay, relay.parked_until, now):
+            return False
+        relay.parked = refusal
+        self.metrics.count("handover_waits_total", refusal.code.number)
+        return True
+
+    def _wake(self, service_name, partition):
+        for relay in self.handovers.wake((service_name, partition)):
+            # Not inside the caller's frame, which may still hold a slot.
+            self.reactor.callLater(0, self._retry_now, relay)
+
+    def _tick_handovers(self, now):
+        to_try, expired = self.handovers.tick(now)
+        for relay in to_try:
+            self._retry_now(relay)
+        for relay in expired:
+            relay.refuse(relay.parked)
+
+    # What may be sent to a server now.
+
+    def check_server(self, server_name):
+        """Raises :exc:`Refusal` while a server cannot be connected to."""
+        if not self.reachability.may_try(server_name, self.now()):
+            raise Refusal(codes.OWNER_UNREACHABLE, retry_after_ms=RETRY_AFTER_MS)
+
+    def check_ownership(self, relay):
+        """Raises :exc:`Refusal` unless a request may be written to its server now.
+
+        The owner may have changed while the request waited for a slot.
+        """
+        classified = relay.classified
+        service = classified.service
+        route = self.table.route(service.name, classified.partition)
+        if route is not relay.route and not route.same_as(relay.route):
+            raise Refusal(codes.PARTITION_MOVING)
+        if service.fenced:
+            return
+        now = self.now()
+        allowed = self.routing_leases is not None and self.routing_leases.may_send(
+            zone=self.configuration.servers_by_name[route.server].zone,
+            service=service.name,
+            version=self.table.version(service.name),
+            deadline_s=classified.deadline - now,
+            now=now,
+        )
+        if not allowed:
+            raise Refusal(codes.NO_ROUTING_LEASE)
+
+    def attempt_began(self, relay):
+        """Notes that a request is written to its server."""
+        classified = relay.classified
+        self.load.count(
+            classified.service.name, relay.route.server, classified.partition
+        )
+        if self.reachability.connected(relay.route.server):
+            self._report_server(relay.route.server, True)
+        if not classified.service.fenced:
+            relay.tracked = f"{classified.service.name}/{classified.partition}"
+            self.routing_leases.began(relay.tracked)
+
+    def attempt_ended(self, relay, *, may_run):
+        """Notes that the server has no work of a request any more.
+
+        :param may_run: whether the server may still run it; it honours the
+            deadline, so the work counts as in flight until then.
+        """
+        name, relay.tracked = relay.tracked, None
+        if name is None:
+            return
+        if may_run:
+            remaining_s = max(0.0, relay.classified.deadline - self.now())
+            self.reactor.callLater(remaining_s, self.routing_leases.ended, name)
+        else:
+            self.routing_leases.ended(name)
+
+    def server_unreachable(self, server_name):
+        """Notes a failed connection and refuses what waits for the server."""
+        if not self.reachability.failed(server_name, self.now()):
+            return
+        self._report_server(server_name, False)
+        queue = self.queues_by_server.get(server_name)
+        for relay in list(self.relays):
+            ticket = relay.ticket
+            if relay.queue is queue and ticket is not None and not ticket.running:
+                relay.refuse(
+                    Refusal(codes.OWNER_UNREACHABLE, retry_after_ms=RETRY_AFTER_MS)
+                )
+
+    def _report_server(self, server_name, reachable):
+        if self.on_server_report is not None:
+            self.on_server_report(server_name, reachable)
+
+    # Gateways.
+
+    def gateway_of(self, server_name):
+        """Returns the peer in front of a server, or None for this node."""
+        server = self.configuration.servers_by_name[server_name]
+        return self.gateways.choose(server, self.now())
+
+    def forward(self, relay):
+        """Sends a request to the gateway of its owner."""
+        self.metrics.count("forwards_total", "out")
+        peer = relay.peer
+        address = (peer.forward_host, peer.forward_port)
+        pool = self.pools_by_peer_address.get(address)
+        if pool is None:
+            pool = ConnectionPool(
+                reactor=self.reactor,
+                host=peer.forward_host,
+                port=peer.forward_port,
+                maximum=CONNECTIONS_PER_PEER,
+                clock=self.now,
+                unreachable=codes.GATEWAY_UNREACHABLE,
+            )
+            self.pools_by_peer_address[address] = pool
+        pool.acquire(relay)
+
+    def avoid_peer(self, peer):
+        """Passes over a peer that takes no requests, for a while."""
+        self.gateways.avoid(peer.node_id, self.now())
+
+    # Queues and connections of servers.
 
     def queue_of(self, server_name, service):
         """Returns the queue of a server, made when first needed."""
         queue = self.queues_by_server.get(server_name)
         if queue is None:
             server = self.configuration.servers_by_name[server_name]
-            queue = ServerQueue(slots=server.slots, policies_by_rank=service.ranks)
+            queue = ServerQueue(
+                slots=server.slots,
+                policies_by_rank=service.ranks,
+                warmup_s=service.warmup_s,
+            )
+            if server_name in self.warming_servers:
+                self.warming_servers.discard(server_name)
+                queue.warm_up(self.now())
             self.queues_by_server[server_name] = queue
         return queue
 
@@ -131,17 +378,43 @@
 
     def retry(self, relay, attempt):
         """Starts another attempt and returns True if policy and budget allow."""
-        service = relay.classified.service
-        if relay.attempts >= service.retry.attempts:
-            return False
-        if relay.classified.deadline <= self.now():
+        allowed = may_retry(
+            attempt,
+            idempotent=relay.classified.idempotent,
+            replayable=relay.body is not None,
+            forwarded_bytes=relay.forwarded_bytes,
+        )
+        if not allowed:
+            self.metrics.count("retries_denied_total", Denied.UNSAFE.value)
             return False
-        if not self.budget_of(service).spend():
+        plan = plan_retry(
+            attempts=relay.attempts,
+            rules=relay.classified.service.retry,
+            budget=self.budget_of(relay.classified.service),
+            backoff=self.backoff,
+            remaining_s=relay.classified.deadline - self.now(),
+            needed_s=relay.queue.fastest_s(relay.classified.rank)
+            if relay.queue
+            else 0.0,
+        )
+        if not isinstance(plan, Retry):
+            self.metrics.count("retries_denied_total", plan.value)
             return False
         self.metrics.count("retries_total", attempt.reason)
-        self.reactor.callLater(0.01 * relay.attempts, relay.retry_now)
+        self.reactor.callLater(plan.delay_s, self._retry_now, relay)
         return True
 
+    def _retry_now(self, relay):
+        try:
+            relay.retry_now()
+        except Exception:
+            self._crashed(relay)
+
+    def first_attempt(self, service):
+        """Credits the retry budget of a service with a first attempt."""
+        self.metrics.count("first_attempts_total")
+        self.budget_of(service).earn()
+
     def budget_of(self, service):
         """Returns the retry budget of a service."""
         budget = self.budgets_by_service.get(service.name)
@@ -163,23 +436,108 @@
     def tick(self):
         """Ends requests whose deadline has passed; called every ``TICK_S``."""
         now = self.now()
+        if not self._settled:
+            self._settled = True
+            # Full collections would visit every object of the program's modules
+            # and pause the process for 20 ms.
+            gc.collect()
+            gc.freeze()
+        self.gateways.refresh(self.peers_by_id)
+        self._tick_handovers(now)
         for queue in list(self.queues_by_server.values()):
             self._run(queue.tick(now))
         expired = [
             relay
             for relay in self.relays
-            if relay.classified is not None and relay.classified.deadline <= now
+            if relay.expires_at is not None and relay.expires_at <= now
         ]
         for relay in expired:
-            relay.deadline_passed()
+            try:
+                relay.deadline_passed()
+            except Exception:
+                self._crashed(relay)
+        if now >= self._next_sweep:
+            self._next_sweep = now + SWEEP_S
+            self._sweep(now)
+
+    def _sweep(self, now):
+        for channel in list(self.channels):
+            channel.sweep(now)
+        for pool in self._pools():
+            pool.close_idle(now)
 
     def _run(self, commands):
-        for command in commands:
-            relay = command.ticket.context
+        """Carries commands out one after the other.
+
+        A command may lead to further ones; carrying those out inside it would
+        nest as deep as the queue is long.
+        """
+        self._commands.extend(commands)
+        if self._running:
+            return
+        self._running = True
+        try:
+            while self._commands:
+                self._carry_out(self._commands.popleft())
+        finally:
+            self._running = False
+
+    def _carry_out(self, command):
+        relay = command.ticket.context
+        try:
             if isinstance(command, Start):
-                relay.slot_granted()
-            else:
+                if relay.ticket is command.ticket:
+                    relay.slot_granted()
+            elif relay.ticket is command.ticket:
                 relay.ticket = None
                 relay.refuse(
                     Refusal(command.code, retry_after_ms=command.retry_after_ms)
                 )
+        except Exception:
+            self._crashed(relay)
+
+    def _crashed(self, relay):
+        log.exception("router: request %s failed", relay.request_id)
+        relay.crash()
+
+    # Shutdown.
+
+    @defer.inlineCallbacks
+    def drain(self, timeout_s):
+        """Finishes what is in flight and logs what was left at the timeout.
+
+        The ports have to be closed before.
+
+        :returns: a Deferred of the number of requests that were cut off.
+        """
+        self.closing = True
+        self._closing_since = self.now()
+        deadline = self._closing_since + timeout_s
+        while self._drains() and self.now() < deadline:
+            yield task.deferLater(self.reactor, DRAIN_POLL_S, lambda: None)
+        left = list(self.relays)
+        for relay in left:
+            log.warning(
+                "router: request %s was cut off by the shutdown", relay.request_id
+            )
+            relay.broken_off(codes.SHUTTING_DOWN)
+        for channel in list(self.channels):
+            channel.linger()
+        # The last answers are still in write buffers.
+        flushed_by = self.now() + LINGER_S
+        while self.channels and self.now() < flushed_by:
+            yield task.deferLater(self.reactor, DRAIN_POLL_S, lambda: None)
+        for pool in self._pools():
+            pool.close()
+        return len(left)
+
+    def _drains(self):
+        if self.relays:
+            return True
+        # A request may be on its way on a kept connection.
+        return bool(self.channels) and (
+            self.now() < self._closing_since + CLOSING_GRACE_S
+        )
+
+    def _pools(self):
+        return [*self.pools_by_server.values(), *self.pools_by_peer_address.values()]
--- a/briarspoke/metrics.py
+++ b/briarspoke/metrics.py
@@ -11,9 +11,24 @@
     "answers_total": ("rank", "Answers of servers passed on in whole, by rank."),
     "refusals_total": ("code", "Results made by briarspoke, by result code."),
     "retries_total": ("reason", "Attempts that were repeated, by reason."),
+    "retries_denied_total": ("reason", "Failed attempts not repeated, by reason."),
+    "first_attempts_total": ("", "Requests whose first attempt was started."),
     "attempts_total": ("outcome", "Attempts that ended, by outcome."),
+    "handover_waits_total": (
+        "code",
+        "Waits of requests for an owner on the move, by the code they avoid.",
+    ),
     "forwards_total": ("direction", "Requests forwarded between entry VMs."),
     "invariants_total": ("code", "Failed assertions inside the program."),
+    "link_results_total": ("code", "Links and messages rejected, by result code."),
+    "link_frames_total": ("direction", "Frames on links between entry VMs."),
+    "link_bytes_total": ("direction", "Bytes on links between entry VMs."),
+    "member_changes_total": ("status", "Changes of members, by new status."),
+    "documents_taken_total": ("source", "Documents taken from store or links."),
+    "store_calls_total": ("kind", "Calls to the platform's store, by kind."),
+    "store_failures_total": ("kind", "Failed calls to the store, by kind."),
+    "store_sent_bytes_total": ("kind", "Estimated bytes sent to the store."),
+    "store_received_bytes_total": ("kind", "Estimated bytes received from the store."),
 }
 
 GAUGES = {
