--- a/tests/test_limits_machine.py
+++ b/tests/test_limits_machine.py
@@ -6,13 +6,13 @@
 import hypothesis.strategies as st
 import pytest
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from profiles import stateful_settings
 
 from briarspoke import codes
 from briarspoke.admission.limits import Limits
 from briarspoke.configuration.resources import Limit
 from briarspoke.errors import InvariantError, Refusal
 from briarspoke.retry.policy import RetryBudget
-from tests.profiles import stateful_settings
 
 MAX_CALLERS = 3
 CALLERS = [f"caller-{number}" for number in range(8)]
--- a/tests/test_queue_machine.py
+++ b/tests/test_queue_machine.py
@@ -2,11 +2,11 @@
 
 import hypothesis.strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from profiles import stateful_settings
 
 from briarspoke import codes
 from briarspoke.admission.queue import Refuse, ServerQueue, Signal, Start, Ticket
 from briarspoke.configuration.resources import RANKS, RankPolicy
-from tests.profiles import stateful_settings
 
 BOUNDS = {"lookup": 4, "booking": 3, "bulk": 3}
 SHARES = {"lookup": 0.5, "booking": 0.3, "bulk": 0.1}
