Take timers from the monotonic clock and round them up

Cause: a profile of an idle node showed 20,289 timer wake-ups in 10 s. uvloop rounds timers to milliseconds, so they fired early and were set again with a delay of zero. Twisted also read the wall clock, whose steps would fire or hold back every timer, renewals of grants among them. Change: the reactor reads the monotonic clock and adds 1 ms to each delay.

--- a/briarspoke/loop.py
+++ b/briarspoke/loop.py
@@ -4,6 +4,9 @@
 
 import asyncio
 import sys
+import time
+
+TIMER_STEP_S = 0.001
 
 
 def _make_reactor(event_loop):
@@ -18,6 +21,19 @@
         in the code of an unrelated connection that writes to this one.
         """
 
+        # Twisted takes the wall clock by default; a step of it would fire every
+        # timer at once or hold all of them back.
+        seconds = staticmethod(time.monotonic)
+
+        def timeout(self):
+            """Returns the seconds to the next timer, rounded up for uvloop.
+
+            uvloop rounds to milliseconds; a timer that fires early would be
+            set again and again with a delay of zero.
+            """
+            timeout_s = super().timeout()
+            return timeout_s + TIMER_STEP_S if timeout_s else timeout_s
+
         def addReader(self, reader):
             try:
                 super().addReader(reader)
--- /dev/null
+++ b/tests/test_loop.py
@@ -0,0 +1,31 @@
+from __future__ import annotations
+
+import asyncio
+import time
+
+import pytest
+
+from briarspoke import loop
+
+
+class TestReactor:
+    @pytest.fixture
+    def reactor(self):
+        event_loop = asyncio.new_event_loop()
+        yield loop._make_reactor(event_loop)
+        event_loop.close()
+
+    def test_step_of_the_wall_clock_fires_no_timer(self, reactor, monkeypatch):
+        # Guards against renewals that stop, or all end, when a clock is set.
+        fired = []
+        reactor.callLater(3600, fired.append, True)
+        now = time.time()
+        monkeypatch.setattr(time, "time", lambda: now + 7200)
+        reactor.runUntilCurrent()
+        assert not fired
+
+    def test_timer_is_not_set_for_less_than_a_millisecond(self, reactor):
+        # Guards against uvloop rounding a delay to zero, which took 1,800 empty
+        # wake-ups a second at an idle node.
+        reactor.callLater(0.0002, lambda: None)
+        assert reactor.timeout() >= loop.TIMER_STEP_S
