Let the load benches run on the merged data path

Cause: the benches' services were declared without fencing, so requests now needed a routing lease (3005), and the faulty server's mode had taken the name of the stand-in's fault function, so every answer was cut off (3101). Change: the services are fenced, whose servers here check no grants; the mode has a name of its own. Admission's last version leaves more slots to lookups.

--- a/briarspoke/admission/queue.py
+++ b/briarspoke/admission/queue.py
@@ -421,11 +421,18 @@
         return self.in_flight - self.running(LOOKUP)
 
     def _leaves_room_for_lookups(self, rank, now):
-        """Whether a start leaves the slots that lookups have lately used."""
+        """Whether a start leaves the slots that lookups have lately used.
+
+        Bulk leaves one standard deviation of Poisson arrivals more, because a
+        lookup that finds no slot waits longest for a bulk request.
+        """
         if rank == LOOKUP:
             return True
         slots = self.limit.current(now)
-        kept = math.ceil(self._lookup_demand - DEMAND_NOISE_SLOTS)
+        demand = self._lookup_demand
+        if rank == BULK:
+            demand += math.sqrt(demand)
+        kept = math.ceil(demand - DEMAND_NOISE_SLOTS)
         return self._non_lookups() < slots - min(slots - 1, kept)
 
     def _next_rank(self, now):
--- a/briarspoke/benches/flood.py
+++ b/briarspoke/benches/flood.py
@@ -42,7 +42,7 @@
         "services": [
             {
                 "name": "tabela",
-                "fenced": False,
+                "fenced": True,
                 "rank_rules": [{"rank": "bulk", "methods": ["PUT"]}],
                 "ranks": {
                     rank: {"share": share} for rank, share in SHARE_BY_RANK.items()
--- a/briarspoke/benches/retries.py
+++ b/briarspoke/benches/retries.py
@@ -34,7 +34,7 @@
         "services": [
             {
                 "name": "tabela",
-                "fenced": False,
+                "fenced": True,
                 "ranks": {
                     "lookup": {"deadline_ms": 1000},
                     "booking": {"deadline_ms": 2000},
--- a/briarspoke/standins/faulty.py
+++ b/briarspoke/standins/faulty.py
@@ -21,23 +21,23 @@
 
     def __init__(self, **kwargs):
         super().__init__(**kwargs)
-        self.fault = Fault.NONE
+        self.mode = Fault.NONE
         self.arrivals = 0
 
     def set_fault(self, fault):
         """Begins a fault, or ends it with ``Fault.NONE``."""
-        if self.fault is Fault.STALL and fault is not Fault.STALL:
+        if self.mode is Fault.STALL and fault is not Fault.STALL:
             self.thaw()
-        self.fault = fault
+        self.mode = fault
         if fault is Fault.STALL:
             self.freeze()
 
     def arrived(self, connection):
         self.arrivals += 1
-        if self.fault is Fault.REFUSE:
+        if self.mode is Fault.REFUSE:
             self.shed += 1
             connection.reply(503, b"", b"Briarspoke-Shed: 1\r\n")
-        elif self.fault is Fault.DROP:
+        elif self.mode is Fault.DROP:
             connection.transport.abortConnection()
         else:
             super().arrived(connection)
