Call the servers' control endpoint over the project's pool

Each grant renewal went through twisted.web.client.Agent, whose request, response and Deferred machinery took about a third of a controller's time. The calls now use ConnectionPool and UpstreamConnection, as the relays do. A call counts as not delivered only when nothing of it was written; a connection whose call timed out is closed and not used again.

--- a/briarspoke/ownership/servers.py
+++ b/briarspoke/ownership/servers.py
@@ -4,15 +4,21 @@
 
 import json
 
-from twisted.internet import defer, endpoints, error, protocol
-from twisted.web import client, http_headers
+from twisted.internet import defer, endpoints, error, protocol, task
 
+from briarspoke import clock
 from briarspoke.configuration.snapshot import split_address
+from briarspoke.http.pool import ConnectionPool
 from briarspoke.ownership import events
-from briarspoke.platform.store import BytesProducer
+from briarspoke.retry.policy import Outcome
 
 # Below the interval of renewals, so that one call is in flight per server.
 CALL_TIMEOUT_S = 0.35
+# A call that timed out still counts until its connection has been closed.
+CONNECTIONS_PER_SERVER = 2
+CLOSE_IDLE_EVERY_S = 5.0
+# An answer lists at most the server's partitions.
+MAX_ANSWER_BYTES = 1_048_576
 
 
 class ServerCalls:
@@ -21,39 +27,28 @@
     def __init__(self, *, reactor, settled):
         self._reactor = reactor
         self._settled = settled
-        self._pool = client.HTTPConnectionPool(reactor, persistent=True)
-        self._pool.maxPersistentPerHost = 1
-        # A repeated call could deliver an older grant after a newer one.
-        self._pool.retryAutomatically = False
-        self._agent = client.Agent(
-            reactor, pool=self._pool, connectTimeout=CALL_TIMEOUT_S
-        )
+        self._pools_by_address = {}
+        self._closer = task.LoopingCall(self._close_idle)
+        self._closer.clock = reactor
 
     def close(self):
         """Closes the pooled connections."""
-        return self._pool.closeCachedConnections()
+        if self._closer.running:
+            self._closer.stop()
+        for pool in self._pools_by_address.values():
+            pool.close()
+        self._pools_by_address.clear()
+        return defer.succeed(None)
 
-    @defer.inlineCallbacks
     def send_grants(self, zone, command):
         """Sends a :class:`commands.SendGrants`."""
-        request = self._agent.request(
-            b"POST",
-            f"http://{command.address}/_control/grants".encode(),
-            http_headers.Headers({"Content-Type": ["application/json"]}),
-            BytesProducer(json.dumps(command.body()).encode()),
+        call = _Call(
+            command=command,
+            head=_head(command),
+            ended=lambda event: self._settled(zone, event),
         )
-        request.addTimeout(CALL_TIMEOUT_S, self._reactor)
-        try:
-            response = yield request
-            reading = client.readBody(response)
-            reading.addTimeout(CALL_TIMEOUT_S, self._reactor)
-            content = yield reading
-            event = _answer(command, response.code, json.loads(content))
-        except (error.ConnectError, error.ConnectingCancelledError):
-            event = _failure(command, refused=True)
-        except Exception:
-            event = _failure(command, refused=False)
-        self._settled(zone, event)
+        call.timer = self._reactor.callLater(CALL_TIMEOUT_S, call.time_out)
+        self._pool(command.address).acquire(call)
 
     @defer.inlineCallbacks
     def probe(self, zone, command):
@@ -75,23 +70,134 @@
             zone, events.ProbeSettled(server=command.server, reachable=reachable)
         )
 
+    def _pool(self, address):
+        pool = self._pools_by_address.get(address)
+        if pool is None:
+            host, port = split_address(address)
+            pool = self._pools_by_address[address] = ConnectionPool(
+                reactor=self._reactor,
+                host=host,
+                port=port,
+                maximum=CONNECTIONS_PER_SERVER,
+                clock=clock.monotonic,
+            )
+            if not self._closer.running:
+                self._closer.start(CLOSE_IDLE_EVERY_S, now=False)
+        return pool
+
+    def _close_idle(self):
+        now = clock.monotonic()
+        for pool in self._pools_by_address.values():
+            pool.close_idle(now)
+
 
-def _answer(command, status, value):
-    if status not in (200, 409):
-        return _failure(command, refused=False)
-    return events.GrantAnswered(
-        server=command.server,
-        call_id=command.call_id,
-        accepted=status == 200,
-        clock=float(value["clock"]),
-        incarnation=value["incarnation"],
-        term=int(value["term"]),
-        digest=value.get("digest", ""),
-        busy=frozenset(value.get("busy", ())),
+class _Call:
+    """One control call: waiter of the pool and listener of the exchange.
+
+    :param ended: function that takes the event in which the call ends.
+    """
+
+    __slots__ = (
+        "_body",
+        "_command",
+        "_connection",
+        "_ended",
+        "_head",
+        "_size",
+        "_status",
+        "done",
+        "timer",
     )
 
+    def __init__(self, *, command, head, ended):
+        self.done = False
+        self.timer = None
+        self._command = command
+        self._head = head
+        self._ended = ended
+        self._connection = None
+        self._status = 0
+        self._body = []
+        self._size = 0
+
+    def connected(self, connection):
+        """Writes the call; from here on it may be delivered."""
+        self._connection = connection
+        connection.start(self._head, self)
+        connection.end_request()
+
+    def answer_head(self, head):
+        """Takes the status of the answer."""
+        self._status = head.status
+
+    def answer_data(self, data):
+        """Takes a part of the answer."""
+        self._body.append(data)
+        self._size += len(data)
+        if self._size > MAX_ANSWER_BYTES and not self.done:
+            self._connection.abort()
+            self._end(self._failure(refused=False))
+
+    def answer_flush(self):
+        """Has nothing to pass on before the answer is complete."""
+
+    def answer_complete(self):
+        """Ends the call with the server's answer."""
+        if not self.done:
+            self._end(self._answer())
+
+    def attempt_failed(self, attempt):
+        """Ends the call without an answer."""
+        if not self.done:
+            # Only a call of which nothing was written cannot be delivered later.
+            self._end(self._failure(refused=attempt.outcome is Outcome.NOT_RUN))
+
+    def time_out(self):
+        """Ends the call when its time is over."""
+        if self.done:
+            return
+        if self._connection is not None:
+            self._connection.abort()
+        self._end(self._failure(refused=self._connection is None))
+
+    def _end(self, event):
+        self.done = True
+        if self.timer.active():
+            self.timer.cancel()
+        self._ended(event)
+
+    def _answer(self):
+        command = self._command
+        if self._status not in (200, 409):
+            return self._failure(refused=False)
+        try:
+            value = json.loads(b"".join(self._body))
+            return events.GrantAnswered(
+                server=command.server,
+                call_id=command.call_id,
+                accepted=self._status == 200,
+                clock=float(value["clock"]),
+                incarnation=value["incarnation"],
+                term=int(value["term"]),
+                digest=value.get("digest", ""),
+                busy=frozenset(value.get("busy", ())),
+            )
+        except (AttributeError, KeyError, TypeError, ValueError):
+            return self._failure(refused=False)
+
+    def _failure(self, *, refused):
+        return events.GrantFailed(
+            server=self._command.server,
+            call_id=self._command.call_id,
+            refused=refused,
+        )
+
 
-def _failure(command, *, refused):
-    return events.GrantFailed(
-        server=command.server, call_id=command.call_id, refused=refused
+def _head(command):
+    """Returns the whole request as bytes."""
+    body = json.dumps(command.body(), separators=(",", ":")).encode()
+    return (
+        b"POST /_control/grants HTTP/1.1\r\nHost: %b\r\n"
+        b"Content-Type: application/json\r\nContent-Length: %d\r\n\r\n%b"
+        % (command.address.encode(), len(body), body)
     )
--- /dev/null
+++ b/tests/test_ownership_servers.py
@@ -0,0 +1,129 @@
+from __future__ import annotations
+
+import json
+
+import pytest
+from http_fakes import LOST, Socket
+from twisted.internet import task
+
+from briarspoke.ownership import events
+from briarspoke.ownership.commands import SendGrants
+from briarspoke.ownership.servers import CALL_TIMEOUT_S, MAX_ANSWER_BYTES, ServerCalls
+
+ANSWER = {"clock": 5, "incarnation": "1", "term": 3, "digest": "d", "busy": ["s/1"]}
+
+
+class Reactor(task.Clock):
+    """Connections that the test accepts, answers or loses."""
+
+    def __init__(self):
+        super().__init__()
+        self.factories = []
+        self.settled = []
+        self.control = ServerCalls(
+            reactor=self, settled=lambda zone, event: self.settled.append(event)
+        )
+
+    def connectTCP(self, host, port, factory, timeout):
+        self.factories.append(factory)
+
+    def send(self, call_id=1):
+        self.control.send_grants(
+            "z",
+            SendGrants(
+                server="a",
+                address="127.0.0.1:1",
+                call_id=call_id,
+                zone="z",
+                term=3,
+                grants={"s/0": 1},
+                digest="d",
+                revoke=(),
+                expires_at=7.0,
+                incarnation="1",
+            ),
+        )
+
+    def accept(self):
+        connection = self.factories.pop(0).buildProtocol(None)
+        connection.makeConnection(Socket())
+        return connection
+
+
+def answer(value, status=b"200 OK"):
+    body = value if isinstance(value, bytes) else json.dumps(value).encode()
+    return b"HTTP/1.1 %b\r\nContent-Length: %d\r\n\r\n%b" % (status, len(body), body)
+
+
+@pytest.fixture
+def reactor():
+    return Reactor()
+
+
+class TestAnswers:
+    def test_renewals_share_a_connection(self, reactor):
+        # Guards against a connect per renewal and against mixed-up answers.
+        reactor.send(1)
+        connection = reactor.accept()
+        head, body = connection.transport.take().split(b"\r\n\r\n")
+        assert head.startswith(b"POST /_control/grants HTTP/1.1\r\n")
+        assert json.loads(body)["grants"] == {"s/0": 1}
+        connection.dataReceived(answer(ANSWER))
+        reactor.send(2)
+        connection.dataReceived(answer(ANSWER, b"409 Conflict"))
+        assert not reactor.factories
+        assert [(e.call_id, e.accepted) for e in reactor.settled] == [
+            (1, True),
+            (2, False),
+        ]
+        assert reactor.settled[0].busy == {"s/1"}
+
+    @pytest.mark.parametrize(
+        "data",
+        [
+            answer({"clock": 1}),
+            answer(b"[]"),
+            answer(b"x" * (MAX_ANSWER_BYTES + 1)),
+            answer(ANSWER, b"500 Error"),
+            b"nonsense\r\n\r\n",
+        ],
+    )
+    def test_useless_answer_may_have_been_applied(self, reactor, data):
+        # Guards against reading an accepted call as one that never arrived.
+        reactor.send()
+        reactor.accept().dataReceived(data)
+        assert [(type(e), e.refused) for e in reactor.settled] == [
+            (events.GrantFailed, False)
+        ]
+
+
+class TestFailures:
+    def test_refused_connection(self, reactor):
+        # Guards against waiting for grants that were never sent.
+        reactor.send()
+        reactor.factories.pop().clientConnectionFailed(None, LOST)
+        assert [e.refused for e in reactor.settled] == [True]
+
+    def test_late_connection_delivers_nothing(self, reactor):
+        # Guards against a call that is written after it was reported as not sent.
+        reactor.send()
+        reactor.advance(CALL_TIMEOUT_S)
+        assert [e.refused for e in reactor.settled] == [True]
+        assert reactor.accept().transport.take() == b""
+
+    def test_silent_server(self, reactor):
+        # Guards against an answer that arrives on a connection used again.
+        reactor.send()
+        connection = reactor.accept()
+        reactor.advance(CALL_TIMEOUT_S)
+        assert connection.transport.aborted
+        connection.connectionLost(LOST)
+        assert [e.refused for e in reactor.settled] == [False]
+        reactor.send(2)
+        assert reactor.accept() is not connection
+
+    def test_lost_connection(self, reactor):
+        # Guards against taking a call without an answer for one not delivered.
+        reactor.send()
+        reactor.accept().connectionLost(LOST)
+        assert [e.refused for e in reactor.settled] == [False]
