--- a/briarspoke/benches/parts/node.py
+++ b/briarspoke/benches/parts/node.py
@@ -38,10 +38,12 @@
             self.network.cut(command["cut"])
         if command.get("heal"):
             self.network.heal()
+        left = None
         if command.get("shutdown"):
-            yield self.node.shutdown()
+            left = yield self.node.shutdown()
         node = self.node
         return {
+            "left_by_shutdown": left,
             "configuration": node.holder.document.version,
             "ownership": {
                 name: document.version
--- a/briarspoke/benches/parts/server.py
+++ b/briarspoke/benches/parts/server.py
@@ -52,7 +52,7 @@
         return {
             "intervals": intervals,
             "executions": [
-                [e.at, e.request_id, e.partition, e.epoch]
+                [e.at, e.request_id, e.partition, e.epoch, e.head_at]
                 for e in self.backend.executions
             ],
             "fenced_off": self.backend.fenced_off,
--- a/briarspoke/node.py
+++ b/briarspoke/node.py
@@ -343,7 +343,10 @@
 
     @defer.inlineCallbacks
     def shutdown(self):
-        """Finishes what is in flight within ``shutdown_s``, then stops."""
+        """Finishes what is in flight within ``shutdown_s``, then stops.
+
+        :returns: a Deferred of the number of requests that were cut off.
+        """
         self.ready = False
         self.links.leave()
         for name in ("callers", "forward"):
@@ -351,6 +354,7 @@
         left = yield self.router.drain(self.settings.shutdown_s)
         log.info("node: %d requests were cut off by the shutdown", left)
         yield self.stop()
+        return left
 
     @defer.inlineCallbacks
     def stop(self):
--- a/briarspoke/standins/backend.py
+++ b/briarspoke/standins/backend.py
@@ -29,12 +29,27 @@
 
 
 class Execution:
-    """One request that the stand-in has run."""
+    """One request that the stand-in has run.
 
-    __slots__ = ("at", "body_hash", "body_length", "epoch", "partition", "request_id")
+    :param at: time at which it ran, with its whole body received.
+    :param head_at: time at which its head arrived.
+    """
+
+    __slots__ = (
+        "at",
+        "body_hash",
+        "body_length",
+        "epoch",
+        "head_at",
+        "partition",
+        "request_id",
+    )
 
-    def __init__(self, *, at, request_id, partition, epoch, body_length, body_hash):
+    def __init__(
+        self, *, at, head_at, request_id, partition, epoch, body_length, body_hash
+    ):
         self.at = at
+        self.head_at = head_at
         self.request_id = request_id
         self.partition = partition
         self.epoch = epoch
@@ -143,6 +158,7 @@
         self.executions.append(
             Execution(
                 at=self.clock(),
+                head_at=connection.head_at,
                 request_id=headers.get(b"briarspoke-request-id", b"").decode(),
                 partition=headers.get(b"briarspoke-partition", b"").decode(),
                 epoch=int(headers.get(b"briarspoke-epoch", b"0")),
@@ -209,6 +225,7 @@
     def _reset(self):
         self.headers = {}
         self.target = b""
+        self.head_at = 0.0
         self.body_length = 0
         self.body_hash = hashlib.sha256()
         self._control_body = []
@@ -234,6 +251,9 @@
     def on_header(self, name, value):
         self.headers[name.lower()] = value
 
+    def on_headers_complete(self):
+        self.head_at = self.backend.clock()
+
     def on_body(self, data):
         self.body_length += len(data)
         if self.target.startswith(b"/_control/"):
