Measure bench control in two groups of sizes and add changes

Cause: all four sizes at once are 75 whole nodes in one run, which overloaded the machine, and the run took 75 s. The node that started first also took the leases of all zones, so that the cost of one controller was that of seven. Change: sizes 5, 10 and 20 are measured together, then 40. Each size has its store stand-in in a process of its own, nodes are started 0.1 s apart, and metrics are polled only until each node is complete. The configuration is written after the nodes have linked, so each zone's own node takes its lease. The CPU of a controller is taken from nodes that hold one zone. At 20 and 40 nodes six changes of the configuration and six drained servers are measured.

--- a/briarspoke/benches/control.py
+++ b/briarspoke/benches/control.py
@@ -22,8 +22,9 @@
 from briarspoke.benches import Bound, Report, bench, parts
 from briarspoke.configuration.document import STORE_KEY, ConfigurationDocument
 from briarspoke.membership.members import Member, Members
+from briarspoke.ownership.timing import KEEPALIVE_EVERY_S
+from briarspoke.platform.store import StoreClient
 from briarspoke.platform.vms import LIST_BYTES_PER_S, SHORTEST_JITTER
-from briarspoke.standins.store import StoreStandIn, site
 
 NODE_COMMAND = ("briarspoke", "serve")
 # Waits with everything imported that a node imports.
@@ -31,12 +32,22 @@
 briarspoke.loop.install()
 import briarspoke.node
 time.sleep(60)"""
-SIZES = (5, 10, 20, 40)
+# Groups of sizes measured at the same time. All sizes at once are 75 nodes, which
+# overloaded a machine of 10 cores; each size alone leaves 2 s for measuring it.
+GROUPS = ((5, 10, 20), (40,))
+SIZES = tuple(size for group in GROUPS for size in group)
+# Starting a node takes about half a second of a core.
+START_EVERY_S = 0.1
+LINK_CHECK_EVERY_S = 0.5
+# Sizes at which the cost of changes is measured: a ring each, for a slope.
+CHANGE_SIZES = (20, 40)
+CHANGES = 6
+CHANGE_EVERY_S = 0.4
 TARGET_NODES = 440
 START_TIMEOUT_S = 15.0
 # Links of the time when only some nodes knew each other are closed by then.
-SETTLE_S = 7.0
-MEASURE_S = 12.0
+SETTLE_S = 3.0
+MEASURE_S = 7.0
 LONG_MEASURE_S = 90.0
 CPU_LIMIT = 0.027
 MEMORY_LIMIT_MB = 32.0
@@ -57,6 +68,8 @@
 }
 # Headers of IPv4 and TCP with timestamps, for the estimate on the wire.
 PACKET_HEAD_BYTES = 52
+# A controller renews its lease this often; a node at the target holds one zone.
+KEEPALIVES_PER_ZONE_S = 1 / KEEPALIVE_EVERY_S
 PORTS_PER_NODE = 5
 FIRST_PORT, LAST_PORT = 20_000, 32_000
 
@@ -88,7 +101,7 @@
 
 @bench("control")
 def run(*, seed, long):
-    """Measures sizes one after the other and extrapolates to the target."""
+    """Measures groups of sizes one after the other, extrapolates to the target."""
     reactor = loop.install()
     control = Control(reactor=reactor, seed=seed, long=long)
     outcome = []
@@ -102,7 +115,7 @@
         reactor.run()
     finally:
         control.stop_processes()
-        control.stop_fleets()
+        control.stop_parts()
     if hasattr(outcome[0], "raiseException"):
         outcome[0].raiseException()
     return outcome[0]
@@ -119,7 +132,7 @@
         self.seed = seed
         self.measure_s = LONG_MEASURE_S if long else MEASURE_S
         self._processes = []
-        self._fleets = []
+        self._parts = []
         self._agent = client.Agent(reactor)
         ports = free_ports(random.Random(seed), sum(SIZES) * PORTS_PER_NODE)
         self._addresses = iter([f"127.0.0.1:{port}" for port in ports])
@@ -128,12 +141,12 @@
     def run(self):
         """Returns the :class:`Report`."""
         bare_mb = yield self._bare_memory()
-        # All sizes at a time, so that the time allowed goes into measuring; an
-        # idle node takes about a hundredth of a core.
-        results = yield defer.gatherResults(
-            [self._measure(size, bare_mb) for size in SIZES], consumeErrors=True
-        )
-        by_size = dict(zip(SIZES, results, strict=True))
+        by_size = {}
+        for sizes in GROUPS:
+            results = yield defer.gatherResults(
+                [self._measure(size, bare_mb) for size in sizes], consumeErrors=True
+            )
+            by_size.update(zip(sizes, results, strict=True))
         at_target = {
             name: extrapolate(
                 {n: f[name] for n, f in by_size.items() if f[name] is not None}, scale
@@ -157,88 +170,142 @@
     @defer.inlineCallbacks
     def _bare_memory(self):
         process = self._spawn(arguments=["-c", BARE_CODE])
-        yield self._sleep(1.5)
+        yield self._sleep(1.0)
         memory_mb = resident_mb(process.pid)
         self.stop_processes()
         return memory_mb
 
     @defer.inlineCallbacks
     def _measure(self, size, bare_mb):
-        stand_in = StoreStandIn(reactor=self.reactor, clock=clock.monotonic)
-        port = self.reactor.listenTCP(0, site(stand_in), interface="127.0.0.1")
-        store_url = f"http://127.0.0.1:{port.getHost().port}"
-        servers = parts.Part("fleet", names=list(ZONE_BY_SERVER))
-        self._fleets.append(servers)
-        put_configuration(stand_in.state, servers.ready["ports"])
+        servers = self._start_part("fleet", names=list(ZONE_BY_SERVER))
+        store = self._start_part("store", host="127.0.0.1")
+        store_url = f"http://127.0.0.1:{store.ready['port']}"
         nodes = self._settings(size, store_url)
-        stand_in.state.vms_by_id = {n["node"]: vm_of(n) for n in nodes}
+        operator = Operator(reactor=self.reactor, store_url=store_url)
+        store.ask(vms=[vm_of(node) for node in nodes])
+        started = clock.monotonic()
+        processes = []
+        try:
+            yield self._start_nodes(nodes, processes)
+            yield self._wait_until(nodes, lambda m: knows_members(m, size))
+            # With the configuration in the store from the start, the node that
+            # starts first takes the leases of all zones.
+            yield operator.write(configuration(servers.ready["ports"]))
+            yield self._wait_until(nodes, knows_documents)
+            yield self._sleep(SETTLE_S)
+            result = yield self._observe(nodes, processes, store, bare_mb)
+            result["partitions_held"] = servers.ask()["held"]
+            # Polls of the VM list and watches last up to 30 s, so reads are counted
+            # from the start on; that includes the first listings of every node.
+            calls = store.ask()["calls"]
+            reads = sum(calls.get(kind, 0) for kind in READ_KINDS)
+            result["store_reads_per_s"] = reads / (clock.monotonic() - started)
+            if size in CHANGE_SIZES:
+                result["changes"] = yield self._changes(
+                    nodes, processes, store, operator, result
+                )
+        finally:
+            yield operator.close()
+            self.stop_processes(processes)
+            self.stop_parts((servers, store))
+        return result
+
+    @defer.inlineCallbacks
+    def _start_nodes(self, nodes, processes):
         with tempfile.TemporaryDirectory() as directory:
-            processes = []
-            started = clock.monotonic()
-            for number, node in enumerate(nodes):
-                path = pathlib.Path(directory, f"{number}.json")
+            for node in nodes:
+                path = pathlib.Path(directory, f"{node['node']}.json")
                 path.write_text(json.dumps(node))
                 arguments = ["-m", *NODE_COMMAND, str(path)]
                 processes.append(self._spawn(arguments=arguments))
-            try:
-                yield self._wait_until_linked(nodes)
-                yield self._sleep(SETTLE_S)
-                result = yield self._observe(nodes, processes, stand_in, bare_mb)
-                result["partitions_held"] = servers.ask()["held"]
-            finally:
-                self.stop_processes(processes)
-                yield port.stopListening()
-        # Polls of the VM list and watches last up to 30 s, so reads are counted
-        # from the start on; that includes the first listings of every node.
-        reads = sum(stand_in.calls_by_kind[kind] for kind in READ_KINDS)
-        result["store_reads_per_s"] = reads / (clock.monotonic() - started)
-        return result
+                yield self._sleep(START_EVERY_S)
+            yield self._wait_until_listening(nodes)
+
+    @defer.inlineCallbacks
+    def _observe(self, nodes, processes, store, bare_mb):
+        busy = machine_busy_seconds()
+        window = yield self._window(
+            nodes, processes, store, lambda: self._sleep(self.measure_s)
+        )
+        busy = (machine_busy_seconds() - busy) / window.elapsed / os.cpu_count()
+        memory = [resident_mb(p.pid) for p in processes]
+        figures = summarise(
+            window.rates, window.cpu, memory, window.calls, window.elapsed
+        )
+        figures["memory_above_bare_mb"] = figures["memory_mb"] - bare_mb
+        figures["machine_busy_share"] = busy
+        figures["members_known"] = 1 + min(
+            metrics.get(("member_changes_total", "alive"), 0)
+            for metrics in window.metrics
+        )
+        return figures
 
     @defer.inlineCallbacks
-    def _observe(self, nodes, processes, stand_in, bare_mb):
+    def _window(self, nodes, processes, store, act):
         before = yield self._metrics(nodes)
         started, cpu = clock.monotonic(), [cpu_seconds(p.pid) for p in processes]
-        calls = collections.Counter(stand_in.calls_by_kind)
-        yield self._sleep(self.measure_s)
+        calls = collections.Counter(store.ask()["calls"])
+        yield act()
         elapsed = clock.monotonic() - started
         cpu = [
             (cpu_seconds(p.pid) - c) / elapsed
             for p, c in zip(processes, cpu, strict=True)
         ]
-        calls = collections.Counter(stand_in.calls_by_kind) - calls
-        memory = [resident_mb(p.pid) for p in processes]
+        calls = collections.Counter(store.ask()["calls"]) - calls
         after = yield self._metrics(nodes)
         rates = [
             {key: (value - b.get(key, 0)) / elapsed for key, value in a.items()}
             for b, a in zip(before, after, strict=True)
         ]
-        figures = summarise(rates, cpu, memory, calls, elapsed)
-        figures["memory_above_bare_mb"] = figures["memory_mb"] - bare_mb
-        figures["members_known"] = 1 + min(
-            metrics.get(("member_changes_total", "alive"), 0) for metrics in after
+        return Window(rates=rates, cpu=cpu, calls=calls, elapsed=elapsed, metrics=after)
+
+    @defer.inlineCallbacks
+    def _changes(self, nodes, processes, store, operator, idle):
+        """Returns what one change costs a node, beyond its idle cost."""
+        window = yield self._window(
+            nodes, processes, store, lambda: self._change(operator.touch_zone)
         )
-        return figures
+        configuration = change_cost(window, idle, CHANGES)
+        window = yield self._window(
+            nodes, processes, store, lambda: self._change(operator.drain_server)
+        )
+        # Every other write is a new version of an ownership document.
+        writes = window.calls["put"] - CHANGES
+        ownership = change_cost(window, idle, writes, less=(configuration, CHANGES))
+        return {"configuration": configuration, "ownership": ownership}
+
+    @defer.inlineCallbacks
+    def _change(self, change):
+        for _ in range(CHANGES):
+            yield change()
+            yield self._sleep(CHANGE_EVERY_S)
 
     @defer.inlineCallbacks
-    def _wait_until_linked(self, nodes):
+    def _wait_until_listening(self, nodes):
         deadline = clock.monotonic() + START_TIMEOUT_S
-        # The configuration and one ownership document per service.
-        keys = 1 + len(SERVICES)
-        while clock.monotonic() < deadline:
-            yield self._sleep(0.5)
-            try:
-                metrics = yield self._metrics(nodes)
-            except Exception:
-                # A node that does not listen yet.
-                continue
-            if all(
-                m.get(("member_changes_total", "alive"), 0) >= len(nodes) - 1
-                and sum(v for (n, _), v in m.items() if n == "documents_taken_total")
-                >= keys
-                for m in metrics
-            ):
-                return
-        raise RuntimeError(f"{len(nodes)} nodes did not link in {START_TIMEOUT_S} s")
+        for node in nodes:
+            while not listens(node["metrics_listen"]):
+                if clock.monotonic() > deadline:
+                    raise RuntimeError(f"{node['node']} does not listen")
+                yield self._sleep(0.1)
+
+    @defer.inlineCallbacks
+    def _wait_until(self, nodes, condition):
+        """Waits until the metrics of each node meet a condition."""
+        deadline = clock.monotonic() + START_TIMEOUT_S
+        waiting = list(nodes)
+        while waiting:
+            if clock.monotonic() > deadline:
+                names = ", ".join(node["node"] for node in waiting)
+                raise RuntimeError(f"not ready in {START_TIMEOUT_S} s: {names}")
+            metrics = yield self._metrics(waiting)
+            waiting = [
+                node
+                for node, values in zip(waiting, metrics, strict=True)
+                if not condition(values)
+            ]
+            if waiting:
+                yield self._sleep(LINK_CHECK_EVERY_S)
 
     def _metrics(self, nodes):
         return defer.gatherResults(
@@ -287,24 +354,126 @@
 
     def stop_processes(self, processes=None):
         """Ends processes that this run started; None stands for all."""
-        for process in list(self._processes) if processes is None else processes:
+        ending = list(self._processes) if processes is None else processes
+        for process in ending:
             self._processes.remove(process)
             process.terminate()
+        for process in ending:
             try:
                 process.wait(timeout=2)
             except subprocess.TimeoutExpired:
                 process.kill()
                 process.wait()
 
-    def stop_fleets(self):
-        """Ends the processes of the backend servers."""
-        for fleet in self._fleets:
-            fleet.stop()
+    def _start_part(self, module, **parameters):
+        part = parts.Part(module, **parameters)
+        self._parts.append(part)
+        return part
+
+    def stop_parts(self, stopped=None):
+        """Ends store stand-ins and backend servers; None stands for all."""
+        for part in list(self._parts) if stopped is None else stopped:
+            self._parts.remove(part)
+            part.stop()
 
     def _sleep(self, seconds):
         return task.deferLater(self.reactor, seconds, lambda: None)
 
 
+class Window:
+    """What was measured between two points in time.
+
+    :param rates: counters per second of each node.
+    :param cpu: share of a core that each node took.
+    :param calls: calls that the store counted, by kind.
+    :param metrics: counters of each node at the end.
+    """
+
+    __slots__ = ("calls", "cpu", "elapsed", "metrics", "rates")
+
+    def __init__(self, *, rates, cpu, calls, elapsed, metrics):
+        self.rates = rates
+        self.cpu = cpu
+        self.calls = calls
+        self.elapsed = elapsed
+        self.metrics = metrics
+
+    @property
+    def mean_cpu(self):
+        """Mean share of a core that a node took."""
+        return sum(self.cpu) / len(self.cpu)
+
+    @property
+    def mean_bytes_per_s(self):
+        """Mean bytes per second of a node on links and to the store."""
+        return sum(map(control_bytes, self.rates)) / len(self.rates)
+
+
+class Operator:
+    """Writes configuration to the store as an entry VM does for an operator."""
+
+    def __init__(self, *, reactor, store_url):
+        self._store = StoreClient(reactor=reactor, base_url=store_url)
+        self._document = None
+        self._revision = 0
+        self._changes = 0
+
+    @defer.inlineCallbacks
+    def write(self, document):
+        """Writes the next version."""
+        self._revision = yield self._store.put(
+            STORE_KEY, document.encode(), expected_revision=self._revision
+        )
+        self._document = document
+
+    def touch_zone(self):
+        """Changes a zone's region, which no decision depends on."""
+        return self._change("zones", 0, "region", f"region-{self._changes}")
+
+    def drain_server(self):
+        """Drains one more server, whose partitions then move."""
+        return self._change("servers", self._changes, "state", "draining")
+
+    def _change(self, kind, number, name, value):
+        self._changes += 1
+        entry = self._document.values(kind)[number].value
+        changes = {(kind, entry["name"]): {**entry, name: value}}
+        write_id = f"change-{self._changes}"
+        return self.write(self._document.with_changes(changes, (), write_id))
+
+    def close(self):
+        """Closes the connections."""
+        return self._store.close()
+
+
+def control_bytes(rate):
+    """Returns the bytes on links and to the store among a node's counters."""
+    names = ("link_bytes_total", *STORE_BYTES)
+    return sum(
+        value for (name, kind), value in rate.items() if name in names and kind != "vms"
+    )
+
+
+def change_cost(window, idle, changes, less=None):
+    """Returns what each of some changes cost a node on average.
+
+    :param idle: figures of the same nodes without changes.
+    :param less: pair of the cost and number of changes of another kind that were
+        made in the same time, or None.
+    """
+    cpu_ms = (window.mean_cpu - idle["cpu_share_mean"]) * window.elapsed * 1000
+    sent = (window.mean_bytes_per_s - idle["control_bytes_per_s"]) * window.elapsed
+    if less is not None:
+        cost, number = less
+        cpu_ms -= cost["cpu_ms_per_node"] * number
+        sent -= cost["bytes_per_node"] * number
+    return {
+        "changes": changes,
+        "cpu_ms_per_node": cpu_ms / changes if changes else None,
+        "bytes_per_node": sent / changes if changes else None,
+    }
+
+
 def bounds_of(by_size, at_target, table_mb):
     """Returns the bounds at the target and on what the nodes know."""
     value = {name: entry["value"] for name, entry in at_target.items()}
@@ -415,16 +584,26 @@
         if of_node(rate, "store_calls_total", "keepalive") > 0
     ]
     others = [n for n in range(len(rates)) if n not in controllers]
+    # At the target no controller holds more than one zone.
+    of_one_zone = [
+        n
+        for n in controllers
+        if of_node(rates[n], "store_calls_total", "keepalive")
+        < 1.5 * KEEPALIVES_PER_ZONE_S
+    ]
     by_kind = {kind: round(number / elapsed, 3) for kind, number in calls.items()}
     return {
+        "cpu_share_mean": mean(cpu),
         "cpu_share_max": max(cpu),
         "controllers": len(controllers),
-        "controller_cpu_share": mean(cpu[n] for n in controllers),
+        "controllers_of_one_zone": len(of_one_zone),
+        "controller_cpu_share": mean(cpu[n] for n in of_one_zone),
         "member_cpu_share": mean(cpu[n] for n in others),
         "memory_mb": mean(memory),
         "memory_mb_max": max(memory),
         "link_bytes_per_s": mean_rate("link_bytes_total"),
-        "controller_store_bytes_per_s": mean(store_bytes[n] for n in controllers),
+        "control_bytes_per_s": mean(map(control_bytes, rates)),
+        "controller_store_bytes_per_s": mean(store_bytes[n] for n in of_one_zone),
         "member_store_bytes_per_s": mean(store_bytes[n] for n in others),
         "vm_list_bytes_per_s_max": max(vm_list_bytes),
         "link_bytes_sent_per_s": mean_rate("link_bytes_total", "sent"),
@@ -511,13 +690,32 @@
     return values
 
 
-def put_configuration(state, ports):
-    """Puts the configuration of both deployments into a store.
+def knows_members(metrics, size):
+    """Returns whether a node knows every other one."""
+    return metrics.get(("member_changes_total", "alive"), 0) >= size - 1
+
+
+def knows_documents(metrics):
+    """Returns whether a node has the configuration and each ownership document."""
+    taken = sum(v for (n, _), v in metrics.items() if n == "documents_taken_total")
+    return taken >= 1 + len(SERVICES)
+
+
+def listens(address):
+    """Returns whether a loopback address accepts connections."""
+    host, _, port = address.rpartition(":")
+    with socket.socket() as probe:
+        probe.settimeout(1.0)
+        return probe.connect_ex((host, int(port))) == 0
+
+
+def configuration(ports):
+    """Returns the configuration document of both deployments.
 
     :param ports: port per server, in the order of :data:`ZONE_BY_SERVER`.
     """
     zones = dict.fromkeys(ZONE_BY_SERVER.values())
-    document = ConfigurationDocument.from_configuration(
+    return ConfigurationDocument.from_configuration(
         {
             "zones": [{"name": zone} for zone in zones],
             "services": [{"name": service} for service in SERVICES],
@@ -534,7 +732,6 @@
             ],
         }
     )
-    state.put(STORE_KEY, document.encode(), 0, None)
 
 
 def free_ports(rng, count):
@@ -563,6 +760,14 @@
     return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
 
 
+def machine_busy_seconds():
+    """Returns the seconds that all processors were busy, other work included."""
+    fields = pathlib.Path("/proc/stat").read_text().splitlines()[0].split()[1:9]
+    user, nice, system, _, _, irq, softirq, steal = map(int, fields)
+    busy = user + nice + system + irq + softirq + steal
+    return busy / os.sysconf("SC_CLK_TCK")
+
+
 def resident_mb(pid):
     """Returns the resident memory of a process in MB (10^6 bytes)."""
     pages = int(pathlib.Path(f"/proc/{pid}/statm").read_text().split()[1])
