Refuse to delete or relocate a server that owns partitions

Cause: the operators' API accepted the deletion of a server that owned partitions and changes of its zone, service or address. Only controllers that knew the server before could then move its partitions, and a server declared in another zone was controlled by two zones' controllers (docs/design/ownership.md, "What does not hold").

Change: such a change is refused as a whole with code 5019 (409), which names the server, its number of partitions and the drain. `?force=1` and `--force` make it all the same. The owners come from the entry VM's routing table through NodeStatus.partitions_owned, and are read again on every attempt to write. `diff` prints the change as well as the refusal; both commands exit with 1.

Figures: before, the 6 ways of deleting or relocating an owning server in tests/test_admin.py had no check in the code; now all 6 are refused, with and without dry_run, and accepted once nothing is owned.

Conclusion: an operator has to drain or force. The table may lag behind a move that another node has just made, so the check is no proof against concurrent moves.

--- a/briarspoke/client.py
+++ b/briarspoke/client.py
@@ -28,7 +28,7 @@
 EXIT_USER_ERROR = 2
 EXIT_UNAVAILABLE = 3
 # Codes of a change that was understood and refused.
-_REFUSED_CODES = range(5009, 5013)
+_REFUSED_CODES = (*range(5009, 5013), 5019)
 
 
 class CallError(BriarspokeError):
--- a/briarspoke/commands/apply.py
+++ b/briarspoke/commands/apply.py
@@ -21,6 +21,7 @@
     delete: list[str] | None = None,
     replace: bool = False,
     dry_run: bool = False,
+    force: bool = False,
     expected_version: int | None = None,
     write_id: str | None = None,
     api: Annotated[Api | None, Parameter(name="*")] = None,
@@ -37,6 +38,9 @@
         Delete every resource that the file does not hold.
     dry_run:
         Check and show the change without making it.
+    force:
+        Also delete servers that own partitions, or change their zone, service or
+        address; only for servers that are gone for good.
     expected_version:
         Refuse unless the configuration is at this version.
     write_id:
@@ -45,7 +49,7 @@
     """
     api = api or Api()
     body = body_of(file, delete or [], replace, expected_version)
-    answer = submit(api, body, dry_run=dry_run, write_id=write_id)
+    answer = submit(api, body, dry_run=dry_run, force=force, write_id=write_id)
     if api.output == "json":
         output.print_json(answer)
         return 0
@@ -76,10 +80,10 @@
     return body
 
 
-def submit(api, body, *, dry_run=False, write_id=None):
+def submit(api, body, *, dry_run=False, force=False, write_id=None):
     """Sends a change and returns the answer."""
     write_id = write_id or f"cli-{os.urandom(9).hex()}"
-    path = "/v1/apply?dry_run=1" if dry_run else "/v1/apply"
+    path = f"/v1/apply?dry_run={int(dry_run)}&force={int(force)}"
     try:
         with output.progress("waiting for the change to be accepted"):
             return api.call("POST", path, body, {"Briarspoke-Write-Id": write_id})
--- a/briarspoke/commands/diff.py
+++ b/briarspoke/commands/diff.py
@@ -8,7 +8,7 @@
 from cyclopts import Parameter
 
 from briarspoke import output
-from briarspoke.client import Api
+from briarspoke.client import Api, CallError
 from briarspoke.commands.apply import body_of, submit
 
 NAME = "diff"
@@ -19,6 +19,7 @@
     file: Path,
     *,
     replace: bool = False,
+    force: bool = False,
     api: Annotated[Api | None, Parameter(name="*")] = None,
 ):
     """Show what a file would change; the exit status is 1 if anything.
@@ -29,9 +30,16 @@
         JSON file ``{kind: [resource, ...]}``.
     replace:
         Also show resources that the file does not hold.
+    force:
+        Do not refuse to take away servers that own partitions.
     """
     api = api or Api()
-    answer = submit(api, body_of(file, [], replace), dry_run=True)
+    try:
+        answer = submit(api, body_of(file, [], replace), dry_run=True, force=force)
+    except CallError as error:
+        if api.output != "json":
+            output.print_differences(error.answer.get("changes", ()))
+        raise
     if api.output == "json":
         output.print_json(answer)
     else:
--- a/briarspoke/configuration/changes.py
+++ b/briarspoke/configuration/changes.py
@@ -8,6 +8,9 @@
 
 # Expected version of a resource that may be at any version but must exist.
 EXISTS = -1
+# Only the controller of the old zone can revoke grants, and only at the old address
+# and for the old service.
+OPTIONS_FIXED_WHILE_OWNING = ("zone", "service", "address")
 
 
 class Put:
@@ -154,19 +157,27 @@
 
     :param document: the next document; the same one if nothing differs, None
         with problems or conflicts.
+    :param owning: problems of servers that would lose track of their partitions.
     """
 
-    __slots__ = ("conflicts", "differences", "document", "problems")
+    __slots__ = ("conflicts", "differences", "document", "owning", "problems")
 
-    def __init__(self, *, document=None, differences=(), problems=(), conflicts=()):
+    def __init__(
+        self, *, document=None, differences=(), problems=(), conflicts=(), owning=()
+    ):
         self.document = document
         self.differences = list(differences)
         self.problems = list(problems)
         self.conflicts = list(conflicts)
+        self.owning = list(owning)
+
 
+def plan(document, change, *, owned=None):
+    """Returns the :class:`Plan` of a change; the document stays as it is.
 
-def plan(document, change):
-    """Returns the :class:`Plan` of a change; the document stays as it is."""
+    :param owned: function from a server's name to the number of partitions that
+        it owns; None does not look for owners.
+    """
     conflicts = _conflicts(document, change)
     if conflicts:
         return Plan(conflicts=conflicts)
@@ -187,7 +198,10 @@
     problems += validation.check_transition(document, after, paths=paths)
     if problems:
         return Plan(problems=_unique(problems))
-    return Plan(document=after, differences=differences(document, after))
+    found = differences(document, after)
+    paths.update({(d.kind, d.name): d.path for d in change.deletes})
+    owning = _owning(found, paths, owned) if owned is not None else ()
+    return Plan(document=after, differences=found, owning=owning)
 
 
 def differences(before, after):
@@ -330,6 +344,31 @@
     return deletions
 
 
+def _owning(found, paths, owned):
+    problems = []
+    for difference in found:
+        if difference.kind != "servers" or difference.action == "create":
+            continue
+        count = owned(difference.name)
+        if not count:
+            continue
+        path = paths.get(("servers", difference.name), f"$.servers.{difference.name}")
+        text = f"{difference.name} owns {count} partition(s); drain it first"
+        if difference.action == "delete":
+            changed = [path]
+        else:
+            changed = [
+                f"{path}.{option}"
+                for option in OPTIONS_FIXED_WHILE_OWNING
+                if difference.before[option] != difference.after[option]
+            ]
+        problems += [
+            Problem(path=where, code=codes.SERVER_OWNS_PARTITIONS, message=text)
+            for where in changed
+        ]
+    return problems
+
+
 def _unique(problems):
     # A name that no longer exists is both unknown and in use; one is enough.
     in_use = {
--- a/briarspoke/configuration/codes.py
+++ b/briarspoke/configuration/codes.py
@@ -123,6 +123,13 @@
     503,
     "Other changes kept winning; nothing was changed.",
 )
+SERVER_OWNS_PARTITIONS = register(
+    5019,
+    "server-owns-partitions",
+    Kind.CALLER_ERROR,
+    409,
+    "A server owns partitions; drain it first, or force the change if it is gone.",
+)
 
 # 51xx: checks across resources.
 UNKNOWN_SERVICE_NAMED = register(
--- a/briarspoke/configuration/writer.py
+++ b/briarspoke/configuration/writer.py
@@ -124,12 +124,17 @@
         self._lock = defer.DeferredLock()
         self._highest_version = 0
 
-    def submit(self, change, *, dry_run=False):
-        """Returns a Deferred of the :class:`WriteResult`; it does not fail."""
+    def submit(self, change, *, dry_run=False, owned=None):
+        """Returns a Deferred of the :class:`WriteResult`; it does not fail.
+
+        :param owned: function from a server's name to the number of partitions
+            that it owns; None lets a change take owners away.
+        """
+        attempt = _Attempt(writer=self, change=change, owned=owned)
         if dry_run:
-            return _Attempt(writer=self, change=change).run(dry_run=True)
+            return attempt.run(dry_run=True)
         # Changes of one node would only conflict with each other in the store.
-        return self._lock.run(_Attempt(writer=self, change=change).run)
+        return self._lock.run(attempt.run)
 
     @defer.inlineCallbacks
     def find(self, write_id, base_version=None):
@@ -196,9 +201,10 @@
 class _Attempt:
     """Takes one change from its first read to its end."""
 
-    def __init__(self, *, writer, change):
+    def __init__(self, *, writer, change, owned):
         self.writer = writer
         self.change = change
+        self.owned = owned
         self.pinned = None
         self.base = ConfigurationDocument()
         self.unsettled_base = None
@@ -250,7 +256,7 @@
         if is_first:
             self.pinned = _pin(self.change, document)
         try:
-            planned = plan(document, self.pinned)
+            planned = plan(document, self.pinned, owned=self.owned)
             if planned.document is not None:
                 planned.document.encode()
         except CodedError as error:
@@ -261,6 +267,12 @@
         if planned.problems:
             detail = f"{len(planned.problems)} problem(s)"
             raise _Stop(codes.CONFIGURATION_INVALID, detail, problems=planned.problems)
+        if planned.owning:
+            raise _Stop(
+                codes.SERVER_OWNS_PARTITIONS,
+                problems=planned.owning,
+                differences=planned.differences,
+            )
         return planned
 
     @defer.inlineCallbacks
--- a/briarspoke/http/admin.py
+++ b/briarspoke/http/admin.py
@@ -360,12 +360,18 @@
     @defer.inlineCallbacks
     def _submit(self, call, change, action, key=None):
         dry_run = call.flag("dry_run")
-        result = yield self.writer.submit(change, dry_run=dry_run)
+        forced = call.flag("force")
+        result = yield self.writer.submit(
+            change,
+            dry_run=dry_run,
+            owned=None if forced else self.status.partitions_owned,
+        )
         log.info(
-            "admin: operator %s: %s%s, write %s %s at version %d",
+            "admin: operator %s: %s%s%s, write %s %s at version %d",
             call.operator,
             action,
             " (dry run)" if dry_run else "",
+            " (forced)" if forced else "",
             result.write_id,
             result.status.value,
             result.version,
--- a/briarspoke/http/admin_status.py
+++ b/briarspoke/http/admin_status.py
@@ -33,6 +33,10 @@
         "unowned", "moving"}}``."""
         return {}
 
+    def partitions_owned(self, server):
+        """Returns the number of partitions that a server owns, in all services."""
+        return 0
+
     def refusals(self):
         """Returns a list of ``{"code", "name", "class", "count"}``."""
         return []
--- a/briarspoke/node_status.py
+++ b/briarspoke/node_status.py
@@ -39,6 +39,10 @@
             name: _summary(document) for name, document in sorted(documents.items())
         }
 
+    def partitions_owned(self, server):
+        documents = self._node.router.table.documents_by_service.values()
+        return sum(p.owner == server for d in documents for p in d.partitions)
+
     def refusals(self):
         counts = self._node.metrics.values("refusals_total")
         return [
--- a/tests/operators_fakes.py
+++ b/tests/operators_fakes.py
@@ -134,6 +134,9 @@
             }
         }
 
+    def partitions_owned(self, server):
+        return self.owned.get(server, 0)
+
     def refusals(self):
         return [{"code": 2001, "name": "queue-full", "class": "load", "count": 7}]
 
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -272,6 +272,60 @@
         assert "\nadmin: operator eve" not in caplog.text
 
 
+class TestOwningServers:
+    """Guards against partitions that stay with a server nobody controls."""
+
+    SERVER = {"service": "tabela", "zone": "poa", "address": "10.0.0.1:80"}
+    PATH = "/v1/servers/tabela-poa-1"
+
+    @pytest.fixture
+    def owning(self, api):
+        resources = {
+            "zones": [{"name": "poa"}, {"name": "cwb"}],
+            "services": [{"name": "tabela"}, {"name": "sinal"}],
+            "servers": [{"name": "tabela-poa-1", **self.SERVER}],
+        }
+        assert api.call("POST", "/v1/apply", {"resources": resources}).status == 200
+        return api
+
+    @pytest.mark.parametrize(
+        ("method", "path", "body", "where"),
+        [
+            ("DELETE", PATH, None, "$"),
+            ("PUT", PATH, {**SERVER, "zone": "cwb"}, "$.zone"),
+            ("PUT", PATH, {**SERVER, "service": "sinal"}, "$.service"),
+            ("PUT", PATH, {**SERVER, "address": "10.0.0.2:80"}, "$.address"),
+            (
+                "POST",
+                "/v1/apply",
+                {"delete": {"servers": ["tabela-poa-1"]}},
+                "$.delete.servers[0]",
+            ),
+            ("POST", "/v1/apply", {"replace": True}, "$.servers.tabela-poa-1"),
+        ],
+    )
+    def test_refused_until_drained(self, owning, method, path, body, where):
+        for query in ("?dry_run=1", ""):
+            answer = owning.call(method, path + query, body)
+            assert answer.json["code"] == codes.SERVER_OWNS_PARTITIONS.number
+            assert [p["path"] for p in answer.json["problems"]] == [where]
+            assert "owns 4 partition(s); drain" in answer.json["problems"][0]["message"]
+            assert answer.json["changes"]
+        assert owning.store.puts == 1
+        owning.status.owned = {}
+        assert owning.call(method, path, body).status == 200
+
+    def test_forced(self, owning, caplog):
+        caplog.set_level(logging.INFO)
+        assert owning.call("DELETE", f"{self.PATH}?force=1").status == 200
+        assert "(forced)" in caplog.text
+
+    def test_other_options_stay_free(self, owning):
+        # Guards against a drain that the check itself makes impossible.
+        body = {**self.SERVER, "state": "draining", "slots": 2}
+        assert owning.call("PUT", self.PATH, body).status == 200
+
+
 class TestStatus:
     @pytest.mark.parametrize("view", ["nodes", "ownership", "refusals"])
     def test_views(self, api, view):
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -194,6 +194,19 @@
         assert not api.holder.document.entry("zones", "poa").value["evacuated"]
         self.run(capsys, "drain", "nothing", status=2)
 
+    def test_owning_server_is_kept(self, api, file, capsys):
+        # Guards against a refusal that does not say what to do.
+        value = {**ZONES, "services": [SERVICE], "servers": [SERVER]}
+        self.run(capsys, "apply", file(value))
+        moved = file({"servers": [{**SERVER, "zone": "cwb"}]})
+        assert cli.execute(["diff", moved]) == 1
+        shown = capsys.readouterr()
+        assert 'zone: "poa" -> "cwb"' in shown.out
+        assert "drain it first" in shown.err
+        delete = ["apply", "--delete", "servers/tabela-poa-1"]
+        self.run(capsys, *delete, status=1)
+        assert "1 resource(s) changed" in self.run(capsys, *delete, "--force")
+
     def test_drain_keeps_a_concurrent_change(self, api, file, capsys, monkeypatch):
         # Guards against a drain that undoes another operator's change.
         value = {**ZONES, "services": [SERVICE], "servers": [SERVER]}
