--- a/tests/operators_fakes.py
+++ b/tests/operators_fakes.py
@@ -124,6 +124,9 @@
             }
         ]
 
+    def zones(self):
+        return [{"zone": "poa", "controller": "entry-1", "term": 7, "evacuated": False}]
+
     def ownership(self):
         return {
             "tabela": {
@@ -134,6 +137,9 @@
             }
         }
 
+    def partitions_owned(self, server):
+        return self.owned.get(server, 0)
+
     def refusals(self):
         return [{"code": 2001, "name": "queue-full", "class": "load", "count": 7}]
 
