Plan a service only when a change can be due

Every event and every tick of 50 ms planned all services of a zone, searched all servers of the configuration for those of the zone, and ran for zones that the node does not control. The zone's servers are now indexed when the configuration changes. A service without a doubtful owner is planned again only after a change of its document or configuration, or when its first owner would count as silent. Controllers without a lease get no ticks, except to repeat a resignation.

--- a/briarspoke/ownership/candidate.py
+++ b/briarspoke/ownership/candidate.py
@@ -198,8 +198,9 @@
     def _note_members(self, members, now):
         """Notes rank and the zone's own nodes; returns the delay of a try."""
         foreign = self.node_zone != self.zone
-        if members != self._members:
-            self._members = dict(members)
+        # The caller passes the same object until something changes.
+        if members is not self._members and members != self._members:
+            self._members = members
             self._rank_members(foreign, now)
         before = self._order[: self._rank]
         # The last holder has just lost the lease and is probably gone.
--- a/briarspoke/ownership/controller.py
+++ b/briarspoke/ownership/controller.py
@@ -29,6 +29,8 @@
 READ_RETRY_S = 0.1
 WRITE_RETRY_S = 0.1
 BALANCE_EVERY_S = 5.0
+# The VM list is passed in several times a second, mostly unchanged.
+PLAN_AFTER_NEWS_S = 0.5
 # A longer chain of earlier terms is cut down by a write of its own.
 CHAIN_KEPT = 4
 
@@ -89,6 +91,7 @@
         "moving_known",
         "newest_version",
         "pending",
+        "plan_at",
         "read_at",
         "reading",
         "stale",
@@ -106,6 +109,8 @@
         self.read_at = 0.0
         self.write_at = 0.0
         self.balance_at = 0.0
+        # No change can be due earlier unless an event resets this.
+        self.plan_at = 0.0
         self.newest_version = 0
         self.writes = []
         self.pending = {}
@@ -137,6 +142,8 @@
         "_confirm_asked_at",
         "_ended_until",
         "_loads",
+        "_own",
+        "_own_by_service",
         "_paused_at",
         "_predecessors",
         "_probes",
@@ -183,6 +190,8 @@
         self._loads = placement.LoadTable()
         self._zones_alive = frozenset()
         self._retired = {}
+        self._own = {}
+        self._own_by_service = {}
         self._resign_at = 0.0
         self._resign_left = 0
         self._ended_until = 0.0
@@ -202,6 +211,11 @@
         self._states = {}
         self._book = RoutingLeaseBook()
 
+    @property
+    def needs_ticks(self):
+        """Whether something is decided here when time passes."""
+        return self.active or self._resign_left > 0
+
     # Events.
 
     def handle(self, event, now):
@@ -257,6 +271,17 @@
         self._configuration = event.configuration
         for name in event.configuration.servers_by_name:
             self._retired.pop(name, None)
+        self._index()
+        for state in self._states.values():
+            state.plan_at = now
+
+    def _index(self):
+        """Collects the zone's servers, those of earlier configurations included."""
+        known = {**self._configuration.servers_by_name, **self._retired}
+        self._own = {n: s for n, s in known.items() if s.zone == self.zone}
+        self._own_by_service = {}
+        for name, server in self._own.items():
+            self._own_by_service.setdefault(server.service, {})[name] = server
 
     @_handles(events.VersionSeen)
     def _version_seen(self, event, now, out):
@@ -298,6 +323,7 @@
             state.writes.remove(write)
             self._store(state, event.revision, write.document, now, out)
             return
+        state.plan_at = now
         state.write_at = now + WRITE_RETRY_S
         if event.outcome is events.WriteOutcome.NOT_SENT:
             state.writes.remove(write)
@@ -350,6 +376,9 @@
 
     @_handles(events.VmsListed)
     def _vms_listed(self, event, now, out):
+        for state in self._states.values():
+            # A terminated VM may free a server before it counts as silent.
+            state.plan_at = min(state.plan_at, now + PLAN_AFTER_NEWS_S)
         self._predecessors.vms_listed(event.state_by_id, now)
 
     @_handles(events.NodeHeard)
@@ -522,20 +551,12 @@
         self._confirm_if_needed(now, out)
         self._ask_predecessors(now, out)
 
-    def _own_servers(self):
-        for name, server in self._configuration.servers_by_name.items():
-            if server.zone == self.zone:
-                yield name, server
-        for name, server in self._retired.items():
-            if server.zone == self.zone:
-                yield name, server
-
     def _is_fenced(self, service):
         declared = self._configuration.services_by_name.get(service)
         return declared is None or declared.fenced
 
     def _adopt(self, now):
-        for name, server in self._own_servers():
+        for name, server in self._own.items():
             if server.service not in self._states:
                 self._states[server.service] = _ServiceState()
             if self._is_fenced(server.service):
@@ -560,6 +581,7 @@
         if state.stored is not None and revision < state.stored.revision:
             return
         state.stored = StoredDocument(revision=revision, document=document)
+        state.plan_at = now
         state.stale = False
         state.writes = [
             write
@@ -599,7 +621,7 @@
         return state.digests[name]
 
     def _call_servers(self, now, out):
-        for name, resource in self._own_servers():
+        for name, resource in self._own.items():
             service = resource.service
             state = self._states[service]
             if name in self._probes:
@@ -672,7 +694,9 @@
     # Planning of writes.
 
     def _plan(self, service, state, now, out):
-        if state.stale or state.write_in_flight or now < state.write_at:
+        if state.stale or state.write_in_flight:
+            return
+        if now < max(state.plan_at, state.write_at):
             return
         declared = self._configuration.services_by_name.get(service)
         if declared is None or not self._confirmed(now):
@@ -686,6 +710,41 @@
             changes = self._changes(declared, state, now)
             if changes or state.writes or self._needs_chain_write(declared, state, now):
                 self._write(declared, state, changes, now, out)
+            elif self._is_settled(declared, state, now):
+                state.plan_at = self._next_plan_at(declared, state)
+
+    def _is_settled(self, service, state, now):
+        """Whether only a silent server or the balance can call for a change."""
+        chain = state.stored.document.authorities_by_zone[self.zone]
+        if state.stored.unowned or len(chain) > CHAIN_KEPT:
+            return False
+        owners = state.stored.owners()
+        return not any(
+            name in owners
+            and (
+                name in state.stored.moving_by_owner
+                or name in self._retired
+                or not self._takes_work(server)
+                or self._is_doubtful(name, now)
+            )
+            for name, server in self._own_by_service.get(service.name, {}).items()
+        )
+
+    def _is_doubtful(self, name, now):
+        if name in self._probes:
+            return self._probes[name].is_silent(now) or self._is_terminated(name, now)
+        return not self._servers[name].met or self._servers[name].is_silent(now)
+
+    def _next_plan_at(self, service, state):
+        """Returns when the first owner would be silent or the balance is due."""
+        owners = state.stored.owners()
+        times = [state.balance_at] if self.balance else []
+        for name in self._own_by_service.get(service.name, ()):
+            if name in owners and name in self._probes:
+                times.append(self._probes[name].reachable_at + SILENT_AFTER_S)
+            elif name in owners:
+                times.append(self._servers[name].last_answer_at + SILENT_AFTER_S)
+        return min(times, default=0.0)
 
     def _create(self, service, state, now, out):
         servers = self._configuration.servers_of(service.name)
@@ -705,8 +764,7 @@
     def _changes(self, service, state, now):
         views = {
             name: self._view(service, state, name, server, now)
-            for name, server in self._own_servers()
-            if server.service == service.name
+            for name, server in self._own_by_service.get(service.name, {}).items()
         }
         busy = state.stored.unowned or any(
             view.free
@@ -887,8 +945,8 @@
         owners = self._states[service].stored.owners()
         return all(
             self._servers[name].met
-            for name, server in self._own_servers()
-            if server.service == service and name in owners
+            for name in self._own_by_service.get(service, ())
+            if name in owners
         )
 
     def _write(self, service, state, changes, now, out):
--- a/briarspoke/ownership/runner.py
+++ b/briarspoke/ownership/runner.py
@@ -247,7 +247,8 @@
         for name, zone in self._zones.items():
             if self.incarnation:
                 self._run(name, zone.candidate.tick(now, self._members))
-            self._decide(name, events.Tick())
+            if zone.controller.needs_ticks:
+                self._decide(name, events.Tick())
             self._request_routing_lease(name, zone, now)
 
     def _observe_pause(self, now):
@@ -262,7 +263,9 @@
                 self._run(name, zone.candidate.paused(now))
 
     def _read_members(self, now):
-        self._members = dict(self.members())
+        members = dict(self.members())
+        if members != self._members:
+            self._members = members
         zones_alive = frozenset({*self._members.values(), self.zone})
         if zones_alive != self._zones_alive:
             self._zones_alive = zones_alive
--- a/tests/test_ownership_controller.py
+++ b/tests/test_ownership_controller.py
@@ -7,6 +7,7 @@
 from briarspoke.ownership.controller import ZoneController
 from briarspoke.ownership.document import Authority, OwnershipDocument, Partition, State
 from briarspoke.ownership.grants import grants_digest
+from briarspoke.ownership.timing import RESIGN_TIMES
 
 SERVERS = ("a", "b")
 OLD = Authority(term=3, node_id="old", incarnation=1, move_after_s=None)
@@ -252,3 +253,27 @@
         driver.settle(events.WriteOutcome.TAKEN, 2)
         driver.advance(30.0, names=("b",))
         assert not driver.take(commands.WriteDocument)
+
+
+class TestQuietZone:
+    def test_a_server_that_falls_silent_later_is_noticed(self):
+        # Guards against a plan that is put off although an owner has gone.
+        driver = Driver()
+        driver.settle(events.WriteOutcome.TAKEN, 2)
+        driver.advance(3.0)
+        assert not driver.take(commands.WriteDocument)
+        driver.advance(3.0, names=("a",))
+        (write,) = driver.take(commands.WriteDocument)
+        assert {p.owner for p in write.document.partitions} == {"a"}
+
+    def test_ticks_go_on_until_the_resignation_is_repeated(self):
+        # Guards against a lost resignation that is never sent again.
+        driver = Driver()
+        driver.handle(events.LeaseLost())
+        times = 0
+        while driver.controller.needs_ticks and times < 100:
+            driver.now += 1.0
+            driver.handle(events.Tick())
+            times += 1
+        assert 0 < times < 100
+        assert len(driver.take(commands.Resign)) == RESIGN_TIMES
