Count a request as in flight from its head and end it with the grant

The stand-in checked the grants only after the whole body. An upload of seconds was not reported as busy, so a handover did not wait for it and the server then fenced it off; work that ran at the expiry of the grants went on.

The stand-in now checks at the head, reports the request as busy from then on, and at the expiry fences off what has not begun to run and aborts what runs without an answer.

--- a/briarspoke/benches/drain.py
+++ b/briarspoke/benches/drain.py
@@ -128,8 +128,11 @@
         answer = load.ask(stop=True)
         executions = _executions(deployment)
         two_owners = deployment.two_owners()
+        expired = sum(
+            server.part.ask()["expired"] for server in deployment.alive_servers()
+        )
     calls = [Call(**record) for record in answer["records"]]
-    return _report(seed, calls, executions, events, two_owners)
+    return _report(seed, calls, executions, events, two_owners, expired)
 
 
 def _drain_server(deployment, events, seed):
@@ -249,7 +252,7 @@
     return round(last - events.killed_at, 3)
 
 
-def _report(seed, calls, executions, events, two_owners):
+def _report(seed, calls, executions, events, two_owners, expired):
     draining, shutting, killing = (
         in_flight_or_due(calls, begin, begin + COUNTED_S)
         for begin in (events.drained_at, events.shut_at, events.killed_at)
@@ -298,6 +301,7 @@
             "of_the_others": _summary(of_others),
             "others_failed_until_s": _failing_s(of_others, events),
         },
+        "ended_by_expired_grants": expired,
         "two_owners": two_owners,
     }
     return Report(
--- a/briarspoke/benches/parts/server.py
+++ b/briarspoke/benches/parts/server.py
@@ -56,6 +56,7 @@
                 for e in self.backend.executions
             ],
             "fenced_off": self.backend.fenced_off,
+            "expired": self.backend.expired,
             "held": len(self.grants.held) if self.grants else 0,
         }
 
--- a/briarspoke/standins/backend.py
+++ b/briarspoke/standins/backend.py
@@ -106,6 +106,10 @@
         self.peak_running = 0
         self.shed = 0
         self.fenced_off = 0
+        self.expired = 0
+        # Connections whose request the grants have let in and that has not ended.
+        self.in_flight = set()
+        self._expiry = None
         self.waiting = collections.deque()
         self.connections = set()
         self.frozen = False
@@ -114,39 +118,111 @@
         """Returns why the grants forbid a request, or None."""
         return self.grants.fence_reason(headers) if self.grants else None
 
+    def head_arrived(self, connection):
+        """Checks the grants; from here on an admitted request is in flight.
+
+        A body can take seconds. Checked only after it, the request would lose to
+        a handover that did not wait for it.
+        """
+        if self.grants is None:
+            return
+        self.end_expired()
+        connection.fence_reason = self.fence_reason(connection.headers)
+        if connection.fence_reason is None:
+            self.in_flight.add(connection)
+            self.grants.began(_partition(connection))
+            self._watch_expiry()
+
+    def _ended(self, connection):
+        if connection in self.in_flight:
+            self.in_flight.discard(connection)
+            self.grants.ended(_partition(connection))
+
+    def lost(self, connection):
+        """Forgets a connection; work that has begun goes on."""
+        self.connections.discard(connection)
+        if connection in self.waiting:
+            self.waiting.remove(connection)
+        if not connection.running:
+            self._ended(connection)
+
+    def _watch_expiry(self):
+        if self._expiry is None and self.in_flight:
+            self._expiry = self.reactor.callLater(
+                max(0.0, self.grants.expires_at - self.clock()), self._expiry_due
+            )
+
+    def _expiry_due(self):
+        self._expiry = None
+        self.end_expired()
+        self._watch_expiry()
+
+    def end_expired(self):
+        """Ends every request that the grants have let in once they have expired.
+
+        What has not begun to run is fenced off; what runs is aborted without an
+        answer, because its outcome is unknown.
+        """
+        if not self.in_flight or self.clock() < self.grants.expires_at:
+            return
+        for connection in list(self.in_flight):
+            self.expired += 1
+            self._ended(connection)
+            if connection.running:
+                self._stop(connection)
+                connection.transport.abortConnection()
+            else:
+                connection.fence_reason = "expired"
+        while self.waiting:
+            self._fence_off(self.waiting.popleft())
+
+    def _stop(self, connection):
+        connection.running = False
+        self.running -= 1
+        if connection.work is not None:
+            connection.work.cancel()
+            connection.work = None
+
+    def _fence_off(self, connection):
+        self.fenced_off += 1
+        reason = connection.fence_reason.encode()
+        connection.reply(409, b"", b"Briarspoke-Fence: %b\r\n" % reason)
+
+    def _shed(self, connection):
+        self.shed += 1
+        self._ended(connection)
+        connection.reply(503, b"", b"Briarspoke-Shed: 1\r\n")
+
     def arrived(self, connection):
         """Runs, queues or sheds a request that has arrived whole."""
+        if self.grants is not None:
+            self.end_expired()
         connection.fault = self.fault(connection) if self.fault else None
         if connection.fault is not None:
             self.faults[connection.fault.value] += 1
-        reason = self.fence_reason(connection.headers)
         if connection.fault is Fault.CLOSE_BEFORE:
             connection.transport.abortConnection()
         elif connection.fault is Fault.SHED:
-            self.shed += 1
-            connection.reply(503, b"", b"Briarspoke-Shed: 1\r\n")
-        elif reason is not None:
-            self.fenced_off += 1
-            connection.reply(409, b"", f"Briarspoke-Fence: {reason}\r\n".encode())
+            self._shed(connection)
+        elif connection.fence_reason is not None:
+            self._fence_off(connection)
         elif self.running < self.slots:
             self._run(connection)
         elif len(self.waiting) < self.backlog:
             self.waiting.append(connection)
         else:
-            self.shed += 1
-            connection.reply(503, b"", b"Briarspoke-Shed: 1\r\n")
+            self._shed(connection)
 
     def _run(self, connection):
         self.running += 1
         self.peak_running = max(self.peak_running, self.running)
         self.record(connection)
-        if self.grants:
-            self.grants.began(_partition(connection))
+        connection.running = True
         service_s = self.service_s
         if callable(service_s):
             service_s = service_s(connection)
         if service_s:
-            self.reactor.callLater(service_s, self._ran, connection)
+            connection.work = self.reactor.callLater(service_s, self._ran, connection)
         else:
             self._ran(connection)
 
@@ -168,20 +244,27 @@
         )
 
     def _ran(self, connection):
-        self.running -= 1
-        if self.grants:
-            self.grants.ended(_partition(connection))
+        connection.work = None
+        if self.grants is not None:
+            # Timers of a process that was paused run in no certain order.
+            self.end_expired()
+            if not connection.running:
+                return
+        self._stop(connection)
+        self._ended(connection)
         answer = self.answer(connection) if callable(self.answer) else self.answer
         if connection.fault is None:
             connection.reply(200, answer, b"")
         else:
             connection.reply_with_fault(answer)
         while self.waiting and self.running < self.slots:
-            # The grant may have ended while the request waited.
             self.arrived(self.waiting.popleft())
 
     def control(self, path, body):
         """Answers a call of the control endpoint; returns (status, JSON)."""
+        if self.grants is not None:
+            # A renewal must not extend what ran when the grants had expired.
+            self.end_expired()
         return self.grants.control(path, body) if self.grants else (404, {})
 
     def freeze(self):
@@ -208,6 +291,8 @@
     def __init__(self, backend):
         self.backend = backend
         self.fault = None
+        self.running = False
+        self.work = None
         self._held_writes = []
 
     def connectionMade(self):
@@ -218,14 +303,13 @@
             self.transport.pauseProducing()
 
     def connectionLost(self, reason):
-        self.backend.connections.discard(self)
-        if self in self.backend.waiting:
-            self.backend.waiting.remove(self)
+        self.backend.lost(self)
 
     def _reset(self):
         self.headers = {}
         self.target = b""
         self.head_at = 0.0
+        self.fence_reason = None
         self.body_length = 0
         self.body_hash = hashlib.sha256()
         self._control_body = []
@@ -253,6 +337,8 @@
 
     def on_headers_complete(self):
         self.head_at = self.backend.clock()
+        if not self.target.startswith(b"/_control/"):
+            self.backend.head_arrived(self)
 
     def on_body(self, data):
         self.body_length += len(data)
--- /dev/null
+++ b/tests/test_standins_backend.py
@@ -0,0 +1,109 @@
+from __future__ import annotations
+
+import pytest
+from http_fakes import Side
+from twisted.internet import task
+
+from briarspoke.standins.backend import BackendFactory, BackendStandIn
+from briarspoke.standins.grants import GrantTable
+
+GET = (
+    b"GET /s/k HTTP/1.1\r\nBriarspoke-Partition: s/1\r\nBriarspoke-Epoch: 3\r\n"
+    b"Content-Length: %d\r\n\r\n"
+)
+
+
+class _Server(task.Clock):
+    def __init__(self):
+        super().__init__()
+        self.grants = GrantTable(server="a", clock=self.seconds)
+        self.backend = BackendStandIn(
+            name="a",
+            reactor=self,
+            clock=self.seconds,
+            service_s=5.0,
+            slots=1,
+            backlog=1,
+            grants=self.grants,
+        )
+        self.renew()
+
+    def renew(self, *, revoke=()):
+        """Lets the grants expire 2 s from now."""
+        body = {
+            "term": 5,
+            "server": "a",
+            "grants": {"s/1": 3},
+            "digest": "",
+            "revoke": list(revoke),
+            "expires_at": self.seconds() + 2.0,
+            "incarnation": "1",
+        }
+        return self.backend.control("/_control/grants", body)[1]
+
+    def connect(self):
+        return Side(BackendFactory(self.backend).buildProtocol(None))
+
+
+@pytest.fixture
+def server():
+    return _Server()
+
+
+class TestExpiry:
+    def test_running_request_ends_without_an_answer(self, server):
+        # Guards against work that goes on while another server owns the key.
+        caller = server.connect()
+        caller.send(GET % 0)
+        server.advance(2.0)
+        assert caller.socket.aborted
+        assert not caller.socket.take()
+        assert server.backend.running == 0
+        server.advance(5.0)
+        assert not caller.socket.take()
+
+    def test_renewed_grant_lets_it_finish(self, server):
+        # Guards against requests that are cut off at the first expiry time.
+        caller = server.connect()
+        caller.send(GET % 0)
+        for _ in range(4):
+            server.advance(1.5)
+            server.renew()
+        assert caller.socket.take().startswith(b"HTTP/1.1 200 ")
+
+    def test_renewal_after_the_expiry_saves_nothing(self, server):
+        # Guards against a paused server that handles a renewal before its timers.
+        caller = server.connect()
+        caller.send(GET % 0)
+        server.rightNow += 3.0
+        server.renew()
+        assert caller.socket.aborted
+
+    def test_request_that_has_not_run_is_fenced_off(self, server):
+        # Guards against an unknown outcome where nothing has run.
+        running, waiting, receiving = (server.connect() for _ in range(3))
+        running.send(GET % 0)
+        waiting.send(GET % 0)
+        receiving.send(GET % 3 + b"x")
+        server.advance(2.0)
+        receiving.send(b"xx")
+        for caller in (waiting, receiving):
+            assert b"Briarspoke-Fence: expired" in caller.socket.take()
+        assert len(server.backend.executions) == 1
+
+
+class TestRevocation:
+    def test_request_is_in_flight_from_its_head(self, server):
+        # Guards against an upload that loses to a handover after seconds.
+        caller = server.connect()
+        caller.send(GET % 3 + b"x")
+        assert server.renew(revoke=["s/1"])["busy"] == ["s/1"]
+        caller.send(b"xx")
+        assert len(server.backend.executions) == 1
+
+    def test_lost_upload_is_not_in_flight(self, server):
+        # Guards against a partition that never moves again.
+        caller = server.connect()
+        caller.send(GET % 3 + b"x")
+        caller.lose()
+        assert server.renew(revoke=["s/1"])["busy"] == []
