Test over-long lines on the callers' port in more shapes

The tests covered one header line that ends. They now also cover a line that never ends and a long request line, which take other paths in LineReceiver.

--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -25,6 +25,8 @@
             (b"GET /s/k\r\n", 4001),
             (b"GET /s/k HTTP/1.1\r\nno colon\r\n\r\n", 4001),
             (b"GET /s/k HTTP/1.1\r\nA: " + b"x" * 20_000 + b"\r\n\r\n", 4006),
+            (b"GET /s/k HTTP/1.1\r\nA: " + b"x" * 20_000, 4006),
+            (b"GET /s/" + b"k" * 20_000 + b" HTTP/1.1\r\n\r\n", 4006),
             (b"GET /s/k HTTP/1.1\r\n" + b"A: 123456\r\n" * 3000 + b"\r\n", 4006),
             (b"GET /other/k HTTP/1.1\r\n\r\n", 4002),
             (b"GET /s HTTP/1.1\r\n\r\n", 4003),
