Report 2004 where the retry budget denied the retry of a shed request

Code 2004 was registered but never used; a caller saw 2003, as if only one server were full. A shed request whose retry the budget denied now gets 2004: the whole service is short, so the caller should wait longer. An attempt that failed for another reason keeps its code, because an unreachable owner is no load decision.

--- a/briarspoke/codes.py
+++ b/briarspoke/codes.py
@@ -133,7 +133,7 @@
     "retry-budget-spent",
     Kind.LOAD,
     503,
-    "The attempt was not run and the service's retry budget is spent.",
+    "The owning server shed the request and the retry budget is spent.",
 )
 NO_CONNECTION_FREE = register(
     2005,
--- a/briarspoke/http/router.py
+++ b/briarspoke/http/router.py
@@ -400,6 +400,10 @@
         )
         if not isinstance(plan, Retry):
             self.metrics.count("retries_denied_total", plan.value)
+            if plan is Denied.BUDGET and attempt.code is codes.SERVER_SHED:
+                # Says that the whole service is short, not this one server. Other
+                # causes stay named: they are no load decisions.
+                attempt.code = codes.RETRY_BUDGET_SPENT
             return False
         self.metrics.count("retries_total", attempt.reason)
         self.reactor.callLater(plan.delay_s, self._retry_now, relay)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -210,6 +210,26 @@
         server.send(OK)
         assert caller.socket.take().endswith(b"ok")
 
+    @pytest.mark.parametrize(
+        ("tokens", "code"),
+        [(0.0, codes.RETRY_BUDGET_SPENT), (9.0, codes.SERVER_SHED)],
+    )
+    def test_code_says_why_a_shed_request_was_not_repeated(self, tokens, code):
+        # Guards against a service short of retries that looks like one full server.
+        world = World()
+        service = world.router.configuration.services_by_name["s"]
+        world.router.budget_of(service).tokens = tokens
+        caller = world.caller()
+        caller.send(GET)
+        server = world.accept()
+        while caller.socket.value() == b"":
+            server.send(
+                b"HTTP/1.1 503 X\r\nContent-Length: 0\r\nBriarspoke-Shed: 1\r\n\r\n"
+            )
+            world.wait(0.3)
+        result = caller.result()
+        assert (result["code"], result["run"]) == (code.number, "no")
+
     def test_lost_booking_is_not_repeated(self):
         # Guards against a second run of a non-idempotent request.
         world = World()
