Look for a pending close before a kept connection is used

A server may close an idle connection just before a request is written to it; for a booking the outcome was then unknown although nothing had run. The pool now polls the socket first and drops the connection if a close or stray data waits. Nothing has been written then, so this is no retry.

--- a/briarspoke/benches/parts/backend.py
+++ b/briarspoke/benches/parts/backend.py
@@ -58,6 +58,7 @@
                 answer=echo,
                 fault=_faults(rate, f"{name}{parameters['seed']}") if rate else None,
                 read_rate=parameters.get("read_rate"),
+                idle_close_s=parameters.get("idle_close_s"),
             )
             self.backends.append(backend)
             self.listening.append(self._listen(backend, 0))
--- a/briarspoke/benches/parts/mixed_load.py
+++ b/briarspoke/benches/parts/mixed_load.py
@@ -143,7 +143,8 @@
     """Sends requests of all ranks to the entry VMs in turn.
 
     :param parameters: ``service``, ``ports``, ``rate`` of short requests,
-        ``upload_rate``, ``upload_bytes`` and ``upload_s``, ``keys``.
+        ``keys``, and for uploads ``upload_rate``, ``upload_bytes`` and
+        ``upload_s``.
     """
 
     def __init__(self, parameters):
@@ -162,7 +163,8 @@
         """Starts to send."""
         self.running = True
         self._spawn(self._send_at(self.parameters["rate"], self._short))
-        self._spawn(self._send_at(self.parameters["upload_rate"], self._upload))
+        if upload_rate := self.parameters.get("upload_rate"):
+            self._spawn(self._send_at(upload_rate, self._upload))
 
     def _spawn(self, coroutine):
         task = asyncio.ensure_future(coroutine)
--- a/briarspoke/http/pool.py
+++ b/briarspoke/http/pool.py
@@ -8,6 +8,7 @@
 from twisted.internet import protocol
 
 from briarspoke import codes
+from briarspoke.http.probe import is_quiet
 from briarspoke.http.upstream import UpstreamConnection
 from briarspoke.retry.policy import Attempt, Outcome
 
@@ -77,10 +78,15 @@
         ``done``.
         """
         while self._idle:
+            # The most recently used one is the least likely to be closed.
             connection = self._idle.pop()
-            if connection.reusable:
+            if not connection.reusable:
+                continue
+            if is_quiet(connection.transport):
                 waiter.connected(connection)
                 return
+            # Closed by the server, but the event loop has not reported it yet.
+            self._drop(connection)
         if len(self.connections) + self._connecting >= self.maximum:
             waiter.attempt_failed(
                 Attempt(
@@ -96,6 +102,11 @@
             self.host, self.port, self._factory, timeout=CONNECT_TIMEOUT_S
         )
 
+    def _drop(self, connection):
+        # Counts no longer, so that a new connection can take its place at once.
+        self.connections.discard(connection)
+        connection.abort()
+
     def close_idle(self, now):
         """Closes connections that were idle or discarding for too long."""
         while self._idle and now - self._idle[0].idle_since > IDLE_TIMEOUT_S:
--- a/briarspoke/http/probe.py
+++ b/briarspoke/http/probe.py
@@ -7,6 +7,18 @@
 _RESET = select.POLLERR | select.POLLHUP | select.POLLNVAL
 _CLOSED = _RESET | select.POLLRDHUP
 
+_READABLE = select.POLLIN | _CLOSED
+
+
+def is_quiet(transport):
+    """Returns whether neither data nor a close of the other side is waiting."""
+    fd = transport.fileno()
+    if fd < 0:
+        return True
+    poll = select.poll()
+    poll.register(fd, select.POLLIN | select.POLLRDHUP)
+    return not any(found & _READABLE for _, found in poll.poll(0))
+
 
 def lost_transports(callers, upstreams):
     """Returns the transports whose other side is gone.
--- a/briarspoke/standins/backend.py
+++ b/briarspoke/standins/backend.py
@@ -70,6 +70,7 @@
     :param fault: function from the connection to a :class:`Fault` or None.
     :param read_rate: bytes per second read from each connection, or None.
     :param grants: the :class:`GrantTable` of a fenced server, or None.
+    :param idle_close_s: idle connections are closed after this, or None.
     """
 
     def __init__(
@@ -87,6 +88,7 @@
         fault=None,
         read_rate=None,
         grants=None,
+        idle_close_s=None,
     ):
         self.name = name
         self.reactor = reactor
@@ -97,6 +99,7 @@
         self.fenced = fenced
         self.keep_records = keep_records
         self.grants = grants
+        self.idle_close_s = idle_close_s
         self.answer = answer or f'{{"server": "{name}"}}'.encode()
         self.fault = fault
         self.read_rate = read_rate
@@ -294,6 +297,7 @@
         self.running = False
         self.work = None
         self._held_writes = []
+        self._idle_close = None
 
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
@@ -303,8 +307,18 @@
             self.transport.pauseProducing()
 
     def connectionLost(self, reason):
+        self._stay_open()
         self.backend.lost(self)
 
+    def _stay_open(self):
+        if self._idle_close is not None:
+            self._idle_close.cancel()
+            self._idle_close = None
+
+    def _close_idle(self):
+        self._idle_close = None
+        self.transport.loseConnection()
+
     def _reset(self):
         self.headers = {}
         self.target = b""
@@ -316,6 +330,7 @@
         self._parser = httptools.HttpRequestParser(self)
 
     def dataReceived(self, data):
+        self._stay_open()
         rate = self.backend.read_rate
         if rate is not None:
             self.transport.pauseProducing()
@@ -369,6 +384,11 @@
         )
         self._reset()
         self._write(content)
+        if self.backend.idle_close_s is not None:
+            self._stay_open()
+            self._idle_close = self.backend.reactor.callLater(
+                self.backend.idle_close_s, self._close_idle
+            )
 
     def _write(self, content):
         if self.backend.frozen:
