Build the table of peers only when a member changes

Cause: the node made new peer objects every 0.25 s, so the router compared the fields of every peer in each of its 100 ticks a second. Change: Members counts its changes; PeerTable keeps its peers until then.

--- a/briarspoke/membership/members.py
+++ b/briarspoke/membership/members.py
@@ -249,6 +249,8 @@
     def __init__(self, *, me, seeds=()):
         self.me = me
         self.by_id = {me.node_id: me}
+        # Grows with each change of a member's status, identity or existence.
+        self.changes = 0
         # Nodes to which a direct link is kept in any case.
         self.pinned = set()
         self._seeds = tuple(seeds)
@@ -492,6 +494,7 @@
         if now - member.changed_at >= limit:
             del self.by_id[member.node_id]
             self._targets = None
+            self.changes += 1
             commands.append(Forgotten(member=member))
 
     # Helpers.
@@ -525,5 +528,6 @@
 
     def _changed(self, member, before, source, commands):
         self._targets = None
+        self.changes += 1
         commands.append(Announce(member=member, except_peer=source))
         commands.append(Changed(member=member, before=before))
--- a/briarspoke/node.py
+++ b/briarspoke/node.py
@@ -32,7 +32,7 @@
 from briarspoke.platform.vms import VmPoller
 from briarspoke.platform.watcher import StoreWatcher
 from briarspoke.routing.load import LoadReporter
-from briarspoke.routing.peers import peers_of
+from briarspoke.routing.peers import PeerTable
 
 log = logging.getLogger(__name__)
 
@@ -132,6 +132,7 @@
             instance=instance,
         )
         self.members = Members(me=me, seeds=settings.peers)
+        self.peers = PeerTable(members=self.members)
         self.links = LinkHub(
             reactor=self.reactor,
             clock=clock.monotonic,
@@ -259,7 +260,7 @@
     # Duties that recur.
 
     def _duties(self):
-        self.router.peers_by_id = peers_of(self.members)
+        self.router.peers_by_id = self.peers.current()
         self.watcher.set_active(self._watches_store())
         for member in self.members.by_id.values():
             if member is not self.members.me and member.usable:
--- a/briarspoke/routing/peers.py
+++ b/briarspoke/routing/peers.py
@@ -32,6 +32,30 @@
         return self.node_id, self.zone, self.forward_host, self.forward_port
 
 
+class PeerTable:
+    """Keeps the peers until a member changes.
+
+    The router compares the peers 100 times a second; equal objects that are not
+    the same would cost it a comparison of each peer's fields.
+
+    :param members: the :class:`briarspoke.membership.members.Members`.
+    """
+
+    __slots__ = ("_changes", "_members", "_peers_by_id")
+
+    def __init__(self, *, members):
+        self._members = members
+        self._changes = None
+        self._peers_by_id = {}
+
+    def current(self):
+        """Returns ``{node_id: Peer}``, the same object while nothing changes."""
+        if self._changes != self._members.changes:
+            self._changes = self._members.changes
+            self._peers_by_id = peers_of(self._members)
+        return self._peers_by_id
+
+
 def peers_of(members):
     """Returns ``{node_id: Peer}`` of the members that take forwarded requests.
 
