Stop a node in order, also when it has not started

Cause: a node whose start failed on a port raised AttributeError when it was stopped; one that was stopped while it waited for store and peers became ready afterwards and began to watch the store; a fault while requests drained left the zones' leases to lapse. Change: shutdown resigns the leases whatever happens before, stop() may come before join and twice, and a stopped start ends. Conclusion: the order is leave, stop accepting, drain, resign leases, close links; the leases are kept while requests drain, so grants do not run out.

--- a/briarspoke/node.py
+++ b/briarspoke/node.py
@@ -83,6 +83,7 @@
         self.store = StoreClient(
             reactor=reactor, base_url=settings.store_url, metrics=self.metrics
         )
+        self.links = None
         self.documents = Documents()
         self.holder = ConfigurationHolder()
         self.holder.observe(self._configuration_in_force)
@@ -116,6 +117,8 @@
         self.vms.start()
         self._identify().addErrback(self._failed, "identification")
         yield self._load()
+        if self._stopping:
+            return
         self.ready = True
         self.reactor.callLater(0, self.watcher.set_active, self._watches_store())
         log.info("node: %s is ready", self.settings.node)
@@ -362,27 +365,45 @@
 
     @defer.inlineCallbacks
     def shutdown(self):
-        """Finishes what is in flight within ``shutdown_s``, then stops."""
+        """Finishes what is in flight within ``shutdown_s``, then stops.
+
+        The leases of zones are kept while requests drain, so that their servers
+        are granted all the time, and are resigned before the links close.
+        """
         self.ready = False
-        self.links.leave()
+        if self.links is not None:
+            self.links.leave()
+        try:
+            yield self._stop_accepting()
+            left = yield self.router.drain(self.settings.shutdown_s)
+            log.info("node: %d requests were cut off by the shutdown", left)
+        finally:
+            # A zone whose leases are not resigned waits until they lapse.
+            yield self.stop()
+
+    @defer.inlineCallbacks
+    def _stop_accepting(self):
         for name in ("callers", "forward"):
-            yield self.ports_by_name.pop(name).stopListening()
-        left = yield self.router.drain(self.settings.shutdown_s)
-        log.info("node: %d requests were cut off by the shutdown", left)
-        yield self.stop()
+            port = self.ports_by_name.pop(name, None)
+            if port is not None:
+                yield port.stopListening()
 
     @defer.inlineCallbacks
     def stop(self):
-        """Closes every port and connection at once."""
+        """Resigns the leases, then closes every port and connection."""
+        if self._stopping:
+            return
         self._stopping = True
         invariant_observers.remove(self._invariant_failed)
         for timer in self._timers:
             if timer.running:
                 timer.stop()
-        self.watcher.set_active(False)
-        self.vms.stop()
-        yield self.control.stop()
-        yield self.links.stop()
+        # A start that failed on a port has not joined the other entry VMs.
+        if self.links is not None:
+            self.watcher.set_active(False)
+            self.vms.stop()
+            yield self.control.stop()
+            yield self.links.stop()
         for port in self.ports_by_name.values():
             yield port.stopListening()
         yield self.store.close()
