--- a/briarspoke/node.py
+++ b/briarspoke/node.py
@@ -22,7 +22,7 @@
 from briarspoke.links.hub import LinkHub
 from briarspoke.membership.documents import Documents
 from briarspoke.membership.in_force import InForceViews
-from briarspoke.membership.members import Member, Members
+from briarspoke.membership.members import Member, Members, Status
 from briarspoke.metrics import Metrics
 from briarspoke.node_status import RouterStatus, register_gauges
 from briarspoke.ownership.document import OwnershipDocument
@@ -32,7 +32,7 @@
 from briarspoke.platform.vms import VmPoller
 from briarspoke.platform.watcher import StoreWatcher
 from briarspoke.routing.load import LoadReporter
-from briarspoke.routing.peers import peers_of
+from briarspoke.routing.peers import PeerTable
 
 log = logging.getLogger(__name__)
 
@@ -40,6 +40,7 @@
 # A peer that answers at all does so much earlier; then the store is asked again.
 SYNC_TIMEOUT_S = 2.0
 RETRY_S = 0.25
+USABLE = (Status.ALIVE, Status.SUSPECT)
 INCARNATION_PREFIX = "nodes/"
 
 
@@ -82,6 +83,7 @@
         self.store = StoreClient(
             reactor=reactor, base_url=settings.store_url, metrics=self.metrics
         )
+        self.links = None
         self.documents = Documents()
         self.holder = ConfigurationHolder()
         self.holder.observe(self._configuration_in_force)
@@ -115,6 +117,8 @@
         self.vms.start()
         self._identify().addErrback(self._failed, "identification")
         yield self._load()
+        if self._stopping:
+            return
         self.ready = True
         self.reactor.callLater(0, self.watcher.set_active, self._watches_store())
         log.info("node: %s is ready", self.settings.node)
@@ -132,6 +136,7 @@
             instance=instance,
         )
         self.members = Members(me=me, seeds=settings.peers)
+        self.peers = PeerTable(members=self.members)
         self.links = LinkHub(
             reactor=self.reactor,
             clock=clock.monotonic,
@@ -181,6 +186,7 @@
             node_id=settings.node,
             version=lambda: self.holder.document.version,
         )
+        self.links.observe_members(self._member_changed)
         self.documents.observe(STORE_KEY, self._configuration_seen)
         self.documents.observe(OWNERSHIP_PREFIX, self._ownership_seen)
         self.documents.observe(RECORD_PREFIX, self._record_seen)
@@ -259,12 +265,25 @@
     # Duties that recur.
 
     def _duties(self):
-        self.router.peers_by_id = peers_of(self.members)
+        self.router.peers_by_id = self.peers.current()
         self.watcher.set_active(self._watches_store())
+        self._report_heard()
+
+    def _report_heard(self):
+        """Tells the controllers which terminated VMs still run.
+
+        They need the time of the last sign of life of these alone; of others it
+        is reported when they cease to be usable, because 440 nodes four times a
+        second for each zone would take several percent of a core.
+        """
         for member in self.members.by_id.values():
-            if member is not self.members.me and member.usable:
+            if member.terminated and member.usable:
                 self.control.node_heard(member.node_id)
 
+    def _member_changed(self, member, before):
+        if member is not self.members.me and before in USABLE and not member.usable:
+            self.control.node_heard(member.node_id)
+
     def _watches_store(self):
         # Holders hear of changes in their own zone first and pass them on.
         holders = {
@@ -278,8 +297,11 @@
         self.load_reporter.report()
 
     def _vms_listed(self, entry_vms, entries):
-        self.vm_list = entries
         self.links.vms_listed(entry_vms)
+        # Before the controllers read the list: a VM that it calls terminated may
+        # have been heard a moment ago.
+        self._report_heard()
+        self.vm_list = entries
 
     def _every(self, interval_s, function):
         timer = task.LoopingCall(self._guarded, function)
@@ -346,29 +368,46 @@
     def shutdown(self):
         """Finishes what is in flight within ``shutdown_s``, then stops.
 
+        The leases of zones are kept while requests drain, so that their servers
+        are granted all the time, and are resigned before the links close.
+
         :returns: a Deferred of the number of requests that were cut off.
         """
         self.ready = False
-        self.links.leave()
-        for name in ("callers", "forward"):
-            yield self.ports_by_name.pop(name).stopListening()
-        left = yield self.router.drain(self.settings.shutdown_s)
-        log.info("node: %d requests were cut off by the shutdown", left)
-        yield self.stop()
+        if self.links is not None:
+            self.links.leave()
+        try:
+            yield self._stop_accepting()
+            left = yield self.router.drain(self.settings.shutdown_s)
+            log.info("node: %d requests were cut off by the shutdown", left)
+        finally:
+            # A zone whose leases are not resigned waits until they lapse.
+            yield self.stop()
         return left
 
+    @defer.inlineCallbacks
+    def _stop_accepting(self):
+        for name in ("callers", "forward"):
+            port = self.ports_by_name.pop(name, None)
+            if port is not None:
+                yield port.stopListening()
+
     @defer.inlineCallbacks
     def stop(self):
-        """Closes every port and connection at once."""
+        """Resigns the leases, then closes every port and connection."""
+        if self._stopping:
+            return
         self._stopping = True
         invariant_observers.remove(self._invariant_failed)
         for timer in self._timers:
             if timer.running:
                 timer.stop()
-        self.watcher.set_active(False)
-        self.vms.stop()
-        yield self.control.stop()
-        yield self.links.stop()
+        # A start that failed on a port has not joined the other entry VMs.
+        if self.links is not None:
+            self.watcher.set_active(False)
+            self.vms.stop()
+            yield self.control.stop()
+            yield self.links.stop()
         for port in self.ports_by_name.values():
             yield port.stopListening()
         yield self.store.close()
