List the benches and report their progress

Cause: `briarspoke bench` needed a name, an unknown one was the only way to see the names, and a bench of up to 45 s printed nothing until its end.

Change: `bench` and `bench list` print one line per bench from its docstring; a running bench says so on standard error each second for 10 s, then every 10 s. The test imports the link codes and checks them like all others.

Conclusion: every bench can be found and is described; tests check both.

--- a/briarspoke/benches/config.py
+++ b/briarspoke/benches/config.py
@@ -35,7 +35,7 @@
 
 @bench("config")
 def run(*, seed, long):
-    """Runs the bench."""
+    """Changes by several operators on five entry VMs, with faults of the store."""
     from briarspoke import loop
 
     reactor = loop.install()
--- a/briarspoke/output.py
+++ b/briarspoke/output.py
@@ -8,6 +8,8 @@
 import threading
 
 PROGRESS_AFTER_S = 1.0
+# A line per second would fill a log during a bench of minutes.
+PROGRESS_SPARSE_AFTER_S = 10
 
 
 def print_json(value):
@@ -62,6 +64,8 @@
         seconds = 0
         while not done.wait(PROGRESS_AFTER_S):
             seconds += 1
+            if seconds > PROGRESS_SPARSE_AFTER_S and seconds % PROGRESS_SPARSE_AFTER_S:
+                continue
             print(f"briarspoke: {text}, {seconds} s", file=sys.stderr, flush=True)
 
     thread = threading.Thread(target=report, daemon=True)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -9,7 +9,7 @@
 import pytest
 from operators_fakes import READER_TOKEN, WRITER_TOKEN, Answer, ApiInMemory
 
-from briarspoke import cli, client, commands, operations
+from briarspoke import benches, cli, client, commands, operations
 from briarspoke.commands import get
 
 ZONES = {"zones": [{"name": "poa"}, {"name": "cwb"}]}
@@ -149,6 +149,16 @@
         assert "briarspoke get writes w9 --base 0" in capsys.readouterr().err
 
 
+class TestBenchList:
+    @pytest.mark.parametrize("arguments", [["bench"], ["bench", "list"]])
+    def test_one_line_each(self, arguments, capsys):
+        # Guards against a bench that nobody finds, or without a description.
+        assert cli.execute(arguments) == 0
+        lines = capsys.readouterr().out.splitlines()
+        assert [line.split()[0] for line in lines] == sorted(benches.by_name)
+        assert all(len(line.split()) > 3 and len(line) <= 100 for line in lines)
+
+
 class TestCommands:
     def run(self, capsys, *arguments, status=0):
         assert cli.execute(list(arguments)) == status
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import ast
+import importlib
 import json
 import re
 import shlex
@@ -128,6 +129,7 @@
 
     def test_alarms_name_known_codes_and_metrics(self):
         # Guards against an alarm that can never fire.
+        importlib.import_module("briarspoke.links.rejections")
         known = {str(number) for number in codes.by_number}
         for page in ROOT.glob("docs/user/alarms/*.md"):
             text = page.read_text()
@@ -135,9 +137,7 @@
                 assert name in metrics.COUNTERS or name in metrics.GAUGES, name
             for pattern in re.findall(r'code=~?"([^"]+)"', text):
                 for part in pattern.replace("\\", "").split("|"):
-                    # Links register their 6xxx codes in a module of their own.
-                    if part != "6...":
-                        assert any(re.fullmatch(part, n) for n in known), part
+                    assert any(re.fullmatch(part, n) for n in known), part
 
     def test_json_shown_in_the_guide_is_valid(self, tmp_path):
         text = (ROOT / "docs/user/first-service.md").read_text()
