Run every command that the pages show

Cause: of the commands shown in README.md and the guide only `check` and `version` ran in tests; apply, diff, get, watch, drain and evacuate were merely parsed.

Conclusion: a step of the guide that the program refuses now fails a test. `serve` and `bench NAME` are still only parsed there.

--- a/briarspoke/standins/demo.py
+++ b/briarspoke/standins/demo.py
@@ -22,7 +22,7 @@
 ZONES = ("poa", "cwb")
 SERVERS_PER_ZONE = 2
 PARTITIONS = 32
-PORTS = CALLER_PORT, _, ADMIN_PORT, METRICS_PORT, _ = 8080, 8081, 8082, 8083, 8084
+PORTS = 8080, 8081, 8082, 8083, 8084
 OPERATOR_TOKEN = "demo-operator-token"
 OWNED_TIMEOUT_S = 10.0
 
@@ -70,11 +70,14 @@
     """Platform stand-in, backend servers and an entry VM in one process.
 
     :param check: send requests, print a summary and stop.
+    :param free_ports: listen on any free ports.
     """
 
-    def __init__(self, *, reactor, check):
+    def __init__(self, *, reactor, check, free_ports=False):
         self.reactor = reactor
         self.check = check
+        # The check may run beside a demo.
+        self.free_ports = free_ports or check
         self.exit_status = 0
         self.backends_by_name = {}
         self.node = None
@@ -111,8 +114,7 @@
         yield self._owned()
 
     def _settings(self, store_url):
-        # The check may run beside a demo, so it takes any free ports.
-        ports = (0, 0, 0, 0, 0) if self.check else PORTS
+        ports = (0, 0, 0, 0, 0) if self.free_ports else PORTS
         names = ("caller", "peer", "admin", "metrics", "forward")
         listen = {
             f"{name}_listen": f"127.0.0.1:{port}"
@@ -182,14 +184,14 @@
         self.exit_status = 0 if passed == len(expected) else 1
 
     def _print_help(self):
-        base = f"http://127.0.0.1:{CALLER_PORT}"
+        base = f"http://127.0.0.1:{self.node.port('callers')}"
         print(f"lookup:   curl -i {base}/tabela/42")
         print(f"booking:  curl -i -d '{{}}' {base}/tabela/42")
         print(f"bulk:     curl -i -T README.md {base}/tabela/photos")
         print(f"refused:  curl -i {base}/nothing/42")
-        print(f"metrics:  curl http://127.0.0.1:{METRICS_PORT}/")
+        print(f"metrics:  curl http://127.0.0.1:{self.node.port('metrics')}/")
         print(
             f"operator: curl -H 'Authorization: Bearer {OPERATOR_TOKEN}' "
-            f"http://127.0.0.1:{ADMIN_PORT}/v1/status/ownership"
+            f"http://127.0.0.1:{self.node.port('admin')}/v1/status/ownership"
         )
         print("stop with Ctrl-C", flush=True)
--- a/tests/operators_fakes.py
+++ b/tests/operators_fakes.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+import http.client
+import io
 import json
 
 from twisted.internet import defer, task
 from twisted.internet.testing import StringTransport
 
+from briarspoke import client, operations
+from briarspoke.commands import get
 from briarspoke.configuration.holder import ConfigurationHolder
 from briarspoke.configuration.writer import ConfigurationWriter
 from briarspoke.http.admin import AdminApi, AdminSite
@@ -233,3 +237,48 @@
         content += data[: int(size, 16)]
         data = data[int(size, 16) + 2 :]
     return content
+
+
+class _Response(io.BytesIO):
+    def __init__(self, answer):
+        super().__init__(answer.content)
+        self.status = answer.status
+
+
+class _Connection:
+    """Stands in for ``http.client.HTTPConnection``."""
+
+    api = None
+    fault = ""
+
+    def __init__(self, host, port, timeout):
+        self.answer = None
+
+    def connect(self):
+        if self.fault == "unreachable":
+            raise ConnectionRefusedError(111, "Connection refused")
+
+    def request(self, method, path, content, headers):
+        token = headers.pop("Authorization").removeprefix("Bearer ")
+        self.answer = self.api.call(method, path, content, token=token, headers=headers)
+
+    def getresponse(self):
+        if self.fault == "lost":
+            raise http.client.RemoteDisconnected("closed")
+        if self.fault == "no-json":
+            return _Response(Answer(b"HTTP/1.1 502 Bad\r\n\r\n<html>"))
+        return _Response(self.answer)
+
+    def close(self):
+        pass
+
+
+def connect_commands(monkeypatch):
+    """Returns an :class:`ApiInMemory` that the commands call in this test."""
+    api = ApiInMemory()
+    api.connection = type("Connection", (_Connection,), {"api": api})
+    monkeypatch.setattr(client.http.client, "HTTPConnection", api.connection)
+    monkeypatch.setenv("BRIARSPOKE_TOKEN", WRITER_TOKEN)
+    monkeypatch.setattr(operations, "POLL_S", 0)
+    monkeypatch.setattr(get, "NODES_ANSWER_S", 0)
+    return api
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -1,16 +1,13 @@
 from __future__ import annotations
 
-import http.client
-import io
 import json
 import subprocess
 import sys
 
 import pytest
-from operators_fakes import READER_TOKEN, WRITER_TOKEN, Answer, ApiInMemory
+from operators_fakes import READER_TOKEN, connect_commands
 
-from briarspoke import benches, cli, client, commands, operations
-from briarspoke.commands import get
+from briarspoke import benches, cli, client, commands
 
 ZONES = {"zones": [{"name": "poa"}, {"name": "cwb"}]}
 SERVICE = {"name": "tabela"}
@@ -22,50 +19,9 @@
 }
 
 
-class _Response(io.BytesIO):
-    def __init__(self, answer):
-        super().__init__(answer.content)
-        self.status = answer.status
-
-
-class _Connection:
-    """Stands in for ``http.client.HTTPConnection``."""
-
-    api = None
-    fault = ""
-
-    def __init__(self, host, port, timeout):
-        self.answer = None
-
-    def connect(self):
-        if self.fault == "unreachable":
-            raise ConnectionRefusedError(111, "Connection refused")
-
-    def request(self, method, path, content, headers):
-        token = headers.pop("Authorization").removeprefix("Bearer ")
-        self.answer = self.api.call(method, path, content, token=token, headers=headers)
-
-    def getresponse(self):
-        if self.fault == "lost":
-            raise http.client.RemoteDisconnected("closed")
-        if self.fault == "no-json":
-            return _Response(Answer(b"HTTP/1.1 502 Bad\r\n\r\n<html>"))
-        return _Response(self.answer)
-
-    def close(self):
-        pass
-
-
 @pytest.fixture
 def api(monkeypatch):
-    api = ApiInMemory()
-    connection = type("Connection", (_Connection,), {"api": api})
-    monkeypatch.setattr(client.http.client, "HTTPConnection", connection)
-    monkeypatch.setenv("BRIARSPOKE_TOKEN", WRITER_TOKEN)
-    monkeypatch.setattr(operations, "POLL_S", 0)
-    monkeypatch.setattr(get, "NODES_ANSWER_S", 0)
-    api.connection = connection
-    return api
+    return connect_commands(monkeypatch)
 
 
 @pytest.fixture
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 
 import pytest
+from operators_fakes import connect_commands
 
 from briarspoke import cli, codes, metrics
 from briarspoke.settings import read_json
@@ -17,6 +18,8 @@
 ROOT = Path(__file__).resolve().parents[1]
 PAGES = sorted([ROOT / "README.md", *ROOT.glob("docs/**/*.md")])
 QUICK = ("check", "version")
+OPERATORS = ("apply", "diff", "get", "watch", "drain", "evacuate")
+GRANILITE = ROOT / "examples/granilite/configuration.json"
 
 
 def commands_shown():
@@ -69,6 +72,36 @@
         if len(arguments) > 1 or arguments[0] == "version":
             assert cli.execute(arguments) == 0
 
+    @pytest.mark.parametrize(
+        "arguments",
+        [a for _, a in commands_shown() if a[0] in OPERATORS and len(a) > 1],
+        ids=identify,
+    )
+    def test_operators_commands_run(self, arguments, monkeypatch, tmp_path):
+        # Guards against a step of the guide that the API refuses.
+        monkeypatch.chdir(ROOT)
+        api = connect_commands(monkeypatch)
+        api.status.owned = {}
+        # The addresses of the examples overlap, since they are two deployments.
+        is_other = any("lavendelhaus" in word for word in arguments)
+        resources = {} if is_other else read_json(GRANILITE)
+        assert api.call("POST", "/v1/apply", {"resources": resources}).status == 200
+        guide = (ROOT / "docs/user/first-service.md").read_text()
+        file = tmp_path / "service.json"
+        file.write_text(re.search(r"```json\n(.*?)```", guide, re.S)[1])
+        values = {
+            "service.json": str(file),
+            "SERVER": "tabela-poa-1",
+            "ZONE": "poa",
+            "FILE": str(GRANILITE),
+            "URL": "http://127.0.0.1:8082",
+            "ID": "w-1",
+            "VERSION": "1",
+        }
+        replaced = [values.get(word, word) for word in arguments]
+        differs = {1} if arguments[0] == "diff" else set()
+        assert cli.execute(replaced) in {0} | differs
+
     def test_some_are_found(self):
         assert len(commands_shown()) > 20
 
