Let an operator declare a silent server terminated

A silent server under `hold` keeps its keys until a proof that it holds no grant, and the VM list may never give one. The declaration frees no grants of an entry VM of the same name.

--- a/briarspoke/benches/ownership_faults.py
+++ b/briarspoke/benches/ownership_faults.py
@@ -390,6 +390,21 @@
     return server.restart
 
 
+@fault
+def server_declared_terminated(scenario):
+    server = scenario.server()
+    server.kill()
+    _set_state(scenario, server.name, "terminated")
+    scenario.configure()
+
+    def end():
+        server.restart()
+        _set_state(scenario, server.name, "active")
+        scenario.configure()
+
+    return end
+
+
 @fault
 def server_frozen(scenario):
     server = scenario.server()
--- a/briarspoke/configuration/resources.py
+++ b/briarspoke/configuration/resources.py
@@ -237,7 +237,11 @@
             ),
             "evacuated": schema.Boolean(
                 default=False,
-                help="True moves every key out, also when the zone is silent.",
+                help=(
+                    "True moves every key out of servers that answer. Silent servers "
+                    "under `hold` keep their keys until the old controller has "
+                    "resigned or restarted, or its VM or the server is terminated."
+                ),
             ),
         }
     )
@@ -400,9 +404,12 @@
                 help="Share of the partitions relative to other servers.",
             ),
             "state": schema.Choice(
-                ("active", "draining"),
+                ("active", "draining", "terminated"),
                 default="active",
-                help="A draining server gives its keys away and gets no new work.",
+                help=(
+                    "A draining server gives its keys away and gets no new work. A "
+                    "terminated one is gone for good, as if the VM list said so."
+                ),
             ),
         }
     )
--- a/briarspoke/ownership/controller.py
+++ b/briarspoke/ownership/controller.py
@@ -272,9 +272,21 @@
         for name in event.configuration.servers_by_name:
             self._retired.pop(name, None)
         self._index()
+        self._note_terminated(now)
         for state in self._states.values():
             state.plan_at = now
 
+    def _note_terminated(self, now):
+        """Treats what an operator declared gone like the VM list's news."""
+        self._predecessors.declared_terminated(
+            {
+                name
+                for name, server in self._configuration.servers_by_name.items()
+                if server.state == "terminated"
+            },
+            now,
+        )
+
     def _index(self):
         """Collects the zone's servers, those of earlier configurations included."""
         known = {**self._configuration.servers_by_name, **self._retired}
@@ -815,7 +827,7 @@
         )
 
     def _is_terminated(self, name, now):
-        free_at = self._predecessors.terminated_free_at(name)
+        free_at = self._predecessors.server_free_at(name)
         return free_at is not None and now >= free_at
 
     def _is_free(self, state, grants, now):
--- a/briarspoke/ownership/takeover.py
+++ b/briarspoke/ownership/takeover.py
@@ -14,6 +14,7 @@
     """What is known of the earlier holders of a zone's lease, and of VMs."""
 
     __slots__ = (
+        "_declared_at_by_name",
         "_heard_at_by_vm",
         "_resigned_until_by_term",
         "_restart_by_node",
@@ -25,6 +26,7 @@
         self._restart_by_node = {}
         self._terminated_at_by_vm = {}
         self._heard_at_by_vm = {}
+        self._declared_at_by_name = {}
 
     def resigned(self, term, remaining_s, now):
         """Notes that a holder ended its term and what its grants may last."""
@@ -51,11 +53,27 @@
             else:
                 self._terminated_at_by_vm.pop(vm_id, None)
 
+    def declared_terminated(self, names, now):
+        """Notes all servers that an operator has declared gone for good."""
+        known = self._declared_at_by_name
+        self._declared_at_by_name = {name: known.get(name, now) for name in names}
+
+    def server_free_at(self, name):
+        """Returns when the grants at a terminated server have expired, or None."""
+        times = [
+            at_by_vm[name]
+            for at_by_vm in (self._terminated_at_by_vm, self._declared_at_by_name)
+            if name in at_by_vm
+        ]
+        return self._free_at(name, min(times)) if times else None
+
     def terminated_free_at(self, vm_id):
-        """Returns when the grants of or at a terminated VM have expired, or None."""
+        """Returns when the grants of a terminated entry VM have expired, or None."""
+        # An operator declares servers only; an entry VM may have the same name.
         terminated_at = self._terminated_at_by_vm.get(vm_id)
-        if terminated_at is None:
-            return None
+        return None if terminated_at is None else self._free_at(vm_id, terminated_at)
+
+    def _free_at(self, vm_id, terminated_at):
         heard_at = self._heard_at_by_vm.get(vm_id, terminated_at - TERMINATED_SILENT_S)
         return max(terminated_at, heard_at + TERMINATED_SILENT_S) + GRANT_WAIT_S
 
--- a/tests/test_ownership_controller.py
+++ b/tests/test_ownership_controller.py
@@ -7,13 +7,13 @@
 from briarspoke.ownership.controller import ZoneController
 from briarspoke.ownership.document import Authority, OwnershipDocument, Partition, State
 from briarspoke.ownership.grants import grants_digest
-from briarspoke.ownership.timing import RESIGN_TIMES
+from briarspoke.ownership.timing import GRANT_WAIT_S, RESIGN_TIMES
 
 SERVERS = ("a", "b")
 OLD = Authority(term=3, node_id="old", incarnation=1, move_after_s=None)
 
 
-def configuration(states=(), **service):
+def configuration(states=(), gone=(), **service):
     value = {
         "zones": [{"name": "z"}],
         "services": [{"name": "s", "partitions": 4, **service}],
@@ -23,7 +23,11 @@
                 "service": "s",
                 "zone": "z",
                 "address": "127.0.0.1:1",
-                "state": "draining" if name in states else "active",
+                "state": "terminated"
+                if name in gone
+                else "draining"
+                if name in states
+                else "active",
             }
             for name in SERVERS
         ],
@@ -277,3 +281,32 @@
             times += 1
         assert 0 < times < 100
         assert len(driver.take(commands.Resign)) == RESIGN_TIMES
+
+
+class TestDeclaredTerminated:
+    def test_silent_server_gives_its_keys_away(self):
+        # Guards against keys that wait for ever for a server that is gone while
+        # the VM list does not say so.
+        driver = Driver()
+        driver.settle(events.WriteOutcome.TAKEN, 2)
+        driver.advance(8.0, names=("a",))
+        assert not driver.take(commands.WriteDocument)
+        changed = configuration(gone=("b",))
+        driver.handle(events.ConfigurationChanged(configuration=changed))
+        driver.advance(GRANT_WAIT_S - 0.2, names=("a",))
+        assert not driver.take(commands.WriteDocument)
+        driver.advance(0.5, names=("a",))
+        (write,) = driver.take(commands.WriteDocument)
+        assert {p.owner for p in write.document.partitions} == {"a"}
+
+    def test_server_that_answers_is_moved_without_a_proof(self):
+        # Guards against taking the keys of a server that still serves them.
+        driver = Driver()
+        driver.settle(events.WriteOutcome.TAKEN, 2)
+        driver.advance(1.0)
+        changed = configuration(gone=("b",))
+        driver.handle(events.ConfigurationChanged(configuration=changed))
+        driver.advance(0.2)
+        (write,) = driver.take(commands.WriteDocument)
+        changes = [p for p in write.document.partitions if p.owner == "b"]
+        assert [p.state for p in changes] == [State.MOVING] * 2
--- a/tests/test_ownership_takeover.py
+++ b/tests/test_ownership_takeover.py
@@ -53,3 +53,15 @@
         assert Predecessors().unsettled(chain, 10.0, end - 0.01)
         assert not Predecessors().unsettled(chain, 10.0, end)
         assert end - 10.0 >= 2.0 / 0.98 + GRANT_WAIT_S
+
+    def test_operator_declares_a_server(self):
+        # The statement on a server must not free the grants that an entry VM of
+        # the same name may still renew, and ends when it is taken back.
+        known = Predecessors()
+        known.declared_terminated({"n"}, now=10.0)
+        assert known.unsettled([authority()], 0.0, 100.0)
+        assert known.server_free_at("n") == 10.0 + GRANT_WAIT_S
+        known.declared_terminated({"n"}, now=20.0)
+        assert known.server_free_at("n") == 10.0 + GRANT_WAIT_S
+        known.declared_terminated(set(), now=30.0)
+        assert known.server_free_at("n") is None
