Name the partitions that no controller can move

A controller that never knew a removed server has no zone and no address for it, so the partitions that it owns stay where they are, unseen. stuck_partitions() names them. Declaring the server again frees them, as `terminated` if it is gone for good; a test shows this. Nothing shows the list to operators yet, which needs the node's status and metrics.

--- a/briarspoke/ownership/controller.py
+++ b/briarspoke/ownership/controller.py
@@ -474,6 +474,22 @@
             for state in self._states.values()
         )
 
+    def stuck_partitions(self):
+        """Returns ``{service: numbers}`` whose owner no configuration declares.
+
+        Only a controller that knew the server can move them; an operator
+        declares the server again, and with state ``terminated`` if it is gone.
+        """
+        if not self.active or self._configuration is None:
+            return {}
+        known = self._configuration.servers_by_name.keys() | self._retired.keys()
+        stuck = {}
+        for service, state in self._states.items():
+            if state.stored is not None:
+                for name in state.stored.owners() - known:
+                    stuck.setdefault(service, []).extend(state.stored.numbers_of(name))
+        return {service: sorted(numbers) for service, numbers in stuck.items()}
+
     # Authority.
 
     def _note_pause(self, now):
--- a/briarspoke/ownership/runner.py
+++ b/briarspoke/ownership/runner.py
@@ -225,6 +225,14 @@
         zone = self._zones.get(zone_name)
         return zone is not None and zone.controller.active
 
+    def stuck_partitions(self):
+        """Returns ``{service: numbers}`` that no controller here can move."""
+        stuck = {}
+        for zone in self._zones.values():
+            for service, numbers in zone.controller.stuck_partitions().items():
+                stuck.setdefault(service, set()).update(numbers)
+        return {service: sorted(numbers) for service, numbers in stuck.items()}
+
     def holder_of(self, zone_name):
         """Returns the node that holds a zone's lease, as known here, or None."""
         zone = self._zones.get(zone_name)
--- a/tests/test_ownership_controller.py
+++ b/tests/test_ownership_controller.py
@@ -44,6 +44,18 @@
     return empty.with_changes(changes, "w", zone="z", chain=chain)
 
 
+def document_with_owner(name):
+    changes = {n: Partition(owner=("a", name)[n % 2], epoch=1) for n in range(4)}
+    empty = OwnershipDocument.empty("s", 4)
+    return empty.with_changes(changes, "w", zone="z", chain=(OLD,))
+
+
+def without(name):
+    found = configuration()
+    del found.servers_by_name[name]
+    return found
+
+
 class Driver:
     """A controller whose commands wait until the test settles them."""
 
@@ -310,3 +322,23 @@
         (write,) = driver.take(commands.WriteDocument)
         changes = [p for p in write.document.partitions if p.owner == "b"]
         assert [p.state for p in changes] == [State.MOVING] * 2
+
+
+class TestStuckPartitions:
+    def test_owner_that_was_removed_before_this_controller(self):
+        # Guards against partitions that nobody serves and nobody reports.
+        driver = Driver(stored=document_with_owner("gone"))
+        assert driver.controller.stuck_partitions() == {"s": [1, 3]}
+
+    def test_declaring_the_server_terminated_frees_them(self):
+        # Guards against an instruction to operators that does not help.
+        driver = Driver(stored=document_with_owner("b"), configured=without("b"))
+        driver.settle(events.WriteOutcome.TAKEN, 2)
+        driver.advance(8.0, names=("a",))
+        assert driver.controller.stuck_partitions() == {"s": [1, 3]}
+        assert not driver.take(commands.WriteDocument)
+        changed = configuration(gone=("b",))
+        driver.handle(events.ConfigurationChanged(configuration=changed))
+        driver.advance(3.0, names=("a",))
+        (write,) = driver.take(commands.WriteDocument)
+        assert {p.owner for p in write.document.partitions} == {"a"}
