--- a/briarspoke/ownership/controller.py
+++ b/briarspoke/ownership/controller.py
@@ -272,9 +272,21 @@
         for name in event.configuration.servers_by_name:
             self._retired.pop(name, None)
         self._index()
+        self._note_terminated(now)
         for state in self._states.values():
             state.plan_at = now
 
+    def _note_terminated(self, now):
+        """Treats what an operator declared gone like the VM list's news."""
+        self._predecessors.declared_terminated(
+            {
+                name
+                for name, server in self._configuration.servers_by_name.items()
+                if server.state == "terminated"
+            },
+            now,
+        )
+
     def _index(self):
         """Collects the zone's servers, those of earlier configurations included."""
         known = {**self._configuration.servers_by_name, **self._retired}
@@ -462,6 +474,22 @@
             for state in self._states.values()
         )
 
+    def stuck_partitions(self):
+        """Returns ``{service: numbers}`` whose owner no configuration declares.
+
+        Only a controller that knew the server can move them; an operator
+        declares the server again, and with state ``terminated`` if it is gone.
+        """
+        if not self.active or self._configuration is None:
+            return {}
+        known = self._configuration.servers_by_name.keys() | self._retired.keys()
+        stuck = {}
+        for service, state in self._states.items():
+            if state.stored is not None:
+                for name in state.stored.owners() - known:
+                    stuck.setdefault(service, []).extend(state.stored.numbers_of(name))
+        return {service: sorted(numbers) for service, numbers in stuck.items()}
+
     # Authority.
 
     def _note_pause(self, now):
@@ -815,7 +843,7 @@
         )
 
     def _is_terminated(self, name, now):
-        free_at = self._predecessors.terminated_free_at(name)
+        free_at = self._predecessors.server_free_at(name)
         return free_at is not None and now >= free_at
 
     def _is_free(self, state, grants, now):
--- a/tests/test_ownership_controller.py
+++ b/tests/test_ownership_controller.py
@@ -7,13 +7,13 @@
 from briarspoke.ownership.controller import ZoneController
 from briarspoke.ownership.document import Authority, OwnershipDocument, Partition, State
 from briarspoke.ownership.grants import grants_digest
-from briarspoke.ownership.timing import RESIGN_TIMES
+from briarspoke.ownership.timing import GRANT_WAIT_S, RESIGN_TIMES
 
 SERVERS = ("a", "b")
 OLD = Authority(term=3, node_id="old", incarnation=1, move_after_s=None)
 
 
-def configuration(states=(), **service):
+def configuration(states=(), gone=(), **service):
     value = {
         "zones": [{"name": "z"}],
         "services": [{"name": "s", "partitions": 4, **service}],
@@ -23,7 +23,11 @@
                 "service": "s",
                 "zone": "z",
                 "address": "127.0.0.1:1",
-                "state": "draining" if name in states else "active",
+                "state": "terminated"
+                if name in gone
+                else "draining"
+                if name in states
+                else "active",
             }
             for name in SERVERS
         ],
@@ -40,6 +44,18 @@
     return empty.with_changes(changes, "w", zone="z", chain=chain)
 
 
+def document_with_owner(name):
+    changes = {n: Partition(owner=("a", name)[n % 2], epoch=1) for n in range(4)}
+    empty = OwnershipDocument.empty("s", 4)
+    return empty.with_changes(changes, "w", zone="z", chain=(OLD,))
+
+
+def without(name):
+    found = configuration()
+    del found.servers_by_name[name]
+    return found
+
+
 class Driver:
     """A controller whose commands wait until the test settles them."""
 
@@ -277,3 +293,52 @@
             times += 1
         assert 0 < times < 100
         assert len(driver.take(commands.Resign)) == RESIGN_TIMES
+
+
+class TestDeclaredTerminated:
+    def test_silent_server_gives_its_keys_away(self):
+        # Guards against keys that wait for ever for a server that is gone while
+        # the VM list does not say so.
+        driver = Driver()
+        driver.settle(events.WriteOutcome.TAKEN, 2)
+        driver.advance(8.0, names=("a",))
+        assert not driver.take(commands.WriteDocument)
+        changed = configuration(gone=("b",))
+        driver.handle(events.ConfigurationChanged(configuration=changed))
+        driver.advance(GRANT_WAIT_S - 0.2, names=("a",))
+        assert not driver.take(commands.WriteDocument)
+        driver.advance(0.5, names=("a",))
+        (write,) = driver.take(commands.WriteDocument)
+        assert {p.owner for p in write.document.partitions} == {"a"}
+
+    def test_server_that_answers_is_moved_without_a_proof(self):
+        # Guards against taking the keys of a server that still serves them.
+        driver = Driver()
+        driver.settle(events.WriteOutcome.TAKEN, 2)
+        driver.advance(1.0)
+        changed = configuration(gone=("b",))
+        driver.handle(events.ConfigurationChanged(configuration=changed))
+        driver.advance(0.2)
+        (write,) = driver.take(commands.WriteDocument)
+        changes = [p for p in write.document.partitions if p.owner == "b"]
+        assert [p.state for p in changes] == [State.MOVING] * 2
+
+
+class TestStuckPartitions:
+    def test_owner_that_was_removed_before_this_controller(self):
+        # Guards against partitions that nobody serves and nobody reports.
+        driver = Driver(stored=document_with_owner("gone"))
+        assert driver.controller.stuck_partitions() == {"s": [1, 3]}
+
+    def test_declaring_the_server_terminated_frees_them(self):
+        # Guards against an instruction to operators that does not help.
+        driver = Driver(stored=document_with_owner("b"), configured=without("b"))
+        driver.settle(events.WriteOutcome.TAKEN, 2)
+        driver.advance(8.0, names=("a",))
+        assert driver.controller.stuck_partitions() == {"s": [1, 3]}
+        assert not driver.take(commands.WriteDocument)
+        changed = configuration(gone=("b",))
+        driver.handle(events.ConfigurationChanged(configuration=changed))
+        driver.advance(3.0, names=("a",))
+        (write,) = driver.take(commands.WriteDocument)
+        assert {p.owner for p in write.document.partitions} == {"a"}
