Keep bookings off connections that the server is about to close

A close can be on its way when a booking is written; polling cannot see it. The pool now remembers after what idle time the server has closed its last 16 connections and gives a request that must not run twice none that was idle for more than half of the shortest. At the connection limit the oldest idle one makes room. What is remembered lapses after 60 s without a close.

--- a/briarspoke/http/pool.py
+++ b/briarspoke/http/pool.py
@@ -19,6 +19,14 @@
 # first avoids requests whose outcome would be unknown.
 IDLE_TIMEOUT_S = 20.0
 DISCARD_TIMEOUT_S = 1.0
+# A close may be on its way when a request is written, so a request that must not
+# run twice uses a connection only within this part of the time after which the
+# server was last seen to close idle ones.
+TRUSTED_PART = 0.5
+CLOSES_REMEMBERED = 16
+# After a restart, which closes connections of any age, the pool must come to
+# trust them again.
+CLOSES_REMEMBERED_S = 60.0
 
 
 class _UpstreamFactory(protocol.ClientFactory):
@@ -34,6 +42,27 @@
         self.pool.connect_failed(reason)
 
 
+class IdleCloses:
+    """After what idle time the other side has lately closed connections."""
+
+    __slots__ = ("_ages", "_seen_at")
+
+    def __init__(self):
+        self._ages = collections.deque(maxlen=CLOSES_REMEMBERED)
+        self._seen_at = 0.0
+
+    def note(self, idle_s, now):
+        """Notes a connection that was closed after a time of idleness."""
+        self._ages.append(idle_s)
+        self._seen_at = now
+
+    def trusts(self, idle_s, now):
+        """Returns whether a connection is most likely not being closed."""
+        if self._ages and now - self._seen_at > CLOSES_REMEMBERED_S:
+            self._ages.clear()
+        return not self._ages or idle_s < TRUSTED_PART * min(self._ages)
+
+
 class ConnectionPool:
     """Connections to one address.
 
@@ -63,6 +92,7 @@
         self._idle = collections.deque()
         self._waiting = collections.deque()
         self._discarding = {}
+        self._idle_closes = IdleCloses()
         self._connecting = 0
         self._factory = _UpstreamFactory(self)
         self._name = f"{host}:{port}"
@@ -71,13 +101,20 @@
     def __str__(self):
         return self._name
 
-    def acquire(self, waiter):
+    def acquire(self, waiter, *, repeatable=True):
         """Hands a connection to the waiter, at once if one is idle.
 
+        :param repeatable: False for a request that must not run twice, which
+            gets no connection that the other side may be closing.
+
         The waiter has ``connected(connection)``, ``attempt_failed(attempt)`` and
         ``done``.
         """
         while self._idle:
+            if not repeatable and not self._trusts(self._idle[-1]):
+                if len(self.connections) + self._connecting >= self.maximum:
+                    self._drop(self._idle.popleft())
+                break
             # The most recently used one is the least likely to be closed.
             connection = self._idle.pop()
             if not connection.reusable:
@@ -86,6 +123,7 @@
                 waiter.connected(connection)
                 return
             # Closed by the server, but the event loop has not reported it yet.
+            self._note_close(connection)
             self._drop(connection)
         if len(self.connections) + self._connecting >= self.maximum:
             waiter.attempt_failed(
@@ -102,6 +140,14 @@
             self.host, self.port, self._factory, timeout=CONNECT_TIMEOUT_S
         )
 
+    def _trusts(self, connection):
+        now = self._clock()
+        return self._idle_closes.trusts(now - connection.idle_since, now)
+
+    def _note_close(self, connection):
+        now = self._clock()
+        self._idle_closes.note(now - connection.idle_since, now)
+
     def _drop(self, connection):
         # Counts no longer, so that a new connection can take its place at once.
         self.connections.discard(connection)
@@ -170,3 +216,4 @@
         self._discarding.pop(connection, None)
         if connection in self._idle:
             self._idle.remove(connection)
+            self._note_close(connection)
--- a/briarspoke/http/relay.py
+++ b/briarspoke/http/relay.py
@@ -218,7 +218,9 @@
     def slot_granted(self):
         """Sends the request; called when admission starts its ticket."""
         self._count_attempt()
-        self.router.pool_of(self.route.server).acquire(self)
+        self.router.pool_of(self.route.server).acquire(
+            self, repeatable=self.classified.idempotent
+        )
 
     def _count_attempt(self):
         self.attempts += 1
--- a/briarspoke/http/router.py
+++ b/briarspoke/http/router.py
@@ -325,7 +325,7 @@
                 unreachable=codes.GATEWAY_UNREACHABLE,
             )
             self.pools_by_peer_address[address] = pool
-        pool.acquire(relay)
+        pool.acquire(relay, repeatable=relay.classified.idempotent)
 
     def avoid_peer(self, peer):
         """Passes over a peer that takes no requests, for a while."""
