Move the graceful end of a router into a module of its own

The shutdown is now http/shutdown.py; Router.drain and Router.closing stay. Queues and pools, handovers and retries are still to be split off.

--- a/briarspoke/http/router.py
+++ b/briarspoke/http/router.py
@@ -7,18 +7,16 @@
 import logging
 import random
 
-from twisted.internet import defer, task
-
 from briarspoke import codes
 from briarspoke.admission.limits import Limits
 from briarspoke.admission.queue import ServerQueue, Start
 from briarspoke.configuration.snapshot import Configuration, split_address
 from briarspoke.errors import Refusal
-from briarspoke.http.callers import CLOSING_GRACE_S, LINGER_S
 from briarspoke.http.forward import classified_of, forward_key
 from briarspoke.http.gateways import Gateways
 from briarspoke.http.pool import ConnectionPool
 from briarspoke.http.probe import lost_transports
+from briarspoke.http.shutdown import Shutdown
 from briarspoke.retry.policy import (
     Backoff,
     Denied,
@@ -37,7 +35,6 @@
 
 TICK_S = 0.01
 SWEEP_S = 1.0
-DRAIN_POLL_S = 0.02
 # Each forwarded request that waits at its gateway holds a connection.
 CONNECTIONS_PER_PEER = 1024
 # A lost server's keys are served again after about this time.
@@ -82,8 +79,7 @@
         self.on_server_report = None
         self.relays = set()
         self.channels = set()
-        self.closing = False
-        self._closing_since = None
+        self.shutdown = Shutdown(self)
         self._next_sweep = 0.0
         self._commands = collections.deque()
         self._running = False
@@ -166,7 +162,7 @@
         :raises Refusal: if an operator's rule or the request itself forbids it.
         """
         now = self.now()
-        if self.closing and now > self._closing_since + CLOSING_GRACE_S:
+        if self.closing and not self.shutdown.in_grace:
             raise Refusal(codes.SHUTTING_DOWN)
         if not self.configuration.version:
             raise Refusal(codes.NOT_READY)
@@ -468,7 +464,7 @@
     def _sweep(self, now):
         for channel in list(self.channels):
             channel.sweep(now)
-        pools = self._pools()
+        pools = self.pools()
         for pool in pools:
             pool.close_idle(now)
         lost = lost_transports(
@@ -514,42 +510,18 @@
 
     # Shutdown.
 
-    @defer.inlineCallbacks
-    def drain(self, timeout_s):
-        """Finishes what is in flight and logs what was left at the timeout.
+    @property
+    def closing(self):
+        """Whether the graceful end has begun."""
+        return self.shutdown.begun
 
-        The ports have to be closed before.
+    def drain(self, timeout_s):
+        """Finishes what is in flight; the ports have to be closed before.
 
         :returns: a Deferred of the number of requests that were cut off.
         """
-        self.closing = True
-        self._closing_since = self.now()
-        deadline = self._closing_since + timeout_s
-        while self._drains() and self.now() < deadline:
-            yield task.deferLater(self.reactor, DRAIN_POLL_S, lambda: None)
-        left = list(self.relays)
-        for relay in left:
-            log.warning(
-                "router: request %s was cut off by the shutdown", relay.request_id
-            )
-            relay.broken_off(codes.SHUTTING_DOWN)
-        for channel in list(self.channels):
-            channel.linger()
-        # The last answers are still in write buffers.
-        flushed_by = self.now() + LINGER_S
-        while self.channels and self.now() < flushed_by:
-            yield task.deferLater(self.reactor, DRAIN_POLL_S, lambda: None)
-        for pool in self._pools():
-            pool.close()
-        return len(left)
-
-    def _drains(self):
-        if self.relays:
-            return True
-        # A request may be on its way on a kept connection.
-        return bool(self.channels) and (
-            self.now() < self._closing_since + CLOSING_GRACE_S
-        )
+        return self.shutdown.run(timeout_s)
 
-    def _pools(self):
+    def pools(self):
+        """Returns the connections to all servers and peers."""
         return [*self.pools_by_server.values(), *self.pools_by_peer_address.values()]
--- /dev/null
+++ b/briarspoke/http/shutdown.py
@@ -0,0 +1,73 @@
+"""The graceful end of a router."""
+
+from __future__ import annotations
+
+import logging
+
+from twisted.internet import defer, task
+
+from briarspoke import codes
+from briarspoke.http.callers import CLOSING_GRACE_S, LINGER_S
+
+log = logging.getLogger(__name__)
+
+POLL_S = 0.02
+
+
+class Shutdown:
+    """Finishes what is in flight at the end of a router.
+
+    :param router: the :class:`briarspoke.http.router.Router`.
+    """
+
+    __slots__ = ("_router", "_since")
+
+    def __init__(self, router):
+        self._router = router
+        self._since = None
+
+    @property
+    def begun(self):
+        """Whether kept connections are being closed."""
+        return self._since is not None
+
+    @property
+    def in_grace(self):
+        """Whether a request may still be on its way on a kept connection."""
+        return self._since is not None and (
+            self._router.now() <= self._since + CLOSING_GRACE_S
+        )
+
+    @defer.inlineCallbacks
+    def run(self, timeout_s):
+        """Finishes what is in flight and logs what was left at the timeout.
+
+        :returns: a Deferred of the number of requests that were cut off.
+        """
+        router = self._router
+        self._since = router.now()
+        yield self._wait_while(self._drains, timeout_s)
+        left = list(router.relays)
+        for relay in left:
+            log.warning(
+                "router: request %s was cut off by the shutdown", relay.request_id
+            )
+            relay.broken_off(codes.SHUTTING_DOWN)
+        for channel in list(router.channels):
+            channel.linger()
+        # The last answers are still in write buffers.
+        yield self._wait_while(lambda: router.channels, LINGER_S)
+        for pool in router.pools():
+            pool.close()
+        return len(left)
+
+    @defer.inlineCallbacks
+    def _wait_while(self, condition, timeout_s):
+        router = self._router
+        deadline = router.now() + timeout_s
+        while condition() and router.now() < deadline:
+            yield task.deferLater(router.reactor, POLL_S, lambda: None)
+
+    def _drains(self):
+        router = self._router
+        return router.relays or (router.channels and self.in_grace)
