Split documents and relayed messages from LinkHub

Change: links/spreading.py announces, requests and answers documents; links/relaying.py floods and relays. The test of bounded decompression follows the function to its new module; no test changes what it checks.

--- a/briarspoke/links/hub.py
+++ b/briarspoke/links/hub.py
@@ -5,28 +5,26 @@
 import logging
 import os
 import random
-import zlib
 
 from twisted.internet import defer, endpoints, protocol, task
 
 from briarspoke.configuration.snapshot import split_address
-from briarspoke.errors import InvariantError, UserError
+from briarspoke.errors import UserError
 from briarspoke.links import messages, rejections
 from briarspoke.links.dialling import Dialling
 from briarspoke.links.link import Link
 from briarspoke.links.messages import (
-    DocumentRequest,
-    DocumentUpdate,
     Flood,
     Heartbeat,
     Hello,
-    MalformedMessageError,
     MemberSync,
     MemberUpdate,
     Relay,
 )
 from briarspoke.links.rejections import LinkError
+from briarspoke.links.relaying import Relaying
 from briarspoke.links.session import PROTOCOL_VERSION
+from briarspoke.links.spreading import DocumentSpread
 from briarspoke.membership import members as membership
 
 log = logging.getLogger(__name__)
@@ -42,9 +40,6 @@
 CONNECT_TIMEOUT_S = 1.0
 MAX_ACCEPTED = 1024
 MAX_UNAUTHENTICATED = 64
-FLOOD_HOPS = 16
-RELAY_HOPS = 32
-FLOODS_REMEMBERED = 8192
 
 
 class _AcceptFactory(protocol.ServerFactory):
@@ -92,26 +87,16 @@
         self._dialling = Dialling(rng=rng or random.Random())
         self._handlers = {}
         self._member_observers = []
-        self._flood_sequence = 0
-        self._floods_seen = {}
-        self._compressed_by_key = {}
-        self._spread_call = None
-        self._synced_nodes = set()
-        self._sync_waiters = []
         self._ticker = task.LoopingCall(self._tick)
         self._ticker.clock = reactor
         self._ticks = 0
         self._ready_links = 0
         self._ticked_at = None
-        self._stopping = False
-        documents.observe("", self._document_taken)
-        for message_class, handler in (
-            (MemberUpdate, self._on_member_update),
-            (MemberSync, self._on_member_sync),
-            (DocumentUpdate, self._on_document_update),
-            (DocumentRequest, self._on_document_request),
-        ):
-            self.on(message_class, handler)
+        self.stopping = False
+        self._spread = DocumentSpread(hub=self, documents=documents)
+        self._relaying = Relaying(hub=self)
+        self.on(MemberUpdate, self._on_member_update)
+        self.on(MemberSync, self._on_member_sync)
 
     # Public interface.
 
@@ -136,13 +121,10 @@
     @defer.inlineCallbacks
     def stop(self):
         """Closes the port and all links."""
-        self._stopping = True
+        self.stopping = True
         if self._ticker.running:
             self._ticker.stop()
-        if self._spread_call is not None and self._spread_call.active():
-            self._spread_call.cancel()
-        for waiter in list(self._sync_waiters):
-            self._end_wait(waiter, False)
+        self._spread.stop()
         if self._port is not None:
             yield self._port.stopListening()
         for link in list(self._links):
@@ -173,32 +155,17 @@
         :returns: whether a link leads towards it; delivery is not confirmed.
         """
         if node_id == self.members.me.node_id:
-            self.reactor.callLater(0, self._dispatch, node_id, message)
+            self.reactor.callLater(0, self.dispatch, node_id, message)
             return True
         link = self.links_by_node.get(node_id)
         if link is not None:
             link.send(message)
             return True
-        relay = Relay(
-            origin=self.members.me.node_id,
-            target=node_id,
-            hops_left=RELAY_HOPS,
-            payload=messages.encode(message),
-        )
-        return self._pass_on(relay, None)
+        return self._relaying.send(node_id, message)
 
     def broadcast(self, message):
         """Sends a message to all members but this node."""
-        self._flood_sequence += 1
-        me = self.members.me
-        flood = Flood(
-            origin=me.node_id,
-            instance=me.instance,
-            sequence=self._flood_sequence,
-            hops_left=FLOOD_HOPS,
-            payload=messages.encode(message),
-        )
-        self._send_all(messages.encode(flood))
+        self._relaying.flood(message)
 
     def pin(self, node_id, *, wanted=True):
         """Keeps a direct link to a node, whatever its place on the ring."""
@@ -217,18 +184,7 @@
 
         :returns: a Deferred of True, or of False after the timeout.
         """
-        waiter = defer.Deferred()
-        self._sync_waiters.append(waiter)
-        timer = self.reactor.callLater(timeout_s, self._end_wait, waiter, False)
-
-        def finish(result):
-            if timer.active():
-                timer.cancel()
-            return result
-
-        waiter.addBoth(finish)
-        self._check_synced()
-        return waiter
+        return self._spread.when_synced(timeout_s)
 
     # Accepting and dialling.
 
@@ -236,7 +192,7 @@
         """Returns the protocol of a new connection, or None to refuse it."""
         unauthenticated = sum(not link.session.is_ready for link in self._links)
         if (
-            self._stopping
+            self.stopping
             or len(self._links) >= MAX_ACCEPTED
             or unauthenticated >= MAX_UNAUTHENTICATED
         ):
@@ -316,7 +272,7 @@
         self._send_members(link)
         self._ready_links += 1
         link.phase = self._ready_links
-        self._heartbeat(link)
+        self._spread.heartbeat(link)
 
     def _replaces(self, link, other, now):
         """Decides between two links to one node; closes the new one if it loses."""
@@ -346,13 +302,13 @@
         if message is None:
             self.count_link(rejections.UNKNOWN_TYPE)
         elif isinstance(message, Heartbeat):
-            self._on_heartbeat(link, message)
+            self._spread.on_heartbeat(link, message)
         elif isinstance(message, Flood):
-            self._on_flood(link, message)
+            self._relaying.on_flood(link, message)
         elif isinstance(message, Relay):
-            self._on_relay(link, message)
+            self._relaying.on_relay(link, message)
         else:
-            self._dispatch(link.node_id, message)
+            self.dispatch(link.node_id, message)
 
     def link_closed(self, link):
         """Forgets a closed link."""
@@ -363,8 +319,7 @@
         if node_id is None or self.links_by_node.get(node_id) is not link:
             return
         del self.links_by_node[node_id]
-        self._synced_nodes.discard(node_id)
-        self.documents.peer_gone(node_id)
+        self._spread.node_gone(node_id)
         log.info("link: down to %s", node_id)
         self._handle(membership.LinkDown(node_id=node_id))
 
@@ -402,9 +357,9 @@
             self._check_link(link, wanted, now)
             # Half of the links in each tick, so that the load is even.
             if (self._ticks + link.phase) % HEARTBEAT_EVERY_TICKS == 0:
-                self._heartbeat(link)
+                self._spread.heartbeat(link)
         self._dial_wanted(wanted, now)
-        self._request_documents()
+        self._spread.request_missing()
 
     def _check_link(self, link, wanted, now):
         if now - link.heard_at >= SILENT_LINK_S:
@@ -428,18 +383,6 @@
         for address in self._dialling.choose(addresses, seeds, now):
             self._dial(address)
 
-    def _heartbeat(self, link):
-        link.heartbeats += 1
-        digest = self.documents.changes_since(link.digest_mark)
-        link.digest_mark = self.documents.change
-        link.send(
-            Heartbeat(
-                sequence=link.heartbeats,
-                incarnation=self.members.me.incarnation,
-                digest=digest,
-            )
-        )
-
     # Members.
 
     def _handle(self, event):
@@ -449,7 +392,7 @@
     def _run(self, command):
         if isinstance(command, membership.Announce):
             update = _update_of_member(command.member)
-            self._send_all(messages.encode(update), command.except_peer)
+            self.send_all(messages.encode(update), command.except_peer)
         elif isinstance(command, membership.Changed):
             self._member_changed(command.member, command.before)
         elif isinstance(command, membership.CloseLink):
@@ -489,119 +432,14 @@
         for update in message.updates:
             self._handle(_event_of_update(update, node_id))
 
-    # Documents.
-
-    def _document_taken(self, document):
-        source = document.source if document.source in ("store", "self") else "link"
-        self.metrics.count("documents_taken_total", source)
-        if self._spread_call is None and not self._stopping:
-            # Several documents taken at once are announced together.
-            self._spread_call = self.reactor.callLater(0, self._spread)
-
-    def _spread(self):
-        self._spread_call = None
-        for link in list(self.links_by_node.values()):
-            self._heartbeat(link)
-        self._check_synced()
-
-    def _on_heartbeat(self, link, message):
-        node_id = link.node_id
-        if message.digest or message.sequence == 1:
-            self.documents.peer_has(node_id, message.digest)
-            self._synced_nodes.add(node_id)
-            self._request_documents()
-            self._check_synced()
-
-    def _request_documents(self):
-        for request in self.documents.requests(self.now()):
-            link = self.links_by_node.get(request.peer)
-            if link is not None:
-                link.send(DocumentRequest(key=request.key, held=request.held))
-
-    def _on_document_request(self, node_id, message):
-        document = self.documents.by_key.get(message.key)
-        link = self.links_by_node.get(node_id)
-        if document is None or link is None or document.version <= message.held:
-            return
-        version, compressed = self._compressed_by_key.get(message.key, (0, b""))
-        if version != document.version:
-            compressed = zlib.compress(document.content)
-            self._compressed_by_key[message.key] = document.version, compressed
-        link.send(
-            DocumentUpdate(
-                key=message.key, version=document.version, compressed=compressed
-            )
-        )
-
-    def _on_document_update(self, node_id, message):
-        content = _decompress(message.compressed)
-        try:
-            self.documents.offer(message.key, message.version, content, node_id)
-        except InvariantError as error:
-            log.error("document: %s", error)
-
-    def _check_synced(self):
-        if self._synced_nodes and not self.documents.is_behind():
-            for waiter in list(self._sync_waiters):
-                self._end_wait(waiter, True)
-
-    def _end_wait(self, waiter, result):
-        if waiter in self._sync_waiters:
-            self._sync_waiters.remove(waiter)
-            waiter.callback(result)
-
-    # Messages without a direct link.
-
-    def _send_all(self, payload, except_peer=None):
+    def send_all(self, payload, except_peer=None):
+        """Sends an encoded message over every link but one."""
         for node_id, link in list(self.links_by_node.items()):
             if node_id != except_peer:
                 link.send_payload(payload)
 
-    def _on_flood(self, link, flood):
-        key = (flood.origin, flood.instance, flood.sequence)
-        if flood.origin == self.members.me.node_id or key in self._floods_seen:
-            return
-        self._floods_seen[key] = None
-        if len(self._floods_seen) > FLOODS_REMEMBERED:
-            del self._floods_seen[next(iter(self._floods_seen))]
-        if flood.hops_left > 0:
-            flood.hops_left -= 1
-            self._send_all(messages.encode(flood), link.node_id)
-        self._dispatch_payload(link, flood.origin, flood.payload)
-
-    def _on_relay(self, link, relay):
-        if relay.target == self.members.me.node_id:
-            self._dispatch_payload(link, relay.origin, relay.payload)
-            return
-        if relay.hops_left > 0:
-            relay.hops_left -= 1
-            if self._pass_on(relay, link.node_id):
-                return
-        self.count_link(rejections.UNROUTABLE)
-
-    def _pass_on(self, relay, source):
-        link = self.links_by_node.get(relay.target)
-        if link is None:
-            node_id = self.members.next_hop(
-                relay.target, self.links_by_node.keys() - {source}
-            )
-            link = self.links_by_node.get(node_id)
-        if link is None:
-            return False
-        link.send(relay)
-        return True
-
-    def _dispatch_payload(self, link, origin, payload):
-        try:
-            message = messages.decode(payload)
-        except MalformedMessageError as error:
-            raise LinkError(rejections.MALFORMED, str(error)) from error
-        if message is None:
-            self.count_link(rejections.UNKNOWN_TYPE)
-        else:
-            self._dispatch(origin, message)
-
-    def _dispatch(self, node_id, message):
+    def dispatch(self, node_id, message):
+        """Passes a message of a node to the handlers of its class."""
         for handler in self._handlers.get(type(message), ()):
             try:
                 handler(node_id, message)
@@ -612,19 +450,6 @@
                 log.exception("link: a handler of %s failed", type(message).__name__)
 
 
-def _decompress(compressed):
-    decompressor = zlib.decompressobj()
-    try:
-        content = decompressor.decompress(compressed, messages.MAX_CONTENT_BYTES + 1)
-    except zlib.error as error:
-        raise LinkError(rejections.MALFORMED, str(error)) from error
-    if len(content) > messages.MAX_CONTENT_BYTES:
-        raise LinkError(rejections.OVERSIZED, "a document is too large")
-    if not decompressor.eof or decompressor.unused_data:
-        raise LinkError(rejections.MALFORMED, "a document is not whole")
-    return content
-
-
 def _update_of_member(member):
     return MemberUpdate(
         node_id=member.node_id,
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -10,7 +10,7 @@
 
 from briarspoke.links import hub as hub_module
 from briarspoke.links import link as link_module
-from briarspoke.links import messages, rejections
+from briarspoke.links import messages, rejections, spreading
 from briarspoke.links.hub import LinkHub
 from briarspoke.links.messages import (
     DocumentUpdate,
@@ -424,7 +424,7 @@
         tracemalloc.start()
         try:
             with pytest.raises(LinkError):
-                hub_module._decompress(compressed)
+                spreading.decompress(compressed)
             _, peak = tracemalloc.get_traced_memory()
         finally:
             tracemalloc.stop()
