Run every bench process through benches/parts

Cause: two packages started and asked child processes, and three load clients held the same connection, record and pool code. Change: flood and retries use the parts "entry" and "backend" (new options: variant, seed, backlog; service_s_by_rank, switchable) and "streams", which was standins/load.py. standins/process.py and benches/processes.py are gone; naive.py and faulty.py moved to benches/parts. parts/client.py holds records, connections and targets for "load" (fixed concurrency or rate over fixed connections), "callers" (rate until stopped) and "streams" (planned schedule). The fault that a command switches is called mode, so that it does not share a name with the stand-in's Fault. Both benches keep a listen backlog of 50, answers without padding and their load's seeds.

--- a/briarspoke/benches/flood.py
+++ b/briarspoke/benches/flood.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from briarspoke.benches import Bound, Report, bench, percentile
-from briarspoke.benches.processes import Processes
+from briarspoke.benches.parts import Parts
+from briarspoke.benches.proxy import configuration_of
 from briarspoke.clock import monotonic
 from briarspoke.configuration.resources import RANKS
 
@@ -29,6 +30,14 @@
 GRACE_S = 0.7
 MIN_ANSWERED = 0.995
 MAX_P99_RATIO = 2.0
+# Twisted's default; a flood meets it when it opens its connections.
+BACKLOG = 50
+SERVICE = {
+    "name": "tabela",
+    "fenced": True,
+    "rank_rules": [{"rank": "bulk", "methods": ["PUT"]}],
+    "ranks": {rank: {"share": share} for rank, share in SHARE_BY_RANK.items()},
+}
 
 
 def capacity(rank):
@@ -36,31 +45,6 @@
     return SLOTS / SERVICE_S_BY_RANK[rank]
 
 
-def _configuration(port):
-    return {
-        "zones": [{"name": "poa"}],
-        "services": [
-            {
-                "name": "tabela",
-                "fenced": True,
-                "rank_rules": [{"rank": "bulk", "methods": ["PUT"]}],
-                "ranks": {
-                    rank: {"share": share} for rank, share in SHARE_BY_RANK.items()
-                },
-            }
-        ],
-        "servers": [
-            {
-                "name": "server-0",
-                "service": "tabela",
-                "zone": "poa",
-                "address": f"127.0.0.1:{port}",
-                "slots": SLOTS,
-            }
-        ],
-    }
-
-
 class _Stack:
     """Server, entry VM and two load generators of one variant.
 
@@ -68,19 +52,28 @@
     measured requests.
     """
 
-    def __init__(self, processes, *, seed, variant):
-        backends = processes.start(
-            "backends", servers=1, slots=SLOTS, service_s_by_rank=SERVICE_S_BY_RANK
+    def __init__(self, running, *, seed, variant):
+        server = running.start(
+            "backend",
+            names=["server-0"],
+            slots=SLOTS,
+            service_s_by_rank=SERVICE_S_BY_RANK,
+            answer_bytes=0,
         )
-        self.entry = processes.start(
+        self.entry = running.start(
             "entry",
-            configuration=_configuration(backends.ready["ports"][0]),
+            node="entry-1",
+            zone="poa",
+            configuration=configuration_of(
+                {"server-0": server.ready["ports"][0]}, service=SERVICE, slots=SLOTS
+            ),
             seed=seed,
             variant=variant,
+            backlog=BACKLOG,
         )
         port = self.entry.ready["port"]
-        self._steady = processes.start("load", port=port, seed=seed)
-        self._flood = processes.start("load", port=port, seed=seed + 1)
+        self._steady = running.start("streams", port=port, seed=seed)
+        self._flood = running.start("streams", port=port, seed=seed + 1)
 
     def begin(self, demand_by_rank, start_at, duration_s):
         """Starts a phase on all generators."""
@@ -91,7 +84,7 @@
                 for rank, demand in demand_by_rank.items()
                 if (demand >= FLOOD) is flooding
             ]
-            load.tell(
+            load.send(
                 {
                     "streams": streams,
                     "start_at": start_at + LEAD_S - lead_s,
@@ -104,9 +97,9 @@
         """Returns the records by rank; due times count from the flood's begin."""
         steady = {
             rank: [[due - LEAD_S, *rest] for due, *rest in records]
-            for rank, records in self._steady.hear().items()
+            for rank, records in self._steady.receive().items()
         }
-        return {**steady, **self._flood.hear()}
+        return {**steady, **self._flood.receive()}
 
 
 def _stream(rank, demand):
@@ -195,10 +188,10 @@
 def flood(*, seed, long):
     """Ten times the capacity of each rank in turn, beside one FIFO queue."""
     figures_by_variant = {"briarspoke": {}, "fifo": {}}
-    with Processes() as processes:
+    with Parts() as running:
         stacks = {
-            "briarspoke": _Stack(processes, seed=seed, variant=None),
-            "fifo": _Stack(processes, seed=seed, variant="fifo"),
+            "briarspoke": _Stack(running, seed=seed, variant=None),
+            "fifo": _Stack(running, seed=seed, variant="fifo"),
         }
         for phase, (demand_by_rank, seconds) in PHASES.items():
             duration_s = seconds * (LONG_FACTOR if long else 1.0)
@@ -207,7 +200,7 @@
                 stack.begin(demand_by_rank, start_at, duration_s)
             for variant, stack in stacks.items():
                 figures_by_variant[variant][phase] = _figures(stack.end(), duration_s)
-        counters = stacks["briarspoke"].entry.ask({})
+        counters = stacks["briarspoke"].entry.ask()["counters"]
     figures = {**figures_by_variant, "invariants": counters["invariants_total"]}
     return Report(
         bench="flood",
--- a/briarspoke/benches/parts/backend.py
+++ b/briarspoke/benches/parts/backend.py
@@ -7,9 +7,11 @@
 
 from briarspoke import clock
 from briarspoke.benches import parts
+from briarspoke.benches.parts.faulty import FaultyBackend, Mode
 from briarspoke.standins.backend import BackendFactory, BackendStandIn, Fault
 
 _FAULTS = tuple(Fault)
+_RANK_BY_METHOD = {b"GET": "lookup", b"POST": "booking", b"PUT": "bulk"}
 
 
 def echo_answer(request_id, size):
@@ -37,7 +39,20 @@
     return fault
 
 
+def _service_s(parameters):
+    by_rank = parameters.get("service_s_by_rank")
+    if by_rank is None:
+        return parameters.get("service_s", 0.0)
+    return lambda connection: by_rank[_RANK_BY_METHOD[connection._parser.get_method()]]
+
+
 class _Servers:
+    """Servers in one process.
+
+    The parameter ``fault_rate`` injects faults at random; with ``switchable``
+    the command ``mode`` switches a fault of all servers.
+    """
+
     def __init__(self, reactor, parameters):
         self.reactor = reactor
         self.backends = []
@@ -46,14 +61,15 @@
         self.outages = 0
         size = parameters.get("answer_bytes", 200)
         echo = _echo(size) if parameters.get("echo") else b"x" * size
+        cls = FaultyBackend if parameters.get("switchable") else BackendStandIn
         for name in parameters["names"]:
             rate = parameters.get("fault_rate", 0.0)
-            backend = BackendStandIn(
+            backend = cls(
                 name=name,
                 reactor=reactor,
                 clock=clock.monotonic,
                 slots=parameters.get("slots", 6),
-                service_s=parameters.get("service_s", 0.0),
+                service_s=_service_s(parameters),
                 keep_records=parameters.get("keep_records", False),
                 answer=echo,
                 fault=_faults(rate, f"{name}{parameters['seed']}") if rate else None,
@@ -92,7 +108,10 @@
         self.reactor.callLater(1.0, self._stop_listening)
 
     def handle(self, command):
-        """Returns the servers' own records."""
+        """Switches the mode if one is named; returns the servers' own records."""
+        if "mode" in command:
+            for backend in self.backends:
+                backend.set_mode(Mode(command["mode"]))
         executions = {}
         for backend in self.backends:
             for execution in backend.executions:
@@ -103,7 +122,18 @@
         for backend in self.backends:
             for name, count in backend.faults.items():
                 faults[name] = faults.get(name, 0) + count
-        return {"executions": executions, "faults": faults}
+        return {
+            "at": clock.monotonic(),
+            "executions": executions,
+            "faults": faults,
+            "shed": sum(backend.shed for backend in self.backends),
+            "peak_running": max(backend.peak_running for backend in self.backends),
+            "arrivals": sum(
+                backend.arrivals
+                for backend in self.backends
+                if isinstance(backend, FaultyBackend)
+            ),
+        }
 
 
 def _start(reactor, parameters):
--- a/briarspoke/benches/parts/entry.py
+++ b/briarspoke/benches/parts/entry.py
@@ -4,20 +4,35 @@
 
 import cProfile
 import pstats
+import random
 import resource
 
 from twisted.internet import task
 
 from briarspoke import clock
 from briarspoke.benches import parts
+from briarspoke.benches.parts.naive import VARIANTS
 from briarspoke.configuration.snapshot import Configuration
 from briarspoke.http.callers import CallerFactory
 from briarspoke.http.peers import PeerFactory
 from briarspoke.http.router import TICK_S, Router
 from briarspoke.metrics import Metrics
+from briarspoke.retry.policy import Backoff
 from briarspoke.standins.demo import static_ownership
 
 _RSS_SAMPLE_S = 0.05
+_BACKLOG = 1024
+_COUNTERS = (
+    "requests_total",
+    "answers_total",
+    "refusals_total",
+    "first_attempts_total",
+    "attempts_total",
+    "retries_total",
+    "retries_denied_total",
+    "forwards_total",
+    "invariants_total",
+)
 _PAGE_BYTES = resource.getpagesize()
 _PROFILE_GROUPS = {
     "twisted/web": "twisted.web",
@@ -49,6 +64,12 @@
 
 
 class _Entry:
+    """Router and ports of one entry VM.
+
+    The parameter ``variant`` names one of :data:`VARIANTS`, ``seed`` fixes the
+    waiting times of retries, and ``backlog`` is that of the listening sockets.
+    """
+
     def __init__(self, reactor, parameters):
         self.router = Router(
             reactor=reactor,
@@ -58,6 +79,10 @@
             zone=parameters["zone"],
             cluster_key="bench-cluster-key-only",
         )
+        if "seed" in parameters:
+            self.router.backoff = Backoff(random=random.Random(parameters["seed"]))
+        if parameters.get("variant") is not None:
+            VARIANTS[parameters["variant"]](self.router)
         problems = []
         configuration = Configuration.from_json(
             parameters["configuration"], problems, version=1
@@ -68,6 +93,7 @@
         for service in configuration.services_by_name.values():
             self.router.table.apply(static_ownership(configuration, service))
         task.LoopingCall(self.router.tick).start(TICK_S, now=False)
+        self._backlog = parameters.get("backlog", _BACKLOG)
         self.port = self._listen(reactor, CallerFactory)
         self.forward_port = self._listen(reactor, PeerFactory)
         self.rss_peak = 0
@@ -76,7 +102,10 @@
 
     def _listen(self, reactor, factory):
         port = reactor.listenTCP(
-            0, factory(router=self.router), interface="127.0.0.1", backlog=1024
+            0,
+            factory(router=self.router),
+            interface="127.0.0.1",
+            backlog=self._backlog,
         )
         return port.getHost().port
 
@@ -101,10 +130,10 @@
             "connections": sum(
                 len(pool.connections) for pool in self.router.pools_by_server.values()
             ),
-            "counters": {
-                name: self.router.metrics.values(name)
-                for name in ("refusals_total", "retries_total", "forwards_total")
-            },
+            "counters": {name: self.router.metrics.values(name) for name in _COUNTERS},
+            "slots_held": sum(
+                queue.in_flight for queue in self.router.queues_by_server.values()
+            ),
         }
         if command.get("profile") == "stop":
             self._profile.disable()
--- a/briarspoke/standins/faulty.py
+++ b/briarspoke/benches/parts/faulty.py
@@ -7,8 +7,8 @@
 from briarspoke.standins.backend import BackendStandIn
 
 
-class Fault(enum.Enum):
-    """What a faulty server does with requests."""
+class Mode(enum.Enum):
+    """What a faulty server does with every request."""
 
     NONE = "none"
     REFUSE = "refuse"
@@ -17,27 +17,27 @@
 
 
 class FaultyBackend(BackendStandIn):
-    """A backend server with a fault that can be switched while it runs."""
+    """A backend server whose mode can be switched while it runs."""
 
     def __init__(self, **kwargs):
         super().__init__(**kwargs)
-        self.mode = Fault.NONE
+        self.mode = Mode.NONE
         self.arrivals = 0
 
-    def set_fault(self, fault):
-        """Begins a fault, or ends it with ``Fault.NONE``."""
-        if self.mode is Fault.STALL and fault is not Fault.STALL:
+    def set_mode(self, mode):
+        """Begins a fault, or ends it with ``Mode.NONE``."""
+        if self.mode is Mode.STALL and mode is not Mode.STALL:
             self.thaw()
-        self.mode = fault
-        if fault is Fault.STALL:
+        self.mode = mode
+        if mode is Mode.STALL:
             self.freeze()
 
     def arrived(self, connection):
         self.arrivals += 1
-        if self.mode is Fault.REFUSE:
+        if self.mode is Mode.REFUSE:
             self.shed += 1
             connection.reply(503, b"", b"Briarspoke-Shed: 1\r\n")
-        elif self.mode is Fault.DROP:
+        elif self.mode is Mode.DROP:
             connection.transport.abortConnection()
         else:
             super().arrived(connection)
--- a/briarspoke/benches/parts/load.py
+++ b/briarspoke/benches/parts/load.py
@@ -3,48 +3,16 @@
 from __future__ import annotations
 
 import asyncio
-import time
 
-import httptools
 from twisted.internet import defer
 
 from briarspoke.benches import parts, percentile
+from briarspoke.benches.parts.client import Connection, Record
+from briarspoke.clock import monotonic
 
 _PACE_S = 0.001
 
 
-class _Connection(asyncio.Protocol):
-    def __init__(self, run):
-        self._run = run
-        self._transport = None
-        self._parser = None
-        self._began = 0.0
-
-    def connection_made(self, transport):
-        self._transport = transport
-        self._run.free(self)
-
-    def send(self, began):
-        """Sends a request that was due at ``began``."""
-        self._began = began
-        self._parser = httptools.HttpResponseParser(self)
-        self._transport.write(self._run.next_request())
-
-    def data_received(self, data):
-        self._parser.feed_data(data)
-
-    def on_message_complete(self):
-        ok = self._parser.get_status_code() == 200
-        self._run.answered(ok, time.perf_counter() - self._began)
-        self._run.free(self)
-
-    def connection_lost(self, error):
-        self._run.lost += 1
-
-    def close(self):
-        self._transport.abort()
-
-
 class _Run:
     """One run against the given ports.
 
@@ -60,79 +28,84 @@
         self._rate = rate
         self._idle = []
         self._due = []
-        self._number = 0
-        self._measuring = False
+        self._records = []
         self._ended = False
-        self.latencies = []
-        self.failed = 0
-        self.lost = 0
-
-    def next_request(self):
-        """Returns the bytes of the next request."""
-        self._number += 1
-        return (
+        self._lost = 0
+
+    def _send(self, connection, due_at):
+        number = len(self._records) + 1
+        record = Record(due_at)
+        self._records.append(record)
+        content = (
             b"GET /tabela/key-%d HTTP/1.1\r\nHost: bench\r\n"
             b"User-Agent: bench\r\nAccept: */*\r\n\r\n"
-        ) % (self._number % 5003)
-
-    def answered(self, ok, latency_s):
-        if self._measuring:
-            self.latencies.append(latency_s)
-            self.failed += not ok
+        ) % (number % 5003)
+        connection.send(record, content)
 
     def free(self, connection):
+        """Sends the next request that is due, or keeps the connection for it."""
         if self._ended:
             return
         if self._rate is None:
-            connection.send(time.perf_counter())
+            self._send(connection, monotonic())
         elif self._due:
-            connection.send(self._due.pop(0))
+            self._send(connection, self._due.pop(0))
         else:
             self._idle.append(connection)
 
+    def lost(self, connection):
+        """Counts a connection that has closed."""
+        self._lost += 1
+
     async def run(self):
         """Returns the figures of the run."""
-        event_loop = asyncio.get_running_loop()
-        connections = []
-        for number in range(self._connections):
-            _, connection = await event_loop.create_connection(
-                lambda: _Connection(self),
-                "127.0.0.1",
-                self._ports[number % len(self._ports)],
-            )
-            connections.append(connection)
+        connections = [
+            await self._connect(self._ports[number % len(self._ports)])
+            for number in range(self._connections)
+        ]
         pace = asyncio.ensure_future(self._pace()) if self._rate else None
         await asyncio.sleep(self._warmup_s)
-        self._measuring = True
-        began = time.perf_counter()
+        began_at = monotonic()
         await asyncio.sleep(self._seconds)
-        elapsed = time.perf_counter() - began
-        self._measuring = False
+        ended_at = monotonic()
         self._ended = True
         if pace is not None:
             pace.cancel()
-        lost = self.lost
+        lost = self._lost
         for connection in connections:
-            connection.close()
+            connection.abort()
+        answered = [
+            record
+            for record in self._records
+            if record.status and began_at <= record.ended_at < ended_at
+        ]
+        latencies = [record.ended_at - record.due_at for record in answered]
         return {
-            "requests": len(self.latencies),
-            "rate": round(len(self.latencies) / elapsed, 1),
-            "failed": self.failed,
+            "requests": len(answered),
+            "rate": round(len(answered) / (ended_at - began_at), 1),
+            "failed": sum(record.status != 200 for record in answered),
             "lost": lost,
-            "p50_ms": _ms(percentile(self.latencies, 0.5)),
-            "p99_ms": _ms(percentile(self.latencies, 0.99)),
+            "p50_ms": _ms(percentile(latencies, 0.5)),
+            "p99_ms": _ms(percentile(latencies, 0.99)),
         }
 
+    async def _connect(self, port):
+        _, connection = await asyncio.get_running_loop().create_connection(
+            lambda: Connection(self), "127.0.0.1", port
+        )
+        self.free(connection)
+        return connection
+
     async def _pace(self):
-        began = time.perf_counter()
+        began = monotonic()
         sent = 0
         while True:
-            now = time.perf_counter()
+            now = monotonic()
             while began + sent / self._rate <= now:
                 due = began + sent / self._rate
                 sent += 1
                 if self._idle:
-                    self._idle.pop().send(due)
+                    self._send(self._idle.pop(), due)
                 else:
                     self._due.append(due)
             await asyncio.sleep(_PACE_S)
--- a/briarspoke/benches/retries.py
+++ b/briarspoke/benches/retries.py
@@ -5,7 +5,8 @@
 import time
 
 from briarspoke.benches import Bound, Report, bench
-from briarspoke.benches.processes import Processes
+from briarspoke.benches.parts import Parts
+from briarspoke.benches.proxy import configuration_of
 from briarspoke.clock import monotonic
 
 SERVERS = 4
@@ -26,51 +27,39 @@
 # Goodput is judged over windows of this length, about 200 requests.
 WINDOW_S = 0.5
 STEP_S = 0.05
-
-
-def _configuration(ports):
-    return {
-        "zones": [{"name": "poa"}],
-        "services": [
-            {
-                "name": "tabela",
-                "fenced": True,
-                "ranks": {
-                    "lookup": {"deadline_ms": 1000},
-                    "booking": {"deadline_ms": 2000},
-                },
-            }
-        ],
-        "servers": [
-            {
-                "name": f"server-{number}",
-                "service": "tabela",
-                "zone": "poa",
-                "address": f"127.0.0.1:{port}",
-                "slots": SLOTS,
-            }
-            for number, port in enumerate(ports)
-        ],
-    }
+# Twisted's default.
+BACKLOG = 50
+SERVICE = {
+    "name": "tabela",
+    "fenced": True,
+    "ranks": {"lookup": {"deadline_ms": 1000}, "booking": {"deadline_ms": 2000}},
+}
 
 
 class _Stack:
     """Servers, entry VM and load generator of one variant."""
 
-    def __init__(self, processes, *, seed, variant):
-        self.backends = processes.start(
-            "backends",
-            servers=SERVERS,
+    def __init__(self, running, *, seed, variant):
+        names = [f"server-{number}" for number in range(SERVERS)]
+        self.backends = running.start(
+            "backend",
+            names=names,
             slots=SLOTS,
             service_s_by_rank=SERVICE_S_BY_RANK,
+            answer_bytes=0,
+            switchable=True,
         )
-        self.entry = processes.start(
+        ports_by_name = dict(zip(names, self.backends.ready["ports"], strict=True))
+        self.entry = running.start(
             "entry",
-            configuration=_configuration(self.backends.ready["ports"]),
+            node="entry-1",
+            zone="poa",
+            configuration=configuration_of(ports_by_name, service=SERVICE, slots=SLOTS),
             seed=seed,
             variant=variant,
+            backlog=BACKLOG,
         )
-        self.load = processes.start("load", port=self.entry.ready["port"], seed=seed)
+        self.load = running.start("streams", port=self.entry.ready["port"], seed=seed)
         self.windows = []
 
     def begin(self, start_at, duration_s):
@@ -85,7 +74,7 @@
             }
             for method, rate in RATE_BY_METHOD.items()
         ]
-        self.load.tell(
+        self.load.send(
             {
                 "streams": streams,
                 "start_at": start_at,
@@ -96,8 +85,13 @@
 
     def switch(self, fault):
         """Switches the fault of all servers; returns time and counters."""
-        counters = self.entry.ask({})
-        return self.backends.ask({"fault": fault})["at"], counters
+        counters = self.counters()
+        return self.backends.ask(mode=fault)["at"], counters
+
+    def counters(self):
+        """Returns the counters of the entry VM."""
+        answer = self.entry.ask()
+        return {**answer["counters"], "slots_held": answer["slots_held"]}
 
 
 class _FaultWindow:
@@ -170,7 +164,9 @@
 
 
 def _figures(stack, start_at):
-    records = [record for records in stack.load.hear().values() for record in records]
+    records = [
+        record for records in stack.load.receive().values() for record in records
+    ]
     ends = sorted(
         start_at + due + took for due, took, status, _ in records if status == 200
     )
@@ -194,13 +190,13 @@
                 "recovery_s": _recovery_s(ends, before, window.ended),
             }
         )
-    counters = stack.entry.ask({})
+    counters = stack.counters()
     first = _total(counters, "first_attempts_total")
     attempts = first + _total(counters, "retries_total")
     return {
         "requests": _total(counters, "requests_total"),
         "attempts_per_request": round(attempts / first, 4),
-        "arrivals_at_servers": stack.backends.ask({})["arrivals"],
+        "arrivals_at_servers": stack.backends.ask()["arrivals"],
         "faults": windows,
         "counters": counters,
     }
@@ -241,10 +237,10 @@
 @bench("retries")
 def retries(*, seed, long):
     """Faults of all servers, beside three attempts without a budget."""
-    with Processes() as processes:
+    with Parts() as running:
         stacks = {
-            "briarspoke": _Stack(processes, seed=seed, variant=None),
-            "naive": _Stack(processes, seed=seed, variant="naive-retries"),
+            "briarspoke": _Stack(running, seed=seed, variant=None),
+            "naive": _Stack(running, seed=seed, variant="naive-retries"),
         }
         start_at = _run(list(stacks.values()), LONG_ROUNDS if long else 1)
         figures = {
