Move the ownership bench's world to benches and split its scenarios

Cause: only the ownership bench and its tests use the virtual world, and one module of 650 lines held scenarios, faults and checks. Change: standins/world.py and world_node.py are now in benches. ownership_scenario.py holds the scenario, ownership_faults.py the faults, ownership_checks.py the search for two owners, lost assignments and unserved partitions. The tests import from there and check the same. The tests of the bench, the model and the docs pass (129).

--- a/briarspoke/benches/ownership.py
+++ b/briarspoke/benches/ownership.py
@@ -6,7 +6,8 @@
 import random
 
 from briarspoke.benches import Bound, Report, bench
-from briarspoke.benches.ownership_faults import Scenario, faults_by_name
+from briarspoke.benches.ownership_faults import faults_by_name
+from briarspoke.benches.ownership_scenario import Scenario
 from briarspoke.benches.ownership_times import controller_gaps, takeover_figures
 
 MIXED_SCENARIOS = 10
--- a/briarspoke/benches/ownership_times.py
+++ b/briarspoke/benches/ownership_times.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from briarspoke.benches import percentile
-from briarspoke.benches.ownership_faults import Scenario
+from briarspoke.benches.ownership_scenario import Scenario
 
 TRIALS = 15
 WATCH_S = 12.0
--- a/briarspoke/standins/world.py
+++ b/briarspoke/benches/world.py
@@ -14,6 +14,7 @@
 STORE_LATENCY_S = (0.001, 0.006)
 STORE_TIMEOUT_S = 1.0
 EXPIRE_EVERY_S = 0.02
+ZONES = ("poa", "cwb")
 STORE = "store"
 # Mean time that a request takes; a few take until their deadline.
 WORK_S = 0.02
--- a/briarspoke/standins/world_node.py
+++ b/briarspoke/benches/world_node.py
@@ -4,6 +4,7 @@
 
 import collections
 
+from briarspoke.benches.world import SkewedClock
 from briarspoke.ownership import candidate as lease
 from briarspoke.ownership import commands, events
 from briarspoke.ownership.candidate import Candidate, Settled
@@ -12,7 +13,6 @@
 from briarspoke.ownership.routing_leases import RoutingLeaseHolder
 from briarspoke.ownership.timing import LEASE_S
 from briarspoke.routing.table import RoutingTable
-from briarspoke.standins.world import SkewedClock
 
 TICK_S = 0.1
 PAUSE_S = 0.2
--- a/tests/test_bench_ownership.py
+++ b/tests/test_bench_ownership.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from briarspoke.benches.ownership_faults import Scenario, faults_by_name
+from briarspoke.benches.ownership_faults import faults_by_name
+from briarspoke.benches.ownership_scenario import Scenario
 from briarspoke.ownership.controller import ZoneController
 from briarspoke.ownership.grants import ServerGrants
 from briarspoke.ownership.routing_leases import RoutingLeaseBook
--- a/tests/test_ownership_model.py
+++ b/tests/test_ownership_model.py
@@ -12,13 +12,10 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from briarspoke.benches.ownership_faults import (
-    PARTITIONS,
-    ZONES,
-    Result,
-    Scenario,
-    faults_by_name,
-)
+from briarspoke.benches.ownership_checks import Result
+from briarspoke.benches.ownership_faults import faults_by_name
+from briarspoke.benches.ownership_scenario import PARTITIONS, Scenario
+from briarspoke.benches.world import ZONES
 from briarspoke.ownership.document import OwnershipDocument
 
 RANDOM_EXAMPLES = int(os.environ.get("BRIARSPOKE_RANDOM_EXAMPLES", "0"))
