Share the set-up of callers between benches and name units in reports

Cause: takeover, store-outage and zone-cut each started, counted and stopped the callers part by hand, and some figures had no unit in their names. Change: Deployment.start_callers and records.Callers hold this once. Shares end in _share and the durations of upload rounds in _s. The docstring of each bench, which bench list prints, says what the bench shows. Conclusion: three benches have one way to get records of callers.

--- a/briarspoke/benches/balance.py
+++ b/briarspoke/benches/balance.py
@@ -158,7 +158,7 @@
 
 @bench("balance")
 def run(*, seed, long):
-    """Compares load imbalance and churn of both placements."""
+    """Shows load imbalance and churn with and without load-aware placement."""
     rounds = LONG_ROUNDS if long else ROUNDS
     static, aware = simulate(seed=seed, rounds=rounds)
     before, after = _settled(static.imbalances), _settled(aware.imbalances)
--- a/briarspoke/benches/deployment.py
+++ b/briarspoke/benches/deployment.py
@@ -6,6 +6,7 @@
 import time
 
 from briarspoke.benches import parts
+from briarspoke.benches.records import Callers
 from briarspoke.clock import monotonic
 from briarspoke.configuration.document import STORE_KEY, ConfigurationDocument
 
@@ -61,6 +62,17 @@
         """Returns the start of all addresses of a zone."""
         return f"127.0.{self.zones.index(zone) + 1}."
 
+    def start_callers(self, *, service, keys, rate, in_zone=lambda zone: True):
+        """Starts :class:`Callers` of the entry VMs whose zone is chosen."""
+        ports = [
+            port
+            for node, port in zip(
+                self.nodes_by_name.values(), self.call_ports(), strict=True
+            )
+            if in_zone(node.zone)
+        ]
+        return Callers(self._parts, service=service, keys=keys, rate=rate, ports=ports)
+
     # Start.
 
     def _start(self):
--- a/briarspoke/benches/faults.py
+++ b/briarspoke/benches/faults.py
@@ -74,7 +74,7 @@
 
 @bench("faults")
 def run(*, seed, long):
-    """Sends requests through two entry VMs while everything goes wrong."""
+    """Shows whether faults at any point duplicate, lose or mix up requests."""
     with Parts() as running:
         servers = []
         ports_by_name = {}
--- a/briarspoke/benches/flood.py
+++ b/briarspoke/benches/flood.py
@@ -186,7 +186,7 @@
 
 @bench("flood")
 def flood(*, seed, long):
-    """Ten times the capacity of each rank in turn, beside one FIFO queue."""
+    """Shows what each rank gets while one floods, beside one FIFO queue."""
     figures_by_variant = {"briarspoke": {}, "fifo": {}}
     with Parts() as running:
         stacks = {
--- a/briarspoke/benches/ownership.py
+++ b/briarspoke/benches/ownership.py
@@ -76,7 +76,7 @@
 
 @bench("ownership")
 def run(*, seed, long):
-    """Runs the scenarios and checks the invariants of ownership."""
+    """Shows whether random faults give a key two owners or lose an assignment."""
     results = [scenario.run() for scenario in all_scenarios(seed, long)]
     faults, counts = collections.Counter(), collections.Counter()
     for result in results:
--- a/briarspoke/benches/proxy.py
+++ b/briarspoke/benches/proxy.py
@@ -92,7 +92,7 @@
 
 @bench("proxy")
 def run(*, seed, long):
-    """Measures capacity, latency at half of it, and where the time goes."""
+    """Shows rate and latency of an entry VM against a plain Agent proxy."""
     seconds = MEASURED_S * (4 if long else 1)
     with Parts() as running:
         ports_by_name = _start_servers(running, seed)
--- a/briarspoke/benches/records.py
+++ b/briarspoke/benches/records.py
@@ -35,7 +35,25 @@
         return partition_of(f"key-{self.key}", count)
 
 
-def records_of(answer):
+class Callers:
+    """Callers that send lookups at a fixed rate until they are stopped.
+
+    :param parts: the :class:`Parts` that ends the process.
+    :param ports: pairs of host and port, taken in turn.
+    """
+
+    def __init__(self, parts, *, service, keys, rate, ports):
+        self._part = parts.start(
+            "callers", service=service, keys=keys, rate=rate, ports=ports
+        )
+        self._part.ask(start=True)
+
+    def stop(self):
+        """Returns the :class:`CallRecord` list once the last requests have ended."""
+        return _records_of(self._part.ask(stop=True))
+
+
+def _records_of(answer):
     """Returns the :class:`CallRecord` list of a callers part's answer."""
     return [CallRecord(*values) for values in answer["records"]]
 
--- a/briarspoke/benches/retries.py
+++ b/briarspoke/benches/retries.py
@@ -236,7 +236,7 @@
 
 @bench("retries")
 def retries(*, seed, long):
-    """Faults of all servers, beside three attempts without a budget."""
+    """Shows attempts and recovery when all servers fail, beside naive retries."""
     with Parts() as running:
         stacks = {
             "briarspoke": _Stack(running, seed=seed, variant=None),
--- a/briarspoke/benches/store_outage.py
+++ b/briarspoke/benches/store_outage.py
@@ -4,17 +4,17 @@
 
 import time
 
-from briarspoke.benches import Bound, Report, bench, parts
+from briarspoke.benches import Bound, Report, bench
 from briarspoke.benches.admin_client import call
 from briarspoke.benches.deployment import Deployment
 from briarspoke.benches.records import (
     between,
     count_by_code,
-    records_of,
     share_ok,
 )
 from briarspoke.clock import monotonic
 
+KEYS = 500
 RATE = 800.0
 OUTAGE_S = 15.0
 LONG_OUTAGE_S = 120.0
@@ -26,7 +26,7 @@
 
 @bench("store-outage")
 def store_outage(*, seed, long):
-    """Takes the store away under load and gives it back."""
+    """Shows what callers and operators notice while the store is down."""
     outage_s = LONG_OUTAGE_S if long else OUTAGE_S
     deployment = Deployment(
         seed=seed,
@@ -35,20 +35,13 @@
         servers_by_zone=2,
         services=[SERVICE],
     )
-    with deployment, parts.Parts() as own:
-        callers = own.start(
-            "callers",
-            service="tabela",
-            keys=500,
-            rate=RATE,
-            ports=deployment.call_ports(),
-        )
-        callers.ask(start=True)
+    with deployment:
+        callers = deployment.start_callers(service="tabela", keys=KEYS, rate=RATE)
         time.sleep(2.0)
         outage = _Outage(deployment)
         outage.run(outage_s)
         time.sleep(1.0)
-        records = records_of(callers.ask(stop=True))
+        records = callers.stop()
         two_owners = deployment.two_owners()
     return _report(seed, records, outage, two_owners)
 
@@ -126,7 +119,7 @@
         figures={
             "outage_s": round(outage.end - outage.begin, 2),
             "requests_during": len(during),
-            "refused_during": refused,
+            "refused_during_share": refused,
             "failed_by_code": count_by_code(during),
             "change_during_code": outage.change_during,
             "first_change_accepted_s": outage.change_after_s,
@@ -135,7 +128,7 @@
             "two_owners": two_owners,
         },
         bounds=[
-            Bound(name="refused_during", value=refused, limit=LIMIT_REFUSED),
+            Bound(name="refused_during_share", value=refused, limit=LIMIT_REFUSED),
             Bound(name="requests_during", value=len(during), limit=1000, at_most=False),
             Bound(name="reverted", value=outage.reverted, limit=0),
             Bound(
--- a/briarspoke/benches/takeover.py
+++ b/briarspoke/benches/takeover.py
@@ -6,7 +6,7 @@
 
 from briarspoke.benches import Bound, Report, bench, parts, percentile
 from briarspoke.benches.deployment import Deployment
-from briarspoke.benches.records import count_by_code, records_of, share_ok
+from briarspoke.benches.records import Callers, count_by_code, share_ok
 from briarspoke.clock import monotonic
 
 PARTITIONS = 64
@@ -36,7 +36,7 @@
 
 @bench("takeover")
 def takeover(*, seed, long):
-    """Kills servers under load, one after the other."""
+    """Shows how long the keys of a killed server are not served."""
     deployment = Deployment(
         seed=seed,
         zones=("poa", "cwb"),
@@ -44,22 +44,15 @@
         servers_by_zone=3,
         services=[SERVICE],
     )
-    with deployment, parts.Parts() as own:
-        callers = own.start(
-            "callers",
-            service="tabela",
-            keys=KEYS,
-            rate=RATE,
-            ports=deployment.call_ports(),
-        )
-        callers.ask(start=True)
+    with deployment:
+        callers = deployment.start_callers(service="tabela", keys=KEYS, rate=RATE)
         time.sleep(1.0)
         names = sorted(deployment.servers_by_name)
         kills = []
         for number in range(LONG_KILLS if long else KILLS):
             name = names[(seed + number * 2) % len(names)]
             kills.append(_kill(deployment, name))
-        records = records_of(callers.ask(stop=True))
+        records = callers.stop()
         two_owners = deployment.two_owners()
     return _report(seed, records, kills, two_owners, _baseline(seed))
 
@@ -151,7 +144,7 @@
             "unavailable_max_s": max(unavailable, default=None),
             "terms": terms,
             "requests": len(records),
-            "share_answered": share_ok(records),
+            "answered_share": share_ok(records),
             "failed_by_code": count_by_code(records),
             "failed_of_other_servers": count_by_code(others),
             "two_owners": two_owners,
@@ -175,19 +168,18 @@
             for name in names
         ]
         entry = own.start("entry", **_static_parameters(names, servers))
-        callers = own.start(
-            "callers",
+        callers = Callers(
+            own,
             service="tabela",
             keys=20,
             rate=100.0,
             ports=[("127.0.0.1", entry.ready["port"])],
         )
-        callers.ask(start=True)
         time.sleep(0.5)
         servers[0].kill()
         killed_at = monotonic()
         time.sleep(BASELINE_S)
-        records = records_of(callers.ask(stop=True))
+        records = callers.stop()
     lost = {r.key for r in records if r.due_at > killed_at and not r.ok}
     served_late = [
         r.ended_at - killed_at
--- a/briarspoke/benches/uploads.py
+++ b/briarspoke/benches/uploads.py
@@ -25,7 +25,7 @@
 
 @bench("uploads")
 def run(*, seed, long):
-    """Uploads through a gateway, then directly on the same connections."""
+    """Shows whether concurrent uploads arrive whole and what memory they take."""
     with Parts() as running:
         server = running.start(
             "backend",
@@ -71,7 +71,7 @@
         figures={
             "uploads": UPLOADS * len(rounds),
             "bytes_each": UPLOAD_BYTES,
-            "seconds": [round(elapsed, 1) for _, elapsed in rounds],
+            "rounds_s": [round(elapsed, 1) for _, elapsed in rounds],
             "rss_before_bytes": before,
             "rss_peak_bytes": [state["rss_peak_bytes"] for state in after],
             "growth_mb": round(growth / 1_048_576, 2),
--- a/briarspoke/benches/zone_cut.py
+++ b/briarspoke/benches/zone_cut.py
@@ -4,18 +4,21 @@
 
 import time
 
-from briarspoke.benches import Bound, Report, bench, parts
+from briarspoke.benches import Bound, Report, bench
 from briarspoke.benches.deployment import STORE_HOST, Deployment
 from briarspoke.benches.records import (
     between,
     count_by_code,
-    records_of,
     share_ok,
 )
 from briarspoke.clock import monotonic
 
 ZONES = ("poa", "cwb", "fln")
 CUT_ZONE = "poa"
+IN_ZONE_BY_SIDE = {
+    "inside": lambda zone: zone == CUT_ZONE,
+    "outside": lambda zone: zone != CUT_ZONE,
+}
 PARTITIONS = 48
 KEYS = 300
 RATE_PER_SIDE = 300.0
@@ -34,7 +37,7 @@
 
 @bench("zone-cut")
 def zone_cut(*, seed, long):
-    """Cuts one of three zones off from the store and the others, and heals it."""
+    """Shows what one of three zones serves while it is cut off from all else."""
     cut_s = LONG_CUT_S if long else CUT_S
     deployment = Deployment(
         seed=seed,
@@ -43,10 +46,12 @@
         servers_by_zone=2,
         services=[SERVICE],
     )
-    with deployment, parts.Parts() as own:
+    with deployment:
         sides = {
-            side: _start_callers(own, deployment, side)
-            for side in ("inside", "outside")
+            side: deployment.start_callers(
+                service="tabela", keys=KEYS, rate=RATE_PER_SIDE, in_zone=in_zone
+            )
+            for side, in_zone in IN_ZONE_BY_SIDE.items()
         }
         time.sleep(2.0)
         first = next(iter(deployment.nodes_by_name.values()))
@@ -58,28 +63,11 @@
         for node in deployment.nodes_by_name.values():
             node.ask(heal=True)
         time.sleep(LIMIT_NORMAL_S + 2.0)
-        records = {
-            side: records_of(callers.ask(stop=True)) for side, callers in sides.items()
-        }
+        records = {side: callers.stop() for side, callers in sides.items()}
         two_owners = deployment.two_owners()
     return _report(seed, records, owners, begin, end, two_owners)
 
 
-def _start_callers(own, deployment, side):
-    ports = [
-        port
-        for node, port in zip(
-            deployment.nodes_by_name.values(), deployment.call_ports(), strict=True
-        )
-        if (node.zone == CUT_ZONE) == (side == "inside")
-    ]
-    callers = own.start(
-        "callers", service="tabela", keys=KEYS, rate=RATE_PER_SIDE, ports=ports
-    )
-    callers.ask(start=True)
-    return callers
-
-
 def _cut(deployment):
     inside = deployment.prefix(CUT_ZONE)
     others = [deployment.prefix(zone) for zone in ZONES if zone != CUT_ZONE]
@@ -104,7 +92,7 @@
             name = f"{side}_{'own' if own_zone else 'other'}_side"
             shares[name] = {
                 "requests": len(chosen),
-                "answered": share_ok(chosen),
+                "answered_share": share_ok(chosen),
                 "failed_by_code": count_by_code(chosen),
             }
     return shares
@@ -129,8 +117,8 @@
     normal_s = _normal_after(everything, end)
     bounds = [
         Bound(
-            name=f"{side}_own_side_answered",
-            value=shares[f"{side}_own_side"]["answered"],
+            name=f"{side}_own_side_answered_share",
+            value=shares[f"{side}_own_side"]["answered_share"],
             limit=0.99,
             at_most=False,
         )
@@ -142,7 +130,7 @@
         figures={
             "cut_s": round(end - begin, 2),
             "shares": shares,
-            "first_seconds_answered": {
+            "first_seconds_answered_share": {
                 side: share_ok(between(of_side, begin, begin + SETTLED_S))
                 for side, of_side in records.items()
             },
