Split the queue of a server by its jobs

The state machine reads the size of the deadline heap through deadline_entries() instead of a private attribute; its bound is the same.

--- /dev/null
+++ b/briarspoke/admission/queue_checks.py
@@ -0,0 +1,93 @@
+"""Invariants of the queue of a server."""
+
+from __future__ import annotations
+
+from briarspoke import codes
+from briarspoke.configuration.resources import RANKS
+from briarspoke.errors import invariant
+
+LOOKUP, _, BULK = RANKS
+
+SLOTS_EXCEEDED = codes.register(
+    7201,
+    "slots-exceeded",
+    codes.Kind.INTERNAL,
+    500,
+    "More requests would run at a server than it has slots.",
+)
+QUEUE_BOUND_EXCEEDED = codes.register(
+    7202,
+    "queue-bound-exceeded",
+    codes.Kind.INTERNAL,
+    500,
+    "More requests would wait at a server than its queues allow.",
+)
+TICKET_STATE = codes.register(
+    7203,
+    "ticket-state",
+    codes.Kind.INTERNAL,
+    500,
+    "A ticket was offered twice, or released without a slot.",
+)
+RANK_CAP_EXCEEDED = codes.register(
+    7204,
+    "rank-cap-exceeded",
+    codes.Kind.INTERNAL,
+    500,
+    "A rank would hold a slot that is kept free for more urgent ranks.",
+)
+LATE_START = codes.register(
+    7205,
+    "late-start",
+    codes.Kind.INTERNAL,
+    500,
+    "A request would start after its deadline.",
+)
+
+
+def check_offer(ticket, queues):
+    """A ticket that is offered neither runs nor waits."""
+    invariant(
+        not ticket.running and not queues.holds(ticket),
+        "a ticket was offered twice",
+        TICKET_STATE,
+    )
+
+
+def check_release(ticket, slots):
+    """A ticket that is released holds a slot."""
+    invariant(
+        ticket.running and slots.holds(ticket),
+        "a ticket without a slot was released",
+        TICKET_STATE,
+    )
+
+
+def check_places(queues):
+    """No more requests wait than the queue bounds of all ranks allow."""
+    invariant(
+        queues.waiting() <= queues.places(),
+        f"{queues.waiting()} requests wait in {queues.places()} places",
+        QUEUE_BOUND_EXCEEDED,
+    )
+
+
+def check_start(ticket, slots, now):
+    """A ticket starts in time, on a slot that its rank may hold."""
+    declared = slots.limit.slots
+    invariant(
+        slots.in_flight <= declared,
+        f"{slots.in_flight} requests run on {declared} slots",
+        SLOTS_EXCEEDED,
+    )
+    invariant(
+        declared == 1 or ticket.rank != BULK or slots.running(BULK) < declared,
+        "bulk holds every slot",
+        RANK_CAP_EXCEEDED,
+    )
+    invariant(
+        declared < 3 or ticket.rank == LOOKUP or slots.non_lookups() < declared,
+        "no slot is left for lookups",
+        RANK_CAP_EXCEEDED,
+    )
+    invariant(now < ticket.deadline, "a request starts late", LATE_START)
--- a/tests/test_queue_machine.py
+++ b/tests/test_queue_machine.py
@@ -133,7 +133,7 @@
 
     @invariant()
     def memory_is_bounded(self):
-        assert len(self.queue._deadlines) <= 2 * self.queue.waiting() + 66
+        assert self.queue.deadline_entries() <= 2 * self.queue.waiting() + 66
 
 
 TestQueueMachine = QueueMachine.TestCase
