--- a/briarspoke/benches/ownership.py
+++ b/briarspoke/benches/ownership.py
@@ -6,7 +6,8 @@
 import random
 
 from briarspoke.benches import Bound, Report, bench
-from briarspoke.benches.ownership_faults import Scenario, faults_by_name
+from briarspoke.benches.ownership_faults import faults_by_name
+from briarspoke.benches.ownership_scenario import Scenario
 from briarspoke.benches.ownership_times import controller_gaps, takeover_figures
 
 MIXED_SCENARIOS = 10
@@ -75,7 +76,7 @@
 
 @bench("ownership")
 def run(*, seed, long):
-    """Runs the scenarios and checks the invariants of ownership."""
+    """Shows whether random faults give a key two owners or lose an assignment."""
     results = [scenario.run() for scenario in all_scenarios(seed, long)]
     faults, counts = collections.Counter(), collections.Counter()
     for result in results:
