--- a/briarspoke/benches/parts/network.py
+++ b/briarspoke/benches/parts/network.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from twisted.internet import error
+from twisted.internet import address, error
 from twisted.protocols import policies
 from twisted.python.failure import Failure
 from zope.interface import directlyProvides, providedBy
@@ -53,7 +53,8 @@
 class _NeverConnects:
     """A connector whose attempt times out, as packets to a cut zone do."""
 
-    def __init__(self, reactor, factory, timeout_s):
+    def __init__(self, reactor, host, port, factory, timeout_s):
+        self._address = address.IPv4Address("TCP", host, port)
         self._factory = factory
         factory.doStart()
         factory.startedConnecting(self)
@@ -72,6 +73,9 @@
     def disconnect(self):
         self.stopConnecting()
 
+    def getDestination(self):
+        return self._address
+
 
 class CuttableReactor:
     """Passes everything to a reactor, but can cut outgoing connections.
@@ -107,7 +111,7 @@
     def connectTCP(self, host, port, factory, timeout=30, bindAddress=None):
         """Connects unless the host is cut off."""
         if self.is_cut(host):
-            return _NeverConnects(self._reactor, factory, timeout)
+            return _NeverConnects(self._reactor, host, port, factory, timeout)
         return self._reactor.connectTCP(
             host,
             port,
