Read a waiting answer before a control call times out late

After a pause the event loop runs timers before it reads sockets, so a pause of this node let calls time out whose answers had arrived in time. A timer that fires more than 0.05 s late is now started once more for 0.05 s.

--- a/briarspoke/ownership/servers.py
+++ b/briarspoke/ownership/servers.py
@@ -14,6 +14,9 @@
 
 # Below the interval of renewals, so that one call is in flight per server.
 CALL_TIMEOUT_S = 0.35
+# After a pause timers run before the sockets are read, so an answer that has
+# arrived in time may still be waiting there.
+LATE_TIMER_S = 0.05
 # A call that timed out still counts until its connection has been closed.
 CONNECTIONS_PER_SERVER = 2
 CLOSE_IDLE_EVERY_S = 5.0
@@ -43,11 +46,12 @@
     def send_grants(self, zone, command):
         """Sends a :class:`commands.SendGrants`."""
         call = _Call(
+            reactor=self._reactor,
             command=command,
             head=_head(command),
             ended=lambda event: self._settled(zone, event),
         )
-        call.timer = self._reactor.callLater(CALL_TIMEOUT_S, call.time_out)
+        call.start_timer(CALL_TIMEOUT_S)
         self._pool(command.address).acquire(call)
 
     @defer.inlineCallbacks
@@ -103,15 +107,17 @@
         "_connection",
         "_ended",
         "_head",
+        "_reactor",
         "_size",
         "_status",
+        "_timer",
         "done",
-        "timer",
     )
 
-    def __init__(self, *, command, head, ended):
+    def __init__(self, *, reactor, command, head, ended):
         self.done = False
-        self.timer = None
+        self._reactor = reactor
+        self._timer = None
         self._command = command
         self._head = head
         self._ended = ended
@@ -152,9 +158,14 @@
             # Only a call of which nothing was written cannot be delivered later.
             self._end(self._failure(refused=attempt.outcome is Outcome.NOT_RUN))
 
-    def time_out(self):
-        """Ends the call when its time is over."""
-        if self.done:
+    def start_timer(self, seconds):
+        """Bounds the time until the answer."""
+        due_at = self._reactor.seconds() + seconds
+        self._timer = self._reactor.callLater(seconds, self._time_out, due_at)
+
+    def _time_out(self, due_at):
+        if self._reactor.seconds() - due_at > LATE_TIMER_S:
+            self.start_timer(LATE_TIMER_S)
             return
         if self._connection is not None:
             self._connection.abort()
@@ -162,8 +173,8 @@
 
     def _end(self, event):
         self.done = True
-        if self.timer.active():
-            self.timer.cancel()
+        if self._timer.active():
+            self._timer.cancel()
         self._ended(event)
 
     def _answer(self):
--- a/tests/test_ownership_servers.py
+++ b/tests/test_ownership_servers.py
@@ -8,7 +8,12 @@
 
 from briarspoke.ownership import events
 from briarspoke.ownership.commands import SendGrants
-from briarspoke.ownership.servers import CALL_TIMEOUT_S, MAX_ANSWER_BYTES, ServerCalls
+from briarspoke.ownership.servers import (
+    CALL_TIMEOUT_S,
+    LATE_TIMER_S,
+    MAX_ANSWER_BYTES,
+    ServerCalls,
+)
 
 ANSWER = {"clock": 5, "incarnation": "1", "term": 3, "digest": "d", "busy": ["s/1"]}
 
@@ -127,3 +132,19 @@
         reactor.send()
         reactor.accept().connectionLost(LOST)
         assert [e.refused for e in reactor.settled] == [False]
+
+    def test_answer_that_waited_during_a_pause(self, reactor):
+        # Guards against a pause of this node that makes every server look silent.
+        reactor.send()
+        connection = reactor.accept()
+        reactor.advance(CALL_TIMEOUT_S + 1.0)
+        connection.dataReceived(answer(ANSWER))
+        assert [type(e) for e in reactor.settled] == [events.GrantAnswered]
+
+    def test_silent_server_after_a_pause(self, reactor):
+        # Guards against a call that never ends.
+        reactor.send()
+        reactor.accept()
+        reactor.advance(CALL_TIMEOUT_S + 1.0)
+        reactor.advance(LATE_TIMER_S)
+        assert [e.refused for e in reactor.settled] == [False]
