Wait longer after each lease that lapses soon

A node that is too slow to keep a lease took it again after 0.3 s, and each takeover writes every ownership document of the zone. The wait now doubles from 0.3 s to 2.0 s while leases lapse within 30 s of being taken, varies by node, and is left out when no other node lives.

--- a/briarspoke/ownership/candidate.py
+++ b/briarspoke/ownership/candidate.py
@@ -7,7 +7,7 @@
 
 import cbor2
 
-from briarspoke.hashing import rendezvous
+from briarspoke.hashing import hash64, rendezvous
 from briarspoke.ownership import events
 from briarspoke.ownership.timing import KEEPALIVE_EVERY_S, LEASE_S
 
@@ -26,6 +26,12 @@
 HAND_BACK_AGAIN_S = 60.0
 # After giving up, others go first, but the servers' grants must not run out.
 STAND_BACK_S = 0.6
+# A node that loses the lease again soon is too slow to hold it; each takeover
+# costs writes of all documents of the zone. The longest wait is one grant, so
+# that the zone is not left without a controller when all nodes are slow.
+BACK_OFF_S = 0.3
+LONGEST_BACK_OFF_S = 2.0
+STEADY_S = 30.0
 
 
 @dataclass(slots=True, kw_only=True)
@@ -106,9 +112,11 @@
     """
 
     __slots__ = (
+        "_acquired_at",
         "_confirmed_at",
         "_keepalive_due_at",
         "_keepalive_sent_at",
+        "_lapses",
         "_last_holder",
         "_lease",
         "_members",
@@ -140,6 +148,9 @@
         self._stage = _Stage.WATCHING
         self._lease = None
         self._sent_at = 0.0
+        self._acquired_at = 0.0
+        # Leases that lapsed one soon after the other.
+        self._lapses = 0
         self._confirmed_at = 0.0
         self._keepalive_sent_at = None
         self._keepalive_due_at = 0.0
@@ -306,7 +317,7 @@
     def _acquired(self, revision, now):
         self._stage = _Stage.HOLDING
         self.holder = self.node_id
-        self._confirmed_at = now
+        self._confirmed_at = self._acquired_at = now
         self._vacant_since = None
         self._keepalive_sent_at = None
         self._keepalive_due_at = self._sent_at + KEEPALIVE_EVERY_S
@@ -340,11 +351,24 @@
             self._vacant_since = None
             self._read_at = now
             self._watch_again(now)
+            self._back_off(now)
             return [events.LeaseLost()]
         # Without the store nobody else can take the lease either; the
         # controller decides per service how long it goes on.
         return []
 
+    def _back_off(self, now):
+        """Leaves the lease to others for longer each time that it lapses."""
+        if now - self._acquired_at >= STEADY_S:
+            self._lapses = 0
+        self._lapses += 1
+        if not any(node != self.node_id for node in self._members or ()):
+            return
+        wait_s = min(BACK_OFF_S * 2 ** (self._lapses - 1), LONGEST_BACK_OFF_S)
+        # Nodes that a common cause has slowed down do not return together.
+        share = hash64(self.node_id, self.zone, str(self._lapses)) % 1000 / 1000
+        self._retry_at = max(self._retry_at, now + wait_s * (0.75 + share / 2))
+
     def paused(self, now):
         """Confirms the lease after a pause."""
         if self._stage is _Stage.HOLDING:
--- a/tests/test_ownership_candidate.py
+++ b/tests/test_ownership_candidate.py
@@ -131,3 +131,45 @@
             candidate.keepalive_settled(Settled.UNKNOWN, float(second))
         assert candidate.holding
         assert not any(isinstance(c, lease.RevokeLease) for c in found)
+
+
+def seconds_until_tried(candidate, now, members=MEMBERS):
+    """Loses the lease, sees it vacant and returns the time until the next try."""
+    candidate.keep_alive(now)
+    candidate.keepalive_settled(Settled.REFUSED, now)
+    candidate.record_seen(None, now)
+    tried = now
+    while not candidate.tick(tried, members):
+        tried += 0.01
+    (_,) = candidate.lease_granted("l2", tried)
+    candidate.put_settled(Settled.DONE, 8, tried)
+    return tried - now
+
+
+class TestRepeatedLapses:
+    def test_each_wait_is_longer(self):
+        # A node too slow to hold the lease would take it over and over, and each
+        # takeover rewrites all documents of the zone.
+        candidate = make()
+        acquire(candidate)
+        waits, now = [], 20.0
+        for _ in range(6):
+            waits.append(seconds_until_tried(candidate, now))
+            now += waits[-1] + 1.0
+        assert waits[0] < 0.4
+        assert waits[2] > 2 * waits[0]
+        assert max(waits) <= 1.25 * lease.LONGEST_BACK_OFF_S + 0.02
+
+    def test_a_steady_holder_starts_again(self):
+        # One lapse a day must not add up to a long wait.
+        candidate = make()
+        acquire(candidate)
+        for now in (100.0, 200.0, 300.0, 400.0):
+            assert seconds_until_tried(candidate, now) < 0.4
+
+    def test_the_only_node_does_not_wait(self):
+        # Nobody else could take the lease meanwhile.
+        candidate, alone = make(), {"n": "z"}
+        acquire(candidate, members=alone)
+        for now in (20.0, 21.0, 22.0, 23.0):
+            assert seconds_until_tried(candidate, now, alone) < 0.35
