Split owners and waits out of the router

Change: http/owners.py checks owners right before a request is written and tracks requests of unfenced servers; http/waits.py parks requests for an owner on the move.

--- /dev/null
+++ b/briarspoke/http/owners.py
@@ -0,0 +1,110 @@
+"""What one node may send to backend servers at the moment."""
+
+from __future__ import annotations
+
+from briarspoke import codes
+from briarspoke.errors import Refusal
+from briarspoke.routing.reachability import Reachability
+
+# A lost server's keys are served again after about this time.
+RETRY_AFTER_MS = 2_000
+
+
+class OwnerChecks:
+    """Checks owners right before requests are sent, and tracks the requests.
+
+    :param router: the :class:`briarspoke.http.router.Router`.
+    :ivar routing_leases: the :class:`RoutingLeaseHolder`, set by the node.
+    :ivar on_server_report: function of (server name, whether it answers) that
+        hears of servers lost and found again, set by the node.
+    """
+
+    __slots__ = ("_reachability", "_router", "on_server_report", "routing_leases")
+
+    def __init__(self, *, router):
+        self._router = router
+        self._reachability = Reachability()
+        self.routing_leases = None
+        self.on_server_report = None
+
+    def check_server(self, server_name):
+        """Raises :exc:`Refusal` while a server cannot be connected to."""
+        if not self._reachability.may_try(server_name, self._router.now()):
+            raise Refusal(codes.OWNER_UNREACHABLE, retry_after_ms=RETRY_AFTER_MS)
+
+    def check_ownership(self, relay):
+        """Raises :exc:`Refusal` unless a request may be written to its server now.
+
+        The owner may have changed while the request waited for a slot.
+        """
+        classified = relay.classified
+        service = classified.service
+        route = self._router.table.route(service.name, classified.partition)
+        if route is not relay.route and not route.same_as(relay.route):
+            raise Refusal(codes.PARTITION_MOVING)
+        if service.fenced:
+            return
+        server = self._router.configuration.servers_by_name.get(route.server)
+        if server is None:
+            raise Refusal(codes.NO_OWNER, "the owner is not configured")
+        now = self._router.now()
+        allowed = self.routing_leases is not None and self.routing_leases.may_send(
+            zone=server.zone,
+            service=service.name,
+            version=self._router.table.version(service.name),
+            deadline_s=classified.deadline - now,
+            now=now,
+        )
+        if not allowed:
+            raise Refusal(codes.NO_ROUTING_LEASE)
+
+    def attempt_began(self, relay):
+        """Notes that a request is written to its server."""
+        classified = relay.classified
+        self._router.load.count(
+            classified.service.name, relay.route.server, classified.partition
+        )
+        if not classified.service.fenced:
+            relay.tracked = f"{classified.service.name}/{classified.partition}"
+            self.routing_leases.began(relay.tracked)
+
+    def server_answered(self, server_name):
+        """Notes that a server has answered a request."""
+        if self._reachability.answered(server_name, self._router.now()):
+            self._report_server(server_name, True)
+
+    def attempt_ended(self, relay, *, may_run):
+        """Notes that the server has no work of a request any more.
+
+        :param may_run: whether the server may still run it; it honours the
+            deadline, so the work counts as in flight until then.
+        """
+        name, relay.tracked = relay.tracked, None
+        if name is None:
+            return
+        if may_run:
+            remaining_s = max(0.0, relay.classified.deadline - self._router.now())
+            self._router.reactor.callLater(remaining_s, self.routing_leases.ended, name)
+        else:
+            self.routing_leases.ended(name)
+
+    def server_unreachable(self, server_name):
+        """Notes a failed connection and refuses what waits for the server."""
+        if not self._reachability.failed(server_name, self._router.now()):
+            return
+        self._report_server(server_name, False)
+        queue = self._router.queues_by_server.get(server_name)
+        for relay in list(self._router.relays):
+            ticket = relay.ticket
+            if relay.queue is queue and ticket is not None and not ticket.running:
+                relay.refuse(
+                    Refusal(codes.OWNER_UNREACHABLE, retry_after_ms=RETRY_AFTER_MS)
+                )
+
+    def _report_server(self, server_name, reachable):
+        if self.on_server_report is not None:
+            self.on_server_report(server_name, reachable)
+
+    def forget(self, server_name):
+        """Drops a server that is no longer configured."""
+        self._reachability.forget(server_name)
--- a/briarspoke/http/relay.py
+++ b/briarspoke/http/relay.py
@@ -191,7 +191,7 @@
             if self.forward is None:
                 self.peer = self.router.gateway_of(self.route.server)
             if self.peer is None:
-                self.router.check_server(self.route.server)
+                self.router.owners.check_server(self.route.server)
         except Refusal as refusal:
             self._wait_or_refuse(refusal)
             return
@@ -207,7 +207,7 @@
         self.router.offer(self.queue, self.ticket)
 
     def _wait_or_refuse(self, refusal):
-        if not self.router.park(self, refusal):
+        if not self.router.waits.park(self, refusal):
             self.refuse(refusal)
 
     def retry_now(self):
@@ -234,7 +234,7 @@
             return
         if self.peer is None:
             try:
-                self.router.check_ownership(self)
+                self.router.owners.check_ownership(self)
             except Refusal as refusal:
                 connection.pool.put_back(connection)
                 # Nothing was sent, so the server has spent no attempt.
@@ -242,7 +242,7 @@
                 self._release(Signal.NOT_SENT)
                 self._wait_or_refuse(refusal)
                 return
-            self.router.attempt_began(self)
+            self.router.owners.attempt_began(self)
         self.connection = connection
         head = request_head(self, connection)
         if self.streaming:
@@ -286,7 +286,7 @@
             if attempt is not None and not self._takes_result(attempt):
                 return
         else:
-            self.router.server_answered(self.route.server)
+            self.router.owners.server_answered(self.route.server)
             attempt = wire.refusal_of_server(head)
             if attempt is not None:
                 self._leave_connection()
@@ -342,7 +342,7 @@
         else:
             self.router.request_answered(self)
         self.exchange.answer_end(reusable=self.body_complete)
-        self.router.attempt_ended(self, may_run=False)
+        self.router.owners.attempt_ended(self, may_run=False)
         self._release(Signal.OK)
 
     def attempt_failed(self, attempt):
@@ -361,10 +361,12 @@
             self.unknown = attempt
         elif self.peer is not None and self._passes_over_peer(attempt):
             return
-        self.router.attempt_ended(self, may_run=attempt.outcome is Outcome.UNKNOWN)
+        self.router.owners.attempt_ended(
+            self, may_run=attempt.outcome is Outcome.UNKNOWN
+        )
         if self.peer is None and attempt.reason == "connect-failed":
             # Before the slot is free, or the next request would connect in vain.
-            self.router.server_unreachable(self.route.server)
+            self.router.owners.server_unreachable(self.route.server)
         self._release(Signal.SHED if attempt.reason == "shed" else Signal.FAILED)
         if self._waits_for_owner(attempt):
             return
@@ -388,7 +390,7 @@
         """Returns whether a request that its server fenced off waits instead."""
         if self.peer is not None or attempt.reason != "fenced":
             return False
-        if not self.router.park(self, Refusal(attempt.code)):
+        if not self.router.waits.park(self, Refusal(attempt.code)):
             return False
         # The server has done no work, so the attempt does not count.
         self.attempts -= 1
--- a/briarspoke/http/router.py
+++ b/briarspoke/http/router.py
@@ -14,9 +14,11 @@
 from briarspoke.errors import Refusal
 from briarspoke.http.forward import classified_of, forward_key
 from briarspoke.http.gateways import Gateways
+from briarspoke.http.owners import OwnerChecks
 from briarspoke.http.pool import ConnectionPool
 from briarspoke.http.probe import lost_transports
 from briarspoke.http.shutdown import Shutdown
+from briarspoke.http.waits import OwnerWaits
 from briarspoke.retry.policy import (
     Backoff,
     Denied,
@@ -26,9 +28,7 @@
     plan_retry,
 )
 from briarspoke.routing.classify import classify
-from briarspoke.routing.handover import WAIT_S, Handovers
 from briarspoke.routing.load import PartitionLoad
-from briarspoke.routing.reachability import Reachability
 from briarspoke.routing.table import RoutingTable
 
 log = logging.getLogger(__name__)
@@ -37,11 +37,6 @@
 SWEEP_S = 1.0
 # Each forwarded request that waits at its gateway holds a connection.
 CONNECTIONS_PER_PEER = 1024
-# A lost server's keys are served again after about this time.
-RETRY_AFTER_MS = 2_000
-WORTH_WAITING = frozenset(
-    {codes.PARTITION_MOVING, codes.OWNER_FENCED, codes.NO_ROUTING_LEASE}
-)
 
 
 class Router:
@@ -71,12 +66,8 @@
         self.backoff = Backoff(random=random.Random())
         self.warming_servers = set()
         self.load = PartitionLoad()
-        self.handovers = Handovers()
-        self.reachability = Reachability()
-        # Set by the node: the RoutingLeaseHolder, and a function of (server name,
-        # whether it answers) for unfenced servers.
-        self.routing_leases = None
-        self.on_server_report = None
+        self.waits = OwnerWaits(router=self)
+        self.owners = OwnerChecks(router=self)
         self.relays = set()
         self.channels = set()
         self.shutdown = Shutdown(self)
@@ -101,7 +92,7 @@
             if name not in configuration.servers_by_name:
                 del self.queues_by_server[name]
                 self.pools_by_server.pop(name).close()
-                self.reachability.forget(name)
+                self.owners.forget(name)
             else:
                 self._reconfigure(queue, configuration.servers_by_name[name])
         for service in configuration.services_by_name.values():
@@ -124,9 +115,7 @@
         """Takes a newer ownership document into use."""
         if not self.table.apply(document):
             return False
-        for service_name, partition in self.handovers.partitions():
-            if service_name == document.service:
-                self._wake(service_name, partition)
+        self.waits.ownership_changed(document.service)
         return True
 
     # Called by relays.
@@ -139,8 +128,7 @@
         """Counts a request whose answer was passed on in whole."""
         classified = relay.classified
         self.metrics.count("answers_total", classified.rank)
-        if self.handovers.is_waiting((classified.service.name, classified.partition)):
-            self._wake(classified.service.name, classified.partition)
+        self.waits.partition_served(classified)
         self.request_ended(relay)
 
     def request_ended(self, relay):
@@ -148,9 +136,7 @@
         self.relays.discard(relay)
         classified = relay.classified
         if relay.parked is not None:
-            self.handovers.forget(
-                (classified.service.name, classified.partition), relay
-            )
+            self.waits.forget(relay)
         if classified is not None and classified.permit is not None:
             permit, classified.permit = classified.permit, None
             self.limits.release(permit)
@@ -191,116 +177,6 @@
             raise Refusal(codes.NO_OWNER, "the owner is not configured")
         return route
 
-    # Handovers.
-
-    def park(self, relay, refusal):
-        """Lets a request wait for its owner and returns whether it does.
-
-        :param refusal: what it is refused with when the owner does not come.
-        """
-        if refusal.code not in WORTH_WAITING or relay.body is None:
-            return False
-        now = self.now()
-        if relay.parked_until is None:
-            relay.parked_until = min(now + WAIT_S, relay.classified.deadline)
-        if relay.parked_until <= now:
-            return False
-        key = (relay.classified.service.name, relay.classified.partition)
-        if not self.handovers.park(key, relay, relay.parked_until, now):
-            return False
-        relay.parked = refusal
-        self.metrics.count("handover_waits_total", refusal.code.number)
-        return True
-
-    def _wake(self, service_name, partition):
-        for relay in self.handovers.wake((service_name, partition)):
-            # Not inside the caller's frame, which may still hold a slot.
-            self.reactor.callLater(0, self._retry_now, relay)
-
-    def _tick_handovers(self, now):
-        to_try, expired = self.handovers.tick(now)
-        for relay in to_try:
-            self._retry_now(relay)
-        for relay in expired:
-            relay.refuse(relay.parked)
-
-    # What may be sent to a server now.
-
-    def check_server(self, server_name):
-        """Raises :exc:`Refusal` while a server cannot be connected to."""
-        if not self.reachability.may_try(server_name, self.now()):
-            raise Refusal(codes.OWNER_UNREACHABLE, retry_after_ms=RETRY_AFTER_MS)
-
-    def check_ownership(self, relay):
-        """Raises :exc:`Refusal` unless a request may be written to its server now.
-
-        The owner may have changed while the request waited for a slot.
-        """
-        classified = relay.classified
-        service = classified.service
-        route = self.table.route(service.name, classified.partition)
-        if route is not relay.route and not route.same_as(relay.route):
-            raise Refusal(codes.PARTITION_MOVING)
-        if service.fenced:
-            return
-        now = self.now()
-        allowed = self.routing_leases is not None and self.routing_leases.may_send(
-            zone=self.configuration.servers_by_name[route.server].zone,
-            service=service.name,
-            version=self.table.version(service.name),
-            deadline_s=classified.deadline - now,
-            now=now,
-        )
-        if not allowed:
-            raise Refusal(codes.NO_ROUTING_LEASE)
-
-    def attempt_began(self, relay):
-        """Notes that a request is written to its server."""
-        classified = relay.classified
-        self.load.count(
-            classified.service.name, relay.route.server, classified.partition
-        )
-        if not classified.service.fenced:
-            relay.tracked = f"{classified.service.name}/{classified.partition}"
-            self.routing_leases.began(relay.tracked)
-
-    def server_answered(self, server_name):
-        """Notes that a server has answered a request."""
-        if self.reachability.answered(server_name, self.now()):
-            self._report_server(server_name, True)
-
-    def attempt_ended(self, relay, *, may_run):
-        """Notes that the server has no work of a request any more.
-
-        :param may_run: whether the server may still run it; it honours the
-            deadline, so the work counts as in flight until then.
-        """
-        name, relay.tracked = relay.tracked, None
-        if name is None:
-            return
-        if may_run:
-            remaining_s = max(0.0, relay.classified.deadline - self.now())
-            self.reactor.callLater(remaining_s, self.routing_leases.ended, name)
-        else:
-            self.routing_leases.ended(name)
-
-    def server_unreachable(self, server_name):
-        """Notes a failed connection and refuses what waits for the server."""
-        if not self.reachability.failed(server_name, self.now()):
-            return
-        self._report_server(server_name, False)
-        queue = self.queues_by_server.get(server_name)
-        for relay in list(self.relays):
-            ticket = relay.ticket
-            if relay.queue is queue and ticket is not None and not ticket.running:
-                relay.refuse(
-                    Refusal(codes.OWNER_UNREACHABLE, retry_after_ms=RETRY_AFTER_MS)
-                )
-
-    def _report_server(self, server_name, reachable):
-        if self.on_server_report is not None:
-            self.on_server_report(server_name, reachable)
-
     # Gateways.
 
     def gateway_of(self, server_name):
@@ -415,10 +291,11 @@
                 attempt.code = codes.RETRY_BUDGET_SPENT
             return False
         self.metrics.count("retries_total", attempt.reason)
-        self.reactor.callLater(plan.delay_s, self._retry_now, relay)
+        self.reactor.callLater(plan.delay_s, self.retry_now, relay)
         return True
 
-    def _retry_now(self, relay):
+    def retry_now(self, relay):
+        """Routes a request again; an error ends that request alone."""
         try:
             relay.retry_now()
         except Exception:
@@ -457,7 +334,7 @@
             gc.collect()
             gc.freeze()
         self.gateways.refresh(self.peers_by_id)
-        self._tick_handovers(now)
+        self.waits.tick(now)
         for queue in list(self.queues_by_server.values()):
             self._run(queue.tick(now))
         expired = [
--- a/briarspoke/node.py
+++ b/briarspoke/node.py
@@ -181,8 +181,8 @@
             needs_routing_lease=self.router.fronts_unfenced_servers,
         )
         messaging.connect(self.control)
-        self.router.routing_leases = self.control.routing_leases
-        self.router.on_server_report = self.control.server_reported
+        self.router.owners.routing_leases = self.control.routing_leases
+        self.router.owners.on_server_report = self.control.server_reported
         self.load_reporter = LoadReporter(
             load=self.router.load, links=self.links, control=self.control
         )
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -403,7 +403,7 @@
         # Guards against a new owner while the old one may still run a request.
         world = World(fenced=False)
         leases = RoutingLeaseHolder(node_id="n1", incarnation=7)
-        world.router.routing_leases = leases
+        world.router.owners.routing_leases = leases
         sent_at = leases.request("z1", {"s": 1}, world.seconds()).sent_at
         leases.granted(
             zone="z1",
