Count the bytes of grants as control

Cause: bench control counted links and store calls, but not the calls that renew grants, which a controller sends to each server 2.5 times a second. Change: a counter of their bytes; the bench adds them to a controller's bytes.

--- a/briarspoke/benches/control.py
+++ b/briarspoke/benches/control.py
@@ -501,7 +501,8 @@
         ),
         (
             "controller_bytes_per_s",
-            with_store("controller_store_bytes_per_s"),
+            with_store("controller_store_bytes_per_s")
+            + max(f["controller_grant_bytes_per_s"] or 0.0 for f in by_size.values()),
             BYTES_LIMIT,
         ),
         (
@@ -606,6 +607,9 @@
         "link_bytes_per_s": mean_rate("link_bytes_total"),
         "control_bytes_per_s": mean(map(control_bytes, rates)),
         "controller_store_bytes_per_s": mean(store_bytes[n] for n in of_one_zone),
+        "controller_grant_bytes_per_s": mean(
+            of_node(rates[n], "grant_bytes_total") for n in of_one_zone
+        ),
         "member_store_bytes_per_s": mean(store_bytes[n] for n in others),
         "vm_list_bytes_per_s_max": max(vm_list_bytes),
         "link_bytes_sent_per_s": mean_rate("link_bytes_total", "sent"),
--- a/briarspoke/node.py
+++ b/briarspoke/node.py
@@ -179,6 +179,9 @@
             # 48 bits fit every encoding that the number passes through.
             instance=int.from_bytes(instance[:6], "big"),
             needs_routing_lease=self.router.fronts_unfenced_servers,
+            count_grant_bytes=lambda direction, count: self.metrics.count(
+                "grant_bytes_total", direction, count
+            ),
         )
         messaging.connect(self.control)
         self.router.owners.routing_leases = self.control.routing_leases
--- a/briarspoke/ownership/runner.py
+++ b/briarspoke/ownership/runner.py
@@ -58,6 +58,8 @@
     :param instance: random number of this process.
     :param needs_routing_lease: function of a zone that tells whether this node
         sends to unfenced servers there.
+    :param count_grant_bytes: function of (``sent`` or ``received``, bytes) for
+        the calls to servers.
     """
 
     def __init__(
@@ -74,6 +76,7 @@
         vms,
         instance,
         needs_routing_lease=lambda zone: True,
+        count_grant_bytes=lambda direction, count: None,
     ):
         self.reactor = reactor
         self.clock = clock
@@ -95,7 +98,11 @@
         self._members_at = 0.0
         self._members = {}
         self._visited_at = None
-        self._calls = ServerCalls(reactor=reactor, settled=self._server_settled)
+        self._calls = ServerCalls(
+            reactor=reactor,
+            settled=self._server_settled,
+            count_bytes=count_grant_bytes,
+        )
         self._ticker = task.LoopingCall(self._tick)
         self._ticker.clock = reactor
 
--- a/briarspoke/ownership/servers.py
+++ b/briarspoke/ownership/servers.py
@@ -22,14 +22,20 @@
 CLOSE_IDLE_EVERY_S = 5.0
 # An answer lists at most the server's partitions.
 MAX_ANSWER_BYTES = 1_048_576
+# "HTTP/1.1 200 OK" with the line ends of the status line and of the head.
+STATUS_LINE_BYTES = 19
 
 
 class ServerCalls:
-    """Sends grants and probes; results go to ``settled(zone, event)``."""
+    """Sends grants and probes; results go to ``settled(zone, event)``.
 
-    def __init__(self, *, reactor, settled):
+    :param count_bytes: function of (``sent`` or ``received``, bytes).
+    """
+
+    def __init__(self, *, reactor, settled, count_bytes=lambda direction, count: None):
         self._reactor = reactor
         self._settled = settled
+        self._count_bytes = count_bytes
         self._pools_by_address = {}
         self._closer = task.LoopingCall(self._close_idle)
         self._closer.clock = reactor
@@ -50,6 +56,7 @@
             command=command,
             head=_head(command),
             ended=lambda event: self._settled(zone, event),
+            count_bytes=self._count_bytes,
         )
         call.start_timer(CALL_TIMEOUT_S)
         self._pool(command.address).acquire(call)
@@ -105,6 +112,7 @@
         "_body",
         "_command",
         "_connection",
+        "_count_bytes",
         "_ended",
         "_head",
         "_reactor",
@@ -114,8 +122,9 @@
         "done",
     )
 
-    def __init__(self, *, reactor, command, head, ended):
+    def __init__(self, *, reactor, command, head, ended, count_bytes):
         self.done = False
+        self._count_bytes = count_bytes
         self._reactor = reactor
         self._timer = None
         self._command = command
@@ -131,15 +140,19 @@
         self._connection = connection
         connection.start(self._head, self)
         connection.end_request()
+        self._count_bytes("sent", len(self._head))
 
     def answer_head(self, head):
         """Takes the status of the answer."""
         self._status = head.status
+        fields = sum(len(name) + len(value) + 4 for name, value in head.headers)
+        self._count_bytes("received", STATUS_LINE_BYTES + fields)
 
     def answer_data(self, data):
         """Takes a part of the answer."""
         self._body.append(data)
         self._size += len(data)
+        self._count_bytes("received", len(data))
         if self._size > MAX_ANSWER_BYTES and not self.done:
             self._connection.abort()
             self._end(self._failure(refused=False))
--- a/tests/test_ownership_runner.py
+++ b/tests/test_ownership_runner.py
@@ -84,7 +84,7 @@
 
     tables = {}
 
-    def __init__(self, *, reactor, settled):
+    def __init__(self, *, reactor, settled, count_bytes):
         self._reactor = reactor
         self._settled = settled
 
