--- a/briarspoke/benches/takeover.py
+++ b/briarspoke/benches/takeover.py
@@ -17,6 +17,7 @@
 # Longer than the limit, so that a miss is seen as one.
 OBSERVED_S = 6.0
 LIMIT_S = 4.0
+POLL_S = 0.1
 RESTART_S = 2.5
 SERVICE = {"name": "tabela", "partitions": PARTITIONS, "warmup_s": 0.5}
 BASELINE_S = 8.0
@@ -26,6 +27,8 @@
     """One kill of a server and what the processes recorded of it."""
 
     def __init__(self, *, server, at, partitions):
+        # Partitions that a balance move under way gave to it after its kill.
+        self.assigned_later = set()
         self.server = server
         self.at = at
         self.partitions = partitions
@@ -58,18 +61,27 @@
 
 
 def _kill(deployment, name):
-    node = next(iter(deployment.nodes_by_name.values()))
-    owners = node.ask(owners=True)["owners"]["tabela"]
     server = deployment.servers_by_name[name]
-    mine = {number for number, owner in enumerate(owners) if owner == name}
+    mine = _owned_by(deployment, name)
     kill = _Kill(server=name, at=deployment.kill_server(name), partitions=mine)
-    time.sleep(OBSERVED_S)
+    while monotonic() < kill.at + OBSERVED_S:
+        kill.assigned_later |= _owned_by(deployment, name) - mine
+        time.sleep(POLL_S)
     _read_terms(deployment, kill)
     deployment.start_server(name, server.zone, server.service, port=server.port)
     time.sleep(RESTART_S)
     return kill
 
 
+def _owned_by(deployment, name):
+    """Returns the partitions that any entry VM takes for a server's."""
+    owned = set()
+    for node in deployment.nodes_by_name.values():
+        owners = node.ask(owners=True)["owners"]["tabela"]
+        owned |= {number for number, owner in enumerate(owners) if owner == name}
+    return owned
+
+
 def _read_terms(deployment, kill):
     """Finds in the processes' records when each step was done."""
     applied = [
@@ -104,17 +116,39 @@
 
 def _others_failed(records, kill, end):
     """Returns the failed requests of keys that other servers own."""
+    its_own = kill.partitions | kill.assigned_later
     return [
         r
         for r in records
         if kill.at <= r.due_at < end
         and not r.ok
-        and r.partition(PARTITIONS) not in kill.partitions
+        and r.partition(PARTITIONS) not in its_own
     ]
 
 
+def _unavailable_later(records, kill):
+    """Returns how long keys failed that the killed server was still given."""
+    seconds = []
+    for key in range(KEYS):
+        of_key = [
+            r
+            for r in records
+            if r.key == key and kill.at <= r.due_at < kill.at + OBSERVED_S
+        ]
+        if not of_key or of_key[0].partition(PARTITIONS) not in kill.assigned_later:
+            continue
+        failed = [r.due_at for r in of_key if not r.ok]
+        if failed:
+            served = [r.ended_at for r in of_key if r.ok and r.due_at > failed[-1]]
+            end = min(served, default=kill.at + OBSERVED_S)
+            seconds.append(end - failed[0])
+    return seconds
+
+
 def _report(seed, records, kills, two_owners, baseline):
     unavailable = [s for kill in kills for s in _unavailable(records, kill)]
+    later = [s for kill in kills for s in _unavailable_later(records, kill)]
+    unavailable += later
     others = [
         r for kill in kills for r in _others_failed(records, kill, kill.at + OBSERVED_S)
     ]
@@ -142,6 +176,7 @@
             "unavailable_p50_s": percentile(unavailable, 0.5),
             "unavailable_p99_s": p99,
             "unavailable_max_s": max(unavailable, default=None),
+            "keys_assigned_after_the_kill": len(later),
             "terms": terms,
             "requests": len(records),
             "answered_share": share_ok(records),
