Call a node ready only when peers gave it a configuration

Cause: two nodes that start without the store count each other as synced with empty documents; both reported ready while they answered 3008. A test plays it.

--- a/briarspoke/node.py
+++ b/briarspoke/node.py
@@ -207,7 +207,11 @@
         while not loaded and not self._stopping:
             loaded = yield self._load_from_store()
             if not loaded:
-                loaded = yield self.links.when_synced(SYNC_TIMEOUT_S)
+                yield self.links.when_synced(SYNC_TIMEOUT_S)
+                # Peers that started without the store as well know nothing.
+                loaded = self.holder.document.version > 0
+            if not loaded:
+                yield task.deferLater(self.reactor, RETRY_S, lambda: None)
 
     @defer.inlineCallbacks
     def _load_from_store(self):
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -61,6 +61,15 @@
         assert not node.ready
         assert {"callers", "admin", "metrics"} <= node.ports_by_name.keys()
 
+    def test_peers_that_know_nothing_either(self, node):
+        # Guards against nodes that call each other ready without a configuration.
+        calls = Calls()
+        calls.record(node.links, "when_synced", result=True)
+        for _ in range(12):
+            node.reactor.advance(2.5)
+        assert "when_synced" in calls.names
+        assert not node.ready
+
     def test_stopped_while_it_loads(self, node):
         # Guards against a watch of the store that outlives the node.
         node.stop()
