Credit the retry budget once for each request

Cause: an attempt that cost the server nothing is taken back, and the next one was counted as a first attempt again, so each wait for a grant earned a part of a retry. Change: a request is credited once. A test plays five waits.

--- a/briarspoke/http/relay.py
+++ b/briarspoke/http/relay.py
@@ -45,6 +45,7 @@
         "body_complete",
         "classified",
         "connection",
+        "credited",
         "done",
         "exchange",
         "expires_at",
@@ -98,6 +99,8 @@
         self.ticket = None
         self.connection = None
         self.attempts = 0
+        # Whether the retry budget has counted this request.
+        self.credited = False
         # Refusal that is put off while the request waits for its owner.
         self.parked = None
         self.parked_until = None
@@ -224,7 +227,9 @@
 
     def _count_attempt(self):
         self.attempts += 1
-        if self.attempts == 1:
+        if not self.credited:
+            # Once, although attempts that cost the server nothing are taken back.
+            self.credited = True
             self.router.first_attempt(self.classified.service)
 
     def connected(self, connection):
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -326,6 +326,17 @@
         server.send(OK)
         assert caller.socket.take().endswith(b"ok")
 
+    def test_waiting_earns_no_retries(self):
+        # Guards against a retry budget that grows with each wait for a grant.
+        world = World()
+        caller = world.caller()
+        caller.send(GET)
+        server = world.accept()
+        for _ in range(5):
+            server.send(self.FENCED)
+            world.wait(0.03)
+        assert world.router.metrics.value("first_attempts_total") == 1
+
     def test_fenced_request_is_refused_in_the_end(self):
         # Guards against requests that wait for a grant that never comes.
         world = World()
