Send waiting requests to a moved partition a few at a time

Change: four per partition at a wake-up and at each tick; a request that has to wait again holds the others back.

--- a/briarspoke/benches/capacity.py
+++ b/briarspoke/benches/capacity.py
@@ -17,7 +17,7 @@
 
 NODES = 440
 ZONES = 8
-# Today 81 servers stand behind 9 or 10 entry VMs; the same proportion.
+# Today 71 servers stand behind 8 to 10 entry VMs; about the same proportion.
 SERVERS = 3_600
 SERVICES = 88
 PARTITIONS_PER_SERVICE = 1_024
--- a/briarspoke/routing/handover.py
+++ b/briarspoke/routing/handover.py
@@ -10,14 +10,24 @@
 # grant arrives at the server without a sign here.
 PROBE_EVERY_S = 0.025
 MAX_WAITING_PER_PARTITION = 256
+# Of one partition, at a wake-up and at each tick after it; all at once would fill
+# the queue of the new owner and be refused there.
+SENT_AT_ONCE = 4
 
 
 class _Waiting:
-    __slots__ = ("entries", "probe_at")
+    __slots__ = ("entries", "is_served", "probe_at")
 
     def __init__(self, *, probe_at):
         self.entries = collections.OrderedDict()
         self.probe_at = probe_at
+        # Whether the partition was served since a request began to wait.
+        self.is_served = False
+
+    def take(self, count):
+        """Returns the requests that have waited longest."""
+        count = min(count, len(self.entries))
+        return [self.entries.popitem(last=False)[0] for _ in range(count)]
 
 
 class Handovers:
@@ -44,12 +54,22 @@
         if len(waiting.entries) >= MAX_WAITING_PER_PARTITION:
             return False
         waiting.entries[request] = until
+        waiting.is_served = False
         return True
 
     def wake(self, partition):
-        """Returns every request that waits for a partition."""
-        waiting = self._waiting_by_partition.pop(partition, None)
-        return list(waiting.entries) if waiting is not None else []
+        """Returns the first requests to send to a partition that is served.
+
+        The others follow with the next ticks, unless one has to wait again.
+        """
+        waiting = self._waiting_by_partition.get(partition)
+        if waiting is None:
+            return []
+        waiting.is_served = True
+        first = waiting.take(SENT_AT_ONCE)
+        if not waiting.entries:
+            del self._waiting_by_partition[partition]
+        return first
 
     def forget(self, partition, request):
         """Drops a request that has ended."""
@@ -75,9 +95,11 @@
                 if until <= now:
                     del waiting.entries[request]
                     expired.append(request)
-            if waiting.entries and waiting.probe_at <= now:
+            if waiting.is_served:
+                to_try += waiting.take(SENT_AT_ONCE)
+            elif waiting.probe_at <= now:
                 waiting.probe_at = now + PROBE_EVERY_S
-                to_try.append(waiting.entries.popitem(last=False)[0])
+                to_try += waiting.take(1)
             if not waiting.entries:
                 del self._waiting_by_partition[partition]
         return to_try, expired
