Show an address in use without a traceback in the demo

Cause: a second demo ended with a traceback although a person can mend the error. Change: user errors are printed in one line, exit status 2; a test plays it.

--- a/briarspoke/standins/demo.py
+++ b/briarspoke/standins/demo.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import logging
+import sys
 
 from twisted.internet import defer, task
 from twisted.web import client
 
 from briarspoke import clock, settings
 from briarspoke.configuration.document import STORE_KEY, ConfigurationDocument
-from briarspoke.errors import BriarspokeError
+from briarspoke.errors import BriarspokeError, UserError
 from briarspoke.node import Node
 from briarspoke.ownership.document import OwnershipDocument, Partition
 from briarspoke.platform.store import StoreClient
@@ -25,6 +26,7 @@
 PORTS = 8080, 8081, 8082, 8083, 8084
 OPERATOR_TOKEN = "demo-operator-token"
 OWNED_TIMEOUT_S = 10.0
+EXIT_USER_ERROR = 2
 
 
 def demo_configuration(addresses_by_server):
@@ -93,6 +95,10 @@
                 self.reactor.stop()
             else:
                 self._print_help()
+        except UserError as error:
+            print(f"briarspoke: {error}", file=sys.stderr)
+            self.exit_status = EXIT_USER_ERROR
+            self.reactor.stop()
         except Exception:
             log.exception("demo: cannot start")
             self.exit_status = 1
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -5,11 +5,13 @@
 import subprocess
 import sys
 import threading
+import types
 
 import pytest
 
 from briarspoke import cli
-from briarspoke.standins.demo import OPERATOR_TOKEN
+from briarspoke.errors import UserError
+from briarspoke.standins.demo import OPERATOR_TOKEN, Demo
 
 # Only ends a demo that hangs; no assertion depends on it.
 KILL_AFTER_S = 120
@@ -80,3 +82,21 @@
         refusals = self.run(capsys, "get", "refusals")
         assert "server-owns-partitions" in refusals
         assert demo.poll() is None
+
+
+class TestStart:
+    def test_address_in_use(self, capsys):
+        # Guards against a traceback for an error that a person can mend.
+        stopped = []
+        reactor = types.SimpleNamespace(stop=lambda: stopped.append(True))
+        demo = Demo(reactor=reactor, check=False)
+
+        def fail():
+            raise UserError("cannot listen on 127.0.0.1:8080")
+
+        demo._start = fail
+        demo.start()
+        assert (demo.exit_status, stopped) == (2, [True])
+        assert capsys.readouterr().err == (
+            "briarspoke: cannot listen on 127.0.0.1:8080\n"
+        )
