Pack a configuration only where it is new, and drop unused code

Cause: each node packed every configuration that came into force, also those that a link or the store had brought packed, only for the documents to refuse the same version.

--- a/briarspoke/benches/parts/__init__.py
+++ b/briarspoke/benches/parts/__init__.py
@@ -99,14 +99,6 @@
         self._process.kill()
         self._process.wait()
 
-    def usage(self):
-        """Returns (processor seconds, resident bytes) of the process."""
-        with open(f"/proc/{self.pid}/stat") as file:
-            fields = file.read().rpartition(")")[2].split()
-        ticks = int(fields[11]) + int(fields[12])
-        pages = int(fields[21])
-        return ticks / os.sysconf("SC_CLK_TCK"), pages * os.sysconf("SC_PAGE_SIZE")
-
     def ask(self, **command):
         """Sends a command and returns its answer."""
         self.send(command)
--- a/briarspoke/node.py
+++ b/briarspoke/node.py
@@ -258,7 +258,9 @@
 
     def _configuration_in_force(self, holder):
         document = holder.document
-        self._publish(STORE_KEY, document.version, document.encode())
+        # A version that came over a link or from the store is known already.
+        if document.version > self.documents.version(STORE_KEY):
+            self._publish(STORE_KEY, document.version, document.encode())
         configuration = document.configuration()
         self.router.apply_configuration(configuration)
         self.control.configuration_changed(configuration)
