--- /dev/null
+++ b/briarspoke/entry/calls.py
@@ -0,0 +1,134 @@
+"""Single HTTP calls to the store and to servers."""
+
+from __future__ import annotations
+
+from twisted.internet import defer
+
+from briarspoke.entry.connections import Answer, ConnectionFactory
+
+CONNECT_TIMEOUT_S = 0.5
+# Idle connections are not kept for longer, since the other side may drop them.
+IDLE_LIMIT_S = 4.0
+
+
+class HttpClient:
+    """Calls to one address on kept connections.
+
+    :param reactor: Twisted's reactor.
+    :param clock: function that returns monotonic seconds.
+    """
+
+    def __init__(self, *, reactor, clock, host, port):
+        self.host = host
+        self.port = port
+        self._reactor = reactor
+        self._clock = clock
+        self._host_header = f"{host}:{port}".encode()
+        self._idle = []
+        self._opening = []
+
+    def call(self, method, path, body=b"", *, timeout_s):
+        """Makes one call; the Deferred gets an :class:`Answer`, never an error."""
+        lines = [
+            b"%b %b HTTP/1.1" % (method, path.encode()),
+            b"Host: " + self._host_header,
+        ]
+        if body:
+            lines.append(b"Content-Type: application/json")
+        if body or method == b"POST":
+            lines.append(b"Content-Length: %d" % len(body))
+        data = b"\r\n".join([*lines, b"", body])
+        return _Call(client=self, data=data, timeout_s=timeout_s).done
+
+    def close(self):
+        """Closes idle connections."""
+        while self._idle:
+            self._idle.pop().abandon()
+
+    def take_idle(self):
+        """Returns an idle connection, or None."""
+        while self._idle:
+            connection = self._idle.pop()
+            if not connection.reusable:
+                continue
+            if self._clock() - connection.idle_since < IDLE_LIMIT_S:
+                return connection
+            connection.abandon()
+        return None
+
+    def open(self, call):
+        """Opens a connection for a call."""
+        factory = ConnectionFactory(call, call.connect_failed)
+        return self._reactor.connectTCP(
+            self.host, self.port, factory, timeout=CONNECT_TIMEOUT_S
+        )
+
+    def later(self, delay_s, function, *args):
+        """Calls a function after a delay."""
+        return self._reactor.callLater(delay_s, function, *args)
+
+    # Called by connections.
+
+    def connection_made(self, connection):
+        """Does nothing; a call takes its connection over."""
+
+    def exchange_ended(self, connection):
+        """Keeps a connection for the next call."""
+        if connection.reusable:
+            connection.idle_since = self._clock()
+            self._idle.append(connection)
+        else:
+            connection.transport.loseConnection()
+
+    def connection_lost(self, connection):
+        """Forgets a connection."""
+        if connection in self._idle:
+            self._idle.remove(connection)
+
+
+class _Call:
+    """One call with its timeout."""
+
+    __slots__ = ("_client", "_connection", "_connector", "_data", "_timer", "done")
+
+    def __init__(self, *, client, data, timeout_s):
+        self.done = defer.Deferred()
+        self._client = client
+        self._data = data
+        self._connector = None
+        self._connection = client.take_idle()
+        self._timer = client.later(timeout_s, self._timed_out)
+        if self._connection is None:
+            self._connector = client.open(self)
+        else:
+            self._connection.exchange(data, self._finish)
+
+    def connection_made(self, connection):
+        if self.done.called:
+            connection.abandon()
+            return
+        connection.owner = self._client
+        self._connection = connection
+        connection.exchange(self._data, self._finish)
+
+    def connection_lost(self, connection):
+        """Does nothing; the client owns the connection by then."""
+
+    def connect_failed(self, failure):
+        if not self.done.called:
+            self._finish(Answer(failure=failure, sent=False))
+
+    def _timed_out(self):
+        sent = self._connection is not None
+        if sent:
+            self._connection.abandon()
+        else:
+            self._connector.disconnect()
+        if not self.done.called:
+            self._finish(Answer(failure="timeout", sent=sent))
+
+    def _finish(self, answer):
+        if self._timer.active():
+            self._timer.cancel()
+        if not self.done.called:
+            self.done.callback(answer)
--- /dev/null
+++ b/briarspoke/entry/connections.py
@@ -0,0 +1,226 @@
+"""Client connections that carry one HTTP exchange at a time."""
+
+from __future__ import annotations
+
+import re
+import socket
+
+import httptools
+from twisted.internet import error, protocol
+
+from briarspoke.http.eager import write_at_once
+
+# httptools bounds neither headers nor bodies.
+MAX_HEAD_BYTES = 65_536
+MAX_ANSWER_BYTES = 64 << 20
+# Data that was sent and not confirmed for this long closes the connection.
+UNCONFIRMED_DATA_MS = 4_000
+
+_KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)", re.IGNORECASE)
+
+
+class Answer:
+    """A whole answer, or the reason why there is none.
+
+    :param status: HTTP status, or None after a failure.
+    :param headers: list of (name in lower case, value) in bytes.
+    :param failure: ``connect``, ``refused``, ``closed``, ``reset``, ``malformed``
+        or ``timeout``; empty for an answer.
+    :param sent: whether any of the request was written.
+    """
+
+    __slots__ = ("body", "failure", "headers", "sent", "status")
+
+    def __init__(self, *, status=None, headers=(), body=b"", failure="", sent=True):
+        self.status = status
+        self.headers = headers
+        self.body = body
+        self.failure = failure
+        self.sent = sent
+
+    def get(self, name):
+        """Returns the first value of a header in lower case, or None."""
+        for found, value in self.headers:
+            if found == name:
+                return value
+        return None
+
+
+class Connection(protocol.Protocol):
+    """One connection to a server or to the store.
+
+    The listener of an exchange is called with one :class:`Answer`.
+
+    :param owner: has ``connection_made(connection)``,
+        ``connection_lost(connection)`` and ``exchange_ended(connection)``.
+    """
+
+    def __init__(self, owner):
+        self.owner = owner
+        self.listener = None
+        self.reusable = True
+        self.idle_since = 0.0
+        # Seconds after which the other side closes an idle connection, if told.
+        self.keep_alive_s = None
+        self._echo_name = None
+        self._echo_value = None
+        self._reset_parser()
+
+    def _reset_parser(self):
+        self._parser = None
+        self._headers = []
+        self._body = []
+        self._size = 0
+        self._is_head = False
+        self._until_close = False
+        self._complete = False
+        self._skipping = False
+
+    def connectionMade(self):
+        self.transport.setTcpNoDelay(True)
+        handle = self.transport.getHandle()
+        handle.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNCONFIRMED_DATA_MS
+        )
+        self.owner.connection_made(self)
+
+    def exchange(self, data, listener, *, is_head=False, echo=None):
+        """Writes a whole request; the listener gets the answer.
+
+        :param echo: (header, value) that the answer has to repeat; an answer with
+            another value belongs to an earlier request and is skipped.
+        """
+        self._reset_parser()
+        self.listener = listener
+        self._is_head = is_head
+        self._echo_name, self._echo_value = echo or (None, None)
+        self._parser = httptools.HttpResponseParser(self)
+        write_at_once(self.transport, data)
+
+    def abandon(self):
+        """Closes the connection; the listener hears nothing more."""
+        self.listener = None
+        self.reusable = False
+        self.transport.abortConnection()
+
+    def dataReceived(self, data):
+        if self.listener is None:
+            # Bytes outside an exchange could be taken for the next answer.
+            self.abandon()
+            return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            if not self._complete:
+                self._fail("malformed")
+                return
+            self.reusable = False
+        if self._complete and self.listener is not None:
+            self._finish()
+
+    def on_message_begin(self):
+        if self._complete:
+            self.reusable = False
+            return
+        self._headers = []
+        self._body = []
+        self._size = 0
+        self._skipping = False
+
+    def on_header(self, name, value):
+        if self._complete:
+            return
+        self._size += len(name) + len(value)
+        if self._size > MAX_HEAD_BYTES:
+            raise ValueError("the head of the answer is too large")
+        self._headers.append((name.lower(), value))
+
+    def on_headers_complete(self):
+        status = self._parser.get_status_code()
+        if self._complete or status < 200:
+            return
+        self._size = 0
+        framed = self._is_head or status in (204, 304)
+        for name, value in self._headers:
+            if name == b"content-length":
+                framed = True
+            elif name == b"transfer-encoding":
+                framed = framed or value.lower().endswith(b"chunked")
+            elif name == b"keep-alive":
+                match = _KEEP_ALIVE_TIMEOUT.search(value)
+                if match:
+                    self.keep_alive_s = int(match[1])
+            elif name == self._echo_name and value != self._echo_value:
+                # A late extra answer to an earlier request.
+                self._skipping = True
+                self.reusable = False
+        self._until_close = not framed
+        if self._until_close or not self._parser.should_keep_alive():
+            self.reusable = False
+        if self._is_head and not self._skipping:
+            self._complete = True
+
+    def on_body(self, data):
+        if self._complete or self._skipping:
+            return
+        self._size += len(data)
+        if self._size > MAX_ANSWER_BYTES:
+            raise ValueError("the answer is too large")
+        self._body.append(data)
+
+    def on_message_complete(self):
+        if self._parser.get_status_code() >= 200 and not self._skipping:
+            self._complete = True
+
+    def _finish(self):
+        listener, self.listener = self.listener, None
+        answer = Answer(
+            status=self._parser.get_status_code(),
+            headers=self._headers,
+            body=self._body[0] if len(self._body) == 1 else b"".join(self._body),
+        )
+        if self.transport.dataBuffer or self.transport._tempDataBuffer:
+            # The server answered before it had read the whole request.
+            self.reusable = False
+        self._parser = None
+        self.owner.exchange_ended(self)
+        listener(answer)
+
+    def _fail(self, failure):
+        listener, self.listener = self.listener, None
+        self.reusable = False
+        self.transport.abortConnection()
+        if listener is not None:
+            listener(Answer(failure=failure))
+
+    def connectionLost(self, reason):
+        self.reusable = False
+        self.owner.connection_lost(self)
+        if self.listener is None:
+            return
+        closed = reason.check(error.ConnectionDone) is not None
+        if closed and self._until_close and not self._skipping:
+            self._complete = True
+            self._finish()
+        else:
+            self._fail("closed" if closed else "reset")
+
+
+class ConnectionFactory(protocol.ClientFactory):
+    """Opens one connection.
+
+    :param failed: called with ``refused`` or ``connect`` if there is none.
+    """
+
+    noisy = False
+
+    def __init__(self, owner, failed):
+        self._owner = owner
+        self._failed = failed
+
+    def buildProtocol(self, address):
+        return Connection(self._owner)
+
+    def clientConnectionFailed(self, connector, reason):
+        refused = reason.check(error.ConnectionRefusedError) is not None
+        self._failed("refused" if refused else "connect")
--- /dev/null
+++ b/briarspoke/entry/control.py
@@ -0,0 +1,126 @@
+"""The controller's duties at the entry VM that holds control."""
+
+from __future__ import annotations
+
+import logging
+
+from twisted.internet import task
+
+from briarspoke.keyspace.keeper import Keeper
+from briarspoke.keyspace.keymap import KEY_MAP_PREFIX
+from briarspoke.keyspace.leadership import CONTROL_KEY, ControlRecord, Leadership
+from briarspoke.keyspace.load import LoadEstimate
+from briarspoke.platform.keyvalue import Item
+
+log = logging.getLogger(__name__)
+
+CONTROL_TICK_S = 0.1
+# Changes that come together are looked at together.
+WAKE_S = 0.005
+
+
+class Control:
+    """Leads while it holds the lease, with a keeper for each service with keys.
+
+    :param node: the :class:`briarspoke.entry.node.EntryNode`.
+    """
+
+    def __init__(self, *, node):
+        self._node = node
+        self._keepers_by_service = {}
+        self._estimates_by_service = {}
+        self._term = None
+        self._wake_call = None
+        self._loop = task.LoopingCall(self._tick)
+        self._loop.clock = node.reactor
+        self.leadership = Leadership(
+            client=node.store,
+            view=node.view,
+            own=ControlRecord(
+                node=node.settings.node,
+                process=node.process,
+                host=node.settings.ip,
+                port=node.settings.internal_port,
+            ),
+            clock=node.now,
+            sleep=node.sleep,
+        )
+        node.view.observe(CONTROL_KEY, self._record_changed)
+
+    @property
+    def leads(self):
+        """Whether this process holds control."""
+        return self.leadership.holds
+
+    def holder(self):
+        """Returns the :class:`ControlRecord` of the controller, or None."""
+        holder = self.leadership.holder()
+        return None if holder is None or holder.resigned else holder
+
+    def _record_changed(self, key, item):
+        self.leadership.record_changed()
+
+    def add_load(self, service, counts):
+        """Adds one report of requests by bucket."""
+        if self.leads:
+            self.load_estimate(service).add(counts, self._node.now())
+
+    def load_estimate(self, service):
+        """Returns the :class:`LoadEstimate` of a service."""
+        return self._estimates_by_service.setdefault(service, LoadEstimate())
+
+    def start(self):
+        """Begins to follow the lease."""
+        self._node.spawn(self.leadership.run())
+        self._loop.start(CONTROL_TICK_S, now=False)
+
+    async def stop(self):
+        """Gives control up."""
+        if self._loop.running:
+            self._loop.stop()
+        await self.leadership.resign()
+
+    def wake(self):
+        """Looks at changes soon."""
+        if self.leads and (self._wake_call is None or not self._wake_call.active()):
+            self._wake_call = self._node.reactor.callLater(WAKE_S, self._tick)
+
+    def _tick(self):
+        leadership = self.leadership
+        if not leadership.holds or self._node.table is None:
+            if self._keepers_by_service:
+                self._keepers_by_service = {}
+            self._term = None
+            return
+        if self._term != leadership.revision:
+            self._term = leadership.revision
+            self._keepers_by_service = {}
+        now = self._node.now()
+        for service in self._node.table.services.values():
+            if not service.keyed:
+                continue
+            keeper = self._keepers_by_service.get(service.name)
+            if keeper is None:
+                keeper = Keeper(
+                    node=self._node,
+                    leadership=leadership,
+                    service=service.name,
+                    clean=leadership.taken_cleanly,
+                )
+                self._keepers_by_service[service.name] = keeper
+            keeper.tick(now)
+
+    async def write_key_map(self, service, key_map, term):
+        """Writes a key map and takes it as the current one.
+
+        :raises ConditionFailedError: if control was lost or the map changed.
+        """
+        node = self._node
+        key = KEY_MAP_PREFIX + service
+        known = node.view.items.get(key)
+        data = key_map.encode()
+        revision = await node.store.write(
+            expected={CONTROL_KEY: term, key: known.revision if known else 0},
+            puts={key: data},
+        )
+        node.view.put(Item(key=key, value=data, revision=revision))
--- /dev/null
+++ b/briarspoke/entry/dispatch.py
@@ -0,0 +1,304 @@
+"""Choice of a server for each request of one service, and the queue before it."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import math
+
+from briarspoke import codes
+from briarspoke.entry.budget import RetryBudget
+
+# Requests per slot that all entry VMs together keep at a server: one that runs and
+# one that waits, so that a slot never idles for a round trip.
+REQUESTS_PER_SLOT = 2.0
+# The same for the entry VMs of the server's own zone, which prefer it.
+REQUESTS_PER_SLOT_IN_ZONE = 1.5
+# How much longer the expected wait in the own zone may be before a request crosses
+# zones, and how much each byte adds to that, since crossings are paid by the byte.
+CROSSING_FACTOR = 1.25
+CROSSING_FACTOR_PER_BYTE = 1 / 30_000
+# Part of the latency objective that a request may always wait for a slot.
+LEAST_WAIT_PART = 0.125
+# Part of the latency objective within which an owner on the move is awaited.
+PARK_PART = 0.5
+# A server that shed a request is full; its queue drains in about this time.
+SHED_PAUSE_S = 0.1
+
+
+class Dispatcher:
+    """Servers, waiting requests and retry budget of one service.
+
+    :param node: the :class:`briarspoke.entry.node.EntryNode`.
+    """
+
+    def __init__(self, *, node, name):
+        self.name = name
+        self.servers = {}
+        self.budget = RetryBudget(
+            ratio=node.settings.retry_ratio,
+            slack=node.settings.retry_slack,
+            window_s=node.settings.retry_window_s,
+        )
+        self._node = node
+        self._waiting = []
+        self._numbers = itertools.count()
+
+    @property
+    def keyed(self):
+        """Whether each key of the service has one owner."""
+        service = self._node.table.services.get(self.name)
+        return service is not None and service.keyed
+
+    def count_request(self, exchange):
+        """Counts a caller's request for budget and key load."""
+        self.budget.count_request(self._node.now())
+        key = exchange.request.key
+        if key is not None and self.keyed:
+            self._node.key_load.count(self.name, key)
+
+    def may_repeat(self, now):
+        """Returns whether the retry budget allows one more send, and spends it."""
+        if self.budget.spend(now, self._node.node_count):
+            return True
+        self._node.metrics.count("retries_denied_total", "budget")
+        return False
+
+    # Offering.
+
+    def offer(self, exchange):
+        """Sends a request, queues it, or refuses it."""
+        if exchange.done:
+            return
+        if self.keyed:
+            self._offer_keyed(exchange)
+        else:
+            self._offer_any(exchange)
+
+    def _offer_any(self, exchange):
+        server = self._choose(exchange)
+        if server is not None:
+            exchange.send(server)
+            return
+        usable = [s for s in self.servers.values() if self._is_usable(s)]
+        if not usable:
+            self.park(exchange, codes.NO_OWNER)
+            return
+        latency_s = sum(s.latency_s for s in usable) / len(usable)
+        room = sum(self.limit(s) for s in usable)
+        ahead = sum(1 for w in self._waiting if w[0] <= exchange.route.priority)
+        self._queue(exchange, self._waiting, (ahead + 1) * latency_s / room, latency_s)
+
+    def _offer_keyed(self, exchange):
+        server = self._owner(exchange.request.key)
+        if server is None:
+            self.park(exchange, codes.NO_OWNER)
+            return
+        if self._has_room(server) and not server.waiting:
+            exchange.send(server)
+            return
+        ahead = sum(1 for w in server.waiting if w[0] <= exchange.route.priority)
+        wait_s = (ahead + 1) * server.latency_s / self.limit(server)
+        self._queue(exchange, server.waiting, wait_s, server.latency_s)
+
+    def _queue(self, exchange, waiting, wait_s, latency_s):
+        """Queues a request whose expected wait leaves it worth while."""
+        now = self._node.now()
+        objective_s = exchange.route.objective_s
+        left_s = exchange.request.arrived + objective_s - now - latency_s
+        allowed_s = max(left_s, LEAST_WAIT_PART * objective_s)
+        if wait_s > allowed_s:
+            exchange.refuse(codes.DEADLINE_UNREACHABLE, self._node.RETRY_LOAD_S)
+            return
+        self._wait(exchange, waiting, now + allowed_s, codes.QUEUE_FULL)
+
+    def park(self, exchange, code):
+        """Waits for a server of the key, for a part of the objective."""
+        if exchange.done:
+            return
+        now = self._node.now()
+        allowed_s = PARK_PART * exchange.route.objective_s
+        until = exchange.request.arrived + allowed_s
+        if exchange.misdirected:
+            until = max(until, now + allowed_s / 2)
+        if now >= until:
+            exchange.refuse(code, self._node.RETRY_UNAVAILABLE_S)
+            return
+        self._wait(exchange, self._waiting, until, code)
+
+    def _wait(self, exchange, waiting, give_up_at, code):
+        exchange.queued_at = self._node.now()
+        exchange.give_up_at = give_up_at
+        exchange.refusal = code
+        entry = (exchange.route.priority, next(self._numbers), exchange)
+        if waiting is self._waiting:
+            heapq.heappush(waiting, entry)
+        else:
+            waiting.append(entry)
+        self._node.timers.add(min(give_up_at, exchange.expires_at), exchange)
+
+    def leave(self, exchange):
+        """Takes a request out of its queue."""
+        exchange.queued_at = None
+        for waiting in (self._waiting, *(s.waiting for s in self.servers.values())):
+            for entry in waiting:
+                if entry[2] is exchange:
+                    waiting.remove(entry)
+                    if waiting is self._waiting:
+                        heapq.heapify(waiting)
+                    return
+
+    # Servers.
+
+    def limit(self, server):
+        """Returns how many requests this entry VM may have at a server."""
+        node = self._node
+        limit = server.record.slots * REQUESTS_PER_SLOT / node.node_count
+        if not self.keyed and server.record.zone == node.settings.zone:
+            in_zone = server.record.slots * REQUESTS_PER_SLOT_IN_ZONE
+            limit = max(limit, in_zone / node.zone_node_count)
+        return max(1, math.ceil(limit))
+
+    def _has_room(self, server):
+        return server.in_flight < self.limit(server) and (
+            server.paused_until <= self._node.now()
+        )
+
+    def _is_usable(self, server):
+        if server.drain_until is None:
+            return True
+        # A leaving owner serves its keys until they have moved.
+        return self.keyed and self._node.now() < server.drain_until
+
+    def _choose(self, exchange):
+        now = self._node.now()
+        zone = self._node.settings.zone
+        size = len(exchange.request.body)
+        crossing = CROSSING_FACTOR + size * CROSSING_FACTOR_PER_BYTE
+        best = None
+        best_score = math.inf
+        for server in self.servers.values():
+            if not self._is_usable(server) or server in exchange.tried:
+                continue
+            if not self._has_room(server):
+                continue
+            score = server.expected_s(now) * (1 + server.in_flight)
+            if server.record.zone != zone:
+                score *= crossing
+            if score < best_score:
+                best, best_score = server, score
+        return best
+
+    def _owner(self, key):
+        owner = self._node.key_maps.owner(self.name, key)
+        if owner is None:
+            return None
+        server = self.servers.get(owner.server_id)
+        if server is None or server.record.incarnation != owner.incarnation:
+            return None
+        return server if self._is_usable(server) else None
+
+    def owner_changed(self):
+        """Offers requests again that wait for an owner."""
+        self.pump()
+
+    def misdirected(self, exchange, server):
+        """Notes that a server did not take a request as its own."""
+        if not self.keyed:
+            # Another server has the address.
+            server.pause(1.0)
+
+    def shed(self, server):
+        """Notes that a server is full."""
+        server.pause(SHED_PAUSE_S)
+
+    def unreachable(self, exchange, server):
+        """Finds another way for a request that could not be sent."""
+        if exchange.done:
+            return
+        if self.keyed:
+            self.park(exchange, codes.OWNER_UNREACHABLE)
+        else:
+            self._offer_any(exchange)
+
+    def server_freed(self, server):
+        """Starts waiting requests after one has ended."""
+        while server.waiting and self._has_room(server):
+            exchange = self._pop_first(server.waiting)
+            if exchange is not None:
+                exchange.queued_at = None
+                self._offer_again(exchange)
+        if self._waiting:
+            self.pump()
+
+    def _pop_first(self, waiting):
+        entry = min(waiting)
+        waiting.remove(entry)
+        exchange = entry[2]
+        return None if exchange.done else exchange
+
+    def _offer_again(self, exchange):
+        if self.keyed:
+            server = self._owner(exchange.request.key)
+            if server is not None and self._has_room(server):
+                exchange.send(server)
+                return
+        self.offer(exchange)
+
+    def pump(self):
+        """Sends what waits for any server, most urgent first."""
+        if not self._waiting:
+            return
+        blocked = []
+        while self._waiting:
+            entry = heapq.heappop(self._waiting)
+            exchange = entry[2]
+            if exchange.done or exchange.queued_at is None:
+                continue
+            if self.keyed:
+                server = self._owner(exchange.request.key)
+                if server is not None and not self._has_room(server):
+                    server = None
+            else:
+                server = self._choose(exchange)
+            if server is None:
+                blocked.append(entry)
+                if not self.keyed:
+                    break
+                continue
+            exchange.queued_at = None
+            exchange.send(server)
+        for entry in blocked:
+            heapq.heappush(self._waiting, entry)
+
+    def tick(self, now):
+        """Starts what waited for the end of a pause, and closes idle connections."""
+        for server in list(self.servers.values()):
+            server.close_idle(now)
+            if server.waiting:
+                self.server_freed(server)
+        self.pump()
+
+    # Membership.
+
+    def put(self, server):
+        """Adds a server or replaces the one of the same identifier."""
+        old = self.servers.get(server.record.server_id)
+        self.servers[server.record.server_id] = server
+        if old is not None:
+            self._move_waiting(old)
+        self.pump()
+
+    def remove(self, server_id):
+        """Removes a server that has left."""
+        server = self.servers.pop(server_id, None)
+        if server is not None:
+            server.close()
+            self._move_waiting(server)
+
+    def _move_waiting(self, server):
+        waiting, server.waiting = list(server.waiting), type(server.waiting)()
+        for _, _, exchange in sorted(waiting, key=lambda entry: entry[:2]):
+            if not exchange.done:
+                exchange.queued_at = None
+                self.offer(exchange)
--- /dev/null
+++ b/briarspoke/entry/exchange.py
@@ -0,0 +1,373 @@
+"""One request of a caller, from its arrival to its answer."""
+
+from __future__ import annotations
+
+from briarspoke import codes
+from briarspoke.entry import answers
+from briarspoke.http.upstream import HOP_BY_HOP
+from briarspoke.http.wire import connection_options
+from briarspoke.platform import headers as names
+
+# Subtracted from the caller's deadline: the request and the answer travel too.
+DEADLINE_MARGIN_S = 0.01
+# A request without a deadline of its own.
+DEFAULT_DEADLINE_S = 30.0
+MAX_KEY = 65_535
+# Sends to one owner after another while a key moves, beside the real attempts.
+MAX_MISDIRECTED = 3
+
+_REPLACED = HOP_BY_HOP | {
+    names.DEADLINE_MS,
+    names.TARGET_SERVER,
+    b"content-length",
+    b"expect",
+}
+
+
+class Request:
+    """A whole request.
+
+    :param headers: list of (name in lower case, value) in bytes.
+    :param arrived: monotonic seconds of its first byte.
+    """
+
+    __slots__ = (
+        "arrived",
+        "body",
+        "closes",
+        "deadline_s",
+        "headers",
+        "host",
+        "key",
+        "method",
+        "request_id",
+        "target",
+    )
+
+    def __init__(self, *, method, target, headers, body, arrived):
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = body
+        self.arrived = arrived
+        self.closes = False
+        self.host = b""
+        self.request_id = b""
+        self.deadline_s = None
+        self.key = None
+        for name, value in headers:
+            if name == b"host":
+                self.host = value.split(b":")[0].strip().lower()
+            elif name == names.REQUEST_ID:
+                self.request_id = value
+            elif name == names.DEADLINE_MS:
+                if value.isdigit() and len(value) < 10:
+                    self.deadline_s = int(value) / 1000
+            elif name == names.KEY and value.isdigit() and len(value) < 6:
+                self.key = int(value)
+
+    @property
+    def path(self):
+        """Path of the target, without its query."""
+        return self.target.partition(b"?")[0]
+
+
+class Exchange:
+    """Finds a server for a request, repeats what may be repeated, and answers.
+
+    :param node: the :class:`briarspoke.entry.node.EntryNode`.
+    :param connection: the caller's
+        :class:`briarspoke.entry.callers.CallerConnection`.
+    """
+
+    __slots__ = (
+        "_head",
+        "answer",
+        "attempts",
+        "connection",
+        "dispatcher",
+        "done",
+        "expires_at",
+        "give_up_at",
+        "misdirected",
+        "node",
+        "outcome_unknown",
+        "queued_at",
+        "refusal",
+        "request",
+        "route",
+        "sending",
+        "sent_at",
+        "server",
+        "tried",
+    )
+
+    def __init__(self, *, node, connection, request):
+        self.node = node
+        self.connection = connection
+        self.request = request
+        self.answer = None
+        self.done = False
+        self.route = None
+        self.dispatcher = None
+        self.server = None
+        self.sending = None
+        self.sent_at = 0.0
+        self.expires_at = 0.0
+        self.queued_at = None
+        self.give_up_at = None
+        self.attempts = 0
+        self.misdirected = 0
+        # Servers that have been sent this request.
+        self.tried = ()
+        # Result code of an attempt that may have run.
+        self.outcome_unknown = None
+        # Result code for the case that no server is found in time.
+        self.refusal = codes.QUEUE_FULL
+        self._head = None
+
+    def start(self):
+        """Routes the request."""
+        node = self.node
+        request = self.request
+        if node.table is None:
+            self.refuse(codes.NOT_READY, node.RETRY_UNAVAILABLE_S)
+            return
+        route = node.table.find(request.host, request.path)
+        if route is None:
+            self.refuse(codes.UNKNOWN_SERVICE)
+            return
+        self.route = route
+        self.dispatcher = node.dispatcher(route.next_service())
+        wait_s = request.deadline_s or DEFAULT_DEADLINE_S
+        if request.deadline_s is not None:
+            wait_s -= DEADLINE_MARGIN_S
+        if route.timeout_s is not None:
+            wait_s = min(wait_s, route.timeout_s)
+        self.expires_at = request.arrived + wait_s
+        self.dispatcher.count_request(self)
+        if self.dispatcher.keyed and (request.key is None or request.key > MAX_KEY):
+            self.refuse(codes.MISSING_KEY)
+            return
+        node.timers.add(self.expires_at, self)
+        self.dispatcher.offer(self)
+
+    # The server's side.
+
+    def send(self, server):
+        """Sends the request to a server that has room for it."""
+        now = self.node.now()
+        self.queued_at = None
+        self.server = server
+        self.sent_at = now
+        self.tried = (*self.tried, server)
+        if len(self.tried) > 1 and self.attempts:
+            self.node.metrics.count("retries_total", "sent")
+        self.attempts += 1
+        server.in_flight += 1
+        request = self.request
+        self.sending = server.send(
+            self._encode(server, now),
+            self._answered,
+            idempotent=self.route.idempotent,
+            echo=(names.REQUEST_ID, request.request_id) if request.request_id else None,
+            is_head=request.method == b"HEAD",
+        )
+
+    def _encode(self, server, now):
+        request = self.request
+        if self._head is None:
+            options = connection_options(request.headers)
+            parts = [b"%b %b HTTP/1.1" % (request.method, request.target)]
+            for name, value in request.headers:
+                if name not in _REPLACED and name not in options:
+                    parts.append(name + b": " + value)
+            if request.body or request.method not in (b"GET", b"HEAD", b"DELETE"):
+                parts.append(b"content-length: %d" % len(request.body))
+            self._head = b"\r\n".join(parts)
+        remaining_ms = max(1, int((self.expires_at - now) * 1000))
+        return b"%b\r\n%b: %d\r\n%b: %b\r\n\r\n%b" % (
+            self._head,
+            names.DEADLINE_MS,
+            remaining_ms,
+            names.TARGET_SERVER,
+            server.target,
+            request.body,
+        )
+
+    def _answered(self, answer):
+        server, self.server = self.server, None
+        self.sending = None
+        server.in_flight -= 1
+        if answer.status is None:
+            self._attempt_failed(server, answer)
+        elif answer.get(names.NOT_RUN) is not None or answer.status == 421:
+            self._turned_away(server, answer)
+        else:
+            self._attempt_ran(server, answer)
+        self.dispatcher.server_freed(server)
+
+    def _attempt_ran(self, server, answer):
+        now = self.node.now()
+        if 200 <= answer.status < 300 and not self._is_genuine(answer):
+            self.node.metrics.count("attempts_total", "spoiled")
+            self._unknown(server, codes.ANSWER_MALFORMED, "spoiled")
+            return
+        if answer.status < 500:
+            server.answered(now - self.sent_at)
+            self.node.metrics.count("attempts_total", "answered")
+        else:
+            self.node.metrics.count("attempts_total", "server-error")
+            if self.route.idempotent and self._may_repeat("server-error"):
+                self.dispatcher.offer(self)
+                return
+        self._finish(answer)
+
+    def _is_genuine(self, answer):
+        return (
+            answer.get(names.SIGNATURE) is not None
+            and answer.get(b"content-encoding") is None
+        )
+
+    def _turned_away(self, server, answer):
+        """The server has not run the request."""
+        if answer.status == 421:
+            self.node.metrics.count("attempts_total", "misdirected")
+            self.attempts -= 1
+            self.misdirected += 1
+            self.dispatcher.misdirected(self, server)
+            if self.misdirected <= MAX_MISDIRECTED and self._budget_allows():
+                self.dispatcher.park(self, codes.PARTITION_MOVING)
+                return
+            self._end_not_run(codes.PARTITION_MOVING, self.node.RETRY_UNAVAILABLE_S)
+            return
+        self.node.metrics.count("attempts_total", "shed")
+        self.dispatcher.shed(server)
+        if not self.dispatcher.keyed and self._may_repeat("shed"):
+            self.dispatcher.offer(self)
+            return
+        self._end_not_run(codes.SERVER_SHED, self.node.RETRY_LOAD_S)
+
+    def _attempt_failed(self, server, answer):
+        self.node.metrics.count("attempts_total", answer.failure)
+        server.failed()
+        if not answer.sent:
+            self.attempts -= 1
+            self.dispatcher.unreachable(self, server)
+            return
+        self._unknown(server, codes.OUTCOME_UNKNOWN, answer.failure)
+
+    def _unknown(self, server, code, reason):
+        self.node.log_attempt(self, server, reason)
+        self.outcome_unknown = code
+        if self.route.idempotent and self._may_repeat(reason):
+            self.dispatcher.offer(self)
+        else:
+            self._fail(code)
+
+    def _may_repeat(self, reason):
+        if self.done or self.attempts >= self.route.max_attempts:
+            return False
+        if self.node.now() >= self.expires_at:
+            return False
+        return self._budget_allows()
+
+    def _budget_allows(self):
+        return not self.done and self.dispatcher.may_repeat(self.node.now())
+
+    # Ends.
+
+    def refuse(self, code, retry_after_s=None):
+        """Answers that the request has not run."""
+        self._end_not_run(code, retry_after_s)
+
+    def _end_not_run(self, code, retry_after_s):
+        if self.outcome_unknown is not None and not self.route.idempotent:
+            self._fail(self.outcome_unknown)
+            return
+        self._end((code, "no", retry_after_s))
+
+    def _fail(self, code):
+        self._end((code, "unknown", None))
+
+    def _finish(self, answer):
+        self._end(answer)
+
+    def on_time(self, now):
+        """Looks at what is due.
+
+        :returns: the time at which to look again, or None.
+        """
+        if self.done:
+            return None
+        if self.queued_at is not None:
+            if now < min(self.give_up_at, self.expires_at):
+                return min(self.give_up_at, self.expires_at)
+            self.dispatcher.leave(self)
+            self._end_not_run(self.refusal, self.node.RETRY_LOAD_S)
+            return None
+        if now < self.expires_at:
+            return self.expires_at
+        self._timed_out()
+        return None
+
+    def _timed_out(self):
+        server = self.server
+        if server is None:
+            self._end_not_run(codes.DEADLINE_IN_QUEUE, None)
+            return
+        self.node.metrics.count("attempts_total", "timeout")
+        written = self.sending.written
+        self._leave_server()
+        server.failed()
+        if not written:
+            self._end_not_run(codes.OWNER_UNREACHABLE, None)
+        else:
+            self.node.log_attempt(self, server, "timeout")
+            self._fail(codes.ANSWER_TIMEOUT)
+        self.dispatcher.server_freed(server)
+
+    def _leave_server(self):
+        server, self.server = self.server, None
+        self.sending.abandon()
+        self.sending = None
+        server.in_flight -= 1
+
+    def caller_gone(self):
+        """Ends the request without an answer."""
+        if self.done:
+            return
+        self.done = True
+        self.node.metrics.count("refusals_total", codes.CALLER_GONE.number)
+        if self.queued_at is not None:
+            self.dispatcher.leave(self)
+        if self.server is not None:
+            server = self.server
+            self._leave_server()
+            self.dispatcher.server_freed(server)
+
+    def _end(self, answer):
+        if self.done:
+            return
+        self.done = True
+        self.answer = answer
+        if isinstance(answer, tuple):
+            self.node.count_result(answer[0], self)
+        else:
+            self.node.metrics.count("answers_total", self.route.priority)
+        self.connection.answer_ready()
+
+    def encode(self, *, close):
+        """Returns the bytes of the answer."""
+        is_head = self.request.method == b"HEAD"
+        if isinstance(self.answer, tuple):
+            code, run, retry_after_s = self.answer
+            return answers.result(
+                code,
+                request_id=self.request.request_id,
+                run=run,
+                retry_after_s=retry_after_s,
+                close=close,
+                is_head=is_head,
+            )
+        return answers.server_answer(self.answer, close=close, is_head=is_head)
--- /dev/null
+++ b/briarspoke/entry/node.py
@@ -0,0 +1,384 @@
+"""One entry VM: its parts and its life from start to stop."""
+
+from __future__ import annotations
+
+import logging
+import os
+
+from twisted.internet import defer, task
+
+from briarspoke.entry import logs, status
+from briarspoke.entry.callers import CallerFactory
+from briarspoke.entry.calls import HttpClient
+from briarspoke.entry.control import Control
+from briarspoke.entry.dispatch import Dispatcher
+from briarspoke.entry.registry import NodeRegistry
+from briarspoke.entry.reports import REPORT_S, LoadReports
+from briarspoke.entry.routes import DEFAULT_LIMITS
+from briarspoke.entry.servers import Server
+from briarspoke.entry.timers import Timers
+from briarspoke.entry.view import StoreView
+from briarspoke.errors import BriarspokeError
+from briarspoke.keyspace import keymap
+from briarspoke.keyspace.load import KeyLoad
+from briarspoke.metrics import Metrics
+from briarspoke.platform import documents, headers
+from briarspoke.platform.keyvalue import KeyValueClient
+
+log = logging.getLogger(__name__)
+
+TICK_S = 0.05
+CONNECTION_CHECK_S = 0.5
+# An entry that lapsed while the store was away is back within this time.
+RETURN_S = 2.0
+# A leaving server gets its last request this long before its drain time ends.
+DRAIN_MARGIN_S = 0.5
+# The balancer takes a VM out after two questions, one a second.
+BALANCER_S = 2.2
+# Left of the grace time when open requests are cut off.
+STOP_MARGIN_S = 0.4
+LISTEN_BACKLOG = 512
+
+
+class EntryNode:
+    """The parts of an entry VM and what they share.
+
+    :param settings: :class:`briarspoke.entry.settings.EntrySettings`.
+    :param clock: function that returns monotonic seconds.
+    """
+
+    # When a caller that was turned away is told to come back.
+    RETRY_LOAD_S = 0.25
+    RETRY_UNAVAILABLE_S = 0.4
+
+    def __init__(self, *, reactor, settings, clock):
+        self.reactor = reactor
+        self.settings = settings
+        self.now = clock
+        self.metrics = Metrics(node_id=settings.node)
+        self.timers = Timers(reactor=reactor, clock=clock)
+        self.callers = set()
+        self.table = None
+        self.stopping = False
+        self.key_maps = keymap.KeyMaps()
+        self.key_load = KeyLoad()
+        self.process = os.urandom(6).hex()
+        self._dispatchers_by_service = {}
+        self._leaving_by_key = {}
+        self._lines = logs.LineLimit(clock)
+        self._ports = []
+        self._loops = []
+        store = self.http_client(settings.store.host, settings.store.port)
+        self.store = KeyValueClient(http=store, count=self._count_store_call)
+        self.view = StoreView(client=self.store, sleep=self.sleep, clock=clock)
+        self.registry = NodeRegistry(node=self)
+        self.control = Control(node=self)
+        self.reports = LoadReports(self.control.add_load)
+        self.view.observe(documents.CONFIGURATION_KEY, self._configuration_changed)
+        self.view.observe(documents.SERVER_PREFIX, self._server_changed)
+        self.view.observe(keymap.KEY_MAP_PREFIX, self._key_map_changed)
+        self.metrics.gauge("configuration_version", self._version)
+        self.metrics.gauge("store_reachable", lambda: int(self.view.reachable))
+
+    # Plumbing shared by the parts.
+
+    def sleep(self, seconds):
+        """Returns a Deferred that fires after a number of seconds."""
+        return task.deferLater(self.reactor, seconds, lambda: None)
+
+    def spawn(self, coroutine):
+        """Runs a coroutine; an unexpected error is logged."""
+        deferred = defer.ensureDeferred(coroutine)
+        deferred.addErrback(
+            lambda failure: log.error(
+                "entry: a task failed: %s",
+                failure.value,
+                exc_info=(failure.type, failure.value, failure.getTracebackObject()),
+            )
+        )
+        return deferred
+
+    def http_client(self, host, port):
+        """Returns a client for single calls to an address."""
+        return HttpClient(reactor=self.reactor, clock=self.now, host=host, port=port)
+
+    def _count_store_call(self, kind, outcome):
+        self.metrics.count("store_calls_total", kind)
+        if outcome != "200":
+            self.metrics.count("store_failures_total", kind)
+
+    def _version(self):
+        return 0 if self.table is None else self.table.version
+
+    # What requests need.
+
+    @property
+    def limits(self):
+        """Limits for callers in force."""
+        return DEFAULT_LIMITS if self.table is None else self.table.limits
+
+    @property
+    def node_count(self):
+        """Entry VMs that share servers and retry budget."""
+        return self.registry.count
+
+    @property
+    def zone_node_count(self):
+        """Entry VMs in the own availability zone."""
+        return self.registry.zone_count
+
+    def dispatcher(self, service):
+        """Returns the :class:`Dispatcher` of a service."""
+        dispatcher = self._dispatchers_by_service.get(service)
+        if dispatcher is None:
+            dispatcher = Dispatcher(node=self, name=service)
+            self._dispatchers_by_service[service] = dispatcher
+        return dispatcher
+
+    def all_records(self):
+        """Yields the :class:`ServerRecord` of every known server."""
+        for dispatcher in self._dispatchers_by_service.values():
+            for server in dispatcher.servers.values():
+                yield server.record
+
+    def count_result(self, code, exchange):
+        """Counts and logs a result that is not a server's answer."""
+        self.metrics.count("refusals_total", code.number)
+        if not self._lines.allows():
+            return
+        if exchange is None:
+            log.info("requests: rejected code=%d left_out=%d", code.number, self._out())
+            return
+        request = exchange.request
+        log.info(
+            "requests: %s id=%s code=%d route=%s service=%s key=%s attempts=%d "
+            "waited_ms=%d configuration=%d nodes=%d left_out=%d",
+            code.name,
+            request.request_id.decode("latin-1"),
+            code.number,
+            exchange.route.name if exchange.route else "-",
+            exchange.dispatcher.name if exchange.dispatcher else "-",
+            request.key if request.key is not None else "-",
+            exchange.attempts,
+            (self.now() - request.arrived) * 1000,
+            self._version(),
+            self.node_count,
+            self._out(),
+        )
+
+    def log_attempt(self, exchange, server, reason):
+        """Logs an attempt whose outcome is unknown."""
+        if self._lines.allows():
+            log.info(
+                "requests: attempt failed id=%s server=%s reason=%s after_ms=%d "
+                "in_flight=%d attempts=%d left_out=%d",
+                exchange.request.request_id.decode("latin-1"),
+                server.record.server_id,
+                reason,
+                (self.now() - exchange.sent_at) * 1000,
+                server.in_flight,
+                exchange.attempts,
+                self._out(),
+            )
+
+    def _out(self):
+        return self._lines.take_left_out()
+
+    # What the store says.
+
+    def _configuration_changed(self, key, item):
+        if item is None:
+            return
+        try:
+            table = documents.configuration(item.value)
+        except BriarspokeError as error:
+            log.error("configuration: cannot be used, keeping the old one: %s", error)
+            return
+        if self.table is not None and table.version <= self.table.version:
+            return
+        old = self._version()
+        self.table = table
+        log.info("configuration: in force version=%d before=%d", table.version, old)
+        for service in table.services:
+            self.dispatcher(service).pump()
+
+    def _server_changed(self, key, item):
+        if item is None:
+            self._server_lapsed(key)
+            return
+        try:
+            record = documents.server(key, item.value)
+        except BriarspokeError as error:
+            log.warning("servers: entry not usable key=%s: %s", key, error)
+            self._server_lapsed(key)
+            return
+        self._leaving_by_key.pop(key, None)
+        for dispatcher in self._dispatchers_by_service.values():
+            known = dispatcher.servers.get(record.server_id)
+            if known is not None and dispatcher.name != record.service:
+                dispatcher.remove(record.server_id)
+        dispatcher = self.dispatcher(record.service)
+        server = dispatcher.servers.get(record.server_id)
+        is_same = (
+            server is not None
+            and server.record.life == record.life
+            and (server.record.host, server.record.port) == (record.host, record.port)
+        )
+        if not is_same:
+            server = Server(record=record, reactor=self.reactor, clock=self.now)
+            dispatcher.put(server)
+        server.record = record
+        if not record.draining:
+            server.drain_until = None
+        elif server.drain_until is None:
+            server.drain_until = self.now() + self.settings.drain_s - DRAIN_MARGIN_S
+        log.info(
+            "servers: %s id=%s service=%s zone=%s address=%s:%d revision=%d",
+            "draining" if record.draining else "ready",
+            record.server_id,
+            record.service,
+            record.zone,
+            record.host,
+            record.port,
+            item.revision,
+        )
+        self.wake_control()
+
+    def _server_lapsed(self, key):
+        regained = self.view.regained_at or 0.0
+        return_by = regained + RETURN_S
+        if self.now() < return_by:
+            self._leaving_by_key[key] = return_by
+        else:
+            self._remove_server(key)
+
+    def _remove_server(self, key):
+        server_id = key.removeprefix(documents.SERVER_PREFIX)
+        for dispatcher in self._dispatchers_by_service.values():
+            if server_id in dispatcher.servers:
+                log.info("servers: gone id=%s service=%s", server_id, dispatcher.name)
+                dispatcher.remove(server_id)
+        self.wake_control()
+
+    def _key_map_changed(self, key, item):
+        service = key.removeprefix(keymap.KEY_MAP_PREFIX)
+        if item is None:
+            self.key_maps.by_service.pop(service, None)
+            return
+        try:
+            self.key_maps.by_service[service] = keymap.decode(item.value)
+        except keymap.KeyMapError as error:
+            log.error("keys: map not usable service=%s: %s", service, error)
+            return
+        self.dispatcher(service).owner_changed()
+
+    async def write_key_map(self, service, key_map, term):
+        """Writes a key map under the condition that control was not lost."""
+        await self.control.write_key_map(service, key_map, term)
+
+    def load_estimate(self, service):
+        """Returns the controller's estimate of load by key."""
+        return self.control.load_estimate(service)
+
+    def wake_control(self):
+        """Lets the controller look at what has changed soon."""
+        self.control.wake()
+
+    # Life.
+
+    def start(self):
+        """Listens and begins to follow the store."""
+        settings = self.settings
+        log.info(
+            "entry: starts node=%s zone=%s process=%s store=%s",
+            settings.node,
+            settings.zone,
+            self.process,
+            settings.store,
+        )
+        self._listen(CallerFactory(self), settings.caller_listen)
+        self._listen(
+            status.site(headers.READY_PATH, self._ready_page), settings.ready_listen
+        )
+        metrics_site = status.site(b"/metrics", lambda: (200, self.metrics.render()))
+        self._ports.append(
+            self.reactor.listenTCP(
+                settings.metrics_port, metrics_site, interface=settings.ip
+            )
+        )
+        self._ports.append(
+            self.reactor.listenUDP(
+                settings.internal_port, self.reports, interface=settings.ip
+            )
+        )
+        self._loop(self._tick, TICK_S)
+        self._loop(self._check_connections, CONNECTION_CHECK_S)
+        self._loop(self._report_load, REPORT_S)
+        self.spawn(self.view.run())
+        self.spawn(self.registry.run())
+        self.control.start()
+
+    def _listen(self, factory, address):
+        self._ports.append(
+            self.reactor.listenTCP(
+                address.port, factory, backlog=LISTEN_BACKLOG, interface=address.host
+            )
+        )
+
+    def _loop(self, function, period_s):
+        loop = task.LoopingCall(function)
+        loop.clock = self.reactor
+        loop.start(period_s, now=False)
+        self._loops.append(loop)
+
+    def _ready_page(self):
+        is_ready = self.table is not None and not self.stopping
+        return (200, b"ready\n") if is_ready else (503, b"not ready\n")
+
+    def _tick(self):
+        now = self.now()
+        for key, return_by in list(self._leaving_by_key.items()):
+            if now >= return_by:
+                del self._leaving_by_key[key]
+                self._remove_server(key)
+        if self.table is None:
+            return
+        for dispatcher in self._dispatchers_by_service.values():
+            dispatcher.tick(now)
+
+    def _check_connections(self):
+        now = self.now()
+        limits = self.limits
+        for connection in list(self.callers):
+            connection.check(now, limits)
+
+    def _report_load(self):
+        taken = self.key_load.take()
+        if self.control.leads:
+            for service, counts in taken.items():
+                self.control.add_load(service, counts)
+            return
+        holder = self.control.holder()
+        if holder is not None and taken:
+            self.reports.send(taken, holder.host, holder.port)
+
+    async def stop(self):
+        """Takes no new callers, lets open requests end, and gives control up."""
+        if self.stopping:
+            return
+        begun = self.now()
+        self.stopping = True
+        log.info("entry: stops open_connections=%d", len(self.callers))
+        self.spawn(self.control.stop())
+        self.spawn(self.registry.leave())
+        await self.sleep(min(BALANCER_S, self.settings.grace_s / 2))
+        for connection in list(self.callers):
+            connection.close_if_idle()
+        last = begun + self.settings.grace_s - STOP_MARGIN_S
+        while self.callers and self.now() < last:
+            for connection in list(self.callers):
+                connection.close_if_idle()
+            await self.sleep(TICK_S)
+        for loop in self._loops:
+            loop.stop()
+        log.info("entry: stopped open_connections=%d", len(self.callers))
--- /dev/null
+++ b/briarspoke/entry/process.py
@@ -0,0 +1,53 @@
+"""The process of an entry VM on the platform."""
+
+from __future__ import annotations
+
+import os
+import sys
+
+from briarspoke.errors import UserError
+
+SETTINGS_VARIABLE = "BRIARSPOKE_NODE_FILE"
+EXIT_USER_ERROR = 2
+
+
+def run(path):
+    """Runs an entry VM until it is told to stop.
+
+    :returns: the exit status.
+    :raises UserError: if the settings have problems.
+    """
+    from briarspoke import clock
+    from briarspoke.entry import logs
+    from briarspoke.entry import settings as settings_module
+
+    settings = settings_module.load(path)
+    logs.setup(settings.log_level)
+    from twisted.internet import defer, reactor
+
+    from briarspoke.entry.node import EntryNode
+
+    node = EntryNode(reactor=reactor, settings=settings, clock=clock.monotonic)
+    reactor.callWhenRunning(node.start)
+    reactor.addSystemEventTrigger(
+        "before", "shutdown", lambda: defer.ensureDeferred(node.stop())
+    )
+    reactor.run()
+    return 0
+
+
+def main():
+    """Runs with the settings file that the environment names.
+
+    The command line's library takes longer to import than the rest takes to start,
+    so the platform starts the program here.
+    """
+    try:
+        sys.exit(run(os.environ.get(SETTINGS_VARIABLE, "settings.json")))
+    except UserError as error:
+        print(f"briarspoke: {error}", file=sys.stderr)
+        sys.exit(EXIT_USER_ERROR)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/briarspoke/entry/routes.py
@@ -0,0 +1,152 @@
+"""Routes, services and limits of one configuration version."""
+
+from __future__ import annotations
+
+
+class CallerLimits:
+    """What a caller may send, and how long it may take."""
+
+    __slots__ = ("body_bytes", "head_bytes", "head_timeout_s", "idle_timeout_s")
+
+    def __init__(self, *, head_bytes, body_bytes, head_timeout_s, idle_timeout_s):
+        self.head_bytes = head_bytes
+        self.body_bytes = body_bytes
+        self.head_timeout_s = head_timeout_s
+        self.idle_timeout_s = idle_timeout_s
+
+
+# In force until the first configuration is known.
+DEFAULT_LIMITS = CallerLimits(
+    head_bytes=16_384,
+    body_bytes=64 << 20,
+    head_timeout_s=3.0,
+    idle_timeout_s=15.0,
+)
+
+
+class Service:
+    """A group of servers.
+
+    :param max_connections: connections that one server takes from all callers.
+    :param keyed: whether each key has one owner among the servers.
+    """
+
+    __slots__ = ("health_path", "keyed", "max_connections", "name")
+
+    def __init__(self, *, name, health_path, max_connections, keyed):
+        self.name = name
+        self.health_path = health_path
+        self.max_connections = max_connections
+        self.keyed = keyed
+
+
+class Share:
+    """Part of a route's requests that goes to one service."""
+
+    __slots__ = ("service", "weight")
+
+    def __init__(self, *, service, weight):
+        self.service = service
+        self.weight = weight
+
+
+class Route:
+    """Requests of one host below one path.
+
+    :param timeout_s: longest time that a request may wait for its answer, or None.
+    :param objective_s: time within which an answer has its full worth.
+    :param max_attempts: servers to which one request may be sent.
+    :param priority: 0 is the most urgent.
+    """
+
+    __slots__ = (
+        "_credits",
+        "host",
+        "idempotent",
+        "max_attempts",
+        "name",
+        "objective_s",
+        "prefix",
+        "priority",
+        "shares",
+        "timeout_s",
+    )
+
+    def __init__(
+        self,
+        *,
+        name,
+        host,
+        prefix,
+        idempotent,
+        timeout_s,
+        objective_s,
+        max_attempts,
+        priority,
+        shares,
+    ):
+        self.name = name
+        self.host = host
+        self.prefix = prefix
+        self.idempotent = idempotent
+        self.timeout_s = timeout_s
+        self.objective_s = objective_s
+        self.max_attempts = max_attempts
+        self.priority = priority
+        self.shares = shares
+        self._credits = [0.0] * len(shares)
+
+    def next_service(self):
+        """Returns the name of the service for the next request.
+
+        Smooth weighted round robin keeps each share within one request of its
+        weight, which a random draw would not.
+        """
+        if len(self.shares) == 1:
+            return self.shares[0].service
+        total = 0.0
+        best = 0
+        for index, share in enumerate(self.shares):
+            self._credits[index] += share.weight
+            total += share.weight
+            if self._credits[index] > self._credits[best]:
+                best = index
+        self._credits[best] -= total
+        return self.shares[best].service
+
+
+class RoutingTable:
+    """One version of the configuration.
+
+    :param version: whole number; a later version has a higher one.
+    :param services: ``{name: Service}``.
+    """
+
+    __slots__ = ("_routes_by_host", "limits", "services", "version")
+
+    def __init__(self, *, version, routes, services, limits):
+        self.version = version
+        self.services = services
+        self.limits = limits
+        self._routes_by_host = {}
+        for route in sorted(routes, key=lambda route: -len(route.prefix)):
+            by_prefix = self._routes_by_host.setdefault(route.host.encode(), {})
+            by_prefix[route.prefix.encode()] = route
+
+    def find(self, host, path):
+        """Returns the route with the longest prefix of the path, or None.
+
+        :param host: value of the Host header in lower case, without port.
+        :param path: path of the request as bytes.
+        """
+        by_prefix = self._routes_by_host.get(host)
+        if by_prefix is None:
+            return None
+        # Every prefix ends with a slash, so only those ends can match.
+        end = path.rfind(b"/")
+        while end >= 0:
+            route = by_prefix.get(path[: end + 1])
+            if route is not None:
+                return route
+            end = path.rfind(b"/", 0, end)
+        return None
--- /dev/null
+++ b/briarspoke/entry/servers.py
@@ -0,0 +1,243 @@
+"""Backend servers as one entry VM sees them."""
+
+from __future__ import annotations
+
+import collections
+
+from briarspoke.entry.connections import Answer, ConnectionFactory
+
+CONNECT_TIMEOUT_S = 0.3
+# A server may drop an idle connection at any moment. A request that must not run
+# twice uses a connection only if it was in use just now.
+IDLE_LIMIT_S = 4.0
+IDLE_LIMIT_ONCE_S = 1.0
+# Part of the idle time that a server announces in which its connections are used.
+KEEP_ALIVE_PART = 0.7
+# Weight of the newest service time in the mean.
+LATENCY_WEIGHT = 0.15
+# Assumed before the first answer.
+INITIAL_LATENCY_S = 0.1
+# A new server counts as this much slower than its observed mean while it warms up.
+WARMUP_FACTOR = 2.0
+# A server that fails is passed over for this long, doubled with each failure.
+FIRST_PAUSE_S = 0.2
+LONGEST_PAUSE_S = 2.0
+# Failures in a row after which a server is passed over.
+FAILURES_TO_PAUSE = 2
+
+
+class ServerRecord:
+    """Registration of a server.
+
+    :param incarnation: start of its process in Unix milliseconds, or 0.
+    :param warmup_s: seconds for which it is still slow after its start.
+    """
+
+    __slots__ = (
+        "draining",
+        "host",
+        "incarnation",
+        "port",
+        "server_id",
+        "service",
+        "slots",
+        "warmup_s",
+        "zone",
+    )
+
+    def __init__(
+        self,
+        *,
+        server_id,
+        service,
+        host,
+        port,
+        zone,
+        slots,
+        draining,
+        incarnation,
+        warmup_s,
+    ):
+        self.server_id = server_id
+        self.service = service
+        self.host = host
+        self.port = port
+        self.zone = zone
+        self.slots = slots
+        self.draining = draining
+        self.incarnation = incarnation
+        self.warmup_s = warmup_s
+
+    @property
+    def life(self):
+        """Identifier and incarnation: what a new process does not share."""
+        return (self.server_id, self.incarnation)
+
+
+class Server:
+    """State of a server: its connections, requests in flight and health.
+
+    :param record: the :class:`ServerRecord`.
+    :param clock: function that returns monotonic seconds.
+    """
+
+    def __init__(self, *, record, reactor, clock):
+        self.record = record
+        self.in_flight = 0
+        self.waiting = collections.deque()
+        self.latency_s = INITIAL_LATENCY_S
+        self.samples = 0
+        self.failures = 0
+        self.paused_until = 0.0
+        self.warm_at = clock() + record.warmup_s
+        self.drain_until = None
+        self._reactor = reactor
+        self._clock = clock
+        self._idle = collections.deque()
+        self._opening = collections.deque()
+        self._target = record.server_id.encode()
+
+    @property
+    def target(self):
+        """Identifier of the server as bytes."""
+        return self._target
+
+    def expected_s(self, now):
+        """Returns the service time to expect of a request, in seconds."""
+        if now < self.warm_at:
+            return self.latency_s * WARMUP_FACTOR
+        return self.latency_s
+
+    # Health.
+
+    def answered(self, seconds):
+        """Notes an answer after a service time."""
+        self.failures = 0
+        self.paused_until = 0.0
+        weight = LATENCY_WEIGHT if self.samples > 8 else 1 / (self.samples + 1)
+        self.samples += 1
+        self.latency_s += weight * (seconds - self.latency_s)
+
+    def failed(self):
+        """Notes a failure; a server that keeps failing is passed over."""
+        self.failures += 1
+        excess = self.failures - FAILURES_TO_PAUSE
+        if excess >= 0:
+            pause_s = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * (1 << min(excess, 8)))
+            self.paused_until = self._clock() + pause_s
+
+    def pause(self, seconds):
+        """Passes the server over for a time."""
+        self.paused_until = max(self.paused_until, self._clock() + seconds)
+
+    # Connections.
+
+    def send(self, data, listener, *, idempotent, echo, is_head):
+        """Sends a whole request.
+
+        :param listener: called with the :class:`Answer`.
+        :returns: a :class:`Sending` that can be abandoned.
+        """
+        sending = Sending(self, data, listener, echo=echo, is_head=is_head)
+        connection = self._take_idle(IDLE_LIMIT_S if idempotent else IDLE_LIMIT_ONCE_S)
+        if connection is not None:
+            sending.start(connection)
+        else:
+            self._opening.append(sending)
+            self._reactor.connectTCP(
+                self.record.host,
+                self.record.port,
+                ConnectionFactory(self, self._connect_failed),
+                timeout=CONNECT_TIMEOUT_S,
+            )
+        return sending
+
+    def _take_idle(self, limit_s):
+        now = self._clock()
+        while self._idle:
+            connection = self._idle[-1]
+            limit = limit_s
+            if connection.keep_alive_s is not None:
+                limit = min(limit, connection.keep_alive_s * KEEP_ALIVE_PART)
+            if now - connection.idle_since > limit:
+                return None
+            self._idle.pop()
+            if connection.reusable:
+                return connection
+        return None
+
+    def close_idle(self, now):
+        """Closes connections that were idle for too long."""
+        while self._idle and now - self._idle[0].idle_since > IDLE_LIMIT_S:
+            self._idle.popleft().abandon()
+
+    def close(self):
+        """Closes all idle connections."""
+        while self._idle:
+            self._idle.popleft().abandon()
+
+    def connection_made(self, connection):
+        while self._opening:
+            sending = self._opening.popleft()
+            if not sending.abandoned:
+                sending.start(connection)
+                return
+        self._keep(connection)
+
+    def _connect_failed(self, failure):
+        if self._opening:
+            sending = self._opening.popleft()
+            if not sending.abandoned:
+                sending.listener(Answer(failure=failure, sent=False))
+
+    def exchange_ended(self, connection):
+        if connection.reusable:
+            self._keep(connection)
+        else:
+            connection.transport.loseConnection()
+
+    def _keep(self, connection):
+        connection.idle_since = self._clock()
+        self._idle.append(connection)
+
+    def connection_lost(self, connection):
+        if connection in self._idle:
+            self._idle.remove(connection)
+
+
+class Sending:
+    """One request on its way to a server."""
+
+    __slots__ = (
+        "_connection",
+        "_data",
+        "_echo",
+        "_is_head",
+        "abandoned",
+        "listener",
+        "server",
+        "written",
+    )
+
+    def __init__(self, server, data, listener, *, echo, is_head):
+        self.server = server
+        self.listener = listener
+        self.abandoned = False
+        self.written = False
+        self._data = data
+        self._echo = echo
+        self._is_head = is_head
+        self._connection = None
+
+    def start(self, connection):
+        """Writes the request on a connection."""
+        self.written = True
+        self._connection = connection
+        data, self._data = self._data, None
+        connection.exchange(data, self.listener, is_head=self._is_head, echo=self._echo)
+
+    def abandon(self):
+        """Closes the connection, at which servers drop the request."""
+        self.abandoned = True
+        if self._connection is not None and self._connection.listener is not None:
+            self._connection.abandon()
--- /dev/null
+++ b/briarspoke/entry/settings.py
@@ -0,0 +1,147 @@
+"""Settings of an entry VM on the platform, read from JSON."""
+
+from __future__ import annotations
+
+import ipaddress
+
+from briarspoke import schema
+from briarspoke.configuration.resources import NAME_PATTERN
+from briarspoke.settings import InvalidValuesError, read_json
+
+MAX_PORT = 65535
+_DURATION_PATTERN = r"\d+(\.\d+)?(ms|s)"
+
+
+class Address:
+    """An IP address with a port."""
+
+    __slots__ = ("host", "port")
+
+    def __init__(self, *, host, port):
+        self.host = host
+        self.port = port
+
+    def __str__(self):
+        return f"{self.host}:{self.port}"
+
+
+class EntrySettings:
+    """Checked settings; one attribute per option of :data:`SCHEMA`."""
+
+    __slots__ = (
+        "caller_listen",
+        "config_apply_s",
+        "drain_s",
+        "grace_s",
+        "internal_port",
+        "ip",
+        "log_level",
+        "max_hold_s",
+        "memory_mb",
+        "metrics_port",
+        "node",
+        "ready_listen",
+        "retry_ratio",
+        "retry_slack",
+        "retry_window_s",
+        "store",
+        "zone",
+    )
+
+    def __init__(self, **values):
+        for name in self.__slots__:
+            setattr(self, name, values[name])
+
+
+class Listen(schema.Option):
+    """An address of the form ``IP:PORT``, as :class:`Address`."""
+
+    def check(self, value, path, problems):
+        host, _, port = value.rpartition(":") if isinstance(value, str) else ("",) * 3
+        try:
+            ipaddress.IPv4Address(host)
+            valid = 0 < int(port) <= MAX_PORT
+        except ValueError:
+            valid = False
+        if valid:
+            return Address(host=host, port=int(port))
+        problems.append(
+            schema.Problem(
+                path=path,
+                code=schema.OPTION_FORMAT,
+                message="must have the form IP:PORT",
+            )
+        )
+        return None
+
+    def json_schema(self):
+        return {"type": "string"}
+
+
+class Duration(schema.Text):
+    """A time such as ``1500ms`` or ``2.5s``, as seconds."""
+
+    def __init__(self, **kwargs):
+        super().__init__(pattern=_DURATION_PATTERN, max_length=20, **kwargs)
+
+    def check(self, value, path, problems):
+        text = super().check(value, path, problems)
+        if text is None:
+            return None
+        if text.endswith("ms"):
+            return float(text[:-2]) / 1000
+        return float(text[:-1])
+
+
+SCHEMA = schema.Section(
+    {
+        "node": schema.Text(pattern=NAME_PATTERN, help="Name of this entry VM."),
+        "zone": schema.Text(pattern=NAME_PATTERN, help="Its availability zone."),
+        "ip": schema.Text(help="Its address."),
+        "caller_listen": Listen(help="Where callers connect."),
+        "ready_listen": Listen(help="Where the balancer asks for readiness."),
+        "internal_port": schema.Integer(
+            minimum=1, maximum=MAX_PORT, help="UDP port of load reports."
+        ),
+        "metrics_port": schema.Integer(
+            minimum=1, maximum=MAX_PORT, help="Port of the metrics page."
+        ),
+        "store": Listen(help="The platform's key-value store."),
+        "memory_mb": schema.Integer(minimum=64, help="Memory limit of the process."),
+        "drain_s": Duration(help="How long a leaving server may get requests."),
+        "grace_s": Duration(help="Time from SIGTERM to SIGKILL."),
+        "config_apply_s": Duration(help="Time for a version to be in force."),
+        "max_hold_s": Duration(help="Longest grant that servers accept."),
+        "retry_ratio": schema.Number(
+            minimum=0, maximum=1, help="Repeats per request of a service."
+        ),
+        "retry_slack": schema.Integer(
+            minimum=0, help="Repeats allowed beside the ratio, for all entry VMs."
+        ),
+        "retry_window_s": Duration(help="Window of the retry budget."),
+        "log_level": schema.Choice(
+            ("debug", "info", "warning", "error"), default="info", help="Log level."
+        ),
+    },
+    build=EntrySettings,
+)
+
+
+def parse(value, source):
+    """Returns :class:`EntrySettings` of a JSON value.
+
+    :raises InvalidValuesError: with every problem.
+    """
+    problems = []
+    settings = SCHEMA.check(value, "$", problems)
+    if problems:
+        raise InvalidValuesError(source, problems)
+    return settings
+
+
+def load(path):
+    """Reads settings from a file.
+
+    :raises UserError: if the file cannot be read or has problems.
+    """
+    return parse(read_json(path), path)
--- /dev/null
+++ b/briarspoke/entry/view.py
@@ -0,0 +1,115 @@
+"""The entry VM's view of the platform's store, kept current by one watch."""
+
+from __future__ import annotations
+
+import logging
+import random
+
+from briarspoke.errors import BriarspokeError
+from briarspoke.platform.keyvalue import HistoryGoneError
+
+log = logging.getLogger(__name__)
+
+# A configuration has 2 s to be in force, so a dead connection must show in less
+# than the 3 s for which the platform allows for it.
+WATCH_S = 3.0
+FIRST_RETRY_S = 0.1
+LONGEST_RETRY_S = 0.8
+
+
+class StoreView:
+    """Items of the store as last seen.
+
+    :param client: the :class:`briarspoke.platform.keyvalue.KeyValueClient`.
+    :param sleep: returns a Deferred that fires after a number of seconds.
+    :param clock: function that returns monotonic seconds.
+    """
+
+    def __init__(self, *, client, sleep, clock):
+        self.items = {}
+        self.revision = None
+        self.reachable = False
+        self.last_contact = None
+        # When the store answered again after an outage.
+        self.regained_at = None
+        self._client = client
+        self._sleep = sleep
+        self._clock = clock
+        self._observers_by_prefix = {}
+
+    def observe(self, prefix, observer):
+        """Calls ``observer(key, item)`` for each change; item is None if removed."""
+        self._observers_by_prefix[prefix] = observer
+
+    def put(self, item):
+        """Takes an item that this process has written."""
+        self._take(item)
+
+    async def run(self):
+        """Follows the store without end."""
+        retry_s = FIRST_RETRY_S
+        while True:
+            try:
+                if self.revision is None:
+                    self._take_all(await self._client.read_all())
+                else:
+                    changes = await self._client.watch(self.revision, WATCH_S)
+                    self._contact()
+                    for item in changes.items:
+                        self._take(item)
+                    self.revision = max(self.revision, changes.revision)
+                retry_s = FIRST_RETRY_S
+            except HistoryGoneError:
+                log.info("store: history gone, reading all revision=%s", self.revision)
+                self.revision = None
+            except BriarspokeError as error:
+                self._lost(error)
+                await self._sleep(retry_s * (0.75 + random.random() / 2))
+                retry_s = min(LONGEST_RETRY_S, 2 * retry_s)
+
+    def _contact(self):
+        now = self._clock()
+        if not self.reachable:
+            self.reachable = True
+            self.regained_at = now
+            log.info("store: reachable revision=%s", self.revision)
+        self.last_contact = now
+
+    def _lost(self, error):
+        if self.reachable or self.last_contact is None:
+            log.warning("store: not reachable: %s", error)
+        self.reachable = False
+
+    def _take_all(self, changes):
+        self._contact()
+        by_key = {item.key: item for item in changes.items}
+        for key in [key for key in self.items if key not in by_key]:
+            self._remove(key)
+        for item in by_key.values():
+            self._take(item)
+        self.revision = changes.revision
+
+    def _take(self, item):
+        if item.value is None:
+            known = self.items.get(item.key)
+            if known is not None and known.revision < item.revision:
+                self._remove(item.key)
+            return
+        known = self.items.get(item.key)
+        if known is not None and known.revision >= item.revision:
+            return
+        self.items[item.key] = item
+        if known is None or known.value != item.value:
+            self._notify(item.key, item)
+
+    def _remove(self, key):
+        del self.items[key]
+        self._notify(key, None)
+
+    def _notify(self, key, item):
+        for prefix, observer in self._observers_by_prefix.items():
+            if key.startswith(prefix):
+                try:
+                    observer(key, item)
+                except Exception:
+                    log.exception("store: cannot use the item key=%s", key)
--- /dev/null
+++ b/briarspoke/keyspace/__init__.py
@@ -0,0 +1,1 @@
+"""Exclusive ownership of key ranges and the control of it."""
--- /dev/null
+++ b/briarspoke/keyspace/keeper.py
@@ -0,0 +1,470 @@
+"""Grants, renews and moves the key ranges of one service."""
+
+from __future__ import annotations
+
+import enum
+import logging
+
+from briarspoke.errors import BriarspokeError
+from briarspoke.keyspace import placement
+from briarspoke.keyspace.grantlog import GrantLog, lapse_time
+from briarspoke.keyspace.keymap import Owner
+from briarspoke.keyspace.leadership import RENEWAL_WITHOUT_STORE_S
+from briarspoke.platform import grants
+from briarspoke.platform.keyvalue import ConditionFailedError
+
+log = logging.getLogger(__name__)
+
+HOLD_S = 4.0
+RENEWAL_S = 1.2
+# A grant that failed is sent again after this time.
+RETRY_S = 0.4
+# After a change, neighbouring ranges of a server are renewed as one from here on.
+MERGE_DELAY_S = 0.4
+# Load is looked at this often.
+REBALANCE_S = 0.5
+# A service without a map waits this long for its servers to register.
+FIRST_MAP_WAIT_S = 1.0
+
+
+class MoveState(enum.Enum):
+    """How far a range is on its way from one server to another."""
+
+    QUIET = "waits for calls under way"
+    RELEASING = "waits for the owner to release it"
+    LAPSING = "waits for the last grant to lapse"
+    READY = "has no owner"
+
+
+class Move:
+    """A range that leaves its owner.
+
+    :param to: life of the next owner, or None for the least busy one.
+    """
+
+    __slots__ = ("first", "handover", "last", "owner", "reason", "state", "to", "until")
+
+    def __init__(self, *, first, last, owner, to, reason):
+        self.first = first
+        self.last = last
+        self.owner = owner
+        self.to = to
+        self.reason = reason
+        self.state = MoveState.QUIET
+        self.until = None
+        self.handover = None
+
+
+class Renewal:
+    """When a range is granted again."""
+
+    __slots__ = ("due_at", "in_call")
+
+    def __init__(self, due_at):
+        self.due_at = due_at
+        self.in_call = False
+
+
+class ServerCalls:
+    """Grant calls to one process of a server."""
+
+    __slots__ = ("http", "log", "reachable", "record")
+
+    def __init__(self, *, record, http):
+        self.record = record
+        self.http = http
+        self.log = GrantLog()
+        self.reachable = True
+
+
+class Keeper:
+    """Control of the keys of one service while this process leads.
+
+    :param node: the :class:`briarspoke.entry.node.EntryNode`.
+    :param leadership: the :class:`briarspoke.keyspace.leadership.Leadership`.
+    """
+
+    def __init__(self, *, node, leadership, service, clean):
+        self.service = service
+        self.moves = []
+        self._node = node
+        self._leadership = leadership
+        self._term = leadership.revision
+        self._calls_by_life = {}
+        self._renewals = {}
+        self._handovers = []
+        self._fenced = False
+        self._writing = False
+        self._started = node.now()
+        self._rebalance_at = 0.0
+        # Until then, grants of an earlier controller may still count.
+        wait_s = 0.0 if clean else RENEWAL_WITHOUT_STORE_S
+        self._inherited_until = lapse_time(self._started + wait_s, HOLD_S)
+
+    # The state it works on.
+
+    @property
+    def _map(self):
+        return self._node.key_maps.by_service.get(self.service)
+
+    def _records(self):
+        """Returns ``{life: ServerRecord}`` of the servers that may own keys."""
+        return {
+            server.record.life: server.record
+            for server in self._node.dispatcher(self.service).servers.values()
+        }
+
+    def _calls(self, record):
+        calls = self._calls_by_life.get(record.life)
+        if calls is None:
+            http = self._node.http_client(record.host, record.port)
+            calls = ServerCalls(record=record, http=http)
+            self._calls_by_life[record.life] = calls
+        return calls
+
+    # One round.
+
+    def tick(self, now):
+        """Does what is due; called several times a second."""
+        records = self._records()
+        for record in records.values():
+            self._calls(record)
+        if self._map is None:
+            self._begin(records, now)
+            return
+        if not self._fenced:
+            self._write(self._map, [], "new term")
+            return
+        self._find_moves(records, now)
+        for move in self.moves:
+            self._advance(move, records, now)
+        self._finish_moves(records, now)
+        self._renew(records, now)
+
+    def _begin(self, records, now):
+        usable = sorted(r.life for r in records.values() if not r.draining)
+        if not usable or now - self._started < FIRST_MAP_WAIT_S:
+            return
+        candidates = [self._candidate(records[life]) for life in usable]
+        self._write(placement.initial(candidates, 1), [], "first map")
+
+    def _candidate(self, record):
+        server = self._node.dispatcher(self.service).servers[record.server_id]
+        return placement.Candidate(
+            life=record.life, slots=record.slots, latency_s=server.latency_s
+        )
+
+    # Moves.
+
+    def _find_moves(self, records, now):
+        moving = [(move.first, move.last) for move in self.moves]
+        for first, last, owner in self._map.ranges():
+            record = records.get(owner.life)
+            if record is not None and not record.draining:
+                continue
+            reason = "gone" if record is None else "draining"
+            for piece in _without(first, last, moving):
+                self._move(*piece, owner, None, reason)
+        if not self.moves and now >= self._rebalance_at:
+            self._rebalance_at = now + REBALANCE_S
+            self._rebalance(records, now)
+
+    def _rebalance(self, records, now):
+        candidates = self._usable(records)
+        estimate = self._node.load_estimate(self.service)
+        estimate.decay(now)
+        transfers = placement.rebalance(self._map, candidates, estimate.rate_by_bucket)
+        for transfer in transfers:
+            owner = self._map.owner(transfer.first)
+            self._move(transfer.first, transfer.last, owner, transfer.to, "load")
+
+    def _usable(self, records):
+        return [
+            self._candidate(record)
+            for _, record in sorted(records.items())
+            if not record.draining and self._calls(record).reachable
+        ]
+
+    def _move(self, first, last, owner, to, reason):
+        self.moves.append(
+            Move(first=first, last=last, owner=owner, to=to, reason=reason)
+        )
+        log.info(
+            "keys: move begins service=%s keys=%d-%d from=%s to=%s reason=%s",
+            self.service,
+            first,
+            last,
+            owner.server_id,
+            to[0] if to else "-",
+            reason,
+        )
+
+    def _advance(self, move, records, now):
+        if move.state is MoveState.READY:
+            return
+        if self._has_ended(move.owner, records):
+            move.state = MoveState.READY
+            return
+        calls = self._calls_by_life.get(move.owner.life)
+        if move.state is MoveState.QUIET:
+            if calls is None:
+                # Known from the map alone; where it listens is not known.
+                self._let_lapse(move, now)
+            elif not calls.log.is_under_way(move.first, move.last, now):
+                self._release(move, calls, now)
+        elif move.state is MoveState.LAPSING and now >= move.until:
+            move.state = MoveState.READY
+
+    def _has_ended(self, owner, records):
+        """Returns whether the owner's process is known to have ended."""
+        for record in records.values():
+            if record.server_id == owner.server_id:
+                return record.incarnation > owner.incarnation
+        calls = self._calls_by_life.get(owner.life)
+        if calls is None:
+            return False
+        old = calls.record
+        return any(
+            other.host == old.host and other.port == old.port
+            for other in self._node.all_records()
+        )
+
+    def _let_lapse(self, move, now):
+        until = now
+        calls = self._calls_by_life.get(move.owner.life)
+        if calls is not None:
+            until = calls.log.lapses_at(move.first, move.last, now)
+            inherited = not calls.log.was_accepted(move.first, move.last, now)
+        else:
+            inherited = True
+        if inherited:
+            until = max(until, self._inherited_until)
+        move.state = MoveState.LAPSING
+        move.until = until
+
+    def _release(self, move, calls, now):
+        if calls.log.is_uncertain(move.first, move.last, now) or (
+            now < self._inherited_until
+            and not calls.log.was_accepted(move.first, move.last, now)
+        ):
+            # A grant without an answer could be applied after the release.
+            self._let_lapse(move, now)
+            return
+        move.state = MoveState.RELEASING
+        self._node.spawn(self._call_release(move, calls))
+
+    async def _call_release(self, move, calls):
+        answer = await grants.release(
+            calls.http, first=move.first, last=move.last, fence=move.owner.fence
+        )
+        self._node.metrics.count(
+            "grants_total", "released" if answer.accepted else "release-failed"
+        )
+        now = self._node.now()
+        if answer.accepted:
+            move.handover = answer.handover
+            move.state = MoveState.READY
+            self._node.wake_control()
+        else:
+            log.info(
+                "keys: release failed service=%s server=%s keys=%d-%d reason=%s",
+                self.service,
+                move.owner.server_id,
+                move.first,
+                move.last,
+                answer.failure or "refused",
+            )
+            self._let_lapse(move, now)
+
+    def _finish_moves(self, records, now):
+        ready = [move for move in self.moves if move.state is MoveState.READY]
+        if not ready or self._writing:
+            return
+        candidates = self._usable(records)
+        if not candidates:
+            return
+        estimate = self._node.load_estimate(self.service)
+        placement.assign_load(self._map, candidates, estimate.rate_by_bucket)
+        by_life = {candidate.life: candidate for candidate in candidates}
+        fence = self._map.highest_fence + 1
+        changes = []
+        for move in ready:
+            candidate = by_life.get(move.to)
+            if candidate is None:
+                candidate = placement.least_busy(candidates)
+            share = (move.last - move.first + 1) / 65_536
+            candidate.load += max(
+                share, _load(estimate.rate_by_bucket, move.first, move.last)
+            )
+            owner = Owner(
+                server_id=candidate.life[0], incarnation=candidate.life[1], fence=fence
+            )
+            changes.append((move.first, move.last, owner))
+        self._write(self._map.with_owner(changes), ready, "moves", changes)
+
+    # Writing the map.
+
+    def _write(self, key_map, moves, reason, changes=()):
+        if self._writing:
+            return
+        if not self._fenced:
+            fence = key_map.highest_fence + 1
+            owners = [
+                Owner(server_id=o.server_id, incarnation=o.incarnation, fence=fence)
+                for o in key_map.owners
+            ]
+            key_map = type(key_map)(starts=list(key_map.starts), owners=owners)
+        self._writing = True
+        self._node.spawn(self._call_write(key_map, moves, reason, changes))
+
+    async def _call_write(self, key_map, moves, reason, changes):
+        try:
+            await self._node.write_key_map(self.service, key_map, self._term)
+        except ConditionFailedError:
+            # The view brings the newer map, or another controller.
+            self._leadership.record_changed()
+            await self._node.sleep(RETRY_S)
+            self._writing = False
+            return
+        except BriarspokeError as error:
+            log.warning("keys: cannot write service=%s: %s", self.service, error)
+            await self._node.sleep(RETRY_S)
+            self._writing = False
+            return
+        self._fenced = True
+        self._writing = False
+        now = self._node.now()
+        log.info(
+            "keys: map written service=%s ranges=%d fence=%d reason=%s",
+            self.service,
+            len(key_map.starts),
+            key_map.highest_fence,
+            reason,
+        )
+        for move in moves:
+            self.moves.remove(move)
+        for first, last, owner in changes:
+            handover = next(
+                (m.handover for m in moves if m.first == first and m.last == last), None
+            )
+            calls = self._calls_by_life.get(owner.life)
+            if calls is not None:
+                self._send_grant(calls, first, last, owner, handover, None)
+        merged = {
+            (first, last, owner.life, owner.fence)
+            for first, last, owner in key_map.ranges()
+        }
+        for key in merged:
+            if key not in self._renewals and changes:
+                self._renewals[key] = Renewal(now + MERGE_DELAY_S)
+        self._node.wake_control()
+
+    # Renewing.
+
+    def _renew(self, records, now):
+        if not self._leadership.may_renew_grants(now):
+            return
+        moving = [(move.first, move.last) for move in self.moves]
+        current = {}
+        for first, last, owner in self._map.ranges():
+            record = records.get(owner.life)
+            if record is None:
+                continue
+            key = (first, last, owner.life, owner.fence)
+            renewal = self._renewals.get(key) or Renewal(now)
+            current[key] = renewal
+            if renewal.in_call or now < renewal.due_at:
+                continue
+            renewal.due_at = now + RENEWAL_S
+            calls = self._calls(record)
+            for piece in _without(first, last, moving):
+                self._send_grant(calls, *piece, owner, None, renewal)
+        self._renewals = current
+
+    def _send_grant(self, calls, first, last, owner, handover, renewal):
+        hold_s = min(HOLD_S, self._node.settings.max_hold_s)
+        sent = calls.log.add(
+            first=first, last=last, sent_at=self._node.now(), hold_s=hold_s
+        )
+        if renewal is not None:
+            renewal.in_call = True
+        self._node.spawn(self._call_grant(calls, sent, owner, handover, renewal))
+
+    async def _call_grant(self, calls, sent, owner, handover, renewal):
+        answer = await grants.grant(
+            calls.http,
+            first=sent.first,
+            last=sent.last,
+            fence=owner.fence,
+            hold_s=min(HOLD_S, self._node.settings.max_hold_s),
+            handover=handover,
+        )
+        now = self._node.now()
+        if renewal is not None:
+            renewal.in_call = False
+        calls.reachable = answer.accepted is not None
+        if answer.accepted:
+            sent.answered = True
+            self._node.metrics.count("grants_total", "accepted")
+            return
+        if answer.accepted is None:
+            sent.answered = False
+            if not answer.sent:
+                sent.lapses_at = now
+                sent.answered = True
+        else:
+            # Refused: it does not count.
+            sent.answered = True
+            sent.lapses_at = now
+        if renewal is not None:
+            renewal.due_at = now + RETRY_S
+        self._node.metrics.count("grants_total", "failed")
+        log.info(
+            "keys: grant failed service=%s server=%s keys=%d-%d fence=%d reason=%s",
+            self.service,
+            owner.server_id,
+            sent.first,
+            sent.last,
+            owner.fence,
+            answer.failure or "a higher token was seen",
+        )
+        if answer.accepted is False and self._fenced:
+            await self._refence(sent, owner)
+
+    async def _refence(self, sent, owner):
+        """Raises the token of a range whose server has seen a higher one."""
+        key_map = self._map
+        if key_map is None or self._writing or self._leadership.revision != self._term:
+            return
+        current = key_map.owner(sent.first)
+        if current.life == owner.life and current.fence == owner.fence:
+            fresh = Owner(
+                server_id=owner.server_id,
+                incarnation=owner.incarnation,
+                fence=key_map.highest_fence + 1,
+            )
+            changes = [(sent.first, sent.last, fresh)]
+            self._write(key_map.with_owner(changes), [], "token", changes)
+
+
+def _without(first, last, taken):
+    """Returns the parts of a range that no other range overlaps."""
+    pieces = [(first, last)]
+    for other_first, other_last in taken:
+        rest = []
+        for a, b in pieces:
+            if other_last < a or other_first > b:
+                rest.append((a, b))
+                continue
+            if a < other_first:
+                rest.append((a, other_first - 1))
+            if b > other_last:
+                rest.append((other_last + 1, b))
+        pieces = rest
+    return pieces
+
+
+def _load(rate_by_bucket, first, last):
+    low = first // placement.KEYS_PER_BUCKET
+    high = last // placement.KEYS_PER_BUCKET
+    return sum(rate for b, rate in rate_by_bucket.items() if low <= b <= high)
--- /dev/null
+++ b/briarspoke/keyspace/leadership.py
@@ -0,0 +1,196 @@
+"""The lease that makes one entry VM the controller of key ownership."""
+
+from __future__ import annotations
+
+import json
+import logging
+import random
+
+from briarspoke.errors import BriarspokeError
+from briarspoke.platform.keyvalue import ConditionFailedError, LeaseGoneError
+
+log = logging.getLogger(__name__)
+
+CONTROL_KEY = "briarspoke/control"
+# A new controller has to be there before the first grant lapses.
+LEASE_S = 2.5
+RENEWAL_S = 0.8
+# A controller without the store renews grants for this long after its last contact.
+RENEWAL_WITHOUT_STORE_S = 10.0
+# Spreads the attempts of several entry VMs to take over.
+TAKEOVER_JITTER_S = 0.08
+
+
+class ControlRecord:
+    """Who holds control.
+
+    :param process: random name of the process, new with each start.
+    :param resigned: whether the holder has given control up.
+    """
+
+    __slots__ = ("host", "node", "port", "process", "resigned")
+
+    def __init__(self, *, node, process, host, port, resigned=False):
+        self.node = node
+        self.process = process
+        self.host = host
+        self.port = port
+        self.resigned = resigned
+
+    def encode(self):
+        """Returns the bytes of the record in the store."""
+        return json.dumps(
+            {name: getattr(self, name) for name in self.__slots__}
+        ).encode()
+
+
+def decode(data):
+    """Returns the :class:`ControlRecord` of its bytes, or None if unreadable."""
+    try:
+        body = json.loads(data)
+        return ControlRecord(
+            node=body["node"],
+            process=body["process"],
+            host=body["host"],
+            port=int(body["port"]),
+            resigned=bool(body["resigned"]),
+        )
+    except (ValueError, TypeError, KeyError) as error:
+        log.warning("control: unreadable record: %s", error)
+        return None
+
+
+class Leadership:
+    """Takes, renews and gives up control.
+
+    :param client: the :class:`briarspoke.platform.keyvalue.KeyValueClient`.
+    :param view: the :class:`briarspoke.entry.view.StoreView`.
+    :param own: the :class:`ControlRecord` of this process.
+    """
+
+    def __init__(self, *, client, view, own, clock, sleep):
+        self.own = own
+        # Revision of the control key while this process holds control.
+        self.revision = None
+        self.since = None
+        # Whether the holder before is known to have stopped.
+        self.taken_cleanly = False
+        self._client = client
+        self._view = view
+        self._clock = clock
+        self._sleep = sleep
+        self._lease = None
+        self._attempted_lease = None
+        self._renewed_at = None
+        self._resigned = False
+
+    @property
+    def holds(self):
+        """Whether this process holds control as far as it knows."""
+        return self.revision is not None
+
+    def may_renew_grants(self, now):
+        """Returns whether grants may be renewed, contact with the store or not."""
+        return self.holds and now - self._renewed_at < RENEWAL_WITHOUT_STORE_S
+
+    def holder(self):
+        """Returns the :class:`ControlRecord` in the store, or None."""
+        item = self._view.items.get(CONTROL_KEY)
+        return None if item is None else decode(item.value)
+
+    def record_changed(self):
+        """Stands down if another process holds control."""
+        holder = self.holder()
+        if self.holds and holder is not None and holder.process != self.own.process:
+            self.lose(f"{holder.node} has taken over")
+
+    def lose(self, reason):
+        """Stands down."""
+        if self.holds:
+            log.warning("control: lost revision=%s reason=%r", self.revision, reason)
+        self.revision = None
+        self._lease = None
+
+    async def run(self):
+        """Follows the lease without end."""
+        while not self._resigned:
+            try:
+                if self.holds:
+                    await self._sleep(RENEWAL_S)
+                    await self._renew()
+                else:
+                    await self._sleep(TAKEOVER_JITTER_S * random.random() + 0.02)
+                    await self._try_to_take()
+            except (ConditionFailedError, LeaseGoneError) as error:
+                self.lose(str(error))
+            except BriarspokeError as error:
+                log.info("control: call failed: %s", error)
+                await self._sleep(0.2)
+
+    async def _renew(self):
+        if not self.holds:
+            return
+        sent_at = self._clock()
+        await self._client.renew_lease(self._lease)
+        self._renewed_at = sent_at
+
+    async def _try_to_take(self):
+        view = self._view
+        if not view.reachable:
+            return
+        item = view.items.get(CONTROL_KEY)
+        holder = None if item is None else decode(item.value)
+        is_free = (
+            holder is None
+            or holder.resigned
+            or (holder.node == self.own.node and holder.process != self.own.process)
+        )
+        if self._resigned:
+            return
+        sent_at = self._clock()
+        if holder is not None and holder.process == self.own.process:
+            # The answer to the write was lost; the lease shows whether it counts.
+            if self._attempted_lease is not None and not holder.resigned:
+                await self._client.renew_lease(self._attempted_lease)
+                self._taken(item.revision, self._attempted_lease, sent_at, clean=False)
+            return
+        if not is_free:
+            return
+        lease, _ = await self._client.lease(LEASE_S)
+        self._attempted_lease = lease
+        expected = 0 if item is None else item.revision
+        revision = await self._client.write(
+            expected={CONTROL_KEY: expected},
+            puts={CONTROL_KEY: self.own.encode()},
+            lease=lease,
+        )
+        self._taken(revision, lease, sent_at, clean=holder is not None)
+
+    def _taken(self, revision, lease, sent_at, *, clean):
+        self._lease = lease
+        self._renewed_at = sent_at
+        self.revision = revision
+        self.since = self._clock()
+        self.taken_cleanly = clean
+        log.info("control: taken revision=%s clean=%s", revision, clean)
+
+    async def resign(self):
+        """Gives control up, so that another entry VM takes it at once."""
+        self._resigned = True
+        revision, self.revision = self.revision, None
+        if revision is None:
+            return
+        record = ControlRecord(
+            node=self.own.node,
+            process=self.own.process,
+            host=self.own.host,
+            port=self.own.port,
+            resigned=True,
+        )
+        try:
+            await self._client.write(
+                expected={CONTROL_KEY: revision}, puts={CONTROL_KEY: record.encode()}
+            )
+            log.info("control: resigned")
+        except BriarspokeError as error:
+            log.warning("control: cannot resign: %s", error)
--- /dev/null
+++ b/briarspoke/keyspace/placement.py
@@ -0,0 +1,215 @@
+"""Plans which server owns which range."""
+
+from __future__ import annotations
+
+from briarspoke.keyspace.keymap import KEY_COUNT, KeyMap, Owner
+from briarspoke.keyspace.load import KEYS_PER_BUCKET
+
+# Requests in a server per slot above which keys move away from it.
+BUSY = 0.45
+# Keys move only from a server that is this much busier than the mean.
+IMBALANCE = 1.25
+# Ranges that move in one round.
+MAX_MOVES = 6
+# Part of a mean server's load that a server without keys is given first.
+FIRST_SHARE = 0.5
+
+
+class Candidate:
+    """A server that may own keys.
+
+    :param life: identifier and incarnation.
+    :param latency_s: mean service time, waits in the server included.
+    """
+
+    __slots__ = ("latency_s", "life", "load", "slots")
+
+    def __init__(self, *, life, slots, latency_s):
+        self.life = life
+        self.slots = slots
+        self.latency_s = latency_s
+        self.load = 0.0
+
+    @property
+    def busy(self):
+        """Requests in the server per slot."""
+        return self.load * self.latency_s / self.slots
+
+
+class Transfer:
+    """A range that is to move to another server."""
+
+    __slots__ = ("first", "last", "to")
+
+    def __init__(self, *, first, last, to):
+        self.first = first
+        self.last = last
+        self.to = to
+
+
+def initial(candidates, fence):
+    """Returns a :class:`KeyMap` that divides the keys evenly."""
+    count = len(candidates)
+    starts = [KEY_COUNT * index // count for index in range(count)]
+    owners = [
+        Owner(server_id=c.life[0], incarnation=c.life[1], fence=fence)
+        for c in candidates
+    ]
+    return KeyMap(starts=starts, owners=owners)
+
+
+def assign_load(key_map, candidates, rate_by_bucket):
+    """Adds up the load of each candidate.
+
+    :returns: ``{life: [(first, last, [(bucket, rate)])]}`` of their ranges.
+    """
+    by_life = {candidate.life: candidate for candidate in candidates}
+    for candidate in candidates:
+        candidate.load = 0.0
+    ranges_by_life = {}
+    buckets = sorted(rate_by_bucket.items())
+    position = 0
+    for first, last, owner in key_map.ranges():
+        inside = []
+        while position < len(buckets):
+            bucket, rate = buckets[position]
+            if bucket * KEYS_PER_BUCKET > last:
+                break
+            inside.append((bucket, rate))
+            position += 1
+        ranges_by_life.setdefault(owner.life, []).append((first, last, inside))
+        candidate = by_life.get(owner.life)
+        if candidate is not None:
+            candidate.load += sum(rate for _, rate in inside)
+    return ranges_by_life
+
+
+def least_busy(candidates, extra_load=0.0):
+    """Returns the candidate that would be least busy with some more load."""
+    return min(
+        candidates,
+        key=lambda c: ((c.load + extra_load) * c.latency_s / c.slots, c.life),
+    )
+
+
+def rebalance(key_map, candidates, rate_by_bucket):
+    """Returns the :class:`Transfer` list that brings servers closer to each other.
+
+    Moved keys are paid for by their number, so the narrowest range with the
+    wanted load moves.
+    """
+    ranges_by_life = assign_load(key_map, candidates, rate_by_bucket)
+    if len(candidates) < 2:
+        return []
+    transfers = []
+    for candidate in candidates:
+        if candidate.life not in ranges_by_life and len(transfers) < MAX_MOVES:
+            transfer = _first_range(candidate, candidates, ranges_by_life)
+            if transfer is not None:
+                transfers.append(transfer)
+    while len(transfers) < MAX_MOVES:
+        transfer = _relieve(candidates, ranges_by_life)
+        if transfer is None:
+            break
+        transfers.append(transfer)
+    return transfers
+
+
+def _relieve(candidates, ranges_by_life):
+    busiest = max(candidates, key=lambda c: c.busy)
+    mean = sum(c.busy for c in candidates) / len(candidates)
+    if busiest.busy < BUSY or busiest.busy < IMBALANCE * mean:
+        return None
+    target = least_busy(candidates)
+    gap = busiest.busy - target.busy
+    # Moving this much load makes both equally busy.
+    wanted = gap / (busiest.latency_s / busiest.slots + target.latency_s / target.slots)
+    excess = (busiest.busy - mean) * busiest.slots / busiest.latency_s
+    return _transfer(busiest, target, min(wanted, excess), ranges_by_life)
+
+
+def _first_range(candidate, candidates, ranges_by_life):
+    busiest = max(candidates, key=lambda c: c.load)
+    mean = sum(c.load for c in candidates) / len(candidates)
+    if mean <= 0 or busiest is candidate:
+        return _half_of_widest(candidate, ranges_by_life)
+    return _transfer(busiest, candidate, FIRST_SHARE * mean, ranges_by_life)
+
+
+def _half_of_widest(candidate, ranges_by_life):
+    """Without load to go by, takes half of the widest range."""
+    widest = max(
+        (
+            (last - first, first, last, life, inside)
+            for life, ranges in ranges_by_life.items()
+            for first, last, inside in ranges
+        ),
+        key=lambda found: found[:3],
+        default=None,
+    )
+    if widest is None or widest[0] < 1:
+        return None
+    _, first, last, life, inside = widest
+    middle = (first + last) // 2 + 1
+    _cut(ranges_by_life, life, (first, last, inside), middle, last)
+    ranges_by_life.setdefault(candidate.life, []).append((middle, last, []))
+    return Transfer(first=middle, last=last, to=candidate.life)
+
+
+def _transfer(source, target, wanted, ranges_by_life):
+    """Moves the narrowest run of buckets that has about the wanted load."""
+    best = None
+    for found in ranges_by_life.get(source.life, ()):
+        run = _narrowest_run(found[2], wanted)
+        if run is not None and (best is None or run[:2] < best[0][:2]):
+            best = (run, found)
+    if best is None:
+        return None
+    (_, _, left, right), found = best
+    first, last, inside = found
+    run = inside[left : right + 1]
+    moved = sum(rate for _, rate in run)
+    new_first = max(first, run[0][0] * KEYS_PER_BUCKET)
+    new_last = min(last, run[-1][0] * KEYS_PER_BUCKET + KEYS_PER_BUCKET - 1)
+    _cut(ranges_by_life, source.life, found, new_first, new_last)
+    ranges_by_life.setdefault(target.life, []).append((new_first, new_last, run))
+    source.load -= moved
+    target.load += moved
+    return Transfer(first=new_first, last=new_last, to=target.life)
+
+
+def _narrowest_run(buckets, wanted):
+    """Returns (miss, width, left, right) of the best run of buckets, or None.
+
+    A run may have at most 1.2 times the wanted load; less than half of it is a
+    miss, which counts before the width.
+    """
+    best = None
+    left = 0
+    load = 0.0
+    for right, (bucket, rate) in enumerate(buckets):
+        load += rate
+        while left <= right and load > 1.2 * wanted:
+            load -= buckets[left][1]
+            left += 1
+        if left > right or load <= 0:
+            continue
+        miss = max(0.0, round(0.5 - load / wanted, 1))
+        found = (miss, bucket - buckets[left][0], left, right)
+        if best is None or found < best:
+            best = found
+    # A run that changes next to nothing is not worth an interruption.
+    return best if best is not None and best[0] < 0.4 else None
+
+
+def _cut(ranges_by_life, life, found, new_first, new_last):
+    """Takes a range out of what a server owns."""
+    first, last, inside = found
+    ranges = ranges_by_life[life]
+    ranges.remove(found)
+    if first < new_first:
+        before = [b for b in inside if b[0] * KEYS_PER_BUCKET < new_first]
+        ranges.append((first, new_first - 1, before))
+    if new_last < last:
+        after = [b for b in inside if b[0] * KEYS_PER_BUCKET > new_last]
+        ranges.append((new_last + 1, last, after))
--- a/briarspoke/metrics.py
+++ b/briarspoke/metrics.py
@@ -22,6 +22,7 @@
     "invariants_total": ("code", "Failed assertions inside the program."),
     "link_results_total": ("code", "Links and messages rejected, by result code."),
     "link_frames_total": ("direction", "Frames on links between entry VMs."),
+    "grants_total": ("outcome", "Grants and releases of key ranges, by outcome."),
     "grant_bytes_total": ("direction", "Bytes of calls that grant partitions."),
     "link_bytes_total": ("direction", "Bytes on links between entry VMs."),
     "member_changes_total": ("status", "Changes of members, by new status."),
--- /dev/null
+++ b/briarspoke/platform/values.py
@@ -0,0 +1,43 @@
+"""Durations and fields of the platform's JSON bodies."""
+
+from __future__ import annotations
+
+import re
+
+from briarspoke.errors import BriarspokeError
+
+_DURATION = re.compile(r"(\d+(?:\.\d+)?)(ms|s)")
+
+
+class DecodeError(BriarspokeError):
+    """A body of the platform does not have the documented form."""
+
+
+def seconds(text):
+    """Returns the seconds of a duration such as ``1500ms`` or ``2.5s``.
+
+    :raises DecodeError: if the text is not a duration.
+    """
+    match = _DURATION.fullmatch(text) if isinstance(text, str) else None
+    if match is None:
+        raise DecodeError(f"{text!r} is not a duration")
+    value = float(match[1])
+    return value / 1000 if match[2] == "ms" else value
+
+
+def milliseconds(value_s):
+    """Returns the text of a duration given in seconds."""
+    return f"{round(value_s * 1000)}ms"
+
+
+def member(body, name, kind):
+    """Returns a member of an object.
+
+    :param kind: the Python type that the member must have.
+    :raises DecodeError: if it is missing or of another type.
+    """
+    value = body.get(name) if isinstance(body, dict) else None
+    # A JSON boolean is an int in Python.
+    if not isinstance(value, kind) or (kind is int and isinstance(value, bool)):
+        raise DecodeError(f"{name} is missing or not of type {kind.__name__}")
+    return value
