Move no key twice in one plan, and wait for servers before the first map

The first map was made of the 4 servers known after 1 s, and ranges then waited for grants of a controller that never was.

--- a/briarspoke/keyspace/keeper.py
+++ b/briarspoke/keyspace/keeper.py
@@ -5,7 +5,7 @@
 import enum
 import logging
 
-from briarspoke.errors import BriarspokeError
+from briarspoke.errors import BriarspokeError, invariant
 from briarspoke.keyspace import placement
 from briarspoke.keyspace.grantlog import GrantLog, lapse_time
 from briarspoke.keyspace.keymap import Owner
@@ -23,8 +23,8 @@
 MERGE_DELAY_S = 0.4
 # Load is looked at this often.
 REBALANCE_S = 0.5
-# A service without a map waits this long for its servers to register.
-FIRST_MAP_WAIT_S = 1.0
+# The first map waits until no server has registered for this long.
+FIRST_MAP_QUIET_S = 1.0
 
 
 class MoveState(enum.Enum):
@@ -97,6 +97,8 @@
         self._writing = False
         self._started = node.now()
         self._rebalance_at = 0.0
+        self._first_count = 0
+        self._first_at = self._started
         # Until then, grants of an earlier controller may still count.
         wait_s = 0.0 if clean else RENEWAL_WITHOUT_STORE_S
         self._inherited_until = lapse_time(self._started + wait_s, HOLD_S)
@@ -143,8 +145,13 @@
 
     def _begin(self, records, now):
         usable = sorted(r.life for r in records.values() if not r.draining)
-        if not usable or now - self._started < FIRST_MAP_WAIT_S:
+        if len(usable) != self._first_count:
+            self._first_count = len(usable)
+            self._first_at = now
+        if not usable or now - self._first_at < FIRST_MAP_QUIET_S:
             return
+        # Without a map no controller has granted anything before.
+        self._inherited_until = now
         candidates = [self._candidate(records[life]) for life in usable]
         self._write(placement.initial(candidates, 1), [], "first map")
 
@@ -165,7 +172,8 @@
             reason = "gone" if record is None else "draining"
             for piece in _without(first, last, moving):
                 self._move(*piece, owner, None, reason)
-        if not self.moves and now >= self._rebalance_at:
+        is_busy = any(move.state is not MoveState.LAPSING for move in self.moves)
+        if not is_busy and now >= self._rebalance_at:
             self._rebalance_at = now + REBALANCE_S
             self._rebalance(records, now)
 
@@ -173,7 +181,12 @@
         candidates = self._usable(records)
         estimate = self._node.load_estimate(self.service)
         estimate.decay(now)
-        transfers = placement.rebalance(self._map, candidates, estimate.rate_by_bucket)
+        transfers = placement.rebalance(
+            self._map,
+            candidates,
+            estimate.rate_by_bucket,
+            [(move.first, move.last) for move in self.moves],
+        )
         for transfer in transfers:
             owner = self._map.owner(transfer.first)
             self._move(transfer.first, transfer.last, owner, transfer.to, "load")
@@ -186,6 +199,10 @@
         ]
 
     def _move(self, first, last, owner, to, reason):
+        invariant(
+            all(move.last < first or move.first > last for move in self.moves),
+            f"keys {first}-{last} move twice at the same time",
+        )
         self.moves.append(
             Move(first=first, last=last, owner=owner, to=to, reason=reason)
         )
--- a/briarspoke/keyspace/placement.py
+++ b/briarspoke/keyspace/placement.py
@@ -92,13 +92,17 @@
     )
 
 
-def rebalance(key_map, candidates, rate_by_bucket):
+def rebalance(key_map, candidates, rate_by_bucket, moving=()):
     """Returns the :class:`Transfer` list that brings servers closer to each other.
 
     Moved keys are paid for by their number, so the narrowest range with the
     wanted load moves.
+
+    :param moving: (first, last) of ranges that are on the move already.
     """
     ranges_by_life = assign_load(key_map, candidates, rate_by_bucket)
+    for first, last in moving:
+        _leave_out(ranges_by_life, first, last)
     if len(candidates) < 2:
         return []
     transfers = []
@@ -152,7 +156,6 @@
     _, first, last, life, inside = widest
     middle = (first + last) // 2 + 1
     _cut(ranges_by_life, life, (first, last, inside), middle, last)
-    ranges_by_life.setdefault(candidate.life, []).append((middle, last, []))
     return Transfer(first=middle, last=last, to=candidate.life)
 
 
@@ -171,8 +174,8 @@
     moved = sum(rate for _, rate in run)
     new_first = max(first, run[0][0] * KEYS_PER_BUCKET)
     new_last = min(last, run[-1][0] * KEYS_PER_BUCKET + KEYS_PER_BUCKET - 1)
+    # The target does not get the range in this plan, so that no key moves twice.
     _cut(ranges_by_life, source.life, found, new_first, new_last)
-    ranges_by_life.setdefault(target.life, []).append((new_first, new_last, run))
     source.load -= moved
     target.load += moved
     return Transfer(first=new_first, last=new_last, to=target.life)
@@ -202,6 +205,13 @@
     return best if best is not None and best[0] < 0.4 else None
 
 
+def _leave_out(ranges_by_life, first, last):
+    for life, ranges in ranges_by_life.items():
+        for found in list(ranges):
+            if found[0] <= last and found[1] >= first:
+                _cut(ranges_by_life, life, found, first, last)
+
+
 def _cut(ranges_by_life, life, found, new_first, new_last):
     """Takes a range out of what a server owns."""
     first, last, inside = found
