Keep keys owned through a store outage, and let a deposed controller stop

A refused token now ends a term, and moves without a release wait for all inherited grants. - a server that answered 421 was asked again within the same millisecond. Ruled out: stale watches (versions arrived in order), late grants.

--- a/briarspoke/entry/control.py
+++ b/briarspoke/entry/control.py
@@ -75,10 +75,9 @@
         self._loop.start(CONTROL_TICK_S, now=False)
 
     async def stop(self):
-        """Gives control up."""
-        if self._loop.running:
+        """Gives control up, or renews to the end if the store does not answer."""
+        if await self.leadership.resign() and self._loop.running:
             self._loop.stop()
-        await self.leadership.resign()
 
     def wake(self):
         """Looks at changes soon."""
@@ -105,7 +104,6 @@
                     node=self._node,
                     leadership=leadership,
                     service=service.name,
-                    clean=leadership.taken_cleanly,
                 )
                 self._keepers_by_service[service.name] = keeper
             keeper.tick(now)
--- a/briarspoke/entry/dispatch.py
+++ b/briarspoke/entry/dispatch.py
@@ -24,6 +24,8 @@
 PARK_PART = 0.5
 # A server that shed a request is full; its queue drains in about this time.
 SHED_PAUSE_S = 0.1
+# An address that another server has taken is known as such soon after.
+WRONG_SERVER_PAUSE_S = 1.0
 
 
 class Dispatcher:
@@ -90,10 +92,14 @@
         self._queue(exchange, self._waiting, (ahead + 1) * latency_s / room, latency_s)
 
     def _offer_keyed(self, exchange):
-        server = self._owner(exchange.request.key)
+        key = exchange.request.key
+        server = self._owner(key)
         if server is None:
             self.park(exchange, codes.NO_OWNER)
             return
+        if not exchange.may_go_to(self._node.key_maps.owner(self.name, key)):
+            self.park(exchange, codes.PARTITION_MOVING)
+            return
         if self._has_room(server) and not server.waiting:
             exchange.send(server)
             return
@@ -166,10 +172,19 @@
 
     def _is_usable(self, server):
         if server.drain_until is None:
-            return True
+            return not server.missing or self.keyed or self._most_are_missing()
         # A leaving owner serves its keys until they have moved.
         return self.keyed and self._node.now() < server.drain_until
 
+    def _most_are_missing(self):
+        """Returns whether an outage of the store hides servers that still serve.
+
+        One that is missing among many that are not has left while this entry VM
+        alone was cut off.
+        """
+        missing = sum(server.missing for server in self.servers.values())
+        return 2 * missing > len(self.servers)
+
     def _choose(self, exchange):
         now = self._node.now()
         zone = self._node.settings.zone
@@ -198,15 +213,27 @@
             return None
         return server if self._is_usable(server) else None
 
+    def _ready_owner(self, exchange):
+        key = exchange.request.key
+        server = self._owner(key)
+        if server is None or not self._has_room(server):
+            return None
+        owner = self._node.key_maps.owner(self.name, key)
+        return server if exchange.may_go_to(owner) else None
+
     def owner_changed(self):
         """Offers requests again that wait for an owner."""
         self.pump()
 
     def misdirected(self, exchange, server):
         """Notes that a server did not take a request as its own."""
-        if not self.keyed:
+        if self.keyed:
+            exchange.turned_away_by(
+                self._node.key_maps.owner(self.name, exchange.request.key)
+            )
+        else:
             # Another server has the address.
-            server.pause(1.0)
+            server.pause(WRONG_SERVER_PAUSE_S)
 
     def shed(self, server):
         """Notes that a server is full."""
@@ -239,8 +266,8 @@
 
     def _offer_again(self, exchange):
         if self.keyed:
-            server = self._owner(exchange.request.key)
-            if server is not None and self._has_room(server):
+            server = self._ready_owner(exchange)
+            if server is not None:
                 exchange.send(server)
                 return
         self.offer(exchange)
@@ -256,9 +283,7 @@
             if exchange.done or exchange.queued_at is None:
                 continue
             if self.keyed:
-                server = self._owner(exchange.request.key)
-                if server is not None and not self._has_room(server):
-                    server = None
+                server = self._ready_owner(exchange)
             else:
                 server = self._choose(exchange)
             if server is None:
--- a/briarspoke/entry/exchange.py
+++ b/briarspoke/entry/exchange.py
@@ -15,6 +15,8 @@
 MAX_KEY = 65_535
 # Sends to one owner after another while a key moves, beside the real attempts.
 MAX_MISDIRECTED = 3
+# An owner that did not hold the key yet is asked again after this time.
+SAME_OWNER_PAUSE_S = 0.08
 
 _REPLACED = HOP_BY_HOP | {
     names.DEADLINE_MS,
@@ -82,6 +84,8 @@
 
     __slots__ = (
         "_head",
+        "_refused_by",
+        "_refused_until",
         "answer",
         "attempts",
         "connection",
@@ -118,6 +122,9 @@
         self.give_up_at = None
         self.attempts = 0
         self.misdirected = 0
+        # Owner that did not hold the key, and until when it is not asked again.
+        self._refused_by = None
+        self._refused_until = 0.0
         # Servers that have been sent this request.
         self.tried = ()
         # Result code of an attempt that may have run.
@@ -154,6 +161,21 @@
 
     # The server's side.
 
+    def turned_away_by(self, owner):
+        """Notes the owner of the key that did not hold it."""
+        self._refused_by = owner
+        self._refused_until = self.node.now() + SAME_OWNER_PAUSE_S
+
+    def may_go_to(self, owner):
+        """Returns whether the owner of the key may be asked now."""
+        return (
+            self._refused_by is None
+            or owner is None
+            or (owner.life, owner.fence)
+            != (self._refused_by.life, self._refused_by.fence)
+            or self.node.now() >= self._refused_until
+        )
+
     def send(self, server):
         """Sends the request to a server that has room for it."""
         now = self.node.now()
--- a/briarspoke/entry/node.py
+++ b/briarspoke/entry/node.py
@@ -228,6 +228,7 @@
             server = Server(record=record, reactor=self.reactor, clock=self.now)
             dispatcher.put(server)
         server.record = record
+        server.missing = False
         if not record.draining:
             server.drain_until = None
         elif server.drain_until is None:
@@ -249,6 +250,10 @@
         return_by = regained + RETURN_S
         if self.now() < return_by:
             self._leaving_by_key[key] = return_by
+            server_id = key.removeprefix(documents.SERVER_PREFIX)
+            for dispatcher in self._dispatchers_by_service.values():
+                if server_id in dispatcher.servers:
+                    dispatcher.servers[server_id].missing = True
         else:
             self._remove_server(key)
 
--- a/briarspoke/entry/servers.py
+++ b/briarspoke/entry/servers.py
@@ -91,6 +91,8 @@
         self.paused_until = 0.0
         self.warm_at = clock() + record.warmup_s
         self.drain_until = None
+        # Whether its registration is missing and may be back after an outage.
+        self.missing = False
         self._reactor = reactor
         self._clock = clock
         self._idle = collections.deque()
--- a/briarspoke/entry/view.py
+++ b/briarspoke/entry/view.py
@@ -13,6 +13,8 @@
 # A configuration has 2 s to be in force, so a dead connection must show in less
 # than the 3 s for which the platform allows for it.
 WATCH_S = 3.0
+# After a failure, short calls show soon that the store is back.
+PROBE_S = 0.05
 FIRST_RETRY_S = 0.1
 LONGEST_RETRY_S = 0.8
 
@@ -53,7 +55,8 @@
                 if self.revision is None:
                     self._take_all(await self._client.read_all())
                 else:
-                    changes = await self._client.watch(self.revision, WATCH_S)
+                    wait_s = WATCH_S if self.reachable else PROBE_S
+                    changes = await self._client.watch(self.revision, wait_s)
                     self._contact()
                     for item in changes.items:
                         self._take(item)
--- a/briarspoke/keyspace/keeper.py
+++ b/briarspoke/keyspace/keeper.py
@@ -9,7 +9,7 @@
 from briarspoke.keyspace import placement
 from briarspoke.keyspace.grantlog import GrantLog, lapse_time
 from briarspoke.keyspace.keymap import Owner
-from briarspoke.keyspace.leadership import RENEWAL_WITHOUT_STORE_S
+from briarspoke.keyspace.leadership import RENEWAL_WITHOUT_STORE_S, PredecessorEnd
 from briarspoke.platform import grants
 from briarspoke.platform.keyvalue import ConditionFailedError
 
@@ -84,7 +84,7 @@
     :param leadership: the :class:`briarspoke.keyspace.leadership.Leadership`.
     """
 
-    def __init__(self, *, node, leadership, service, clean):
+    def __init__(self, *, node, leadership, service):
         self.service = service
         self.moves = []
         self._node = node
@@ -100,8 +100,15 @@
         self._first_count = 0
         self._first_at = self._started
         # Until then, grants of an earlier controller may still count.
-        wait_s = 0.0 if clean else RENEWAL_WITHOUT_STORE_S
-        self._inherited_until = lapse_time(self._started + wait_s, HOLD_S)
+        self._inherited_until = self._inheritance()
+
+    def _inheritance(self):
+        end = self._leadership.predecessor
+        if end is PredecessorEnd.RESIGNED:
+            return lapse_time(self._started, HOLD_S)
+        if end is PredecessorEnd.RESTARTED:
+            return lapse_time(self._started, self._node.settings.max_hold_s)
+        return lapse_time(self._started + RENEWAL_WITHOUT_STORE_S, HOLD_S)
 
     # The state it works on.
 
@@ -247,17 +254,13 @@
         )
 
     def _let_lapse(self, move, now):
-        until = now
+        # A grant of an earlier controller lasts on beside a later, shorter one.
+        move.until = max(now, self._inherited_until)
         calls = self._calls_by_life.get(move.owner.life)
         if calls is not None:
-            until = calls.log.lapses_at(move.first, move.last, now)
-            inherited = not calls.log.was_accepted(move.first, move.last, now)
-        else:
-            inherited = True
-        if inherited:
-            until = max(until, self._inherited_until)
+            lapses_at = calls.log.lapses_at(move.first, move.last, now)
+            move.until = max(move.until, lapses_at)
         move.state = MoveState.LAPSING
-        move.until = until
 
     def _release(self, move, calls, now):
         if calls.log.is_uncertain(move.first, move.last, now) or (
@@ -399,27 +402,41 @@
         self._renewals = current
 
     def _send_grant(self, calls, first, last, owner, handover, renewal):
-        hold_s = min(HOLD_S, self._node.settings.max_hold_s)
-        sent = calls.log.add(
-            first=first, last=last, sent_at=self._node.now(), hold_s=hold_s
-        )
+        now = self._node.now()
+        longest_s = self._node.settings.max_hold_s
+        hold_s = self._leadership.hold_s(now, HOLD_S, longest_s)
+        sent = calls.log.add(first=first, last=last, sent_at=now, hold_s=hold_s)
         if renewal is not None:
             renewal.in_call = True
-        self._node.spawn(self._call_grant(calls, sent, owner, handover, renewal))
+        self._node.spawn(
+            self._call_grant(calls, sent, owner, hold_s, handover, renewal)
+        )
 
-    async def _call_grant(self, calls, sent, owner, handover, renewal):
+    async def _call_grant(self, calls, sent, owner, hold_s, handover, renewal):
         answer = await grants.grant(
             calls.http,
             first=sent.first,
             last=sent.last,
             fence=owner.fence,
-            hold_s=min(HOLD_S, self._node.settings.max_hold_s),
+            hold_s=hold_s,
             handover=handover,
         )
         now = self._node.now()
         if renewal is not None:
             renewal.in_call = False
-        calls.reachable = answer.accepted is not None
+        reachable = answer.accepted is not None
+        if reachable != calls.reachable:
+            calls.reachable = reachable
+            log.info(
+                "keys: server %s service=%s server=%s keys=%d-%d fence=%d reason=%s",
+                "takes grants" if reachable else "does not take grants",
+                self.service,
+                owner.server_id,
+                sent.first,
+                sent.last,
+                owner.fence,
+                answer.failure or "answered",
+            )
         if answer.accepted:
             sent.answered = True
             self._node.metrics.count("grants_total", "accepted")
@@ -435,33 +452,20 @@
             sent.lapses_at = now
         if renewal is not None:
             renewal.due_at = now + RETRY_S
-        self._node.metrics.count("grants_total", "failed")
-        log.info(
-            "keys: grant failed service=%s server=%s keys=%d-%d fence=%d reason=%s",
-            self.service,
-            owner.server_id,
-            sent.first,
-            sent.last,
-            owner.fence,
-            answer.failure or "a higher token was seen",
+        self._node.metrics.count(
+            "grants_total", "refused" if answer.accepted is False else "failed"
         )
-        if answer.accepted is False and self._fenced:
-            await self._refence(sent, owner)
+        if answer.accepted is False and self._is_current(sent, owner):
+            # Only another controller gives higher tokens.
+            self._leadership.lose(f"{owner.server_id} has seen a higher token")
 
-    async def _refence(self, sent, owner):
-        """Raises the token of a range whose server has seen a higher one."""
+    def _is_current(self, sent, owner):
+        """Returns whether the map still says what was granted."""
         key_map = self._map
-        if key_map is None or self._writing or self._leadership.revision != self._term:
-            return
+        if key_map is None or self._leadership.revision != self._term:
+            return False
         current = key_map.owner(sent.first)
-        if current.life == owner.life and current.fence == owner.fence:
-            fresh = Owner(
-                server_id=owner.server_id,
-                incarnation=owner.incarnation,
-                fence=key_map.highest_fence + 1,
-            )
-            changes = [(sent.first, sent.last, fresh)]
-            self._write(key_map.with_owner(changes), [], "token", changes)
+        return current.life == owner.life and current.fence == owner.fence
 
 
 def _without(first, last, taken):
--- a/briarspoke/keyspace/leadership.py
+++ b/briarspoke/keyspace/leadership.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 import json
 import logging
 import random
@@ -17,10 +18,21 @@
 RENEWAL_S = 0.8
 # A controller without the store renews grants for this long after its last contact.
 RENEWAL_WITHOUT_STORE_S = 10.0
+# Without contact for about as long as its lease lasts, a controller grants for
+# longer, so that keys keep their owners if it ends before the store is back.
+LONG_HOLD_AFTER_S = 2.4
 # Spreads the attempts of several entry VMs to take over.
 TAKEOVER_JITTER_S = 0.08
 
 
+class PredecessorEnd(enum.Enum):
+    """What is known of the controller before."""
+
+    RESIGNED = "it has sent its last grant"
+    RESTARTED = "its process has ended"
+    UNKNOWN = "it may renew grants without the store"
+
+
 class ControlRecord:
     """Who holds control.
 
@@ -73,8 +85,7 @@
         # Revision of the control key while this process holds control.
         self.revision = None
         self.since = None
-        # Whether the holder before is known to have stopped.
-        self.taken_cleanly = False
+        self.predecessor = PredecessorEnd.UNKNOWN
         self._client = client
         self._view = view
         self._clock = clock
@@ -93,6 +104,18 @@
         """Returns whether grants may be renewed, contact with the store or not."""
         return self.holds and now - self._renewed_at < RENEWAL_WITHOUT_STORE_S
 
+    def hold_s(self, now, normal_s, longest_s):
+        """Returns for how many seconds to grant.
+
+        Every grant has lapsed ``RENEWAL_WITHOUT_STORE_S`` and one normal hold after
+        the last contact with the store; another controller relies on that.
+        """
+        alone_s = now - self._renewed_at
+        if alone_s < LONG_HOLD_AFTER_S:
+            return min(normal_s, longest_s)
+        left_s = RENEWAL_WITHOUT_STORE_S + normal_s - alone_s
+        return max(0.0, min(longest_s, left_s))
+
     def holder(self):
         """Returns the :class:`ControlRecord` in the store, or None."""
         item = self._view.items.get(CONTROL_KEY)
@@ -152,7 +175,12 @@
             # The answer to the write was lost; the lease shows whether it counts.
             if self._attempted_lease is not None and not holder.resigned:
                 await self._client.renew_lease(self._attempted_lease)
-                self._taken(item.revision, self._attempted_lease, sent_at, clean=False)
+                self._taken(
+                    item.revision,
+                    self._attempted_lease,
+                    sent_at,
+                    PredecessorEnd.UNKNOWN,
+                )
             return
         if not is_free:
             return
@@ -164,22 +192,39 @@
             puts={CONTROL_KEY: self.own.encode()},
             lease=lease,
         )
-        self._taken(revision, lease, sent_at, clean=holder is not None)
-
-    def _taken(self, revision, lease, sent_at, *, clean):
+        if holder is None:
+            predecessor = PredecessorEnd.UNKNOWN
+        elif holder.resigned:
+            predecessor = PredecessorEnd.RESIGNED
+        else:
+            predecessor = PredecessorEnd.RESTARTED
+        self._taken(revision, lease, sent_at, predecessor)
+
+    def _taken(self, revision, lease, sent_at, predecessor):
         self._lease = lease
         self._renewed_at = sent_at
         self.revision = revision
         self.since = self._clock()
-        self.taken_cleanly = clean
-        log.info("control: taken revision=%s clean=%s", revision, clean)
+        self.predecessor = predecessor
+        log.info("control: taken revision=%s before=%r", revision, predecessor.value)
 
     async def resign(self):
-        """Gives control up, so that another entry VM takes it at once."""
+        """Gives control up, so that another entry VM takes it at once.
+
+        :returns: False if the store does not answer; control is kept then, since
+            nobody could take it over.
+        """
+        if not self.holds:
+            self._resigned = True
+            return True
+        try:
+            # A write whose answer is lost would leave open who is in control.
+            await self._renew()
+        except BriarspokeError as error:
+            log.warning("control: kept, the store does not answer: %s", error)
+            return not self.holds
         self._resigned = True
         revision, self.revision = self.revision, None
-        if revision is None:
-            return
         record = ControlRecord(
             node=self.own.node,
             process=self.own.process,
@@ -194,3 +239,4 @@
             log.info("control: resigned")
         except BriarspokeError as error:
             log.warning("control: cannot resign: %s", error)
+        return True
--- a/briarspoke/platform/keyvalue.py
+++ b/briarspoke/platform/keyvalue.py
@@ -11,7 +11,7 @@
 
 CALL_TIMEOUT_S = 1.0
 # A watch answers after its wait; later than this much, its connection is dead.
-WATCH_GRACE_S = 0.7
+WATCH_GRACE_S = 0.6
 
 
 class StoreError(BriarspokeError):
