Leave an address once another server answers there, and test the entry VM

A dead owner's address had gone to another service, and each lookup was sent there three times, answered 421 each time. Ruled out: the budget's window (lookups had spent their own service's budget). New: tests of requests and of ownership with a state machine, on stand-ins of the platform's store and servers.

--- a/briarspoke/entry/dispatch.py
+++ b/briarspoke/entry/dispatch.py
@@ -24,7 +24,7 @@
 PARK_PART = 0.5
 # A server that shed a request is full; its queue drains in about this time.
 SHED_PAUSE_S = 0.1
-# An address that another server has taken is known as such soon after.
+# A server that takes no request as its own is passed over for this long.
 WRONG_SERVER_PAUSE_S = 1.0
 
 
@@ -171,6 +171,8 @@
         )
 
     def _is_usable(self, server):
+        if server.replaced:
+            return False
         if server.drain_until is None:
             return not server.missing or self.keyed or self._most_are_missing()
         # A leaving owner serves its keys until they have moved.
@@ -225,14 +227,20 @@
         """Offers requests again that wait for an owner."""
         self.pump()
 
-    def misdirected(self, exchange, server):
-        """Notes that a server did not take a request as its own."""
-        if self.keyed:
+    def misdirected(self, exchange, server, found_id):
+        """Notes that a server did not take a request as its own.
+
+        :param found_id: identifier of the server that answered, or None.
+        """
+        if found_id is not None and found_id != server.target:
+            # An address is given away only after the process there has ended.
+            server.replaced = True
+            self._node.server_replaced(server.record, found_id)
+        elif self.keyed:
             exchange.turned_away_by(
                 self._node.key_maps.owner(self.name, exchange.request.key)
             )
         else:
-            # Another server has the address.
             server.pause(WRONG_SERVER_PAUSE_S)
 
     def shed(self, server):
--- a/briarspoke/entry/exchange.py
+++ b/briarspoke/entry/exchange.py
@@ -257,7 +257,7 @@
             self.node.metrics.count("attempts_total", "misdirected")
             self.attempts -= 1
             self.misdirected += 1
-            self.dispatcher.misdirected(self, server)
+            self.dispatcher.misdirected(self, server, answer.get(names.SERVER_ID))
             if self.misdirected <= MAX_MISDIRECTED and self._budget_allows():
                 self.dispatcher.park(self, codes.PARTITION_MOVING)
                 return
--- a/briarspoke/entry/node.py
+++ b/briarspoke/entry/node.py
@@ -217,6 +217,7 @@
             known = dispatcher.servers.get(record.server_id)
             if known is not None and dispatcher.name != record.service:
                 dispatcher.remove(record.server_id)
+        self._remove_from_address(record)
         dispatcher = self.dispatcher(record.service)
         server = dispatcher.servers.get(record.server_id)
         is_same = (
@@ -228,7 +229,7 @@
             server = Server(record=record, reactor=self.reactor, clock=self.now)
             dispatcher.put(server)
         server.record = record
-        server.missing = False
+        server.missing = server.replaced = False
         if not record.draining:
             server.drain_until = None
         elif server.drain_until is None:
@@ -245,6 +246,23 @@
         )
         self.wake_control()
 
+    def _remove_from_address(self, record):
+        """Removes servers whose address another one has taken over."""
+        for other in list(self.all_records()):
+            is_other = other.server_id != record.server_id
+            if is_other and (other.host, other.port) == (record.host, record.port):
+                self._remove_server(documents.SERVER_PREFIX + other.server_id)
+
+    def server_replaced(self, record, found_id):
+        """Notes that another server answers at a server's address."""
+        log.info(
+            "servers: replaced id=%s service=%s found=%s",
+            record.server_id,
+            record.service,
+            found_id.decode("latin-1"),
+        )
+        self.wake_control()
+
     def _server_lapsed(self, key):
         regained = self.view.regained_at or 0.0
         return_by = regained + RETURN_S
--- a/briarspoke/entry/servers.py
+++ b/briarspoke/entry/servers.py
@@ -93,6 +93,8 @@
         self.drain_until = None
         # Whether its registration is missing and may be back after an outage.
         self.missing = False
+        # Whether another server has answered at its address.
+        self.replaced = False
         self._reactor = reactor
         self._clock = clock
         self._idle = collections.deque()
--- a/briarspoke/keyspace/keeper.py
+++ b/briarspoke/keyspace/keeper.py
@@ -121,6 +121,7 @@
         return {
             server.record.life: server.record
             for server in self._node.dispatcher(self.service).servers.values()
+            if not server.replaced
         }
 
     def _calls(self, record):
@@ -244,6 +245,9 @@
         for record in records.values():
             if record.server_id == owner.server_id:
                 return record.incarnation > owner.incarnation
+        known = self._node.dispatcher(self.service).servers.get(owner.server_id)
+        if known is not None and known.replaced:
+            return True
         calls = self._calls_by_life.get(owner.life)
         if calls is None:
             return False
--- /dev/null
+++ b/briarspoke/standins/platform_store.py
@@ -0,0 +1,226 @@
+"""Stand-in for the platform's key-value store: its state without I/O."""
+
+from __future__ import annotations
+
+import base64
+import json
+from urllib.parse import parse_qs, urlsplit
+
+# Changes older than this many are forgotten, as after a compaction.
+HISTORY = 5_000
+PAGE = 500
+
+
+class Response:
+    """Status and JSON body of an answer."""
+
+    __slots__ = ("body", "status")
+
+    def __init__(self, status, body=None):
+        self.status = status
+        self.body = body
+
+    def encode(self):
+        """Returns the body as bytes."""
+        return b"" if self.body is None else json.dumps(self.body).encode()
+
+
+class Waiting:
+    """A watch that has nothing to say yet."""
+
+    __slots__ = ("after", "prefix", "until")
+
+    def __init__(self, *, prefix, after, until):
+        self.prefix = prefix
+        self.after = after
+        self.until = until
+
+
+class StoreModel:
+    """Items, leases and history.
+
+    :param clock: function that returns monotonic seconds.
+    :param write_limit: keys with these prefixes may only be written by
+        :meth:`put`, which stands for the operator and the servers.
+    """
+
+    def __init__(self, *, clock, write_limit=("op/", "servers/")):
+        self.revision = 1
+        self.items = {}
+        self.oldest = 1
+        self._clock = clock
+        self._write_limit = write_limit
+        self._history = []
+        self._leases = {}
+        self._next_lease = 100
+        # Called after each change.
+        self.changed = lambda: None
+
+    # For tests, the operator and the servers.
+
+    def put(self, key, value, lease=0):
+        """Writes an item; value is bytes."""
+        self._apply([(key, value, lease)], [])
+
+    def delete(self, key):
+        """Removes an item."""
+        self._apply([], [key])
+
+    def forget_history(self):
+        """Drops all history, so that watches from before end."""
+        self._history.clear()
+        self.oldest = self.revision + 1
+
+    def end_all_leases(self):
+        """Ends every lease, as an outage may."""
+        for lease in list(self._leases):
+            self._end(lease)
+
+    # Calls.
+
+    def call(self, method, target, body):
+        """Returns a :class:`Response`, or a :class:`Waiting` for a watch.
+
+        :param target: path with query.
+        """
+        self.expire()
+        parts = urlsplit(target)
+        query = {
+            name: values[0]
+            for name, values in parse_qs(parts.query, keep_blank_values=True).items()
+        }
+        path = parts.path.removeprefix("/briarspoke/")
+        name, _, argument = path.partition("/")
+        handler = self._handlers.get((method, name))
+        if handler is None:
+            return Response(404)
+        return handler(self, query, json.loads(body) if body else {}, argument)
+
+    def _key(self, query, body, argument):
+        item = self.items.get(query["key"])
+        return Response(404) if item is None else Response(200, self._shown(item))
+
+    def _range(self, query, body, argument):
+        prefix, after = query.get("prefix", ""), query.get("after", "")
+        keys = sorted(k for k in self.items if k.startswith(prefix) and k > after)
+        return Response(
+            200,
+            {
+                "items": [self._shown(self.items[key]) for key in keys[:PAGE]],
+                "has_more": len(keys) > PAGE,
+                "store_revision": self.revision,
+            },
+        )
+
+    def _watch(self, query, body, argument):
+        waiting = Waiting(
+            prefix=query.get("prefix", ""),
+            after=int(query["after"]),
+            until=self._clock() + int(query["wait_ms"]) / 1000,
+        )
+        return self.look(waiting) or waiting
+
+    def look(self, waiting):
+        """Returns the :class:`Response` of a watch, or None while it waits."""
+        if waiting.after + 1 < self.oldest:
+            return Response(410)
+        events = [
+            event
+            for event in self._history
+            if event["rev"] > waiting.after and event["key"].startswith(waiting.prefix)
+        ]
+        if not events and self._clock() < waiting.until:
+            return None
+        return Response(200, {"events": events, "store_revision": self.revision})
+
+    def _txn(self, query, body, argument):
+        rows = body.get("precondition", [])
+        for row in rows:
+            item = self.items.get(row["key"])
+            if (item["rev"] if item else 0) != row["rev"]:
+                found = [self.items.get(r["key"]) for r in rows]
+                shown = [self._shown(item) for item in found if item]
+                return Response(412, {"items": shown})
+        puts = body.get("puts", [])
+        keys = [put["key"] for put in puts] + list(body.get("remove", []))
+        if any(key.startswith(self._write_limit) for key in keys):
+            return Response(403)
+        if any(put["lease"] and put["lease"] not in self._leases for put in puts):
+            return Response(404)
+        self._apply(
+            [(p["key"], base64.b64decode(p["value"]), p["lease"]) for p in puts],
+            body.get("remove", []),
+        )
+        return Response(200, {"rev": self.revision})
+
+    def _lease(self, query, body, argument):
+        text = body["ttl_time"]
+        duration_s = float(text[:-2]) / 1000
+        self._next_lease += 1
+        self._leases[self._next_lease] = (self._clock() + duration_s, duration_s)
+        return Response(200, {"lease": self._next_lease, "ttl_time": text})
+
+    def _keep(self, query, body, argument):
+        lease = int(argument)
+        if lease not in self._leases:
+            return Response(404)
+        duration_s = self._leases[lease][1]
+        self._leases[lease] = (self._clock() + duration_s, duration_s)
+        return Response(200, {"ttl_time": f"{round(duration_s * 1000)}ms"})
+
+    def _lease_end(self, query, body, argument):
+        if int(argument) not in self._leases:
+            return Response(404)
+        self._end(int(argument))
+        return Response(200, {})
+
+    _handlers = {
+        ("GET", "kv-key"): _key,
+        ("GET", "kv-range"): _range,
+        ("GET", "kv-watch"): _watch,
+        ("POST", "kv-txn"): _txn,
+        ("POST", "kv-lease"): _lease,
+        ("POST", "kv-keep"): _keep,
+        ("DELETE", "kv-lease-end"): _lease_end,
+    }
+
+    # State.
+
+    def expire(self):
+        """Ends the leases whose time is over."""
+        now = self._clock()
+        for lease, (until, _) in list(self._leases.items()):
+            if now >= until:
+                self._end(lease)
+
+    def _end(self, lease):
+        del self._leases[lease]
+        keys = [key for key, item in self.items.items() if item["lease"] == lease]
+        if keys:
+            self._apply([], keys)
+
+    def _apply(self, puts, removals):
+        self.revision += 1
+        for key, value, lease in puts:
+            known = self.items.get(key)
+            item = {
+                "key": key,
+                "value": value,
+                "rev": self.revision,
+                "create_rev": known["create_rev"] if known else self.revision,
+                "lease": lease,
+            }
+            self.items[key] = item
+            self._history.append(self._shown(item))
+        for key in removals:
+            if self.items.pop(key, None) is not None:
+                self._history.append(
+                    {"key": key, "rev": self.revision, "deleted": True}
+                )
+        if len(self._history) > HISTORY:
+            del self._history[: -HISTORY // 2]
+            self.oldest = self._history[0]["rev"]
+        self.changed()
+
+    def _shown(self, item):
+        return {**item, "value": base64.b64encode(item["value"]).decode()}
--- /dev/null
+++ b/tests/entry_fakes.py
@@ -0,0 +1,356 @@
+"""A platform in memory, with entry VMs whose clock the test moves."""
+
+from __future__ import annotations
+
+import json
+
+from http_fakes import LOST, Socket
+from twisted.internet import defer, error
+from twisted.internet.testing import MemoryReactorClock
+from twisted.python.failure import Failure
+
+from briarspoke.entry import settings as entry_settings
+from briarspoke.entry.callers import CallerFactory
+from briarspoke.entry.connections import Answer
+from briarspoke.entry.node import EntryNode
+from briarspoke.standins.platform_server import ServerModel
+from briarspoke.standins.platform_store import StoreModel, Waiting
+
+STORE = ("10.0.0.1", 80)
+LATENCY_S = 0.002
+CLOSED = Failure(error.ConnectionDone())
+
+SETTINGS = {
+    "node": "front-poa-1",
+    "zone": "poa",
+    "ip": "10.0.1.1",
+    "caller_listen": "10.0.1.1:8000",
+    "ready_listen": "10.0.1.1:8001",
+    "internal_port": 9000,
+    "metrics_port": 9001,
+    "store": "10.0.0.1:80",
+    "memory_mb": 300,
+    "drain_s": "2000ms",
+    "grace_s": "6s",
+    "config_apply_s": "2000ms",
+    "max_hold_s": "10000ms",
+    "retry_ratio": 0.2,
+    "retry_slack": 56,
+    "retry_window_s": "10s",
+}
+
+LIMITS = {
+    "max_header_bytes": 16384,
+    "max_body_bytes": 1_000_000,
+    "header_timeout": "3000ms",
+    "idle_timeout": "15000ms",
+}
+
+
+def route(service, *, prefix="/lookup/", route_type="safe", **changes):
+    """Returns a route as the operator writes it."""
+    return {
+        "hostname": "shop.example",
+        "prefix": prefix,
+        "route_type": route_type,
+        "timeout": "1000ms",
+        "target_latency": "300ms",
+        "priority": 1,
+        "service": service,
+        "max_attempts": 2,
+        **changes,
+    }
+
+
+def configuration(version=4, routes=None, services=None):
+    """Returns the bytes of a configuration."""
+    body = {
+        "config_version": f"r{version}",
+        "routes": routes
+        or {
+            "lookup": route("stock"),
+            "order": route("orders", prefix="/order/", route_type="unsafe"),
+        },
+        "services": services
+        or {
+            "stock": {"health_path": "/h", "max_conns": 110, "sharded": True},
+            "orders": {"health_path": "/h", "max_conns": 110},
+        },
+        "limits": LIMITS,
+    }
+    return json.dumps(body).encode()
+
+
+def entry(service, number, *, state="ready", born=1, zone="poa", **changes):
+    """Returns the bytes of a server's registration."""
+    body = {
+        "service": service,
+        "address": f"10.0.9.{number}:80",
+        "zone": zone,
+        "slots": 4,
+        "state": state,
+        "warmup_left": "0ms",
+        "seq": 1,
+        "born": born,
+        **changes,
+    }
+    return json.dumps(body).encode()
+
+
+class Reactor(MemoryReactorClock):
+    """A reactor in memory that also takes datagram ports."""
+
+    def listenUDP(self, port, protocol, interface="", maxPacketSize=8192):
+        protocol.makeConnection(Datagrams())
+        return protocol
+
+
+class Datagrams:
+    """Collects datagrams."""
+
+    def __init__(self):
+        self.sent = []
+
+    def write(self, data, address):
+        self.sent.append((data, address))
+
+
+class Faults:
+    """What goes wrong between one entry VM and an address."""
+
+    def __init__(self):
+        # No call arrives.
+        self.cut = False
+        # Calls are carried out and their answers are lost.
+        self.answers_lost = False
+        # Seconds after which such a call is carried out.
+        self.late_s = 0.0
+
+
+class FakeHttp:
+    """Calls of one entry VM to one address, in place of ``HttpClient``."""
+
+    def __init__(self, world, faults, host, port):
+        self._world = world
+        self._faults = faults
+        self._address = (host, port)
+
+    def call(self, method, path, body=b"", *, timeout_s):
+        done = defer.Deferred()
+        later = self._world.reactor.callLater
+        timer = later(timeout_s, self._finish, done, Answer(failure="timeout"))
+        if self._faults.cut:
+            return done
+        arrived = self._world.reactor.seconds()
+        delay_s = LATENCY_S + self._faults.late_s
+        answered = not self._faults.answers_lost
+
+        def arrive():
+            target = self._world.target(self._address)
+            if target is None:
+                reply = Answer(failure="refused", sent=False)
+            else:
+                reply = target(method.decode(), path, body, arrived)
+            if isinstance(reply, Waiting):
+                self._world.waiting.append((reply, done, timer, self._faults))
+            elif answered and not self._faults.cut:
+                self._finish(done, reply, timer)
+
+        later(delay_s, arrive)
+        return done
+
+    def _finish(self, done, answer, timer=None):
+        if timer is not None and timer.active():
+            timer.cancel()
+        if not done.called:
+            done.callback(answer)
+
+
+class Node(EntryNode):
+    """An entry VM whose calls go to the world."""
+
+    def __init__(self, *, world, **options):
+        self.world = world
+        self.faults_by_address = {}
+        super().__init__(**options)
+
+    def faults(self, address):
+        return self.faults_by_address.setdefault(address, Faults())
+
+    def http_client(self, host, port):
+        return FakeHttp(self.world, self.faults((host, port)), host, port)
+
+
+class World:
+    """A store, servers and entry VMs."""
+
+    def __init__(self):
+        self.reactor = Reactor()
+        self.reactor.advance(100.0)
+        self.store = StoreModel(clock=self.reactor.seconds)
+        self.store.changed = self._answer_watches
+        self.servers = {}
+        self.nodes = []
+        self.waiting = []
+        self.store_down = False
+
+    def target(self, address):
+        """Returns what answers at an address, or None if nothing listens."""
+        if address == STORE:
+            return self._call_store
+        model = self.servers.get(address)
+        if model is None:
+            return None
+        return lambda method, path, body, arrived: self._call_server(
+            model, path, body, arrived
+        )
+
+    def _call_store(self, method, path, body, arrived):
+        if self.store_down:
+            return Answer(failure="reset")
+        reply = self.store.call(method, path, body)
+        if isinstance(reply, Waiting):
+            return reply
+        return Answer(status=reply.status, body=reply.encode())
+
+    def _call_server(self, model, path, body, arrived):
+        status, headers = model.call(path, body, arrived)
+        pairs = [(n.lower().encode(), v.encode()) for n, v in headers.items()]
+        return Answer(status=status, headers=pairs)
+
+    def _answer_watches(self):
+        still = []
+        for waiting, done, timer, faults in self.waiting:
+            reply = None if done.called else self.store.look(waiting)
+            if reply is None or faults.cut or self.store_down:
+                if not done.called:
+                    still.append((waiting, done, timer, faults))
+                continue
+            timer.cancel()
+            answer = Answer(status=reply.status, body=reply.encode())
+            self.reactor.callLater(LATENCY_S, done.callback, answer)
+        self.waiting = still
+
+    def advance(self, seconds, step_s=0.01):
+        """Moves the clock in small steps."""
+        for _ in range(max(1, round(seconds / step_s))):
+            self.reactor.advance(step_s)
+            if not self.store_down:
+                self.store.expire()
+            self._answer_watches()
+
+    def add_server(self, service, number, **changes):
+        """Registers a server and returns its model."""
+        server_id = f"s-{number}"
+        model = ServerModel(server_id=server_id, clock=self.reactor.seconds)
+        self.servers[(f"10.0.9.{number}", 80)] = model
+        self.store.put(f"servers/{server_id}", entry(service, number, **changes))
+        return model
+
+    def add_node(self, name="front-poa-1", number=1, zone="poa", start=True):
+        """Starts an entry VM."""
+        ip = f"10.0.1.{number}"
+        values = {
+            **SETTINGS,
+            "node": name,
+            "zone": zone,
+            "ip": ip,
+            "caller_listen": f"{ip}:8000",
+            "ready_listen": f"{ip}:8001",
+        }
+        node = Node(
+            world=self,
+            reactor=self.reactor,
+            settings=entry_settings.parse(values, "test"),
+            clock=self.reactor.seconds,
+        )
+        self.nodes.append(node)
+        if start:
+            node.start()
+        return node
+
+    # Callers and servers on sockets.
+
+    def caller(self, node):
+        """Connects a caller; returns its :class:`Peer`."""
+        protocol = CallerFactory(node).buildProtocol(None)
+        return Peer(protocol)
+
+    def accept(self):
+        """Accepts the oldest connection to a server; returns (Peer, (host, port))."""
+        host, port, factory, _, _ = self.reactor.tcpClients.pop(0)
+        return Peer(factory.buildProtocol(None)), (host, port)
+
+    def refuse(self):
+        """Refuses the oldest connection to a server."""
+        _, _, factory, _, _ = self.reactor.tcpClients.pop(0)
+        factory.clientConnectionFailed(None, Failure(error.ConnectionRefusedError()))
+
+
+class Peer:
+    """The other side of a connection."""
+
+    def __init__(self, protocol):
+        self.protocol = protocol
+        self.socket = ServerSocket()
+        protocol.makeConnection(self.socket)
+
+    def send(self, data):
+        self.protocol.dataReceived(data)
+
+    def take(self):
+        return self.socket.take()
+
+    def close(self, reason=CLOSED):
+        self.protocol.connectionLost(reason)
+
+    def reset(self):
+        self.close(LOST)
+
+
+class ServerSocket(Socket):
+    """A socket whose options can be set."""
+
+    aborting = False
+
+    def getHandle(self):
+        return self
+
+    def setsockopt(self, level, option, value):
+        pass
+
+
+def request(
+    method="GET", path="/lookup/1", *, request_id="r1", deadline=2000, body=b"", key=7
+):
+    """Returns the bytes of a caller's request."""
+    lines = [
+        f"{method} {path} HTTP/1.1",
+        "Host: shop.example",
+        f"Request-Id: {request_id}",
+        f"Deadline-Ms: {deadline}",
+    ]
+    if key is not None:
+        lines.append(f"Shard-Key: {key}")
+    if body:
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+def answer(
+    status=200,
+    *,
+    request_id="r1",
+    body=b"hello",
+    signature="sig",
+    extra="",
+    length=None,
+):
+    """Returns the bytes of a server's answer."""
+    lines = [f"HTTP/1.1 {status} X", f"Request-Id: {request_id}"]
+    if signature:
+        lines.append(f"Response-Signature: {signature}")
+    if extra:
+        lines.append(extra)
+    lines.append(f"Content-Length: {len(body) if length is None else length}")
+    return "\r\n".join([*lines, "", ""]).encode() + body
--- /dev/null
+++ b/tests/test_entry_requests.py
@@ -0,0 +1,310 @@
+from __future__ import annotations
+
+import re
+
+import pytest
+from entry_fakes import World, answer, configuration, entry, request, route
+
+ORDER = {"method": "POST", "path": "/order/1", "body": b"two crates", "key": None}
+
+
+@pytest.fixture
+def world():
+    world = World()
+    world.store.put("op/config", configuration())
+    world.add_server("orders", 21)
+    world.add_server("orders", 22)
+    for number in (11, 12):
+        world.add_server("stock", number)
+    world.node = world.add_node()
+    world.advance(3.0)
+    return world
+
+
+def status_of(data):
+    return int(data.split(b" ", 2)[1])
+
+
+def header(data, name):
+    match = re.search(rb"(?i)\r\n" + name + rb": ([^\r]*)", data)
+    return match and match[1]
+
+
+class TestForwarding:
+    def test_request_and_answer_pass_unchanged(self, world):
+        # Guards against a changed target, body, identifier or signature.
+        caller = world.caller(world.node)
+        caller.send(request(**ORDER))
+        server, address = world.accept()
+        sent = server.take()
+        assert sent.startswith(b"POST /order/1 HTTP/1.1\r\n")
+        assert sent.endswith(b"\r\n\r\ntwo crates")
+        assert header(sent, b"request-id") == b"r1"
+        assert header(sent, b"target-instance") == b"s-%d" % int(
+            address[0].rsplit(".", 1)[1]
+        )
+        assert 900 <= int(header(sent, b"deadline-ms")) <= 1000
+        server.send(answer(body=b"booked"))
+        got = caller.take()
+        assert status_of(got) == 200
+        assert got.endswith(b"\r\n\r\nbooked")
+        assert header(got, b"response-signature") == b"sig"
+
+    def test_key_goes_to_its_owner(self, world):
+        # Guards against a request at a server that does not hold its key.
+        for key in (7, 60_000):
+            caller = world.caller(world.node)
+            caller.send(request(key=key))
+            server, address = world.accept()
+            assert world.servers[address].holds(key)
+            server.send(answer())
+            assert status_of(caller.take()) == 200
+
+    def test_unknown_path_gets_404(self, world):
+        caller = world.caller(world.node)
+        caller.send(request(path="/other/1"))
+        assert status_of(caller.take()) == 404
+
+    def test_without_configuration_nothing_runs(self):
+        # Guards against a 404 by a VM that knows no route yet.
+        world = World()
+        node = world.add_node()
+        world.advance(0.1)
+        caller = world.caller(node)
+        caller.send(request())
+        assert status_of(caller.take()) == 503
+
+    def test_pipelined_answers_keep_their_order(self, world):
+        # Guards against an answer that reaches the wrong request.
+        caller = world.caller(world.node)
+        caller.send(request(request_id="a") + request(request_id="b"))
+        first, _ = world.accept()
+        second, _ = world.accept()
+        second.send(answer(request_id="b", body=b"second"))
+        assert caller.take() == b""
+        first.send(answer(request_id="a", body=b"first"))
+        got = caller.take()
+        assert got.index(b"first") < got.index(b"second")
+
+
+class TestSpoiledAnswers:
+    @pytest.mark.parametrize(
+        "data",
+        [
+            answer(signature=None),
+            answer(extra="Content-Encoding: gzip"),
+            b"garbage\r\n\r\n",
+            answer(length=50) + b"\x00",
+        ],
+        ids=["unsigned", "encoded", "garbage", "cut"],
+    )
+    def test_order_is_answered_with_unknown_outcome(self, world, data):
+        # Guards against passing on what is not the server's whole answer, and
+        # against a promise about a request that may have run.
+        caller = world.caller(world.node)
+        caller.send(request(**ORDER))
+        server, _ = world.accept()
+        server.send(data)
+        if not server.socket.aborted:
+            server.close()
+        got = caller.take()
+        assert status_of(got) == 502
+        assert header(got, b"response-signature") is None
+        assert not world.reactor.tcpClients
+
+    def test_late_answer_to_another_request_is_skipped(self, world):
+        caller = world.caller(world.node)
+        caller.send(request(**ORDER))
+        server, _ = world.accept()
+        server.send(answer(request_id="older", body=b"wrong"))
+        server.send(answer(body=b"right"))
+        assert caller.take().endswith(b"right")
+
+    def test_answer_without_length_ends_with_its_connection(self, world):
+        caller = world.caller(world.node)
+        caller.send(request(**ORDER))
+        server, _ = world.accept()
+        head = b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Signature: s\r\n\r\n"
+        server.send(head + b"all of it")
+        server.close()
+        got = caller.take()
+        assert header(got, b"content-length") == b"9"
+        assert got.endswith(b"all of it")
+
+    def test_reset_answer_without_length_is_not_complete(self, world):
+        caller = world.caller(world.node)
+        caller.send(request(**ORDER))
+        server, _ = world.accept()
+        head = b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Signature: s\r\n\r\n"
+        server.send(head + b"part of")
+        server.reset()
+        assert status_of(caller.take()) == 502
+
+
+class TestRepeats:
+    def test_lookup_is_repeated_after_a_lost_answer(self, world):
+        caller = world.caller(world.node)
+        caller.send(request())
+        server, _ = world.accept()
+        server.reset()
+        again, _ = world.accept()
+        again.send(answer())
+        assert status_of(caller.take()) == 200
+
+    def test_order_is_not(self, world):
+        # Guards against a second run of what must run once.
+        caller = world.caller(world.node)
+        caller.send(request(**ORDER))
+        server, _ = world.accept()
+        server.reset()
+        assert not world.reactor.tcpClients
+        assert status_of(caller.take()) == 502
+
+    def test_order_that_was_shed_goes_to_another_server(self, world):
+        caller = world.caller(world.node)
+        caller.send(request(**ORDER))
+        server, first = world.accept()
+        server.send(answer(503, extra="Not-Executed: 1", signature=None))
+        again, second = world.accept()
+        assert first != second
+        again.send(answer())
+        assert status_of(caller.take()) == 200
+
+    def test_attempts_are_bounded_and_the_refusal_is_true(self, world):
+        caller = world.caller(world.node)
+        caller.send(request(**ORDER))
+        for _ in range(2):
+            server, _ = world.accept()
+            server.send(answer(503, extra="Not-Executed: 1", signature=None))
+        assert not world.reactor.tcpClients
+        got = caller.take()
+        assert status_of(got) == 503
+        assert float(header(got, b"retry-after")) < 1
+
+    def test_refused_connection_costs_no_attempt(self, world):
+        caller = world.caller(world.node)
+        caller.send(request(**ORDER))
+        world.refuse()
+        server, _ = world.accept()
+        server.send(answer())
+        assert status_of(caller.take()) == 200
+
+
+class TestTimeouts:
+    def test_route_timeout_ends_a_request_that_was_sent(self, world):
+        # Guards against a request that is held past its route's timeout.
+        caller = world.caller(world.node)
+        caller.send(request(**ORDER, deadline=2500))
+        server, _ = world.accept()
+        world.advance(1.05)
+        assert status_of(caller.take()) == 504
+        assert server.socket.aborted
+
+    def test_caller_that_leaves_ends_the_work(self, world):
+        # Guards against servers at work for callers that are gone.
+        caller = world.caller(world.node)
+        caller.send(request())
+        server, _ = world.accept()
+        caller.close()
+        assert server.socket.aborted
+
+
+class TestMisdirected:
+    def test_same_owner_is_not_asked_again_at_once(self, world):
+        # Guards against a burst of 421 answers while a key moves, which spends
+        # the retry budget within milliseconds.
+        caller = world.caller(world.node)
+        caller.send(request())
+        server, _ = world.accept()
+        server.send(answer(421, signature=None))
+        server.take()
+        assert caller.take() == b""
+        world.advance(0.2)
+        assert b"GET" in server.take()
+        server.send(answer())
+        assert status_of(caller.take()) == 200
+
+    def test_new_owner_is_asked_at_once(self, world):
+        caller = world.caller(world.node)
+        caller.send(request(key=7))
+        server, first = world.accept()
+        server.send(answer(421, signature=None))
+        number = int(first[0].rsplit(".", 1)[1])
+        world.store.put(f"servers/s-{number}", entry("stock", number, state="draining"))
+        world.advance(0.1)
+        moved, second = world.accept()
+        assert second != first
+        moved.send(answer())
+        assert status_of(caller.take()) == 200
+
+
+class TestSplits:
+    def test_each_part_gets_its_weight(self):
+        world = World()
+        split = [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}]
+        routes = {"order": route("a", prefix="/order/", traffic_split=split)}
+        services = {
+            name: {"health_path": "/h", "max_conns": 110} for name in ("a", "b")
+        }
+        world.store.put("op/config", configuration(routes=routes, services=services))
+        node = world.add_node()
+        world.advance(0.5)
+        chosen = node.table.find(b"shop.example", b"/order/1")
+        names = [chosen.next_service() for _ in range(100)]
+        assert names.count("b") == 10
+        assert "b" in names[:10]
+
+
+class TestStop:
+    def test_open_requests_end_and_the_connection_closes(self, world):
+        # Guards against requests that a planned stop cuts off.
+        from twisted.internet import defer
+
+        caller = world.caller(world.node)
+        caller.send(request(**ORDER))
+        server, _ = world.accept()
+        stopped = defer.ensureDeferred(world.node.stop())
+        world.advance(0.3)
+        assert world.node._ready_page()[0] == 503
+        server.send(answer())
+        got = caller.take()
+        assert status_of(got) == 200
+        assert header(got, b"connection") == b"close"
+        caller.close()
+        world.advance(5.0)
+        assert stopped.called
+
+    def test_idle_connections_close_after_the_balancer_has_seen_it(self, world):
+        from twisted.internet import defer
+
+        caller = world.caller(world.node)
+        defer.ensureDeferred(world.node.stop())
+        world.advance(1.0)
+        assert not caller.socket.write_ended
+        world.advance(2.0)
+        assert caller.socket.write_ended
+
+
+class TestReusedAddress:
+    def test_another_servers_answer_ends_the_use_of_the_address(self, world):
+        # Guards against repeats at an address that now belongs to another service,
+        # which counted three times for each request.
+        caller = world.caller(world.node)
+        caller.send(request(**ORDER))
+        server, first = world.accept()
+        server.send(answer(421, extra="Instance-Id: s-99", signature=None))
+        for _ in range(3):
+            world.advance(0.1)
+            while world.reactor.tcpClients:
+                other, address = world.accept()
+                assert address != first
+                other.send(answer())
+        assert status_of(caller.take()) == 200
+
+    def test_new_registration_removes_the_old_server(self, world):
+        servers = world.node.dispatcher("orders").servers
+        assert "s-21" in servers
+        taken = entry("stock", 31, address="10.0.9.21:80")
+        world.store.put("servers/s-31", taken)
+        world.advance(0.1)
+        assert "s-21" not in servers
--- /dev/null
+++ b/tests/test_keyspace_ownership.py
@@ -0,0 +1,240 @@
+"""Ownership of keys under lost calls, cuts, restarts and two controllers."""
+
+from __future__ import annotations
+
+import pytest
+from entry_fakes import STORE, World, configuration, entry
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from profiles import stateful_settings
+
+from briarspoke.keyspace import keymap
+from briarspoke.standins.platform_server import ServerModel
+
+KEYS = tuple(range(0, 65_536, 997))
+SERVERS = (11, 12, 13)
+
+
+def address(number):
+    return (f"10.0.9.{number}", 80)
+
+
+def holders(world, key):
+    return [model.server_id for model in world.servers.values() if model.holds(key)]
+
+
+def controller(world):
+    return next(node for node in world.nodes if node.control.leads)
+
+
+@pytest.fixture
+def world():
+    world = World()
+    world.store.put("op/config", configuration())
+    for number in SERVERS:
+        world.add_server("stock", number)
+    for number, name in enumerate(("front-poa-1", "front-cwb-1"), start=1):
+        world.add_node(name, number)
+    world.advance(3.0)
+    return world
+
+
+class TestFirstMap:
+    def test_every_key_has_one_owner_that_the_map_names(self, world):
+        for key in KEYS:
+            owner = world.nodes[0].key_maps.owner("stock", key)
+            assert holders(world, key) == [owner.server_id]
+
+    def test_one_node_controls(self, world):
+        assert sum(node.control.leads for node in world.nodes) == 1
+
+
+class TestStoreOutage:
+    def test_keys_stay_owned_for_ten_seconds(self, world):
+        # Guards against keys that lapse during an outage of the store.
+        world.store_down = True
+        for _ in range(9):
+            world.advance(1.0)
+            assert all(len(holders(world, key)) == 1 for key in KEYS)
+
+    def test_controller_that_stops_meanwhile_leaves_long_grants(self, world):
+        # Guards against the loss of all keys when the controller is replaced
+        # during an outage.
+        leader = controller(world)
+        world.store_down = True
+        world.advance(3.0)
+        for target in [STORE, *world.servers]:
+            leader.faults(target).cut = True
+        world.advance(5.0)
+        assert all(len(holders(world, key)) == 1 for key in KEYS)
+
+
+class TestLostController:
+    def test_another_takes_over_before_grants_lapse(self, world):
+        leader = controller(world)
+        for target in [STORE, *world.servers]:
+            leader.faults(target).cut = True
+        for _ in range(50):
+            world.advance(0.1)
+            assert all(len(holders(world, key)) == 1 for key in KEYS)
+        other = next(node for node in world.nodes if node is not leader)
+        assert other.control.leads
+
+    def test_deposed_one_stops_at_the_first_refused_token(self, world):
+        # Guards against a controller that is cut off from the store alone and goes
+        # on renewing grants beside its successor.
+        leader = controller(world)
+        leader.faults(STORE).cut = True
+        world.advance(5.0)
+        assert not leader.control.leads
+
+    def test_successor_waits_for_grants_it_cannot_see_end(self, world):
+        # Guards against two owners: the old controller still reaches a server that
+        # the new one does not.
+        leader = controller(world)
+        other = next(node for node in world.nodes if node is not leader)
+        for number in SERVERS:
+            cut_off = number == SERVERS[0]
+            other.faults(address(number)).cut = cut_off
+            leader.faults(address(number)).cut = not cut_off
+        leader.faults(STORE).cut = True
+        world.store.delete(f"servers/s-{SERVERS[0]}")
+        # Lease, renewals without the store, and one hold with its margin.
+        for _ in range(int(10 * (2.5 + 10 + 4.23 + 1))):
+            world.advance(0.1)
+            assert all(len(holders(world, key)) <= 1 for key in KEYS)
+        assert all(len(holders(world, key)) == 1 for key in KEYS)
+
+
+class TestLostServer:
+    def test_silent_one_keeps_its_keys_until_they_lapse(self, world):
+        lost = SERVERS[1]
+        for node in world.nodes:
+            node.faults(address(lost)).cut = True
+        world.store.delete(f"servers/s-{lost}")
+        for _ in range(60):
+            world.advance(0.1)
+            assert all(len(holders(world, key)) <= 1 for key in KEYS)
+        assert all(len(holders(world, key)) == 1 for key in KEYS)
+
+    def test_restarted_one_gets_its_keys_back_at_once(self, world):
+        number = SERVERS[1]
+        model = ServerModel(server_id=f"s-{number}", clock=world.reactor.seconds)
+        world.servers[address(number)] = model
+        world.store.put(f"servers/s-{number}", entry("stock", number, born=2))
+        world.advance(0.5)
+        assert all(len(holders(world, key)) == 1 for key in KEYS)
+
+    def test_draining_one_hands_its_keys_over(self, world):
+        number = SERVERS[0]
+        world.store.put(f"servers/s-{number}", entry("stock", number, state="draining"))
+        world.advance(0.5)
+        owners = {holders(world, key)[0] for key in KEYS}
+        assert f"s-{number}" not in owners
+
+
+class TestLateGrants:
+    def test_range_with_an_unanswered_grant_waits_for_its_end(self, world):
+        # Guards against a grant that is applied after the range has moved.
+        leader = controller(world)
+        faults = leader.faults(address(SERVERS[0]))
+        faults.answers_lost = True
+        faults.late_s = 2.0
+        world.advance(1.5)
+        faults.answers_lost = False
+        faults.late_s = 0.0
+        world.store.put(
+            f"servers/s-{SERVERS[0]}", entry("stock", SERVERS[0], state="draining")
+        )
+        for _ in range(70):
+            world.advance(0.1)
+            assert all(len(holders(world, key)) <= 1 for key in KEYS)
+
+
+class OwnershipMachine(RuleBasedStateMachine):
+    """No key ever has two owners, whatever is cut, lost or restarted."""
+
+    def __init__(self):
+        super().__init__()
+        self.world = World()
+        self.world.store.put("op/config", configuration())
+        for number in SERVERS:
+            self.world.add_server("stock", number)
+        for number in (1, 2, 3):
+            self.world.add_node(f"front-poa-{number}", number)
+        self.world.advance(3.0, 0.05)
+        self.born = 1
+
+    @rule(seconds=st.floats(0.1, 6.0))
+    def time_passes(self, seconds):
+        for _ in range(max(1, int(seconds / 0.25))):
+            self.world.advance(0.25, 0.05)
+            self.check()
+
+    @rule(
+        node=st.integers(0, 2), number=st.sampled_from((0, *SERVERS)), cut=st.booleans()
+    )
+    def cut(self, node, number, cut):
+        target = address(number) if number else STORE
+        self.world.nodes[node].faults(target).cut = cut
+
+    @rule(
+        node=st.integers(0, 2),
+        number=st.sampled_from((0, *SERVERS)),
+        lost=st.booleans(),
+        late_s=st.sampled_from((0.0, 1.0, 4.0)),
+    )
+    def lose_answers(self, node, number, lost, late_s):
+        faults = self.world.nodes[node].faults(address(number) if number else STORE)
+        faults.answers_lost = lost
+        faults.late_s = late_s if lost else 0.0
+
+    @rule(down=st.booleans())
+    def store_outage(self, down):
+        self.world.store_down = down
+
+    @rule()
+    def leases_end(self):
+        self.world.store.end_all_leases()
+
+    @rule()
+    def history_goes(self):
+        self.world.store.forget_history()
+
+    @rule(number=st.sampled_from(SERVERS), state=st.sampled_from(("ready", "draining")))
+    def register(self, number, state):
+        key = f"servers/s-{number}"
+        self.world.store.put(
+            key, entry("stock", number, state=state, born=self.current(number))
+        )
+
+    @rule(number=st.sampled_from(SERVERS))
+    def entry_lapses(self, number):
+        self.world.store.delete(f"servers/s-{number}")
+
+    @rule(number=st.sampled_from(SERVERS))
+    def restart(self, number):
+        self.born += 1
+        model = ServerModel(server_id=f"s-{number}", clock=self.world.reactor.seconds)
+        model.born = self.born
+        self.world.servers[address(number)] = model
+        self.register(number, "ready")
+
+    def current(self, number):
+        return getattr(self.world.servers[address(number)], "born", 1)
+
+    @invariant()
+    def check(self):
+        for key in KEYS:
+            found = holders(self.world, key)
+            assert len(found) <= 1, (key, found)
+
+    @invariant()
+    def tokens_grow(self):
+        maps = [node.key_maps.by_service.get("stock") for node in self.world.nodes]
+        for key_map in maps:
+            assert key_map is None or isinstance(key_map, keymap.KeyMap)
+
+
+OwnershipMachine.TestCase.settings = stateful_settings()
+TestOwnership = OwnershipMachine.TestCase
