--- a/briarspoke/entry/dispatch.py
+++ b/briarspoke/entry/dispatch.py
@@ -24,6 +24,9 @@
 PARK_PART = 0.5
 # A server that shed a request is full; its queue drains in about this time.
 SHED_PAUSE_S = 0.1
+# A server that sheds is full if it is this much slower than the mean; a fast one
+# sheds for another reason and takes the next request.
+CONGESTED = 1.5
 # A server that takes no request as its own is passed over for this long.
 WRONG_SERVER_PAUSE_S = 1.0
 
@@ -100,6 +103,9 @@
         if not exchange.may_go_to(self._node.key_maps.owner(self.name, key)):
             self.park(exchange, codes.PARTITION_MOVING)
             return
+        if server.is_failing and server.paused_until > self._node.now():
+            exchange.refuse(codes.OWNER_UNREACHABLE, self._node.RETRY_UNAVAILABLE_S)
+            return
         if self._has_room(server) and not server.waiting:
             exchange.send(server)
             return
@@ -244,8 +250,10 @@
             server.pause(WRONG_SERVER_PAUSE_S)
 
     def shed(self, server):
-        """Notes that a server is full."""
-        server.pause(SHED_PAUSE_S)
+        """Notes that a server turned a request away."""
+        latencies = [other.latency_s for other in self.servers.values()]
+        if server.latency_s > CONGESTED * sum(latencies) / len(latencies):
+            server.pause(SHED_PAUSE_S)
 
     def unreachable(self, exchange, server):
         """Finds another way for a request that could not be sent."""
--- a/briarspoke/entry/exchange.py
+++ b/briarspoke/entry/exchange.py
@@ -265,7 +265,7 @@
             return
         self.node.metrics.count("attempts_total", "shed")
         self.dispatcher.shed(server)
-        if not self.dispatcher.keyed and self._may_repeat("shed"):
+        if self._may_repeat("shed"):
             self.dispatcher.offer(self)
             return
         self._end_not_run(codes.SERVER_SHED, self.node.RETRY_LOAD_S)
--- a/briarspoke/entry/reports.py
+++ b/briarspoke/entry/reports.py
@@ -9,7 +9,7 @@
 
 log = logging.getLogger(__name__)
 
-REPORT_S = 0.5
+REPORT_S = 0.25
 # A datagram holds at most about this many buckets.
 MAX_BUCKETS = 400
 
--- a/briarspoke/entry/servers.py
+++ b/briarspoke/entry/servers.py
@@ -130,6 +130,11 @@
             pause_s = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * (1 << min(excess, 8)))
             self.paused_until = self._clock() + pause_s
 
+    @property
+    def is_failing(self):
+        """Whether its last attempts have failed one after the other."""
+        return self.failures >= FAILURES_TO_PAUSE
+
     def pause(self, seconds):
         """Passes the server over for a time."""
         self.paused_until = max(self.paused_until, self._clock() + seconds)
--- a/briarspoke/keyspace/keeper.py
+++ b/briarspoke/keyspace/keeper.py
@@ -22,7 +22,7 @@
 # After a change, neighbouring ranges of a server are renewed as one from here on.
 MERGE_DELAY_S = 0.4
 # Load is looked at this often.
-REBALANCE_S = 0.5
+REBALANCE_S = 0.3
 # The first map waits until no server has registered for this long.
 FIRST_MAP_QUIET_S = 1.0
 
--- a/briarspoke/keyspace/load.py
+++ b/briarspoke/keyspace/load.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-KEYS_PER_BUCKET = 8
+# A single key can bring more load than any server carries beside others, so each key
+# is counted alone.
+KEYS_PER_BUCKET = 1
 # Time in which a count loses half of its weight.
 HALF_LIFE_S = 1.0
 # Buckets below this rate, in requests per second, are forgotten.
--- a/briarspoke/keyspace/placement.py
+++ b/briarspoke/keyspace/placement.py
@@ -10,7 +10,11 @@
 # Keys move only from a server that is this much busier than the mean.
 IMBALANCE = 1.25
 # Ranges that move in one round.
-MAX_MOVES = 6
+MAX_MOVES = 10
+# A bucket with this part of a server's load is too much to be balanced by others.
+HOT_PART = 0.4
+# Such a bucket moves if its next server would be this much less busy.
+WORTH_MOVING = 0.7
 # Part of a mean server's load that a server without keys is given first.
 FIRST_SHARE = 0.5
 
@@ -120,16 +124,45 @@
 
 
 def _relieve(candidates, ranges_by_life):
-    busiest = max(candidates, key=lambda c: c.busy)
     mean = sum(c.busy for c in candidates) / len(candidates)
-    if busiest.busy < BUSY or busiest.busy < IMBALANCE * mean:
+    for busy in sorted(candidates, key=lambda c: c.busy, reverse=True):
+        if busy.busy < BUSY or busy.busy < IMBALANCE * mean:
+            return None
+        transfer = _move_hottest(busy, candidates, ranges_by_life)
+        if transfer is not None:
+            return transfer
+        target = least_busy(candidates)
+        # Moving this much load makes both equally busy.
+        wanted = (busy.busy - target.busy) / (
+            busy.latency_s / busy.slots + target.latency_s / target.slots
+        )
+        excess = (busy.busy - mean) * busy.slots / busy.latency_s
+        transfer = _transfer(busy, target, min(wanted, excess), ranges_by_life)
+        if transfer is not None:
+            return transfer
+    return None
+
+
+def _move_hottest(source, candidates, ranges_by_life):
+    """Moves a bucket that is most of a server's load to where it weighs least."""
+    rate, bucket, found = max(
+        (
+            (rate, bucket, found)
+            for found in ranges_by_life.get(source.life, ())
+            for bucket, rate in found[2]
+        ),
+        key=lambda hot: hot[:2],
+        default=(0.0, 0, None),
+    )
+    if found is None or rate < HOT_PART * source.load:
         return None
-    target = least_busy(candidates)
-    gap = busiest.busy - target.busy
-    # Moving this much load makes both equally busy.
-    wanted = gap / (busiest.latency_s / busiest.slots + target.latency_s / target.slots)
-    excess = (busiest.busy - mean) * busiest.slots / busiest.latency_s
-    return _transfer(busiest, target, min(wanted, excess), ranges_by_life)
+    target = least_busy([c for c in candidates if c is not source], rate)
+    after = (target.load + rate) * target.latency_s / target.slots
+    if after > WORTH_MOVING * source.busy:
+        return None
+    first = bucket * KEYS_PER_BUCKET
+    last = first + KEYS_PER_BUCKET - 1
+    return _hand(source, target, found, first, last, rate, ranges_by_life)
 
 
 def _first_range(candidate, candidates, ranges_by_life):
@@ -174,11 +207,15 @@
     moved = sum(rate for _, rate in run)
     new_first = max(first, run[0][0] * KEYS_PER_BUCKET)
     new_last = min(last, run[-1][0] * KEYS_PER_BUCKET + KEYS_PER_BUCKET - 1)
+    return _hand(source, target, found, new_first, new_last, moved, ranges_by_life)
+
+
+def _hand(source, target, found, first, last, load, ranges_by_life):
     # The target does not get the range in this plan, so that no key moves twice.
-    _cut(ranges_by_life, source.life, found, new_first, new_last)
-    source.load -= moved
-    target.load += moved
-    return Transfer(first=new_first, last=new_last, to=target.life)
+    _cut(ranges_by_life, source.life, found, first, last)
+    source.load -= load
+    target.load += load
+    return Transfer(first=first, last=last, to=target.life)
 
 
 def _narrowest_run(buckets, wanted):
