Let one entry VM of a zone watch the store, and ask new processes to release

In zones of four entry VMs or more one now watches for the others, and changes that come together are taken with one call. Cause 2: the state machine found two owners: a server process that started during an outage took renewals meant for the one before it, and the key moved on at once because that one had ended. The range now goes to the new process or is released by it.

--- a/briarspoke/entry/node.py
+++ b/briarspoke/entry/node.py
@@ -13,6 +13,7 @@
 from briarspoke.entry.control import Control
 from briarspoke.entry.dispatch import Dispatcher
 from briarspoke.entry.registry import NodeRegistry
+from briarspoke.entry.relays import ALIVE_S, Relay, RelayFollower
 from briarspoke.entry.reports import REPORT_S, LoadReports
 from briarspoke.entry.routes import DEFAULT_LIMITS
 from briarspoke.entry.servers import Server
@@ -73,6 +74,9 @@
         self.view = StoreView(client=self.store, sleep=self.sleep, clock=clock)
         self.registry = NodeRegistry(node=self)
         self.control = Control(node=self)
+        self.relay = Relay(view=self.view)
+        self.view.has_followers = lambda: bool(self.relay.links)
+        self.relay_follower = RelayFollower(node=self)
         self.reports = LoadReports(self.control.add_load)
         self.view.observe(documents.CONFIGURATION_KEY, self._configuration_changed)
         self.view.observe(documents.SERVER_PREFIX, self._server_changed)
@@ -334,7 +338,13 @@
                 settings.internal_port, self.reports, interface=settings.ip
             )
         )
+        self._ports.append(
+            self.reactor.listenTCP(
+                settings.internal_port, self.relay, interface=settings.ip
+            )
+        )
         self._loop(self._tick, TICK_S)
+        self._loop(self._check_relay, ALIVE_S)
         self._loop(self._check_connections, CONNECTION_CHECK_S)
         self._loop(self._report_load, REPORT_S)
         self.spawn(self.view.run())
@@ -369,6 +379,11 @@
         for dispatcher in self._dispatchers_by_service.values():
             dispatcher.tick(now)
 
+    def _check_relay(self):
+        if self.view.reachable and not self.view.is_fed:
+            self.relay.alive()
+        self.relay_follower.check()
+
     def _check_connections(self):
         now = self.now()
         limits = self.limits
--- a/briarspoke/entry/registry.py
+++ b/briarspoke/entry/registry.py
@@ -5,6 +5,7 @@
 import json
 import logging
 
+from briarspoke.entry.relays import LEAST_NODES
 from briarspoke.errors import BriarspokeError
 
 log = logging.getLogger(__name__)
@@ -22,7 +23,7 @@
 
     def __init__(self, *, node):
         self._node = node
-        self._zone_by_key = {}
+        self._entry_by_key = {}
         self._lease = None
         self._left = False
         # The last counts hold while the store is away and leases run out.
@@ -32,19 +33,33 @@
 
     def _changed(self, key, item):
         if item is None:
-            self._zone_by_key.pop(key, None)
+            self._entry_by_key.pop(key, None)
         else:
             try:
-                self._zone_by_key[key] = json.loads(item.value)["zone"]
+                value = json.loads(item.value)
+                self._entry_by_key[key] = (value["zone"], value["ip"])
             except (ValueError, TypeError, KeyError) as error:
                 log.warning("registry: unreadable entry key=%s: %s", key, error)
                 return
         own_zone = self._node.settings.zone
-        self.count = max(1, len(self._zone_by_key))
+        self.count = max(1, len(self._entry_by_key))
         self.zone_count = max(
-            1, sum(zone == own_zone for zone in self._zone_by_key.values())
+            1, sum(zone == own_zone for zone, _ in self._entry_by_key.values())
         )
 
+    def relay_host(self):
+        """Returns the address of the zone's relay, or None if this VM watches."""
+        own_zone = self._node.settings.zone
+        in_zone = sorted(
+            (key, ip)
+            for key, (zone, ip) in self._entry_by_key.items()
+            if zone == own_zone
+        )
+        if len(in_zone) < LEAST_NODES:
+            return None
+        key, ip = in_zone[0]
+        return None if key == NODE_PREFIX + self._node.settings.node else ip
+
     async def run(self):
         """Keeps the registration alive without end."""
         store = self._node.store
--- a/briarspoke/entry/view.py
+++ b/briarspoke/entry/view.py
@@ -5,6 +5,8 @@
 import logging
 import random
 
+from twisted.internet import defer
+
 from briarspoke.errors import BriarspokeError
 from briarspoke.platform.keyvalue import HistoryGoneError
 
@@ -13,6 +15,10 @@
 # A configuration has 2 s to be in force, so a dead connection must show in less
 # than the 3 s for which the platform allows for it.
 WATCH_S = 3.0
+# A relay answers for others, so it has to notice a lost store sooner.
+RELAY_WATCH_S = 0.8
+# Changes that come within this time after others are taken with one call.
+BATCH_S = 0.15
 # After a failure, short calls show soon that the store is back.
 PROBE_S = 0.05
 FIRST_RETRY_S = 0.1
@@ -38,6 +44,13 @@
         self._sleep = sleep
         self._clock = clock
         self._observers_by_prefix = {}
+        # Called with changes of the store, and when contact is lost.
+        self.listeners = []
+        # Whether a relay feeds this view in place of the store.
+        self.is_fed = False
+        self._feed_ended = None
+        # Whether others rely on this view.
+        self.has_followers = lambda: False
 
     def observe(self, prefix, observer):
         """Calls ``observer(key, item)`` for each change; item is None if removed."""
@@ -47,29 +60,67 @@
         """Takes an item that this process has written."""
         self._take(item)
 
+    # A relay in place of the store.
+
+    def feed(self, changes):
+        """Takes the whole view of a relay, which feeds this one from now on."""
+        self.is_fed = True
+        self._feed_ended = defer.Deferred()
+        self._take_all(changes)
+
+    def take_changes(self, changes):
+        """Takes changes of the store or of a relay."""
+        self._contact()
+        for item in changes.items:
+            self._take(item)
+        self.revision = max(self.revision, changes.revision)
+        if not self.is_fed:
+            for listener in self.listeners:
+                listener.changed(changes)
+
+    def end_feed(self):
+        """Goes back to the store."""
+        self.is_fed = False
+        ended, self._feed_ended = self._feed_ended, None
+        ended.callback(None)
+
     async def run(self):
         """Follows the store without end."""
         retry_s = FIRST_RETRY_S
         while True:
+            if self.is_fed:
+                await self._feed_ended
             try:
-                if self.revision is None:
-                    self._take_all(await self._client.read_all())
-                else:
-                    wait_s = WATCH_S if self.reachable else PROBE_S
-                    changes = await self._client.watch(self.revision, wait_s)
-                    self._contact()
-                    for item in changes.items:
-                        self._take(item)
-                    self.revision = max(self.revision, changes.revision)
+                await self._follow_once()
                 retry_s = FIRST_RETRY_S
             except HistoryGoneError:
                 log.info("store: history gone, reading all revision=%s", self.revision)
                 self.revision = None
             except BriarspokeError as error:
+                if self.is_fed:
+                    continue
                 self._lost(error)
                 await self._sleep(retry_s * (0.75 + random.random() / 2))
                 retry_s = min(LONGEST_RETRY_S, 2 * retry_s)
 
+    async def _follow_once(self):
+        if self.revision is None:
+            changes = await self._client.read_all()
+            self._take_all(changes)
+            # Followers get the whole view when they come back.
+            for listener in self.listeners:
+                listener.lost()
+            return
+        wait_s = PROBE_S
+        if self.reachable:
+            wait_s = RELAY_WATCH_S if self.has_followers() else WATCH_S
+        changes = await self._client.watch(self.revision, wait_s)
+        if self.is_fed:
+            return
+        self.take_changes(changes)
+        if changes.items:
+            await self._sleep(BATCH_S)
+
     def _contact(self):
         now = self._clock()
         if not self.reachable:
@@ -82,6 +133,8 @@
         if self.reachable or self.last_contact is None:
             log.warning("store: not reachable: %s", error)
         self.reachable = False
+        for listener in self.listeners:
+            listener.lost()
 
     def _take_all(self, changes):
         self._contact()
--- a/briarspoke/keyspace/keeper.py
+++ b/briarspoke/keyspace/keeper.py
@@ -227,7 +227,7 @@
     def _advance(self, move, records, now):
         if move.state is MoveState.READY:
             return
-        if self._has_ended(move.owner, records):
+        if self._has_ended(move, records):
             move.state = MoveState.READY
             return
         calls = self._calls_by_life.get(move.owner.life)
@@ -240,21 +240,34 @@
         elif move.state is MoveState.LAPSING and now >= move.until:
             move.state = MoveState.READY
 
-    def _has_ended(self, owner, records):
-        """Returns whether the owner's process is known to have ended."""
+    def _has_ended(self, move, records):
+        """Returns whether nobody can hold the range under the owner's grants.
+
+        Grants go to an address. A new process of the owner at the same address may
+        have taken some, so the range may only go to that process at once.
+        """
+        owner = move.owner
+        calls = self._calls_by_life.get(owner.life)
         for record in records.values():
-            if record.server_id == owner.server_id:
-                return record.incarnation > owner.incarnation
-        known = self._node.dispatcher(self.service).servers.get(owner.server_id)
-        if known is not None and known.replaced:
+            if record.server_id != owner.server_id:
+                continue
+            if record.incarnation <= owner.incarnation:
+                return False
+            if calls is not None and (record.host, record.port) != (
+                calls.record.host,
+                calls.record.port,
+            ):
+                return True
+            if record.draining:
+                return False
+            move.to = record.life
             return True
-        calls = self._calls_by_life.get(owner.life)
         if calls is None:
             return False
-        old = calls.record
         return any(
-            other.host == old.host and other.port == old.port
+            (other.host, other.port) == (calls.record.host, calls.record.port)
             for other in self._node.all_records()
+            if other.service != self.service
         )
 
     def _let_lapse(self, move, now):
--- a/tests/test_keyspace_ownership.py
+++ b/tests/test_keyspace_ownership.py
@@ -125,6 +125,24 @@
         world.advance(0.5)
         assert all(len(holders(world, key)) == 1 for key in KEYS)
 
+    def test_new_process_that_took_renewals_is_asked_to_release(self, world):
+        # Guards against two owners: a process that started during an outage of the
+        # store took renewals that were meant for the one before it, and was then
+        # passed over because that one had ended.
+        number = SERVERS[1]
+        world.store_down = True
+        model = ServerModel(server_id=f"s-{number}", clock=world.reactor.seconds)
+        world.servers[address(number)] = model
+        world.advance(2.0)
+        assert any(model.holds(key) for key in KEYS)
+        world.store.put(
+            f"servers/s-{number}", entry("stock", number, born=2, state="draining")
+        )
+        world.store_down = False
+        for _ in range(30):
+            world.advance(0.1)
+            assert all(len(holders(world, key)) <= 1 for key in KEYS)
+
     def test_draining_one_hands_its_keys_over(self, world):
         number = SERVERS[0]
         world.store.put(f"servers/s-{number}", entry("stock", number, state="draining"))
