--- /dev/null
+++ b/briarspoke/commands/soak.py
@@ -0,0 +1,44 @@
+"""``briarspoke soak``."""
+
+from __future__ import annotations
+
+NAME = "soak"
+EXIT_VIOLATED = 1
+
+
+def run(*, seed: int, minutes: float = 1.0):
+    """Run entry VMs under random faults and check what callers and servers see.
+
+    Parameters
+    ----------
+    seed:
+        Decides the faults, their times and the requests.
+    minutes:
+        Length of the time with faults.
+    """
+    import json
+    import sys
+
+    from twisted.internet import defer, reactor
+
+    from briarspoke.soak.run import SoakRun, remove_logs
+
+    print(f"soak: seed {seed}, {minutes} min of faults", file=sys.stderr)
+    soak = SoakRun(reactor=reactor, seed=seed, seconds=minutes * 60)
+    results = []
+
+    def play():
+        playing = defer.ensureDeferred(soak.play())
+        playing.addCallbacks(results.append, lambda failure: failure.printTraceback())
+        playing.addBoth(lambda _: reactor.stop())
+
+    reactor.callWhenRunning(play)
+    reactor.run()
+    if not results:
+        return EXIT_VIOLATED
+    result = results[0]
+    if not result["violations"]:
+        remove_logs(soak.directory)
+    print(f"soak: injected {' '.join(soak.injected)}", file=sys.stderr)
+    print(json.dumps(result))
+    return EXIT_VIOLATED if result["violations"] else 0
--- a/briarspoke/entry/node.py
+++ b/briarspoke/entry/node.py
@@ -95,8 +95,8 @@
         deferred = defer.ensureDeferred(coroutine)
         deferred.addErrback(
             lambda failure: log.error(
-                "entry: a task failed: %s",
-                failure.value,
+                "entry: a task failed error=%r",
+                str(failure.value),
                 exc_info=(failure.type, failure.value, failure.getTracebackObject()),
             )
         )
@@ -196,7 +196,9 @@
         try:
             table = documents.configuration(item.value)
         except BriarspokeError as error:
-            log.error("configuration: cannot be used, keeping the old one: %s", error)
+            log.error(
+                "configuration: kept, the new one cannot be used error=%r", str(error)
+            )
             return
         if self.table is not None and table.version <= self.table.version:
             return
@@ -213,7 +215,7 @@
         try:
             record = documents.server(key, item.value)
         except BriarspokeError as error:
-            log.warning("servers: entry not usable key=%s: %s", key, error)
+            log.warning("servers: entry not usable key=%s error=%r", key, str(error))
             self._server_lapsed(key)
             return
         self._leaving_by_key.pop(key, None)
@@ -295,7 +297,7 @@
         try:
             self.key_maps.by_service[service] = keymap.decode(item.value)
         except keymap.KeyMapError as error:
-            log.error("keys: map not usable service=%s: %s", service, error)
+            log.error("keys: map not usable service=%s error=%r", service, str(error))
             return
         self.dispatcher(service).owner_changed()
 
--- a/briarspoke/entry/registry.py
+++ b/briarspoke/entry/registry.py
@@ -39,7 +39,9 @@
                 value = json.loads(item.value)
                 self._entry_by_key[key] = (value["zone"], value["ip"])
             except (ValueError, TypeError, KeyError) as error:
-                log.warning("registry: unreadable entry key=%s: %s", key, error)
+                log.warning(
+                    "registry: unreadable entry key=%s error=%r", key, str(error)
+                )
                 return
         own_zone = self._node.settings.zone
         self.count = max(1, len(self._entry_by_key))
@@ -76,7 +78,7 @@
                     await store.renew_lease(self._lease)
                 await self._node.sleep(RENEWAL_S)
             except BriarspokeError as error:
-                log.info("registry: call failed: %s", error)
+                log.info("registry: call failed error=%r", str(error))
                 if not getattr(error, "unknown", False):
                     self._lease = None
                 await self._node.sleep(RENEWAL_S / 4)
@@ -89,4 +91,4 @@
         try:
             await self._node.store.end_lease(self._lease)
         except BriarspokeError as error:
-            log.info("registry: cannot leave: %s", error)
+            log.info("registry: cannot leave error=%r", str(error))
--- a/briarspoke/entry/reports.py
+++ b/briarspoke/entry/reports.py
@@ -28,7 +28,9 @@
             service, counts = cbor2.loads(data)
             counts = {int(bucket): int(count) for bucket, count in counts.items()}
         except (cbor2.CBORDecodeError, ValueError, TypeError, AttributeError) as error:
-            log.warning("keys: unreadable report from=%s: %s", address[0], error)
+            log.warning(
+                "keys: unreadable report from=%s error=%r", address[0], str(error)
+            )
             return
         self._received(str(service), counts)
 
--- a/briarspoke/entry/view.py
+++ b/briarspoke/entry/view.py
@@ -131,7 +131,7 @@
 
     def _lost(self, error):
         if self.reachable or self.last_contact is None:
-            log.warning("store: not reachable: %s", error)
+            log.warning("store: not reachable error=%r", str(error))
         self.reachable = False
         for listener in self.listeners:
             listener.lost()
--- a/briarspoke/keyspace/keeper.py
+++ b/briarspoke/keyspace/keeper.py
@@ -364,7 +364,9 @@
             self._writing = False
             return
         except BriarspokeError as error:
-            log.warning("keys: cannot write service=%s: %s", self.service, error)
+            log.warning(
+                "keys: cannot write service=%s error=%r", self.service, str(error)
+            )
             await self._node.sleep(RETRY_S)
             self._writing = False
             return
--- a/briarspoke/keyspace/leadership.py
+++ b/briarspoke/keyspace/leadership.py
@@ -68,7 +68,7 @@
             resigned=bool(body["resigned"]),
         )
     except (ValueError, TypeError, KeyError) as error:
-        log.warning("control: unreadable record: %s", error)
+        log.warning("control: unreadable record error=%r", str(error))
         return None
 
 
@@ -147,7 +147,7 @@
             except (ConditionFailedError, LeaseGoneError) as error:
                 self.lose(str(error))
             except BriarspokeError as error:
-                log.info("control: call failed: %s", error)
+                log.info("control: call failed error=%r", str(error))
                 await self._sleep(0.2)
 
     async def _renew(self):
@@ -221,7 +221,7 @@
             # A write whose answer is lost would leave open who is in control.
             await self._renew()
         except BriarspokeError as error:
-            log.warning("control: kept, the store does not answer: %s", error)
+            log.warning("control: kept, the store does not answer error=%r", str(error))
             return not self.holds
         self._resigned = True
         revision, self.revision = self.revision, None
@@ -238,5 +238,5 @@
             )
             log.info("control: resigned")
         except BriarspokeError as error:
-            log.warning("control: cannot resign: %s", error)
+            log.warning("control: cannot resign error=%r", str(error))
         return True
--- /dev/null
+++ b/briarspoke/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomised runs of real entry VMs against faults from outside them."""
--- /dev/null
+++ b/briarspoke/soak/deployment.py
@@ -0,0 +1,245 @@
+"""Processes of entry VMs beside stand-ins of the platform, all on loopback."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+
+from briarspoke.entry.process import SETTINGS_VARIABLE
+from briarspoke.soak.proxy import Proxy
+from briarspoke.standins.platform_http import (
+    ServerStandin,
+    StandinFactory,
+    StoreStandin,
+)
+from briarspoke.standins.platform_server import ServerModel
+from briarspoke.standins.platform_store import StoreModel
+
+KEYED, PLAIN = "stock", "orders"
+WORK_S = 0.02
+SLOTS = 4
+GRACE_S = 6.0
+
+
+def free_port(kind=socket.SOCK_STREAM):
+    """Returns a port that nothing listens on at the moment."""
+    with socket.socket(socket.AF_INET, kind) as found:
+        found.bind(("127.0.0.1", 0))
+        return found.getsockname()[1]
+
+
+class EntryProcess:
+    """One process of an entry VM, with a proxy before its store."""
+
+    def __init__(self, *, name, settings, directory, proxy):
+        self.name = name
+        self.settings = settings
+        self.proxy = proxy
+        self.process = None
+        self._file = os.path.join(directory, f"{name}.json")
+        self._output = os.path.join(directory, f"{name}.log")
+        with open(self._file, "w", encoding="utf-8") as file:
+            json.dump(settings, file)
+
+    def start(self):
+        """Starts the process."""
+        with open(self._output, "ab") as output:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "briarspoke.entry.process"],
+                env={**os.environ, SETTINGS_VARIABLE: self._file},
+                stdout=output,
+                stderr=output,
+            )
+
+    @property
+    def runs(self):
+        """Whether the process has not ended."""
+        return self.process is not None and self.process.poll() is None
+
+    def signal(self, number):
+        """Sends a signal to a process that was started here."""
+        if self.runs:
+            self.process.send_signal(number)
+
+    def end(self):
+        """Ends the process for good."""
+        if self.runs:
+            self.process.send_signal(signal.SIGCONT)
+            self.process.kill()
+            self.process.wait()
+
+    @property
+    def caller_port(self):
+        """Port for callers."""
+        return int(self.settings["caller_listen"].rpartition(":")[2])
+
+
+class BackendServer:
+    """A server stand-in behind a proxy, with its registration."""
+
+    def __init__(self, *, deployment, service, number):
+        self.service = service
+        self.server_id = f"{service}-{number}"
+        self.incarnation = 0
+        self.state = "ready"
+        self.standin = None
+        self.model = None
+        self._deployment = deployment
+        self._listener = deployment.reactor.listenTCP(
+            0, StandinFactory(self._handle), interface="127.0.0.1"
+        )
+        self.proxy = Proxy(
+            reactor=deployment.reactor, port=self._listener.getHost().port
+        )
+        self.restart()
+
+    def _handle(self, exchange):
+        self.standin.handle(exchange)
+
+    def restart(self):
+        """Begins a new process, which holds no keys."""
+        if self.standin is not None:
+            self.standin.ended = True
+        self.incarnation += 1
+        self.state = "ready"
+        self.model = ServerModel(
+            server_id=self.server_id, clock=self._deployment.reactor.seconds
+        )
+        self.standin = ServerStandin(
+            reactor=self._deployment.reactor,
+            model=self.model,
+            keyed=self.service == KEYED,
+            work_s=WORK_S,
+            slots=SLOTS,
+            ran=lambda request_id, key: self._deployment.checks.ran(
+                self.server_id, request_id, key
+            ),
+        )
+        self.register()
+
+    def register(self):
+        """Writes the registration."""
+        entry = {
+            "service": self.service,
+            "address": f"127.0.0.1:{self.proxy.port}",
+            "zone": "a",
+            "slots": SLOTS,
+            "state": self.state,
+            "warmup_left": "0ms",
+            "born": self.incarnation,
+        }
+        self._deployment.store.put(
+            f"servers/{self.server_id}", json.dumps(entry).encode()
+        )
+
+    def lapse(self):
+        """Lets the registration lapse."""
+        self._deployment.store.delete(f"servers/{self.server_id}")
+
+
+class Deployment:
+    """A store, servers and entry VMs.
+
+    :param directory: folder for settings and logs.
+    """
+
+    def __init__(self, *, reactor, directory, checks, nodes, servers):
+        self.reactor = reactor
+        self.checks = checks
+        self.store = StoreModel(clock=reactor.seconds)
+        self.store_standin = StoreStandin(reactor=reactor, model=self.store)
+        listener = reactor.listenTCP(
+            0, StandinFactory(self.store_standin.handle), interface="127.0.0.1"
+        )
+        self._store_port = listener.getHost().port
+        self.version = 0
+        self.configure()
+        self.servers = [
+            BackendServer(deployment=self, service=service, number=number)
+            for service in (KEYED, PLAIN)
+            for number in range(servers)
+        ]
+        self.nodes = [self._node(f"front-a-{n}", directory) for n in range(nodes)]
+
+    def _node(self, name, directory):
+        proxy = Proxy(reactor=self.reactor, port=self._store_port)
+        settings = {
+            "node": name,
+            "zone": "a",
+            "ip": "127.0.0.1",
+            "caller_listen": f"127.0.0.1:{free_port()}",
+            "ready_listen": f"127.0.0.1:{free_port()}",
+            "internal_port": free_port(),
+            "metrics_port": free_port(),
+            "store": f"127.0.0.1:{proxy.port}",
+            "memory_mb": 300,
+            "drain_s": "2000ms",
+            "grace_s": f"{GRACE_S}s",
+            "config_apply_s": "2000ms",
+            "max_hold_s": "10000ms",
+            "retry_ratio": 0.2,
+            "retry_slack": 56,
+            "retry_window_s": "10s",
+        }
+        return EntryProcess(
+            name=name, settings=settings, directory=directory, proxy=proxy
+        )
+
+    def configure(self):
+        """Writes the next version of the configuration."""
+        self.version += 1
+        route = {
+            "hostname": "soak.example",
+            "timeout": "1500ms",
+            "target_latency": "500ms",
+            "priority": 1,
+            "max_attempts": 2,
+        }
+        body = {
+            "config_version": f"r{self.version}",
+            "routes": {
+                "lookup": {
+                    **route,
+                    "prefix": "/lookup/",
+                    "route_type": "safe",
+                    "service": KEYED,
+                },
+                "order": {
+                    **route,
+                    "prefix": "/order/",
+                    "route_type": "unsafe",
+                    "service": PLAIN,
+                },
+                "book": {
+                    **route,
+                    "prefix": "/book/",
+                    "route_type": "unsafe",
+                    "service": KEYED,
+                },
+            },
+            "services": {
+                KEYED: {"health_path": "/h", "max_conns": 110, "sharded": True},
+                PLAIN: {"health_path": "/h", "max_conns": 110},
+            },
+            "limits": {
+                "max_header_bytes": 16384,
+                "max_body_bytes": 1 << 20,
+                "header_timeout": "3000ms",
+                "idle_timeout": "15000ms",
+            },
+        }
+        self.store.put("op/config", json.dumps(body).encode())
+
+    def start(self):
+        """Starts every entry VM."""
+        for node in self.nodes:
+            node.start()
+
+    def end(self):
+        """Ends every process that was started here."""
+        for node in self.nodes:
+            node.end()
--- /dev/null
+++ b/briarspoke/soak/faults.py
@@ -0,0 +1,120 @@
+"""Faults that a soak injects, each from outside the programs."""
+
+from __future__ import annotations
+
+import signal
+
+by_name = {}
+
+
+def fault(function):
+    """Registers a fault: called with a run, it returns what ends the fault."""
+    by_name[function.__name__.replace("_", "-")] = function
+    return function
+
+
+@fault
+def kill_node(run):
+    node = run.choose(run.deployment.nodes)
+    node.signal(signal.SIGKILL)
+    return lambda: run.restart(node)
+
+
+@fault
+def stop_node(run):
+    node = run.choose(run.deployment.nodes)
+    node.signal(signal.SIGTERM)
+    return lambda: run.restart(node)
+
+
+@fault
+def pause_node(run):
+    node = run.choose(run.deployment.nodes)
+    node.signal(signal.SIGSTOP)
+    return lambda: node.signal(signal.SIGCONT)
+
+
+@fault
+def cut_node_from_store(run):
+    proxy = run.choose(run.deployment.nodes).proxy
+    proxy.set_mode(run.choose(("silent", "reset", "one-way", "slow")))
+    return lambda: proxy.set_mode("open")
+
+
+@fault
+def store_outage(run):
+    standin = run.deployment.store_standin
+    standin.outage = run.choose(("busy", "silent", "reset"))
+
+    def end():
+        standin.outage = ""
+
+    return end
+
+
+@fault
+def store_outage_with_lapses(run):
+    run.deployment.store.end_all_leases()
+    return store_outage(run)
+
+
+@fault
+def lost_writes(run):
+    standin = run.deployment.store_standin
+    standin.lost_part = 0.4
+
+    def end():
+        standin.lost_part = 0.0
+
+    return end
+
+
+@fault
+def history_gone(run):
+    run.deployment.store.forget_history()
+    return lambda: None
+
+
+@fault
+def cut_server(run):
+    proxy = run.choose(run.deployment.servers).proxy
+    proxy.set_mode(run.choose(("silent", "reset", "one-way", "slow")))
+    return lambda: proxy.set_mode("open")
+
+
+@fault
+def restart_server(run):
+    run.choose(run.deployment.servers).restart()
+    return lambda: None
+
+
+@fault
+def drain_server(run):
+    server = run.choose(run.deployment.servers)
+    server.state = "draining"
+    server.register()
+    return server.restart
+
+
+@fault
+def lapse_server(run):
+    server = run.choose(run.deployment.servers)
+    server.lapse()
+    return server.register
+
+
+@fault
+def lost_answers(run):
+    server = run.choose(run.deployment.servers)
+    server.standin.lost_part = 0.3
+
+    def end():
+        server.standin.lost_part = 0.0
+
+    return end
+
+
+@fault
+def change_configuration(run):
+    run.deployment.configure()
+    return lambda: None
--- /dev/null
+++ b/briarspoke/soak/run.py
@@ -0,0 +1,205 @@
+"""One soak: load, faults and checks under one seed."""
+
+from __future__ import annotations
+
+import os
+import random
+import tempfile
+
+from twisted.internet import defer, task
+
+from briarspoke.entry.connections import Answer, ConnectionFactory
+from briarspoke.soak import faults
+from briarspoke.soak.checks import Checks
+from briarspoke.soak.deployment import Deployment
+
+NODES = 4
+SERVERS = 4
+REQUESTS_PER_S = 60
+START_S = 4.0
+CHECK_S = 0.1
+LONGEST_FAULT_S = 6.0
+# After the last fault, requests have to be served again within this time.
+RECOVERY_S = 20.0
+RECOVERED_PART = 0.5
+ANSWER_S = 3.0
+
+
+class Caller:
+    """A kept connection of a caller to one entry VM."""
+
+    def __init__(self, *, reactor, port):
+        self.busy = False
+        self._reactor = reactor
+        self._port = port
+        self._connection = None
+
+    def send(self, data, listener):
+        """Sends a request; the listener gets the :class:`Answer`."""
+        self.busy = True
+
+        def answered(answer):
+            self.busy = False
+            listener(answer)
+
+        self._send(data, answered)
+
+    def _send(self, data, listener):
+        connection = self._connection
+        if connection is not None and connection.reusable:
+            connection.exchange(data, listener)
+            return
+        opening = _Opening(self, data, listener)
+        self._reactor.connectTCP(
+            "127.0.0.1", self._port, ConnectionFactory(opening, opening.failed), 1.0
+        )
+
+    def keep(self, connection):
+        """Uses a connection for the next requests."""
+        self._connection = connection
+
+
+class _Opening:
+    """Owner of a connection, as ``Connection`` wants it."""
+
+    def __init__(self, caller, data, listener):
+        self._caller = caller
+        self._data = data
+        self._listener = listener
+
+    def connection_made(self, connection):
+        self._caller.keep(connection)
+        connection.exchange(self._data, self._listener)
+
+    def failed(self, failure):
+        self._listener(Answer(failure=failure, sent=False))
+
+    def connection_lost(self, connection):
+        self._caller.keep(None)
+
+    def exchange_ended(self, connection):
+        if not connection.reusable:
+            connection.transport.loseConnection()
+
+
+class SoakRun:
+    """A run.
+
+    :param seed: decides faults, their times and the requests.
+    :param seconds: length of the time with faults.
+    """
+
+    def __init__(self, *, reactor, seed, seconds):
+        self.reactor = reactor
+        self.seed = seed
+        self.seconds = seconds
+        self.directory = tempfile.mkdtemp(prefix=f"soak-{seed}-")
+        self.checks = Checks(clock=reactor.seconds)
+        self.injected = []
+        self._random = random.Random(seed)
+        self._number = 0
+        self._served = self._asked = 0
+        self._callers_by_node = {}
+        self.deployment = Deployment(
+            reactor=reactor,
+            directory=self.directory,
+            checks=self.checks,
+            nodes=NODES,
+            servers=SERVERS,
+        )
+
+    def choose(self, things):
+        """Returns one of some things."""
+        return self._random.choice(list(things))
+
+    def restart(self, node):
+        """Starts a process again, and kills it first if it still runs."""
+        node.end()
+        node.start()
+
+    async def play(self):
+        """Plays the run and returns its result as a dict."""
+        self.deployment.start()
+        await self._sleep(START_S)
+        loops = [task.LoopingCall(self._ask), task.LoopingCall(self._check)]
+        loops[0].start(1 / REQUESTS_PER_S)
+        loops[1].start(CHECK_S)
+        try:
+            await self._inject()
+            await self._sleep(RECOVERY_S)
+            self._served = self._asked = 0
+            await self._sleep(2 * ANSWER_S)
+            if self._served < RECOVERED_PART * self._asked:
+                detail = f"{self._served} of {self._asked} requests"
+                self.checks.violations.append(
+                    {"promise": "served again after faults", "detail": detail}
+                )
+        finally:
+            for loop in loops:
+                loop.stop()
+            self.deployment.end()
+        return self._result()
+
+    def _sleep(self, seconds):
+        return task.deferLater(self.reactor, seconds, lambda: None)
+
+    async def _inject(self):
+        end_at = self.reactor.seconds() + self.seconds
+        waiting = []
+        while self.reactor.seconds() < end_at:
+            name = self.choose(sorted(faults.by_name))
+            end = faults.by_name[name](self)
+            lasts_s = self._random.uniform(0.2, LONGEST_FAULT_S)
+            self.injected.append(name)
+            waiting.append(task.deferLater(self.reactor, lasts_s, end))
+            await self._sleep(self._random.expovariate(1 / 1.5))
+        await defer.DeferredList(waiting)
+
+    def _check(self):
+        self.checks.holds([s.model for s in self.deployment.servers if s.model])
+
+    def _ask(self):
+        self._number += 1
+        request_id = f"{self.seed:x}-{self._number:x}".encode()
+        kind = self.choose(("lookup", "order", "book"))
+        node = self.choose(self.deployment.nodes)
+        method = b"GET" if kind == "lookup" else b"POST"
+        key = self._random.randrange(65_536)
+        data = (
+            b"%b /%b/1 HTTP/1.1\r\nHost: soak.example\r\nRequest-Id: %b\r\n"
+            b"Deadline-Ms: 2000\r\nShard-Key: %d\r\nContent-Length: 0\r\n\r\n"
+        ) % (method, kind.encode(), request_id, key)
+        self.checks.sent(request_id, once=kind != "lookup")
+        self._asked += 1
+        self._caller(node).send(data, lambda answer: self._answered(request_id, answer))
+
+    def _caller(self, node):
+        """Returns a caller without a request, which keeps its open connection."""
+        callers = self._callers_by_node.setdefault(node.name, [])
+        idle = [caller for caller in callers if not caller.busy]
+        if idle:
+            return self.choose(idle)
+        callers.append(Caller(reactor=self.reactor, port=node.caller_port))
+        return callers[-1]
+
+    def _answered(self, request_id, answer):
+        self._served += answer.status == 200
+        self.checks.answered(request_id, answer)
+
+    def _result(self):
+        return {
+            "seed": self.seed,
+            "seconds": self.seconds,
+            "faults": len(self.injected),
+            "requests": self._number,
+            "answers": dict(self.checks.answers_by_status),
+            "violations": self.checks.violations[:20],
+            "logs": self.directory if self.checks.violations else "",
+        }
+
+
+def remove_logs(directory):
+    """Removes the files of a run that found nothing."""
+    for name in os.listdir(directory):
+        os.remove(os.path.join(directory, name))
+    os.rmdir(directory)
--- /dev/null
+++ b/briarspoke/standins/platform_http.py
@@ -0,0 +1,201 @@
+"""The platform's stand-ins as HTTP servers on loopback."""
+
+from __future__ import annotations
+
+import random
+
+import httptools
+from twisted.internet import protocol
+
+from briarspoke.standins.platform_store import Waiting
+
+LOOK_S = 0.02
+
+
+class Exchange:
+    """One request to a stand-in.
+
+    :param headers: ``{name in lower case: value}`` in bytes.
+    """
+
+    __slots__ = ("body", "connection", "headers", "method", "target")
+
+    def __init__(self, *, method, target, headers, body, connection):
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = body
+        self.connection = connection
+
+    def respond(self, status, body=b"", headers=()):
+        """Writes the answer, unless the caller has left."""
+        if self.connection.gone:
+            return
+        lines = [b"HTTP/1.1 %d X" % status, b"Content-Length: %d" % len(body)]
+        lines += [name + b": " + value for name, value in headers]
+        self.connection.transport.write(b"\r\n".join([*lines, b"", body]))
+
+
+class StandinConnection(protocol.Protocol):
+    """Reads requests and hands each to the handler of its factory."""
+
+    def __init__(self, handler):
+        self.gone = False
+        self._handler = handler
+        self._parser = httptools.HttpRequestParser(self)
+        self._begin()
+
+    def _begin(self):
+        self._target = b""
+        self._headers = {}
+        self._body = []
+
+    def on_message_begin(self):
+        self._begin()
+
+    def on_url(self, url):
+        self._target += url
+
+    def on_header(self, name, value):
+        self._headers[name.lower()] = value
+
+    def on_body(self, data):
+        self._body.append(data)
+
+    def on_message_complete(self):
+        self._handler(
+            Exchange(
+                method=self._parser.get_method(),
+                target=self._target,
+                headers=self._headers,
+                body=b"".join(self._body),
+                connection=self,
+            )
+        )
+
+    def dataReceived(self, data):
+        self._parser.feed_data(data)
+
+    def connectionLost(self, reason):
+        self.gone = True
+
+
+class StandinFactory(protocol.ServerFactory):
+    """Serves a handler.
+
+    :param handler: called with each :class:`Exchange`.
+    """
+
+    noisy = False
+
+    def __init__(self, handler):
+        self._handler = handler
+
+    def buildProtocol(self, address):
+        return StandinConnection(self._handler)
+
+
+class StoreStandin:
+    """The store on HTTP, with its faults.
+
+    :param model: the :class:`briarspoke.standins.platform_store.StoreModel`.
+    """
+
+    def __init__(self, *, reactor, model):
+        # "", "busy", "silent" or "reset".
+        self.outage = ""
+        # Part of the writes whose answers are lost.
+        self.lost_part = 0.0
+        self.random = random.Random(0)
+        self._reactor = reactor
+        self._model = model
+
+    def handle(self, exchange):
+        """Answers a call."""
+        if self.outage == "busy":
+            exchange.respond(503)
+        elif self.outage == "reset":
+            exchange.connection.transport.abortConnection()
+        elif not self.outage:
+            reply = self._model.call(
+                exchange.method.decode(), exchange.target.decode(), exchange.body
+            )
+            is_write = b"kv-txn" in exchange.target
+            if is_write and self.random.random() < self.lost_part:
+                return
+            self._answer(exchange, reply)
+
+    def _answer(self, exchange, reply):
+        if isinstance(reply, Waiting):
+            found = None if self.outage else self._model.look(reply)
+            if found is None:
+                if not exchange.connection.gone:
+                    self._reactor.callLater(LOOK_S, self._answer, exchange, reply)
+                return
+            reply = found
+        exchange.respond(reply.status, reply.encode())
+
+
+class ServerStandin:
+    """A backend server on HTTP: slots, a queue, ownership of keys and a run log.
+
+    :param model: the :class:`briarspoke.standins.platform_server.ServerModel`.
+    :param ran: called with (request id, key or None) as work begins.
+    """
+
+    def __init__(self, *, reactor, model, keyed, work_s, slots, ran):
+        self.busy = 0
+        self.ended = False
+        # Part of the requests that run while their answers are lost.
+        self.lost_part = 0.0
+        self.random = random.Random(0)
+        self._reactor = reactor
+        self._model = model
+        self._keyed = keyed
+        self._work_s = work_s
+        self._slots = slots
+        self._ran = ran
+        self._queue = []
+
+    def handle(self, exchange):
+        """Takes a request, a grant or a release."""
+        if self.ended:
+            exchange.connection.transport.abortConnection()
+            return
+        if exchange.target.startswith(b"/briarspoke/"):
+            status, headers = self._model.call(exchange.target.decode(), exchange.body)
+            pairs = [(n.encode(), v.encode()) for n, v in headers.items()]
+            exchange.respond(status, b"", pairs)
+            return
+        own = self._model.server_id.encode()
+        if exchange.headers.get(b"target-instance", own) != own:
+            exchange.respond(421, b"", [(b"Instance-Id", own)])
+        elif len(self._queue) >= 4 * self._slots:
+            exchange.respond(503, b"", [(b"Not-Executed", b"1")])
+        else:
+            self._queue.append(exchange)
+            self._begin()
+
+    def _begin(self):
+        while self._queue and self.busy < self._slots:
+            exchange = self._queue.pop(0)
+            if exchange.connection.gone:
+                continue
+            key = int(exchange.headers[b"shard-key"]) if self._keyed else None
+            if key is not None and not self._model.holds(key):
+                headers = [(b"Not-Executed", b"1")]
+                exchange.respond(421, b"", headers)
+                continue
+            self.busy += 1
+            self._ran(exchange.headers[b"request-id"], key)
+            work_s = self._work_s * (0.5 + self.random.random())
+            self._reactor.callLater(work_s, self._end, exchange)
+
+    def _end(self, exchange):
+        self.busy -= 1
+        if not self.ended and self.random.random() >= self.lost_part:
+            request_id = exchange.headers[b"request-id"]
+            headers = [(b"Request-Id", request_id), (b"Response-Signature", b"s")]
+            exchange.respond(200, b"ran " + request_id, headers)
+        if not self.ended:
+            self._begin()
