--- a/briarspoke/entry/dispatch.py
+++ b/briarspoke/entry/dispatch.py
@@ -221,6 +221,11 @@
             return None
         return server if self._is_usable(server) else None
 
+    def owner_of(self, exchange):
+        """Returns the server that owns the request's key, or None."""
+        key = exchange.request.key
+        return self._owner(key) if self.keyed and key is not None else None
+
     def _ready_owner(self, exchange):
         key = exchange.request.key
         server = self._owner(key)
--- a/briarspoke/entry/node.py
+++ b/briarspoke/entry/node.py
@@ -154,9 +154,14 @@
             log.info("requests: rejected code=%d left_out=%d", code.number, self._out())
             return
         request = exchange.request
+        server = None
+        if exchange.dispatcher is not None:
+            server = exchange.server or exchange.dispatcher.owner_of(exchange)
+        contact = self.view.last_contact
         log.info(
             "requests: %s id=%s code=%d route=%s service=%s key=%s attempts=%d "
-            "waited_ms=%d configuration=%d nodes=%d left_out=%d",
+            "waited_ms=%d server=%s latency_ms=%d in_flight=%d queued=%d "
+            "configuration=%d store_age_ms=%d nodes=%d left_out=%d",
             code.name,
             request.request_id.decode("latin-1"),
             code.number,
@@ -165,7 +170,12 @@
             request.key if request.key is not None else "-",
             exchange.attempts,
             (self.now() - request.arrived) * 1000,
+            server.record.server_id if server else "-",
+            server.latency_s * 1000 if server else 0,
+            server.in_flight if server else 0,
+            len(server.waiting) if server else 0,
             self._version(),
+            -1 if contact is None else (self.now() - contact) * 1000,
             self.node_count,
             self._out(),
         )
--- a/briarspoke/entry/settings.py
+++ b/briarspoke/entry/settings.py
@@ -85,8 +85,9 @@
         super().__init__(pattern=_DURATION_PATTERN, max_length=20, **kwargs)
 
     def check(self, value, path, problems):
+        known = len(problems)
         text = super().check(value, path, problems)
-        if text is None:
+        if len(problems) > known:
             return None
         if text.endswith("ms"):
             return float(text[:-2]) / 1000
--- /dev/null
+++ b/tests/test_entry_logs.py
@@ -0,0 +1,102 @@
+from __future__ import annotations
+
+import ast
+import os
+import re
+from pathlib import Path
+
+from briarspoke.entry import logs, story
+
+ROOT = Path(__file__).resolve().parents[1]
+LINE = "2026-12-04T09:00:0{}.000Z INFO {}"
+
+
+def messages():
+    """Yields (file, format) of every log call of the entry VM."""
+    for folder in ("entry", "keyspace"):
+        for file in sorted((ROOT / "briarspoke" / folder).glob("*.py")):
+            for node in ast.walk(ast.parse(file.read_text())):
+                is_call = isinstance(node, ast.Call)
+                if not is_call or not isinstance(node.func, ast.Attribute):
+                    continue
+                owner = node.func.value
+                if isinstance(owner, ast.Name) and owner.id == "log":
+                    yield file.name, ast.literal_eval(node.args[0])
+
+
+def documented():
+    """Returns ``{event: fields}`` of the table in the operators' page."""
+    text = (ROOT / "docs/OPERATIONS.md").read_text()
+    rows = re.findall(r"^\| `([a-z]+: [^`]+)` \| ([^|]*) \|", text, re.M)
+    return {event: set(re.findall(r"`([a-z_]+)`", fields)) for event, fields in rows}
+
+
+class TestEvents:
+    """Guards against lines that cannot be parsed or that no page explains."""
+
+    def test_each_line_is_in_the_table_with_its_fields(self):
+        table = documented()
+        for file, text in messages():
+            match = re.fullmatch(r"([a-z]+): ([^=]*?)((?: [a-z_]+=%[a-z%\-:]+)*)", text)
+            assert match, (file, text)
+            event = f"{match[1]}: {match[2].strip()}".replace("%s", "...")
+            fields = set(re.findall(r"([a-z_]+)=", match[3]))
+            assert table.get(event) == fields, (file, event, fields)
+
+    def test_a_written_line_is_parsed_back(self):
+        line = story.parse(
+            LINE.format(1, "store: not reachable error='watch: timeout'")
+        )
+        assert line.name == "store: not reachable"
+        assert line.fields == {"error": "watch: timeout"}
+
+
+class TestStory:
+    def test_request_with_what_was_believed_before(self):
+        text = [
+            "front-a-1 " + LINE.format(1, "configuration: in force version=4 before=3"),
+            LINE.format(
+                2, "keys: move begins service=s keys=0-9 from=x to=y reason=load"
+            ),
+            LINE.format(
+                2, "keys: move begins service=s keys=10-19 from=x to=y reason=load"
+            ),
+            LINE.format(
+                3, "requests: partition-moving id=r1 code=3003 service=s key=7"
+            ),
+            LINE.format(
+                3, "requests: partition-moving id=r2 code=3003 service=s key=8"
+            ),
+            "no line of ours",
+        ]
+        found = story.find("r1", {"log": text})
+        assert [line.fields["code"] for line in found.lines] == ["3003"]
+        assert [line.event for line in found.context] == ["in force", "move begins"]
+        assert found.unreadable == 1
+
+    def test_unknown_request_has_no_story(self):
+        assert not story.find("r9", {"log": []}).lines
+
+
+class TestVolume:
+    def test_lines_are_bounded_and_the_rest_is_counted(self):
+        now = [0.0]
+        limit = logs.LineLimit(lambda: now[0])
+        allowed = sum(limit.allows() for _ in range(1000))
+        assert allowed == logs.REQUEST_LINES_BURST
+        assert limit.take_left_out() == 1000 - allowed
+        now[0] = 1.0
+        assert sum(limit.allows() for _ in range(1000)) == logs.REQUEST_LINES_PER_S
+
+    def test_a_full_pipe_never_blocks(self):
+        # Guards against a process that waits for the reader of its output.
+        import logging
+
+        reader, writer = os.pipe()
+        handler = logs.OutputHandler(writer)
+        record = logging.LogRecord("x", logging.INFO, "", 0, "y" * 1000, None, None)
+        for _ in range(200):
+            handler.emit(record)
+        assert handler.dropped > 0
+        os.close(reader)
+        os.close(writer)
--- /dev/null
+++ b/tests/test_entry_parts.py
@@ -0,0 +1,140 @@
+"""Parts of an entry VM that need no event loop."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+from entry_fakes import SETTINGS, configuration, entry, route
+
+from briarspoke.entry import settings as entry_settings
+from briarspoke.entry.budget import RetryBudget
+from briarspoke.entry.timers import Timers
+from briarspoke.platform import documents, values
+from briarspoke.settings import InvalidValuesError
+
+
+class TestSettings:
+    def test_durations_and_addresses_are_decoded(self):
+        settings = entry_settings.parse(SETTINGS, "test")
+        assert settings.drain_s == 2.0
+        assert settings.max_hold_s == 10.0
+        assert (settings.store.host, settings.store.port) == ("10.0.0.1", 80)
+
+    def test_every_problem_is_reported(self):
+        # Guards against settings that have to be mended one start at a time.
+        wrong = {**SETTINGS, "store": "nowhere", "grace_s": "soon", "extra": 1}
+        del wrong["node"]
+        with pytest.raises(InvalidValuesError) as raised:
+            entry_settings.parse(wrong, "test")
+        paths = {problem.path for problem in raised.value.problems}
+        assert paths == {"$.store", "$.grace_s", "$.extra", "$.node"}
+
+
+class TestConfigurationDocument:
+    def test_longest_prefix_wins(self):
+        routes = {
+            "short": route("a", prefix="/x/"),
+            "long": route("a", prefix="/x/y/"),
+        }
+        services = {"a": {"health_path": "/h", "max_conns": 1}}
+        table = documents.configuration(configuration(routes=routes, services=services))
+        assert table.find(b"shop.example", b"/x/y/z").name == "long"
+        assert table.find(b"shop.example", b"/x/yy").name == "short"
+        assert table.find(b"shop.example", b"/xy") is None
+        assert table.find(b"other.example", b"/x/y") is None
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"config_version": "12"},
+            {"routes": []},
+            {"routes": {"r": route("missing")}},
+            {"routes": {"r": route("stock", route_type="maybe")}},
+            {"routes": {"r": route("stock", timeout="soon")}},
+            {"limits": {}},
+        ],
+    )
+    def test_unusable_ones_are_refused_whole(self, change):
+        # Guards against a configuration of which only a part comes into force.
+        body = {**json.loads(configuration()), **change}
+        with pytest.raises(values.DecodeError):
+            documents.configuration(json.dumps(body).encode())
+
+    @pytest.mark.parametrize("data", [b"", b"{", b"[]", b"\xff\xfe"])
+    def test_other_bytes_are_refused(self, data):
+        with pytest.raises(values.DecodeError):
+            documents.configuration(data)
+
+
+class TestServerEntry:
+    def test_fields(self):
+        record = documents.server("servers/s-1", entry("stock", 1, state="draining"))
+        assert record.life == ("s-1", 1)
+        assert record.draining
+        assert (record.host, record.port) == ("10.0.9.1", 80)
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"service": 5},
+            {"address": "nowhere"},
+            {"state": "resting"},
+            {"born": "early"},
+            {"slots": None},
+            {"zone": None},
+        ],
+    )
+    def test_entries_of_other_writers_name_no_server(self, change):
+        with pytest.raises(values.DecodeError):
+            body = {**json.loads(entry("stock", 1)), **change}
+            documents.server("servers/s-1", json.dumps(body).encode())
+
+
+class TestRetryBudget:
+    def budget(self):
+        return RetryBudget(ratio=0.2, slack=10, window_s=10.0)
+
+    def test_all_nodes_together_stay_within_the_shared_budget(self):
+        # Guards against nodes that each spend the whole slack.
+        nodes = 5
+        spent = 0
+        for _ in range(nodes):
+            budget = self.budget()
+            for _ in range(100):
+                budget.count_request(1000.0)
+            spent += sum(budget.spend(1000.0, nodes) for _ in range(100))
+        assert 0 < spent <= 0.2 * 100 * nodes + 10
+
+    def test_requests_leave_the_window(self):
+        budget = self.budget()
+        for _ in range(100):
+            budget.count_request(1000.0)
+        assert budget.spend(1001.0, 100)
+        assert not budget.spend(1020.0, 100)
+
+
+class TestTimers:
+    class Item:
+        def __init__(self):
+            self.seen = []
+            self.again = []
+
+        def on_time(self, now):
+            self.seen.append(now)
+            return self.again.pop() if self.again else None
+
+    def test_items_are_called_in_time_and_again(self):
+        from twisted.internet.task import Clock
+
+        clock = Clock()
+        timers = Timers(reactor=clock, clock=clock.seconds)
+        late, early = self.Item(), self.Item()
+        early.again = [0.5]
+        timers.add(1.0, late)
+        timers.add(0.2, early)
+        for _ in range(120):
+            clock.advance(0.01)
+        assert [round(at, 1) for at in early.seen] == [0.2, 0.5]
+        assert [round(at, 1) for at in late.seen] == [1.0]
+        assert not clock.getDelayedCalls()
--- /dev/null
+++ b/tests/test_keyspace_parts.py
@@ -0,0 +1,149 @@
+"""Key maps, grant logs and placement."""
+
+from __future__ import annotations
+
+import itertools
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from briarspoke.keyspace import keymap, placement
+from briarspoke.keyspace.grantlog import GrantLog, lapse_time
+from briarspoke.keyspace.load import LoadEstimate
+
+SERVERS = [("a", 1), ("b", 1), ("c", 1)]
+
+
+def candidates(latencies=(0.1, 0.1, 0.1)):
+    return [
+        placement.Candidate(life=life, slots=4, latency_s=latency_s)
+        for life, latency_s in zip(SERVERS, latencies, strict=True)
+    ]
+
+
+def owner(life, fence):
+    return keymap.Owner(server_id=life[0], incarnation=life[1], fence=fence)
+
+
+changes = st.lists(
+    st.tuples(st.integers(0, 65_535), st.integers(0, 3_000), st.sampled_from(SERVERS)),
+    max_size=5,
+)
+
+
+class TestKeyMap:
+    @given(rounds=st.lists(changes, max_size=4))
+    def test_changes_reach_just_their_keys(self, rounds):
+        # Guards against keys that get lost or change hands unasked.
+        key_map = placement.initial(candidates(), 1)
+        for fence, round_ in enumerate(rounds, start=2):
+            taken, wanted = [], {}
+            for first, length, life in round_:
+                last = min(65_535, first + length)
+                if any(a <= last and b >= first for a, b in taken):
+                    continue
+                taken.append((first, last))
+                wanted[first, last] = owner(life, fence)
+            before = key_map
+            key_map = key_map.with_owner(
+                [(a, b, new) for (a, b), new in wanted.items()]
+            )
+            probes = {0, 65_535, *(k for pair in taken for k in pair)}
+            for key in probes | {k + 1 for k in probes if k < 65_535}:
+                hit = [new for (a, b), new in wanted.items() if a <= key <= b]
+                expected = hit[0] if hit else before.owner(key)
+                assert key_map.owner(key).life == expected.life
+                assert key_map.owner(key).fence >= expected.fence
+            lives = [o.life for o in key_map.owners]
+            assert all(a != b for a, b in itertools.pairwise(lives))
+            decoded = keymap.decode(key_map.encode())
+            assert decoded.starts == key_map.starts
+
+    @pytest.mark.parametrize(
+        "data",
+        [b"", b"{}", b'{"ranges":[]}', b'{"ranges":[[5,"a",1,1]]}', b'{"ranges":[1]}'],
+    )
+    def test_unusable_maps_are_refused(self, data):
+        with pytest.raises(keymap.KeyMapError):
+            keymap.decode(data)
+
+
+class TestGrantLog:
+    def test_lapse_covers_a_slow_clock(self):
+        assert lapse_time(10.0, 4.0) > 10.0 + 4.0 * 1.02
+
+    def test_unanswered_calls_stay_uncertain_until_they_lapse(self):
+        # Guards against moving a range whose grant may still be applied.
+        log = GrantLog()
+        sent = log.add(first=0, last=9, sent_at=0.0, hold_s=4.0)
+        assert log.is_under_way(5, 5, 1.0)
+        sent.answered = False
+        assert log.is_uncertain(5, 5, 1.0)
+        assert not log.is_uncertain(10, 20, 1.0)
+        assert not log.is_uncertain(5, 5, 4.5)
+
+
+class TestRebalance:
+    def test_no_key_moves_twice_in_one_plan(self):
+        # Guards against two servers that are both given the same keys.
+        key_map = placement.initial(candidates(), 1)
+        rates = dict.fromkeys(range(0, 600, 5), 3.0)
+        plan = placement.rebalance(key_map, candidates(), rates)
+        assert plan
+        taken = sorted((t.first, t.last) for t in plan)
+        assert all(a[1] < b[0] for a, b in itertools.pairwise(taken))
+        moved = {first for first, _ in taken}
+        assert all(key_map.owner(first).life == ("a", 1) for first in moved)
+
+    def test_load_is_spread(self):
+        key_map = placement.initial(candidates(), 1)
+        rates = dict.fromkeys(range(0, 120), 1.0)
+        for _ in range(10):
+            plan = placement.rebalance(key_map, candidates(), rates)
+            key_map = key_map.with_owner(
+                [(t.first, t.last, owner(t.to, 5)) for t in plan]
+            )
+        found = candidates()
+        placement.assign_load(key_map, found, rates)
+        assert max(c.load for c in found) <= 1.3 * 40
+
+    def test_one_hot_key_goes_to_the_fastest_server(self):
+        # Guards against a key that is above every transfer's size and never moves.
+        found = candidates(latencies=(0.15, 0.1, 0.04))
+        key_map = placement.initial(found, 1)
+        plan = placement.rebalance(key_map, found, {100: 100.0, 101: 1.0})
+        hottest = [t for t in plan if t.first == t.last == 100]
+        assert [t.to for t in hottest] == [("c", 1)]
+
+    def test_server_that_cannot_be_relieved_does_not_block_others(self):
+        found = candidates(latencies=(0.04, 0.1, 0.1))
+        key_map = placement.initial(found, 1)
+        rates = {100: 200.0, **dict.fromkeys(range(30000, 30030), 2.0)}
+        plan = placement.rebalance(key_map, found, rates)
+        assert any(t.first >= 30_000 for t in plan)
+
+    def test_ranges_on_the_move_stay(self):
+        key_map = placement.initial(candidates(), 1)
+        rates = dict.fromkeys(range(0, 120), 1.0)
+        moving = [(0, 21_844)]
+        assert not placement.rebalance(key_map, candidates(), rates, moving)
+
+    def test_quiet_servers_are_left_alone(self):
+        # Guards against moves, which are paid for, while nobody is busy.
+        key_map = placement.initial(candidates(), 1)
+        assert not placement.rebalance(key_map, candidates(), {1: 1.0, 2: 1.0})
+
+
+class TestLoadEstimate:
+    def test_steady_load_converges_to_its_rate(self):
+        estimate = LoadEstimate()
+        for step in range(40):
+            estimate.add({7: 5}, step * 0.25)
+        assert 16 < estimate.rate_by_bucket[7] < 26
+
+    def test_old_load_fades(self):
+        estimate = LoadEstimate()
+        estimate.add({7: 5}, 0.0)
+        estimate.decay(30.0)
+        assert not estimate.rate_by_bucket
