Do not take a server that loses answers for unreachable

One VM after another refused all keys of servers (301 lines owner-unreachable) after two answers in a row were reset, 40 to 200 ms after they were sent; the servers ran the requests and answered others. Ruled out: the store (no line about it), moves (none in the time). Only failures with nothing back pause a server now. Others raise its mean loss, by which services without keys prefer other servers.

--- a/briarspoke/entry/dispatch.py
+++ b/briarspoke/entry/dispatch.py
@@ -18,6 +18,8 @@
 # zones, and how much each byte adds to that, since crossings are paid by the byte.
 CROSSING_FACTOR = 1.25
 CROSSING_FACTOR_PER_BYTE = 1 / 30_000
+# A server that loses all answers is chosen only if others are this much slower.
+LOSS_FACTOR = 8.0
 # Part of the latency objective that a request may always wait for a slot.
 LEAST_WAIT_PART = 0.125
 # Part of the latency objective within which an owner on the move is awaited.
@@ -206,6 +208,7 @@
             if not self._has_room(server):
                 continue
             score = server.expected_s(now) * (1 + server.in_flight)
+            score *= 1 + LOSS_FACTOR * server.loss
             if server.record.zone != zone:
                 score *= crossing
             if score < best_score:
--- a/briarspoke/entry/exchange.py
+++ b/briarspoke/entry/exchange.py
@@ -15,6 +15,8 @@
 MAX_KEY = 65_535
 # Sends to one owner after another while a key moves, beside the real attempts.
 MAX_MISDIRECTED = 3
+# Failures after which it is open whether the server is there at all.
+UNREACHABLE = frozenset({"connect", "refused", "timeout"})
 # An owner that did not hold the key yet is asked again after this time.
 SAME_OWNER_PAUSE_S = 0.08
 
@@ -232,6 +234,7 @@
     def _attempt_ran(self, server, answer):
         now = self.node.now()
         if 200 <= answer.status < 300 and not self._is_genuine(answer):
+            server.spoiled()
             self.node.metrics.count("attempts_total", "spoiled")
             self._unknown(server, codes.ANSWER_MALFORMED, "spoiled")
             return
@@ -239,6 +242,7 @@
             server.answered(now - self.sent_at)
             self.node.metrics.count("attempts_total", "answered")
         else:
+            server.spoiled()
             self.node.metrics.count("attempts_total", "server-error")
             if self.route.idempotent and self._may_repeat("server-error"):
                 self.dispatcher.offer(self)
@@ -272,7 +276,11 @@
 
     def _attempt_failed(self, server, answer):
         self.node.metrics.count("attempts_total", answer.failure)
-        server.failed()
+        if answer.failure in UNREACHABLE:
+            server.unreachable()
+        else:
+            # The server was there: other requests may get their answers.
+            server.spoiled()
         if not answer.sent:
             self.attempts -= 1
             self.dispatcher.unreachable(self, server)
@@ -341,7 +349,7 @@
         self.node.metrics.count("attempts_total", "timeout")
         written = self.sending.written
         self._leave_server()
-        server.failed()
+        server.unreachable()
         if not written:
             self._end_not_run(codes.OWNER_UNREACHABLE, None)
         else:
--- a/briarspoke/entry/servers.py
+++ b/briarspoke/entry/servers.py
@@ -15,6 +15,8 @@
 KEEP_ALIVE_PART = 0.7
 # Weight of the newest service time in the mean.
 LATENCY_WEIGHT = 0.15
+# Weight of the newest attempt in the mean loss.
+LOSS_WEIGHT = 0.1
 # Assumed before the first answer.
 INITIAL_LATENCY_S = 0.1
 # A new server counts as this much slower than its observed mean while it warms up.
@@ -88,6 +90,8 @@
         self.latency_s = INITIAL_LATENCY_S
         self.samples = 0
         self.failures = 0
+        # Mean part of the attempts without a usable answer.
+        self.loss = 0.0
         self.paused_until = 0.0
         self.warm_at = clock() + record.warmup_s
         self.drain_until = None
@@ -118,12 +122,18 @@
         """Notes an answer after a service time."""
         self.failures = 0
         self.paused_until = 0.0
+        self.loss -= LOSS_WEIGHT * self.loss
         weight = LATENCY_WEIGHT if self.samples > 8 else 1 / (self.samples + 1)
         self.samples += 1
         self.latency_s += weight * (seconds - self.latency_s)
 
-    def failed(self):
-        """Notes a failure; a server that keeps failing is passed over."""
+    def spoiled(self):
+        """Notes an answer that was lost or is of no use."""
+        self.loss += LOSS_WEIGHT * (1.0 - self.loss)
+
+    def unreachable(self):
+        """Notes that nothing came back; a silent server is passed over."""
+        self.spoiled()
         self.failures += 1
         excess = self.failures - FAILURES_TO_PAUSE
         if excess >= 0:
@@ -132,7 +142,7 @@
 
     @property
     def is_failing(self):
-        """Whether its last attempts have failed one after the other."""
+        """Whether nothing came back from its last attempts."""
         return self.failures >= FAILURES_TO_PAUSE
 
     def pause(self, seconds):
--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -308,3 +308,44 @@
         world.store.put("servers/s-31", taken)
         world.advance(0.1)
         assert "s-21" not in servers
+
+
+class TestLostAnswers:
+    def test_owner_that_loses_answers_is_still_asked(self, world):
+        # Guards against refusals for all keys of a server after two lost answers,
+        # while it runs and answers other requests.
+        for number in range(4):
+            caller = world.caller(world.node)
+            caller.send(request(request_id=f"r{number}", method="POST"))
+            while world.reactor.tcpClients:
+                server, _ = world.accept()
+                server.reset()
+            assert status_of(caller.take()) == 502
+        caller = world.caller(world.node)
+        caller.send(request())
+        server, _ = world.accept()
+        server.send(answer())
+        assert status_of(caller.take()) == 200
+
+    def test_owner_that_cannot_be_reached_is_refused_at_once(self, world):
+        # Guards against requests that are held for a server that is not there.
+        for _ in range(2):
+            caller = world.caller(world.node)
+            caller.send(request())
+            world.refuse()
+        caller = world.caller(world.node)
+        caller.send(request())
+        assert status_of(caller.take()) == 503
+
+    def test_orders_avoid_a_server_that_loses_answers(self, world):
+        losing = None
+        for number in range(8):
+            caller = world.caller(world.node)
+            caller.send(request(**ORDER, request_id=f"r{number}"))
+            server, address = world.accept()
+            losing = losing or address
+            if address == losing:
+                server.reset()
+            else:
+                server.send(answer(request_id=f"r{number}", extra="Connection: close"))
+        assert address != losing
