Read the current items after an outage instead of all its changes

VMs that the store had turned away for 9 s never came back: the watch from their old revision answered with each key map written meanwhile, more than a link of 12 Mbit/s carries within the watch's timeout, and every try failed alike. Ruled out: the relay (its followers were current), the registry (renewed again). A probe with next to nothing to send now shows that the store is back, and the current items are read. The test fails without the change. Relays publish their port, so that several VMs on one host, as in the soak, find each other.

--- a/briarspoke/entry/registry.py
+++ b/briarspoke/entry/registry.py
@@ -37,7 +37,7 @@
         else:
             try:
                 value = json.loads(item.value)
-                self._entry_by_key[key] = (value["zone"], value["ip"])
+                self._entry_by_key[key] = (value["zone"], value["ip"], value["port"])
             except (ValueError, TypeError, KeyError) as error:
                 log.warning(
                     "registry: unreadable entry key=%s error=%r", key, str(error)
@@ -46,28 +46,33 @@
         own_zone = self._node.settings.zone
         self.count = max(1, len(self._entry_by_key))
         self.zone_count = max(
-            1, sum(zone == own_zone for zone, _ in self._entry_by_key.values())
+            1, sum(zone == own_zone for zone, _, _ in self._entry_by_key.values())
         )
 
-    def relay_host(self):
-        """Returns the address of the zone's relay, or None if this VM watches."""
+    def relay_address(self):
+        """Returns (host, port) of the zone's relay, or None if this VM watches."""
         own_zone = self._node.settings.zone
         in_zone = sorted(
-            (key, ip)
-            for key, (zone, ip) in self._entry_by_key.items()
+            (key, (ip, port))
+            for key, (zone, ip, port) in self._entry_by_key.items()
             if zone == own_zone
         )
         if len(in_zone) < LEAST_NODES:
             return None
-        key, ip = in_zone[0]
-        return None if key == NODE_PREFIX + self._node.settings.node else ip
+        key, address = in_zone[0]
+        return None if key == NODE_PREFIX + self._node.settings.node else address
 
     async def run(self):
         """Keeps the registration alive without end."""
         store = self._node.store
         settings = self._node.settings
         key = NODE_PREFIX + settings.node
-        value = json.dumps({"zone": settings.zone, "ip": settings.ip}).encode()
+        entry = {
+            "zone": settings.zone,
+            "ip": settings.ip,
+            "port": settings.internal_port,
+        }
+        value = json.dumps(entry).encode()
         while not self._left:
             try:
                 if self._lease is None:
--- a/briarspoke/entry/relays.py
+++ b/briarspoke/entry/relays.py
@@ -141,16 +141,12 @@
                 log.warning("relays: silent host=%s", self._host)
                 self._leave()
             return
-        host = self._node.registry.relay_host()
-        if host is None or self._connecting or now < self._not_before:
-            return
-        if not self._node.view.reachable:
+        address = self._node.registry.relay_address()
+        if address is None or self._connecting or now < self._not_before:
             return
         self._connecting = True
-        self._host = host
-        self._node.reactor.connectTCP(
-            host, self._node.settings.internal_port, self, timeout=CONNECT_TIMEOUT_S
-        )
+        self._host, port = address
+        self._node.reactor.connectTCP(self._host, port, self, timeout=CONNECT_TIMEOUT_S)
 
     def buildProtocol(self, address):
         self._connecting = False
@@ -168,7 +164,7 @@
         view = self._node.view
         if view.is_fed:
             view.take_changes(changes)
-        elif view.revision is not None and changes.revision >= view.revision:
+        elif view.revision is None or changes.revision >= view.revision:
             log.info(
                 "relays: follows host=%s revision=%d", self._host, changes.revision
             )
--- a/briarspoke/entry/view.py
+++ b/briarspoke/entry/view.py
@@ -19,8 +19,6 @@
 RELAY_WATCH_S = 0.8
 # Changes that come within this time after others are taken with one call.
 BATCH_S = 0.15
-# After a failure, short calls show soon that the store is back.
-PROBE_S = 0.05
 FIRST_RETRY_S = 0.1
 LONGEST_RETRY_S = 0.8
 
@@ -104,6 +102,11 @@
                 retry_s = min(LONGEST_RETRY_S, 2 * retry_s)
 
     async def _follow_once(self):
+        if not self.reachable:
+            # All changes of an outage can be far more than the current items, and
+            # a small call shows sooner that the store is back.
+            await self._client.probe()
+            self.revision = None
         if self.revision is None:
             changes = await self._client.read_all()
             self._take_all(changes)
@@ -111,9 +114,7 @@
             for listener in self.listeners:
                 listener.lost()
             return
-        wait_s = PROBE_S
-        if self.reachable:
-            wait_s = RELAY_WATCH_S if self.has_followers() else WATCH_S
+        wait_s = RELAY_WATCH_S if self.has_followers() else WATCH_S
         changes = await self._client.watch(self.revision, wait_s)
         if self.is_fed:
             return
--- a/briarspoke/platform/keyvalue.py
+++ b/briarspoke/platform/keyvalue.py
@@ -10,6 +10,12 @@
 from briarspoke.platform.values import DecodeError, member, milliseconds, seconds
 
 CALL_TIMEOUT_S = 1.0
+# A probe has nothing to carry out and next to nothing to send.
+PROBE_TIMEOUT_S = 0.5
+# A page of items may have to share a slow link with callers.
+READ_TIMEOUT_S = 3.0
+# A key that does not exist.
+PROBE_KEY = "briarspoke/probe"
 # A watch answers after its wait; later than this much, its connection is dead.
 WATCH_GRACE_S = 0.6
 
@@ -94,7 +100,7 @@
             raise StoreError(f"{kind}: {answer.failure}", unknown=answer.sent)
         if answer.status == 410:
             raise HistoryGoneError(f"{kind}: the history is gone")
-        if answer.status == 404 and kind not in ("read",):
+        if answer.status == 404 and kind != "probe":
             raise LeaseGoneError(f"{kind}: the lease has ended")
         if answer.status == 412:
             raise ConditionFailedError(f"{kind}: a key was changed by another")
@@ -107,6 +113,14 @@
         except ValueError as error:
             raise StoreError(f"{kind}: unreadable answer", unknown=True) from error
 
+    async def probe(self):
+        """Returns if the store answers.
+
+        :raises StoreError: if it does not.
+        """
+        path = f"/briarspoke/kv-key?key={PROBE_KEY}"
+        await self._call("probe", b"GET", path, timeout_s=PROBE_TIMEOUT_S)
+
     async def read_all(self):
         """Returns :class:`Changes` with every item of the store.
 
@@ -120,7 +134,7 @@
             path = "/briarspoke/kv-range?prefix="
             if after:
                 path += "&after=" + quote(after, safe="")
-            body = await self._call("range", b"GET", path)
+            body = await self._call("range", b"GET", path, timeout_s=READ_TIMEOUT_S)
             items += [_item(entry) for entry in member(body, "items", list)]
             if revision is None:
                 revision = member(body, "store_revision", int)
--- /dev/null
+++ b/tests/test_entry_view.py
@@ -0,0 +1,105 @@
+from __future__ import annotations
+
+import pytest
+from entry_fakes import STORE, World, configuration
+
+from briarspoke.platform.keyvalue import Changes, Item
+
+
+@pytest.fixture
+def world():
+    world = World()
+    world.store.put("op/config", configuration(version=4))
+    world.node = world.add_node()
+    world.advance(1.0)
+    return world
+
+
+def relayed(world, version):
+    """Returns what a relay that has seen a version would send."""
+    world.store.put("op/config", configuration(version=version))
+    items = [
+        Item(key=item["key"], value=item["value"], revision=item["rev"])
+        for item in world.store.items.values()
+    ]
+    return Changes(items=items, revision=world.store.revision)
+
+
+class TestOutage:
+    def test_versions_reach_a_vm_after_an_outage(self, world):
+        world.store_down = True
+        world.advance(5.0)
+        world.store.put("op/config", configuration(version=9))
+        world.store_down = False
+        world.advance(2.0)
+        assert world.node.table.version == 9
+
+    def test_silent_connection_is_noticed(self, world):
+        # Guards against a watch that waits on a connection which is gone.
+        world.node.faults(STORE).cut = True
+        world.advance(0.5)
+        world.node.faults(STORE).cut = False
+        world.store.put("op/config", configuration(version=9))
+        world.advance(5.0)
+        assert world.node.table.version == 9
+
+    def test_lost_history_is_read_again(self, world):
+        world.node.faults(STORE).cut = True
+        world.store.put("op/config", configuration(version=9))
+        world.store.delete("briarspoke/nodes/front-poa-1")
+        world.store.forget_history()
+        world.node.faults(STORE).cut = False
+        world.advance(5.0)
+        assert world.node.table.version == 9
+
+    def test_backlog_of_an_outage_is_not_fetched(self, world):
+        # Guards against a VM that never catches up: the changes of an outage were
+        # more than its link carries within the timeout of a watch.
+        world.store_down = True
+        world.advance(5.0)
+        for number in range(50):
+            world.store.put("op/other", b"%d" % number)
+        asked = []
+        call = world.store.call
+        world.store.call = lambda *args: asked.append(args[1]) or call(*args)
+        world.store_down = False
+        world.advance(1.0)
+        watches = [target for target in asked if "kv-watch" in target]
+        first = int(watches[0].partition("after=")[2].partition("&")[0])
+        assert first >= world.store.revision - 5
+        assert any("kv-range" in target for target in asked)
+
+    def test_older_versions_are_not_taken(self, world):
+        world.store.put("op/config", configuration(version=3))
+        world.advance(1.0)
+        assert world.node.table.version == 4
+
+
+class TestRelay:
+    def test_view_that_was_fed_goes_back_to_the_store(self, world):
+        # Guards against a follower that keeps an old configuration: it lost its
+        # relay while the store turned it away, and did not ask again.
+        view = world.node.view
+        view.feed(relayed(world, 5))
+        world.advance(4.0)
+        assert world.node.table.version == 5
+        world.store_down = True
+        view.end_feed()
+        world.advance(9.0)
+        assert not view.reachable
+        world.store.put("op/config", configuration(version=9))
+        world.store_down = False
+        world.advance(2.0)
+        assert world.node.table.version == 9
+
+    def test_feed_that_ends_during_a_watch(self, world):
+        view = world.node.view
+        view.feed(relayed(world, 5))
+        world.advance(0.5)
+        view.end_feed()
+        view.feed(relayed(world, 6))
+        world.advance(0.5)
+        view.end_feed()
+        world.store.put("op/config", configuration(version=9))
+        world.advance(4.0)
+        assert world.node.table.version == 9
