Count a grant from the latest moment at which it may have arrived

Ruled out: a wrong release (none was sent), a new process of the server. Grants now lapse one hold after the call was answered or given up; a new controller adds the timeout for its predecessor's calls.

--- a/briarspoke/keyspace/grantlog.py
+++ b/briarspoke/keyspace/grantlog.py
@@ -4,28 +4,40 @@
 
 # A server's clock may be this much slow.
 CLOCK_FACTOR = 1.02
-# Covers the way of the call to the server and timers that fire late.
+# Covers bytes that are still on their way when a call is given up.
 LAPSE_MARGIN_S = 0.15
 
 
-def lapse_time(sent_at, hold_s):
-    """Returns when a grant sent at a time has lapsed for certain."""
-    return sent_at + hold_s * CLOCK_FACTOR + LAPSE_MARGIN_S
+def lapse_time(arrived_at, hold_s):
+    """Returns when a grant that arrived at a time has lapsed for certain."""
+    return arrived_at + hold_s * CLOCK_FACTOR + LAPSE_MARGIN_S
 
 
 class SentGrant:
     """One grant call.
 
     :param answered: None while it is under way, then whether an answer came.
+    :param lapses_at: when its effect has ended; valid once it is settled.
     """
 
-    __slots__ = ("answered", "first", "lapses_at", "last")
+    __slots__ = ("_hold_s", "answered", "first", "lapses_at", "last")
 
-    def __init__(self, *, first, last, lapses_at):
+    def __init__(self, *, first, last, hold_s):
         self.first = first
         self.last = last
-        self.lapses_at = lapses_at
+        self.lapses_at = None
         self.answered = None
+        self._hold_s = hold_s
+
+    def settle(self, now, *, answered):
+        """Ends the call; it may have arrived at any time until now."""
+        self.answered = answered
+        self.lapses_at = lapse_time(now, self._hold_s)
+
+    def discard(self, now):
+        """Ends a call that has had no effect."""
+        self.answered = True
+        self.lapses_at = now
 
 
 class GrantLog:
@@ -36,20 +48,21 @@
     def __init__(self):
         self._sent = []
 
-    def add(self, *, first, last, sent_at, hold_s):
+    def add(self, *, first, last, hold_s):
         """Notes a call before it is sent; returns its :class:`SentGrant`."""
-        sent = SentGrant(first=first, last=last, lapses_at=lapse_time(sent_at, hold_s))
+        sent = SentGrant(first=first, last=last, hold_s=hold_s)
         self._sent.append(sent)
         return sent
 
     def _overlapping(self, first, last, now):
-        self._sent = [s for s in self._sent if s.lapses_at > now or s.answered is None]
+        self._sent = [s for s in self._sent if s.answered is None or s.lapses_at > now]
         return [s for s in self._sent if s.first <= last and s.last >= first]
 
     def lapses_at(self, first, last, now):
-        """Returns when the last grant for any of the keys has lapsed."""
+        """Returns when the last settled grant for any of the keys has lapsed."""
         found = self._overlapping(first, last, now)
-        return max((s.lapses_at for s in found), default=now)
+        settled = (s.lapses_at for s in found if s.answered is not None)
+        return max(settled, default=now)
 
     def is_under_way(self, first, last, now):
         """Returns whether a call for any of the keys has no answer yet."""
--- a/briarspoke/keyspace/keeper.py
+++ b/briarspoke/keyspace/keeper.py
@@ -104,11 +104,13 @@
 
     def _inheritance(self):
         end = self._leadership.predecessor
+        # Its last calls may still arrive until they would time out.
+        arrived_at = self._started + grants.GRANT_TIMEOUT_S
         if end is PredecessorEnd.RESIGNED:
-            return lapse_time(self._started, HOLD_S)
+            return lapse_time(arrived_at, HOLD_S)
         if end is PredecessorEnd.RESTARTED:
-            return lapse_time(self._started, self._node.settings.max_hold_s)
-        return lapse_time(self._started + RENEWAL_WITHOUT_STORE_S, HOLD_S)
+            return lapse_time(arrived_at, self._node.settings.max_hold_s)
+        return lapse_time(arrived_at + RENEWAL_WITHOUT_STORE_S, HOLD_S)
 
     # The state it works on.
 
@@ -424,7 +426,7 @@
         now = self._node.now()
         longest_s = self._node.settings.max_hold_s
         hold_s = self._leadership.hold_s(now, HOLD_S, longest_s)
-        sent = calls.log.add(first=first, last=last, sent_at=now, hold_s=hold_s)
+        sent = calls.log.add(first=first, last=last, hold_s=hold_s)
         if renewal is not None:
             renewal.in_call = True
         self._node.spawn(
@@ -457,18 +459,13 @@
                 answer.failure or "answered",
             )
         if answer.accepted:
-            sent.answered = True
+            sent.settle(now, answered=True)
             self._node.metrics.count("grants_total", "accepted")
             return
-        if answer.accepted is None:
-            sent.answered = False
-            if not answer.sent:
-                sent.lapses_at = now
-                sent.answered = True
+        if answer.accepted is None and answer.sent:
+            sent.settle(now, answered=False)
         else:
-            # Refused: it does not count.
-            sent.answered = True
-            sent.lapses_at = now
+            sent.discard(now)
         if renewal is not None:
             renewal.due_at = now + RETRY_S
         self._node.metrics.count(
