--- a/scripts/generate_docs.py
+++ b/scripts/generate_docs.py
@@ -14,6 +14,7 @@
 import briarspoke  # noqa: E402
 from briarspoke import codes, metrics, schema, settings  # noqa: E402
 from briarspoke.configuration.resources import by_kind  # noqa: E402
+from briarspoke.entry import settings as entry_settings  # noqa: E402
 
 PAGES = {}
 NOTE = "This page is written by `python scripts/generate_docs.py`; do not edit it.\n"
@@ -122,6 +123,22 @@
     )
 
 
+@page("entry-settings-reference.md")
+def entry_settings_reference():
+    """Returns the options of the settings file of an entry VM on the platform."""
+    return "\n".join(
+        [
+            "# Settings of an entry VM on the platform",
+            "",
+            NOTE,
+            "`briarspoke entry FILE` reads one JSON object; durations have the form "
+            "`1500ms` or `2.5s`.",
+            "",
+            *_table(entry_settings.SCHEMA),
+        ]
+    )
+
+
 def _table(section):
     rows = ["| Option | Type | Default | Meaning |", "| --- | --- | --- | --- |"]
     for path, option in _options("", section):
