Pass over frames of a relay that was left, and remove settings nobody reads

Cause: on Lavendelhaus grown a follower left a relay that knew less than it did, and the next frame of the same read raised an AttributeError, which the log shows. Ruled out: a lost connection (the frames came in one read). Repeats are counted by reason.

--- a/briarspoke/entry/exchange.py
+++ b/briarspoke/entry/exchange.py
@@ -185,8 +185,6 @@
         self.server = server
         self.sent_at = now
         self.tried = (*self.tried, server)
-        if len(self.tried) > 1 and self.attempts:
-            self.node.metrics.count("retries_total", "sent")
         self.attempts += 1
         server.in_flight += 1
         request = self.request
@@ -262,7 +260,9 @@
             self.attempts -= 1
             self.misdirected += 1
             self.dispatcher.misdirected(self, server, answer.get(names.SERVER_ID))
-            if self.misdirected <= MAX_MISDIRECTED and self._budget_allows():
+            if self.misdirected <= MAX_MISDIRECTED and self._budget_allows(
+                "misdirected"
+            ):
                 self.dispatcher.park(self, codes.PARTITION_MOVING)
                 return
             self._end_not_run(codes.PARTITION_MOVING, self.node.RETRY_UNAVAILABLE_S)
@@ -300,10 +300,13 @@
             return False
         if self.node.now() >= self.expires_at:
             return False
-        return self._budget_allows()
+        return self._budget_allows(reason)
 
-    def _budget_allows(self):
-        return not self.done and self.dispatcher.may_repeat(self.node.now())
+    def _budget_allows(self, reason):
+        if self.done or not self.dispatcher.may_repeat(self.node.now()):
+            return False
+        self.node.metrics.count("retries_total", reason)
+        return True
 
     # Ends.
 
@@ -381,6 +384,8 @@
             return
         self.done = True
         self.answer = answer
+        # A timer holds the exchange until its deadline; the body can go now.
+        self.request.body = b""
         if isinstance(answer, tuple):
             self.node.count_result(answer[0], self)
         else:
--- a/briarspoke/entry/relays.py
+++ b/briarspoke/entry/relays.py
@@ -111,7 +111,7 @@
         self._follower = follower
 
     def stringReceived(self, string):
-        self._follower.received(_decode(string))
+        self._follower.received(self, string)
 
     def connectionLost(self, reason):
         self._follower.connection_lost(self)
@@ -158,8 +158,12 @@
         self._connecting = False
         self._not_before = self._node.now() + RETURN_S
 
-    def received(self, changes):
+    def received(self, link, data):
         """Takes changes from the relay; the first are the whole view."""
+        if link is not self._link:
+            # More frames of a connection that was just left.
+            return
+        changes = _decode(data)
         self._heard_at = self._node.now()
         view = self._node.view
         if view.is_fed:
--- a/briarspoke/entry/settings.py
+++ b/briarspoke/entry/settings.py
@@ -30,14 +30,12 @@
 
     __slots__ = (
         "caller_listen",
-        "config_apply_s",
         "drain_s",
         "grace_s",
         "internal_port",
         "ip",
         "log_level",
         "max_hold_s",
-        "memory_mb",
         "metrics_port",
         "node",
         "ready_listen",
@@ -108,10 +106,8 @@
             minimum=1, maximum=MAX_PORT, help="Port of the metrics page."
         ),
         "store": Listen(help="The platform's key-value store."),
-        "memory_mb": schema.Integer(minimum=64, help="Memory limit of the process."),
         "drain_s": Duration(help="How long a leaving server may get requests."),
         "grace_s": Duration(help="Time from SIGTERM to SIGKILL."),
-        "config_apply_s": Duration(help="Time for a version to be in force."),
         "max_hold_s": Duration(help="Longest grant that servers accept."),
         "retry_ratio": schema.Number(
             minimum=0, maximum=1, help="Repeats per request of a service."
--- a/briarspoke/soak/faults.py
+++ b/briarspoke/soak/faults.py
@@ -106,7 +106,8 @@
 @fault
 def lost_answers(run):
     server = run.choose(run.deployment.servers)
-    server.standin.lost_part = 0.3
+    server.standin.lost_part = 0.5
+    server.standin.lost_resets = run.choose((True, False))
 
     def end():
         server.standin.lost_part = 0.0
@@ -118,3 +119,16 @@
 def change_configuration(run):
     run.deployment.configure()
     return lambda: None
+
+
+@fault
+def lose_server(run):
+    server = run.choose(run.deployment.servers)
+    server.proxy.set_mode("silent")
+    server.lapse()
+
+    def end():
+        server.proxy.set_mode("open")
+        server.register()
+
+    return end
--- a/briarspoke/standins/platform_http.py
+++ b/briarspoke/standins/platform_http.py
@@ -148,6 +148,8 @@
         self.ended = False
         # Part of the requests that run while their answers are lost.
         self.lost_part = 0.0
+        # Whether a lost answer ends its connection, or leaves it silent.
+        self.lost_resets = False
         self.random = random.Random(0)
         self._reactor = reactor
         self._model = model
@@ -193,7 +195,10 @@
 
     def _end(self, exchange):
         self.busy -= 1
-        if not self.ended and self.random.random() >= self.lost_part:
+        is_lost = self.random.random() < self.lost_part
+        if is_lost and self.lost_resets and not exchange.connection.gone:
+            exchange.connection.transport.abortConnection()
+        if not self.ended and not is_lost:
             request_id = exchange.headers[b"request-id"]
             headers = [(b"Request-Id", request_id), (b"Response-Signature", b"s")]
             exchange.respond(200, b"ran " + request_id, headers)
--- a/tests/test_entry_view.py
+++ b/tests/test_entry_view.py
@@ -1,8 +1,9 @@
 from __future__ import annotations
 
 import pytest
-from entry_fakes import STORE, World, configuration
+from entry_fakes import STORE, ServerSocket, World, configuration
 
+from briarspoke.entry.relays import Relay, RelayFollower
 from briarspoke.platform.keyvalue import Changes, Item
 
 
@@ -103,3 +104,43 @@
         world.store.put("op/config", configuration(version=9))
         world.advance(4.0)
         assert world.node.table.version == 9
+
+
+class TestRelayLink:
+    """A follower and a relay that are joined by the test."""
+
+    def join(self, world):
+        """Returns the follower's link after the relay has sent its view."""
+        other = world.add_node("front-poa-2", 2)
+        world.advance(1.0)
+        relay_link = Relay(view=world.node.view).buildProtocol(None)
+        relay_link.makeConnection(ServerSocket())
+        follower = RelayFollower(node=other)
+        link = follower.buildProtocol(None)
+        link.makeConnection(ServerSocket())
+        return other, follower, link, relay_link.transport.take()
+
+    def test_view_comes_over_the_link(self, world):
+        other, _follower, link, data = self.join(world)
+        link.dataReceived(data)
+        assert other.view.is_fed
+        assert other.view.items.keys() == world.node.view.items.keys()
+
+    def test_silent_relay_is_left(self, world):
+        # Guards against a follower of a relay that stands still.
+        other, follower, link, data = self.join(world)
+        link.dataReceived(data)
+        world.advance(1.5)
+        follower.check()
+        assert not other.view.is_fed
+        world.store.put("op/config", configuration(version=9))
+        world.advance(1.0)
+        assert other.table.version == 9
+
+    def test_frames_of_a_link_that_was_left_are_passed_over(self, world):
+        # Guards against a fault on the second frame of a relay that knows less.
+        other, _follower, link, data = self.join(world)
+        world.store.put("op/config", configuration(version=9))
+        other.view.revision = world.store.revision + 10
+        link.dataReceived(data + data)
+        assert not other.view.is_fed
