--- a/briarspoke/entry/exchange.py
+++ b/briarspoke/entry/exchange.py
@@ -243,9 +243,10 @@
             server.spoiled()
             self.node.metrics.count("attempts_total", "server-error")
             if self.route.idempotent and self._may_repeat("server-error"):
+                self.outcome_unknown = codes.OUTCOME_UNKNOWN
                 self.dispatcher.offer(self)
                 return
-        self._finish(answer)
+        self._end(answer)
 
     def _is_genuine(self, answer):
         return (
@@ -315,7 +316,8 @@
         self._end_not_run(code, retry_after_s)
 
     def _end_not_run(self, code, retry_after_s):
-        if self.outcome_unknown is not None and not self.route.idempotent:
+        if self.outcome_unknown is not None:
+            # A refusal of a repeat says nothing about the attempt before it.
             self._fail(self.outcome_unknown)
             return
         self._end((code, "no", retry_after_s))
@@ -323,9 +325,6 @@
     def _fail(self, code):
         self._end((code, "unknown", None))
 
-    def _finish(self, answer):
-        self._end(answer)
-
     def on_time(self, now):
         """Looks at what is due.
 
--- a/briarspoke/keyspace/keeper.py
+++ b/briarspoke/keyspace/keeper.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-import enum
 import logging
 
 from briarspoke.errors import BriarspokeError, invariant
 from briarspoke.keyspace import placement
-from briarspoke.keyspace.grantlog import GrantLog, lapse_time
+from briarspoke.keyspace.grantlog import lapse_time
 from briarspoke.keyspace.keymap import Owner
 from briarspoke.keyspace.leadership import RENEWAL_WITHOUT_STORE_S, PredecessorEnd
+from briarspoke.keyspace.moves import Move, MoveState, Renewal, ServerCalls, without
 from briarspoke.platform import grants
 from briarspoke.platform.keyvalue import ConditionFailedError
 
@@ -27,56 +27,6 @@
 FIRST_MAP_QUIET_S = 1.0
 
 
-class MoveState(enum.Enum):
-    """How far a range is on its way from one server to another."""
-
-    QUIET = "waits for calls under way"
-    RELEASING = "waits for the owner to release it"
-    LAPSING = "waits for the last grant to lapse"
-    READY = "has no owner"
-
-
-class Move:
-    """A range that leaves its owner.
-
-    :param to: life of the next owner, or None for the least busy one.
-    """
-
-    __slots__ = ("first", "handover", "last", "owner", "reason", "state", "to", "until")
-
-    def __init__(self, *, first, last, owner, to, reason):
-        self.first = first
-        self.last = last
-        self.owner = owner
-        self.to = to
-        self.reason = reason
-        self.state = MoveState.QUIET
-        self.until = None
-        self.handover = None
-
-
-class Renewal:
-    """When a range is granted again."""
-
-    __slots__ = ("due_at", "in_call")
-
-    def __init__(self, due_at):
-        self.due_at = due_at
-        self.in_call = False
-
-
-class ServerCalls:
-    """Grant calls to one process of a server."""
-
-    __slots__ = ("http", "log", "reachable", "record")
-
-    def __init__(self, *, record, http):
-        self.record = record
-        self.http = http
-        self.log = GrantLog()
-        self.reachable = True
-
-
 class Keeper:
     """Control of the keys of one service while this process leads.
 
@@ -180,7 +130,7 @@
             if record is not None and not record.draining:
                 continue
             reason = "gone" if record is None else "draining"
-            for piece in _without(first, last, moving):
+            for piece in without(first, last, moving):
                 self._move(*piece, owner, None, reason)
         is_busy = any(move.state is not MoveState.LAPSING for move in self.moves)
         if not is_busy and now >= self._rebalance_at:
@@ -418,7 +368,7 @@
                 continue
             renewal.due_at = now + RENEWAL_S
             calls = self._calls(record)
-            for piece in _without(first, last, moving):
+            for piece in without(first, last, moving):
                 self._send_grant(calls, *piece, owner, None, renewal)
         self._renewals = current
 
@@ -484,23 +434,6 @@
         return current.life == owner.life and current.fence == owner.fence
 
 
-def _without(first, last, taken):
-    """Returns the parts of a range that no other range overlaps."""
-    pieces = [(first, last)]
-    for other_first, other_last in taken:
-        rest = []
-        for a, b in pieces:
-            if other_last < a or other_first > b:
-                rest.append((a, b))
-                continue
-            if a < other_first:
-                rest.append((a, other_first - 1))
-            if b > other_last:
-                rest.append((other_last + 1, b))
-        pieces = rest
-    return pieces
-
-
 def _load(rate_by_bucket, first, last):
     low = first // placement.KEYS_PER_BUCKET
     high = last // placement.KEYS_PER_BUCKET
--- a/briarspoke/links/hub.py
+++ b/briarspoke/links/hub.py
@@ -167,14 +167,6 @@
         """Sends a message to all members but this node."""
         self._relaying.flood(message)
 
-    def pin(self, node_id, *, wanted=True):
-        """Keeps a direct link to a node, whatever its place on the ring."""
-        if wanted:
-            self.members.pinned.add(node_id)
-        else:
-            self.members.pinned.discard(node_id)
-        self.members.targets_changed()
-
     def vms_listed(self, vms):
         """Takes the platform's VM list as a hint."""
         self._handle(membership.VmsListed(vms=vms))
--- a/briarspoke/membership/members.py
+++ b/briarspoke/membership/members.py
@@ -253,8 +253,6 @@
         self.by_id = {me.node_id: me}
         # Grows with each change of a member's status, identity or existence.
         self.changes = 0
-        # Nodes to which a direct link is kept in any case.
-        self.pinned = set()
         self._seeds = tuple(seeds)
         self._vms_by_id = {}
         self._foreign = []
@@ -349,10 +347,6 @@
         )
         return next(others, None) == mine
 
-    def targets_changed(self):
-        """Has the link targets chosen again, after a change of ``pinned``."""
-        self._targets = None
-
     def next_hop(self, target, linked):
         """Returns the linked node that is nearest before a target on the ring.
 
@@ -371,16 +365,15 @@
     def _choose_targets(self):
         ring = self.present()
         mine = self.me.node_id
-        pinned = {i for i in self.pinned if i in self.by_id and i != mine}
         if len(ring) <= FULL_MESH_NODES:
-            return frozenset(set(ring) - {mine} | pinned)
+            return frozenset(set(ring) - {mine})
         at = ring.index(mine)
         targets = set()
         distance = 1
         while distance < len(ring):
             targets.add(ring[(at + distance) % len(ring)])
             distance *= 2
-        return frozenset(targets - {mine} | pinned)
+        return frozenset(targets - {mine})
 
     # Events.
 
--- a/briarspoke/ownership/runner.py
+++ b/briarspoke/ownership/runner.py
@@ -220,10 +220,6 @@
         """Notes that another entry VM has sent something."""
         self._decide_all(events.NodeHeard(node_id=node_id))
 
-    def peer_seen(self, node_id, incarnation):
-        """Notes the incarnation of a linked entry VM."""
-        self._decide_all(events.PeerSeen(node_id=node_id, incarnation=incarnation))
-
     def server_reported(self, server, reachable):
         """Takes a gateway's report on an unfenced server."""
         self._decide_all(events.ServerReported(server=server, reachable=reachable))
--- a/briarspoke/soak/deployment.py
+++ b/briarspoke/soak/deployment.py
@@ -11,6 +11,7 @@
 
 from briarspoke.entry.process import SETTINGS_VARIABLE
 from briarspoke.soak.proxy import Proxy
+from briarspoke.standins import platform_documents
 from briarspoke.standins.platform_http import (
     ServerStandin,
     StandinFactory,
@@ -20,6 +21,13 @@
 from briarspoke.standins.platform_store import StoreModel
 
 KEYED, PLAIN = "stock", "orders"
+HOST = "soak.example"
+# Name, promise about repeats, and service of each route.
+ROUTES = (
+    ("lookup", "safe", KEYED),
+    ("order", "unsafe", PLAIN),
+    ("book", "unsafe", KEYED),
+)
 WORK_S = 0.02
 SLOTS = 4
 GRACE_S = 6.0
@@ -123,18 +131,14 @@
 
     def register(self):
         """Writes the registration."""
-        entry = {
-            "service": self.service,
-            "address": f"127.0.0.1:{self.proxy.port}",
-            "zone": "a",
-            "slots": SLOTS,
-            "state": self.state,
-            "warmup_left": "0ms",
-            "born": self.incarnation,
-        }
-        self._deployment.store.put(
-            f"servers/{self.server_id}", json.dumps(entry).encode()
+        data = platform_documents.registration(
+            service=self.service,
+            address=f"127.0.0.1:{self.proxy.port}",
+            slots=SLOTS,
+            state=self.state,
+            born=self.incarnation,
         )
+        self._deployment.store.put(f"servers/{self.server_id}", data)
 
     def lapse(self):
         """Lets the registration lapse."""
@@ -191,46 +195,29 @@
         """Writes the next version of the configuration."""
         self.version += 1
         route = {
-            "hostname": "soak.example",
+            "hostname": HOST,
             "timeout": "1500ms",
             "target_latency": "500ms",
             "priority": 1,
             "max_attempts": 2,
         }
-        body = {
-            "config_version": f"r{self.version}",
-            "routes": {
-                "lookup": {
-                    **route,
-                    "prefix": "/lookup/",
-                    "route_type": "safe",
-                    "service": KEYED,
-                },
-                "order": {
-                    **route,
-                    "prefix": "/order/",
-                    "route_type": "unsafe",
-                    "service": PLAIN,
-                },
-                "book": {
-                    **route,
-                    "prefix": "/book/",
-                    "route_type": "unsafe",
-                    "service": KEYED,
-                },
-            },
-            "services": {
-                KEYED: {"health_path": "/h", "max_conns": 110, "sharded": True},
-                PLAIN: {"health_path": "/h", "max_conns": 110},
-            },
-            "limits": {
-                "max_header_bytes": 16384,
-                "max_body_bytes": 1 << 20,
-                "header_timeout": "3000ms",
-                "idle_timeout": "15000ms",
-            },
+        routes = {
+            name: {
+                **route,
+                "prefix": f"/{name}/",
+                "route_type": route_type,
+                "service": service,
+            }
+            for name, route_type, service in ROUTES
+        }
+        services = {
+            KEYED: {"health_path": "/h", "max_conns": 110, "sharded": True},
+            PLAIN: {"health_path": "/h", "max_conns": 110},
         }
-        self.store.put("op/config", json.dumps(body).encode())
+        data = platform_documents.configuration(
+            version=self.version, routes=routes, services=services
+        )
+        self.store.put("op/config", data)
 
     def start(self):
         """Starts every entry VM."""
--- a/briarspoke/soak/run.py
+++ b/briarspoke/soak/run.py
@@ -11,7 +11,8 @@
 from briarspoke.entry.connections import Answer, ConnectionFactory
 from briarspoke.soak import faults
 from briarspoke.soak.checks import Checks
-from briarspoke.soak.deployment import Deployment
+from briarspoke.soak.deployment import HOST, ROUTES, Deployment
+from briarspoke.standins import platform_documents
 
 NODES = 4
 SERVERS = 4
@@ -23,6 +24,7 @@
 RECOVERY_S = 20.0
 RECOVERED_PART = 0.5
 ANSWER_S = 3.0
+DEADLINE_MS = 2_000
 
 
 class Caller:
@@ -161,15 +163,17 @@
     def _ask(self):
         self._number += 1
         request_id = f"{self.seed:x}-{self._number:x}".encode()
-        kind = self.choose(("lookup", "order", "book"))
+        kind, route_type, _ = self.choose(ROUTES)
         node = self.choose(self.deployment.nodes)
-        method = b"GET" if kind == "lookup" else b"POST"
-        key = self._random.randrange(65_536)
-        data = (
-            b"%b /%b/1 HTTP/1.1\r\nHost: soak.example\r\nRequest-Id: %b\r\n"
-            b"Deadline-Ms: 2000\r\nShard-Key: %d\r\nContent-Length: 0\r\n\r\n"
-        ) % (method, kind.encode(), request_id, key)
-        self.checks.sent(request_id, once=kind != "lookup")
+        data = platform_documents.request(
+            method=b"GET" if route_type == "safe" else b"POST",
+            path=f"/{kind}/1".encode(),
+            host=HOST.encode(),
+            request_id=request_id,
+            key=self._random.randrange(65_536),
+            deadline_ms=DEADLINE_MS,
+        )
+        self.checks.sent(request_id, once=route_type != "safe")
         self._asked += 1
         self._caller(node).send(data, lambda answer: self._answered(request_id, answer))
 
--- /dev/null
+++ b/briarspoke/standins/platform_documents.py
@@ -0,0 +1,45 @@
+"""What the operator, servers and callers of the platform's stand-ins write."""
+
+from __future__ import annotations
+
+import json
+
+LIMITS = {
+    "max_header_bytes": 16384,
+    "max_body_bytes": 1 << 20,
+    "header_timeout": "3000ms",
+    "idle_timeout": "15000ms",
+}
+
+
+def registration(*, service, address, slots, state="ready", born=1, zone="a"):
+    """Returns the bytes of a server's registration."""
+    body = {
+        "service": service,
+        "address": address,
+        "zone": zone,
+        "slots": slots,
+        "state": state,
+        "warmup_left": "0ms",
+        "born": born,
+    }
+    return json.dumps(body).encode()
+
+
+def configuration(*, version, routes, services):
+    """Returns the bytes of a configuration."""
+    body = {
+        "config_version": f"r{version}",
+        "routes": routes,
+        "services": services,
+        "limits": LIMITS,
+    }
+    return json.dumps(body).encode()
+
+
+def request(*, method, path, host, request_id, key, deadline_ms):
+    """Returns the bytes of a caller's request without a body."""
+    return (
+        b"%b %b HTTP/1.1\r\nHost: %b\r\nRequest-Id: %b\r\n"
+        b"Deadline-Ms: %d\r\nShard-Key: %d\r\nContent-Length: 0\r\n\r\n"
+    ) % (method, path, host, request_id, deadline_ms, key)
--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -349,3 +349,16 @@
             else:
                 server.send(answer(request_id=f"r{number}", extra="Connection: close"))
         assert address != losing
+
+
+class TestTruth:
+    def test_lookup_that_may_have_run_is_not_refused(self, world):
+        # Guards against a refusal that says "not run" about a repeat, although the
+        # attempt before it may have run.
+        caller = world.caller(world.node)
+        caller.send(request())
+        server, _ = world.accept()
+        server.reset()
+        again, _ = world.accept()
+        again.send(answer(503, extra="Not-Executed: 1", signature=None))
+        assert status_of(caller.take()) == 502
