--- a/briarspoke/entry/callers.py
+++ b/briarspoke/entry/callers.py
@@ -189,12 +189,18 @@
             if not self._in_body and now - self._head_since > limits.head_timeout_s:
                 self._reject(codes.REQUEST_TIMEOUT)
         elif not self.exchanges and now - self.quiet_since > limits.idle_timeout_s:
-            self._close()
+            self._close_idle()
 
     def close_if_idle(self):
         """Closes a connection on which no request is open or arriving."""
         if not self.exchanges and self._head_since is None and not self.closing:
-            self._close()
+            self._close_idle()
+
+    def _close_idle(self):
+        # No answer is on its way. A request that crosses a full close is reset at
+        # once; after a half close it would wait unread until the connection ends.
+        self.closing = True
+        self.transport.loseConnection()
 
 
 class CallerFactory(protocol.ServerFactory):
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -60,7 +60,7 @@
     }
 
 
-def configuration(version=4, routes=None, services=None):
+def configuration(version=4, routes=None, services=None, limits=LIMITS):
     """Returns the bytes of a configuration."""
     body = {
         "config_version": f"r{version}",
@@ -74,7 +74,7 @@
             "stock": {"health_path": "/h", "max_conns": 110, "sharded": True},
             "orders": {"health_path": "/h", "max_conns": 110},
         },
-        "limits": LIMITS,
+        "limits": limits,
     }
     return json.dumps(body).encode()
 
--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -3,7 +3,7 @@
 import re
 
 import pytest
-from entry_fakes import World, answer, configuration, entry, request, route
+from entry_fakes import LIMITS, World, answer, configuration, entry, request, route
 
 ORDER = {"method": "POST", "path": "/order/1", "body": b"two crates", "key": None}
 
@@ -280,9 +280,24 @@
         caller = world.caller(world.node)
         defer.ensureDeferred(world.node.stop())
         world.advance(1.0)
-        assert not caller.socket.write_ended
+        assert not caller.socket.disconnecting
         world.advance(2.0)
-        assert caller.socket.write_ended
+        # Guards against a half close, after which a caller's next request hangs.
+        assert caller.socket.disconnecting
+
+
+class TestIdleCallers:
+    def test_shorter_idle_timeout_closes_the_whole_connection(self, world):
+        # Guards against a request that crosses the close and waits for a second
+        # without an answer: only a full close resets it at once.
+        caller = world.caller(world.node)
+        world.advance(6.0)
+        assert not caller.socket.disconnecting
+        limits = {**LIMITS, "idle_timeout": "5000ms"}
+        world.store.put("op/config", configuration(5, limits=limits))
+        world.advance(1.0)
+        assert caller.socket.disconnecting
+        assert not caller.socket.write_ended
 
 
 class TestReusedAddress:
