--- a/briarspoke/entry/callers.py
+++ b/briarspoke/entry/callers.py
@@ -119,6 +119,7 @@
             headers=self._headers,
             body=body,
             arrived=arrived,
+            complete=self.node.now(),
         )
         self._new_message()
         if not self._parser.should_keep_alive():
--- a/briarspoke/entry/control.py
+++ b/briarspoke/entry/control.py
@@ -61,7 +61,7 @@
         self.leadership.record_changed()
 
     def add_load(self, service, counts):
-        """Adds one report of requests by bucket."""
+        """Adds one report of an entry VM."""
         if self.leads:
             self.load_estimate(service).add(counts, self._node.now())
 
@@ -69,6 +69,13 @@
         """Returns the :class:`LoadEstimate` of a service."""
         return self._estimates_by_service.setdefault(service, LoadEstimate())
 
+    def moves_by_service(self):
+        """Returns ``{service: ranges on the move}`` while this process leads."""
+        return {
+            service: len(keeper.moves)
+            for service, keeper in self._keepers_by_service.items()
+        }
+
     def start(self):
         """Begins to follow the lease."""
         self._node.spawn(self.leadership.run())
--- a/briarspoke/entry/dispatch.py
+++ b/briarspoke/entry/dispatch.py
@@ -8,6 +8,7 @@
 
 from briarspoke import codes
 from briarspoke.entry.budget import RetryBudget
+from briarspoke.keyspace.keymap import NOBODY
 
 # Requests per slot that all entry VMs together keep at a server: one that runs and
 # one that waits, so that a slot never idles for a round trip.
@@ -29,6 +30,12 @@
 # A server that sheds is full if it is this much slower than the mean; a fast one
 # sheds for another reason and takes the next request.
 CONGESTED = 1.5
+# Many entry VMs with one request each are more than an owner of a hot key takes: from
+# this part of the objective on, an entry VM waits between two requests to it, in
+# proportion to the excess and to how many VMs share one place.
+PACE_FROM_PART = 0.4
+PACE = 2.0
+LONGEST_PACE_S = 2.5
 # A server that takes no request as its own is passed over for this long.
 WRONG_SERVER_PAUSE_S = 1.0
 
@@ -64,6 +71,16 @@
         if key is not None and self.keyed:
             self._node.key_load.count(self.name, key)
 
+    def count_answer(self, server, seconds, objective_s):
+        """Counts a server's answer, and leaves a crowded owner to others for a time."""
+        if not self.keyed:
+            return
+        self._node.key_load.answered(self.name, server.record.server_id, seconds)
+        part = self._room_of_one(server)
+        excess_s = server.steady_latency_s - PACE_FROM_PART * objective_s
+        if part < 1 and excess_s > 0:
+            server.pause(min(LONGEST_PACE_S, PACE * (1 / part - 1) * excess_s))
+
     def may_repeat(self, now):
         """Returns whether the retry budget allows one more send, and spends it."""
         if self.budget.spend(now, self._node.node_count):
@@ -98,15 +115,17 @@
 
     def _offer_keyed(self, exchange):
         key = exchange.request.key
+        owner = self._node.key_maps.owner(self.name, key)
         server = self._owner(key)
         if server is None:
-            self.park(exchange, codes.NO_OWNER)
+            is_moving = owner is not None and owner.server_id == NOBODY
+            self.park(exchange, codes.PARTITION_MOVING if is_moving else codes.NO_OWNER)
             return
-        if not exchange.may_go_to(self._node.key_maps.owner(self.name, key)):
+        if not exchange.may_go_to(owner):
             self.park(exchange, codes.PARTITION_MOVING)
             return
         if server.is_failing and server.paused_until > self._node.now():
-            exchange.refuse(codes.OWNER_UNREACHABLE, self._node.RETRY_UNAVAILABLE_S)
+            self._refuse_unreachable(exchange, server)
             return
         if self._has_room(server) and not server.waiting:
             exchange.send(server)
@@ -167,12 +186,15 @@
     def limit(self, server):
         """Returns how many requests this entry VM may have at a server."""
         node = self._node
-        limit = server.record.slots * REQUESTS_PER_SLOT / node.node_count
+        limit = self._room_of_one(server)
         if not self.keyed and server.record.zone == node.settings.zone:
             in_zone = server.record.slots * REQUESTS_PER_SLOT_IN_ZONE
             limit = max(limit, in_zone / node.zone_node_count)
         return max(1, math.ceil(limit))
 
+    def _room_of_one(self, server):
+        return server.record.slots * REQUESTS_PER_SLOT / self._node.node_count
+
     def _has_room(self, server):
         return server.in_flight < self.limit(server) and (
             server.paused_until <= self._node.now()
@@ -267,10 +289,18 @@
         """Finds another way for a request that could not be sent."""
         if exchange.done:
             return
-        if self.keyed:
-            self.park(exchange, codes.OWNER_UNREACHABLE)
-        else:
+        if not self.keyed:
             self._offer_any(exchange)
+        elif server.is_failing:
+            self._refuse_unreachable(exchange, server)
+        else:
+            self.park(exchange, codes.OWNER_UNREACHABLE)
+
+    def _refuse_unreachable(self, exchange, server):
+        back_in_s = server.back_in_s(self._node.now())
+        exchange.refuse(
+            codes.OWNER_UNREACHABLE, max(self._node.RETRY_UNAVAILABLE_S, back_in_s)
+        )
 
     def server_freed(self, server):
         """Starts waiting requests after one has ended."""
--- a/briarspoke/entry/exchange.py
+++ b/briarspoke/entry/exchange.py
@@ -33,12 +33,14 @@
 
     :param headers: list of (name in lower case, value) in bytes.
     :param arrived: monotonic seconds of its first byte.
+    :param complete: monotonic seconds of its last byte.
     """
 
     __slots__ = (
         "arrived",
         "body",
         "closes",
+        "complete",
         "deadline_s",
         "headers",
         "host",
@@ -48,12 +50,13 @@
         "target",
     )
 
-    def __init__(self, *, method, target, headers, body, arrived):
+    def __init__(self, *, method, target, headers, body, arrived, complete):
         self.method = method
         self.target = target
         self.headers = headers
         self.body = body
         self.arrived = arrived
+        self.complete = complete
         self.closes = False
         self.host = b""
         self.request_id = b""
@@ -155,6 +158,9 @@
             wait_s = min(wait_s, route.timeout_s)
         self.expires_at = request.arrived + wait_s
         self.dispatcher.count_request(self)
+        node.metrics.observe(
+            "receive_seconds", route.priority, request.complete - request.arrived
+        )
         if self.dispatcher.keyed and (request.key is None or request.key > MAX_KEY):
             self.refuse(codes.MISSING_KEY)
             return
@@ -181,6 +187,10 @@
     def send(self, server):
         """Sends the request to a server that has room for it."""
         now = self.node.now()
+        if not self.tried:
+            self.node.metrics.observe(
+                "queue_seconds", self.route.priority, now - self.request.complete
+            )
         self.queued_at = None
         self.server = server
         self.sent_at = now
@@ -231,6 +241,9 @@
 
     def _attempt_ran(self, server, answer):
         now = self.node.now()
+        self.node.metrics.observe(
+            "server_seconds", self.dispatcher.name, now - self.sent_at
+        )
         if 200 <= answer.status < 300 and not self._is_genuine(answer):
             server.spoiled()
             self.node.metrics.count("attempts_total", "spoiled")
@@ -238,6 +251,9 @@
             return
         if answer.status < 500:
             server.answered(now - self.sent_at)
+            self.dispatcher.count_answer(
+                server, now - self.sent_at, self.route.objective_s
+            )
             self.node.metrics.count("attempts_total", "answered")
         else:
             server.spoiled()
@@ -389,6 +405,12 @@
             self.node.count_result(answer[0], self)
         else:
             self.node.metrics.count("answers_total", self.route.priority)
+        if self.route is not None:
+            self.node.metrics.observe(
+                "request_seconds",
+                self.route.priority,
+                self.node.now() - self.request.arrived,
+            )
         self.connection.answer_ready()
 
     def encode(self, *, close):
--- /dev/null
+++ b/briarspoke/entry/gauges.py
@@ -0,0 +1,58 @@
+"""Gauges of an entry VM on its metrics page."""
+
+from __future__ import annotations
+
+from briarspoke.entry import logs
+
+
+class LoopLag:
+    """Largest delay of a periodic call since it was last read.
+
+    :param period_s: seconds between two calls on an idle loop.
+    """
+
+    __slots__ = ("_called_at", "_largest_s", "_period_s")
+
+    def __init__(self, *, period_s):
+        self._period_s = period_s
+        self._called_at = None
+        self._largest_s = 0.0
+
+    def called(self, now):
+        """Notes a call."""
+        if self._called_at is not None:
+            delay_s = now - self._called_at - self._period_s
+            self._largest_s = max(self._largest_s, delay_s)
+        self._called_at = now
+
+    def take(self):
+        """Returns the largest delay in seconds, and begins anew."""
+        largest_s, self._largest_s = self._largest_s, 0.0
+        return largest_s
+
+
+def _age(now, then):
+    # A scrape shows NaN, not 0, for what has never happened.
+    return float("nan") if then is None else now - then
+
+
+def register(node, loop_lag):
+    """Registers the gauges of an entry VM with its metrics.
+
+    :param node: the :class:`briarspoke.entry.node.EntryNode`.
+    :param loop_lag: the :class:`LoopLag` of its event loop.
+    """
+    gauge = node.metrics.gauge
+    view = node.view
+    maps = node.key_maps.by_service
+    gauge("configuration_version", lambda: node.table.version if node.table else 0)
+    gauge("configuration_age_seconds", lambda: _age(node.now(), node.table_since))
+    gauge("store_reachable", lambda: int(view.reachable))
+    gauge("store_age_seconds", lambda: _age(node.now(), view.last_contact))
+    gauge("servers_known", lambda: sum(1 for _ in node.all_records()))
+    gauge("connections_open", lambda: len(node.callers))
+    gauge("key_ranges", lambda: {name: len(m.starts) for name, m in maps.items()})
+    gauge("key_ranges_moving", node.control.moves_by_service)
+    gauge("controls", lambda: int(node.control.leads))
+    gauge("loop_lag_seconds", loop_lag.take)
+    gauge("log_lines_dropped", logs.dropped_lines)
--- a/briarspoke/entry/logs.py
+++ b/briarspoke/entry/logs.py
@@ -33,6 +33,12 @@
             self.handleError(record)
 
 
+def dropped_lines():
+    """Returns how many lines were dropped since standard output was full."""
+    handlers = logging.getLogger().handlers
+    return sum(h.dropped for h in handlers if isinstance(h, OutputHandler))
+
+
 class LineLimit:
     """A token bucket for log lines.
 
--- a/briarspoke/entry/node.py
+++ b/briarspoke/entry/node.py
@@ -7,14 +7,14 @@
 
 from twisted.internet import defer, task
 
-from briarspoke.entry import logs, status
+from briarspoke.entry import gauges, logs, status
 from briarspoke.entry.callers import CallerFactory
 from briarspoke.entry.calls import HttpClient
 from briarspoke.entry.control import Control
 from briarspoke.entry.dispatch import Dispatcher
 from briarspoke.entry.registry import NodeRegistry
 from briarspoke.entry.relays import ALIVE_S, Relay, RelayFollower
-from briarspoke.entry.reports import REPORT_S, LoadReports
+from briarspoke.entry.reports import REPORT_S, Datagrams
 from briarspoke.entry.routes import DEFAULT_LIMITS
 from briarspoke.entry.servers import Server
 from briarspoke.entry.timers import Timers
@@ -60,6 +60,8 @@
         self.timers = Timers(reactor=reactor, clock=clock)
         self.callers = set()
         self.table = None
+        # When the configuration came into force, in monotonic seconds.
+        self.table_since = None
         self.stopping = False
         self.key_maps = keymap.KeyMaps()
         self.key_load = KeyLoad()
@@ -70,19 +72,24 @@
         self._ports = []
         self._loops = []
         store = self.http_client(settings.store.host, settings.store.port)
-        self.store = KeyValueClient(http=store, count=self._count_store_call)
+        self.store = KeyValueClient(
+            http=store, count=self._count_store_call, clock=clock
+        )
         self.view = StoreView(client=self.store, sleep=self.sleep, clock=clock)
         self.registry = NodeRegistry(node=self)
         self.control = Control(node=self)
         self.relay = Relay(view=self.view)
         self.view.has_followers = lambda: bool(self.relay.links)
         self.relay_follower = RelayFollower(node=self)
-        self.reports = LoadReports(self.control.add_load)
+        self.view.find_relay = self.relay_follower.introduce
+        self.datagrams = Datagrams(
+            take_load=self.control.add_load, take_owners=self._owners_announced
+        )
         self.view.observe(documents.CONFIGURATION_KEY, self._configuration_changed)
         self.view.observe(documents.SERVER_PREFIX, self._server_changed)
         self.view.observe(keymap.KEY_MAP_PREFIX, self._key_map_changed)
-        self.metrics.gauge("configuration_version", self._version)
-        self.metrics.gauge("store_reachable", lambda: int(self.view.reachable))
+        self._loop_lag = gauges.LoopLag(period_s=TICK_S)
+        gauges.register(self, self._loop_lag)
 
     # Plumbing shared by the parts.
 
@@ -106,8 +113,9 @@
         """Returns a client for single calls to an address."""
         return HttpClient(reactor=self.reactor, clock=self.now, host=host, port=port)
 
-    def _count_store_call(self, kind, outcome):
+    def _count_store_call(self, kind, outcome, seconds):
         self.metrics.count("store_calls_total", kind)
+        self.metrics.observe("store_seconds", kind, seconds)
         if outcome != "200":
             self.metrics.count("store_failures_total", kind)
 
@@ -214,6 +222,7 @@
             return
         old = self._version()
         self.table = table
+        self.table_since = self.now()
         log.info("configuration: in force version=%d before=%d", table.version, old)
         for service in table.services:
             self.dispatcher(service).pump()
@@ -302,15 +311,24 @@
     def _key_map_changed(self, key, item):
         service = key.removeprefix(keymap.KEY_MAP_PREFIX)
         if item is None:
-            self.key_maps.by_service.pop(service, None)
+            self.key_maps.remove(service)
             return
         try:
-            self.key_maps.by_service[service] = keymap.decode(item.value)
+            self.key_maps.put(service, keymap.decode(item.value))
         except keymap.KeyMapError as error:
             log.error("keys: map not usable service=%s error=%r", service, str(error))
             return
         self.dispatcher(service).owner_changed()
 
+    def announce_owners(self, service, changes):
+        """Tells all entry VMs, this one too, which ranges have a new owner."""
+        self.datagrams.send_owners(service, changes, self.registry.addresses())
+        self._owners_announced(service, changes)
+
+    def _owners_announced(self, service, changes):
+        if self.key_maps.announce(service, changes, self.now()):
+            self.dispatcher(service).owner_changed()
+
     async def write_key_map(self, service, key_map, term):
         """Writes a key map under the condition that control was not lost."""
         await self.control.write_key_map(service, key_map, term)
@@ -347,7 +365,7 @@
         )
         self._ports.append(
             self.reactor.listenUDP(
-                settings.internal_port, self.reports, interface=settings.ip
+                settings.internal_port, self.datagrams, interface=settings.ip
             )
         )
         self._ports.append(
@@ -382,10 +400,12 @@
 
     def _tick(self):
         now = self.now()
+        self._loop_lag.called(now)
         for key, return_by in list(self._leaving_by_key.items()):
             if now >= return_by:
                 del self._leaving_by_key[key]
                 self._remove_server(key)
+        self.key_maps.expire(now)
         if self.table is None:
             return
         for dispatcher in self._dispatchers_by_service.values():
@@ -409,8 +429,10 @@
                 self.control.add_load(service, counts)
             return
         holder = self.control.holder()
-        if holder is not None and taken:
-            self.reports.send(taken, holder.host, holder.port)
+        if holder is None:
+            return
+        for service, counts in taken.items():
+            self.datagrams.send_load(service, counts, (holder.host, holder.port))
 
     async def stop(self):
         """Takes no new callers, lets open requests end, and gives control up."""
--- a/briarspoke/entry/registry.py
+++ b/briarspoke/entry/registry.py
@@ -15,6 +15,18 @@
 RENEWAL_S = 2.0
 
 
+class NodeEntry:
+    """Registration of an entry VM."""
+
+    __slots__ = ("host", "link_mbps", "port", "zone")
+
+    def __init__(self, *, zone, host, port, link_mbps):
+        self.zone = zone
+        self.host = host
+        self.port = port
+        self.link_mbps = link_mbps
+
+
 class NodeRegistry:
     """Registers this entry VM under a lease and counts the others.
 
@@ -37,7 +49,12 @@
         else:
             try:
                 value = json.loads(item.value)
-                self._entry_by_key[key] = (value["zone"], value["ip"], value["port"])
+                self._entry_by_key[key] = NodeEntry(
+                    zone=value["zone"],
+                    host=value["ip"],
+                    port=value["port"],
+                    link_mbps=value["link_mbps"],
+                )
             except (ValueError, TypeError, KeyError) as error:
                 log.warning(
                     "registry: unreadable entry key=%s error=%r", key, str(error)
@@ -46,21 +63,39 @@
         own_zone = self._node.settings.zone
         self.count = max(1, len(self._entry_by_key))
         self.zone_count = max(
-            1, sum(zone == own_zone for zone, _, _ in self._entry_by_key.values())
+            1, sum(entry.zone == own_zone for entry in self._entry_by_key.values())
         )
 
+    @property
+    def prefix(self):
+        """What the keys of all registrations begin with."""
+        return NODE_PREFIX
+
     def relay_address(self):
         """Returns (host, port) of the zone's relay, or None if this VM watches."""
         own_zone = self._node.settings.zone
-        in_zone = sorted(
-            (key, (ip, port))
-            for key, (zone, ip, port) in self._entry_by_key.items()
-            if zone == own_zone
-        )
+        in_zone = [
+            (-entry.link_mbps, key)
+            for key, entry in self._entry_by_key.items()
+            if entry.zone == own_zone
+        ]
         if len(in_zone) < LEAST_NODES:
             return None
-        key, address = in_zone[0]
-        return None if key == NODE_PREFIX + self._node.settings.node else address
+        # A relay sends everything as often as it has followers.
+        _, key = min(in_zone)
+        if key == NODE_PREFIX + self._node.settings.node:
+            return None
+        entry = self._entry_by_key[key]
+        return (entry.host, entry.port)
+
+    def addresses(self):
+        """Returns [(host, port)] of all other entry VMs."""
+        own_key = NODE_PREFIX + self._node.settings.node
+        return [
+            (entry.host, entry.port)
+            for key, entry in self._entry_by_key.items()
+            if key != own_key
+        ]
 
     async def run(self):
         """Keeps the registration alive without end."""
@@ -71,6 +106,7 @@
             "zone": settings.zone,
             "ip": settings.ip,
             "port": settings.internal_port,
+            "link_mbps": settings.link_mbps,
         }
         value = json.dumps(entry).encode()
         while not self._left:
--- a/briarspoke/entry/relays.py
+++ b/briarspoke/entry/relays.py
@@ -28,6 +28,10 @@
 # A follower that lost its relay watches itself for this long at least.
 RETURN_S = 3.0
 CONNECT_TIMEOUT_S = 0.5
+# A VM that starts asks its relay for this long, since all items of the store take
+# seconds on a slow link; they come compressed from the relay.
+INTRODUCTION_S = 0.7
+INTRODUCTION_RETRY_S = 0.1
 MAX_FRAME_BYTES = 16 << 20
 # A configuration of 1,300 routes takes a second on a link of 5 Mbit/s and a tenth of
 # that compressed; the lowest level is within 2 ms of processor time for it.
@@ -166,6 +170,26 @@
         self._host, port = address
         self._node.reactor.connectTCP(self._host, port, self, timeout=CONNECT_TIMEOUT_S)
 
+    async def introduce(self):
+        """Finds the relay before all items are read, and waits for its view.
+
+        :raises BriarspokeError: if the store does not answer.
+        """
+        node = self._node
+        await node.view.read(node.registry.prefix)
+        give_up_at = node.now() + INTRODUCTION_S
+        while not node.view.is_fed and node.registry.relay_address() is not None:
+            if self.connected:
+                # Its frames may take long; silence ends the connection.
+                if node.now() - self._heard_at > SILENCE_S:
+                    self._leave()
+            elif node.now() >= give_up_at:
+                return
+            elif not self._connecting:
+                self._not_before = 0.0
+                self.check()
+            await node.sleep(INTRODUCTION_RETRY_S)
+
     def buildProtocol(self, address):
         self._connecting = False
         self._heard_at = self._node.now()
--- a/briarspoke/entry/servers.py
+++ b/briarspoke/entry/servers.py
@@ -88,8 +88,13 @@
         self.in_flight = 0
         self.waiting = collections.deque()
         self.latency_s = INITIAL_LATENCY_S
+        # The shorter of the last two service times; one slow answer says little.
+        self.steady_latency_s = INITIAL_LATENCY_S
+        self._last_latency_s = INITIAL_LATENCY_S
         self.samples = 0
         self.failures = 0
+        # When the first of the failures in a row was.
+        self.failing_since = None
         # Mean part of the attempts without a usable answer.
         self.loss = 0.0
         self.paused_until = 0.0
@@ -121,10 +126,13 @@
     def answered(self, seconds):
         """Notes an answer after a service time."""
         self.failures = 0
+        self.failing_since = None
         self.paused_until = 0.0
         self.loss -= LOSS_WEIGHT * self.loss
         weight = LATENCY_WEIGHT if self.samples > 8 else 1 / (self.samples + 1)
         self.samples += 1
+        self.steady_latency_s = min(seconds, self._last_latency_s)
+        self._last_latency_s = seconds
         self.latency_s += weight * (seconds - self.latency_s)
 
     def spoiled(self):
@@ -135,6 +143,8 @@
         """Notes that nothing came back; a silent server is passed over."""
         self.spoiled()
         self.failures += 1
+        if self.failing_since is None:
+            self.failing_since = self._clock()
         excess = self.failures - FAILURES_TO_PAUSE
         if excess >= 0:
             pause_s = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * (1 << min(excess, 8)))
@@ -145,6 +155,13 @@
         """Whether nothing came back from its last attempts."""
         return self.failures >= FAILURES_TO_PAUSE
 
+    def back_in_s(self, now):
+        """Returns in how many seconds a failing server may be expected back.
+
+        An outage that has lasted for a time lasts about as long again.
+        """
+        return 0.0 if self.failing_since is None else now - self.failing_since
+
     def pause(self, seconds):
         """Passes the server over for a time."""
         self.paused_until = max(self.paused_until, self._clock() + seconds)
--- a/briarspoke/entry/settings.py
+++ b/briarspoke/entry/settings.py
@@ -34,6 +34,7 @@
         "grace_s",
         "internal_port",
         "ip",
+        "link_mbps",
         "log_level",
         "max_hold_s",
         "metrics_port",
@@ -105,6 +106,11 @@
         "metrics_port": schema.Integer(
             minimum=1, maximum=MAX_PORT, help="Port of the metrics page."
         ),
+        "link_mbps": schema.Number(
+            minimum=0,
+            default=0,
+            help="Bandwidth of its link, Mbit/s; the widest of a zone is the relay.",
+        ),
         "store": Listen(help="The platform's key-value store."),
         "drain_s": Duration(help="How long a leaving server may get requests."),
         "grace_s": Duration(help="Time from SIGTERM to SIGKILL."),
--- a/briarspoke/entry/view.py
+++ b/briarspoke/entry/view.py
@@ -17,8 +17,9 @@
 WATCH_S = 3.0
 # A relay answers for others, so it has to notice a lost store sooner.
 RELAY_WATCH_S = 0.8
-# Changes that come within this time after others are taken with one call.
-BATCH_S = 0.15
+# Changes that come within this time after others are taken with one call. New owners
+# of keys are announced beside the store, and the rest may take 2 s.
+BATCH_S = 0.4
 FIRST_RETRY_S = 0.1
 LONGEST_RETRY_S = 0.8
 
@@ -49,6 +50,8 @@
         self._feed_ended = None
         # Whether others rely on this view.
         self.has_followers = lambda: False
+        # Called before all items are read; may find a relay that feeds this view.
+        self.find_relay = None
 
     def observe(self, prefix, observer):
         """Calls ``observer(key, item)`` for each change; item is None if removed."""
@@ -82,6 +85,14 @@
         ended, self._feed_ended = self._feed_ended, None
         ended.callback(None)
 
+    async def read(self, prefix):
+        """Takes the items whose keys begin with a prefix, before all are known.
+
+        :raises BriarspokeError: if the store does not answer.
+        """
+        for item in (await self._client.read_all(prefix)).items:
+            self._take(item)
+
     async def run(self):
         """Follows the store without end."""
         retry_s = FIRST_RETRY_S
@@ -107,6 +118,10 @@
             # a small call shows sooner that the store is back.
             await self._client.probe()
             self.revision = None
+        if self.revision is None and self.find_relay is not None:
+            await self.find_relay()
+            if self.is_fed:
+                return
         if self.revision is None:
             changes = await self._client.read_all()
             self._take_all(changes)
--- a/briarspoke/keyspace/keeper.py
+++ b/briarspoke/keyspace/keeper.py
@@ -7,9 +7,10 @@
 from briarspoke.errors import BriarspokeError, invariant
 from briarspoke.keyspace import placement
 from briarspoke.keyspace.grantlog import lapse_time
-from briarspoke.keyspace.keymap import Owner
+from briarspoke.keyspace.keymap import KEY_COUNT, NOBODY, Owner
 from briarspoke.keyspace.leadership import RENEWAL_WITHOUT_STORE_S, PredecessorEnd
-from briarspoke.keyspace.moves import Move, MoveState, Renewal, ServerCalls, without
+from briarspoke.keyspace.moves import Move, MoveState, Renewal, ServerCalls
+from briarspoke.keyspace.ranges import without
 from briarspoke.platform import grants
 from briarspoke.platform.keyvalue import ConditionFailedError
 
@@ -21,8 +22,13 @@
 RETRY_S = 0.4
 # After a change, neighbouring ranges of a server are renewed as one from here on.
 MERGE_DELAY_S = 0.4
+# Moves that end within this time are written together, since each write costs a call
+# here and one at each entry VM that watches.
+WRITE_GAP_S = 0.2
 # Load is looked at this often.
 REBALANCE_S = 0.3
+# Moves at the same time; each is a release, a write and a grant.
+MAX_MOVES_AT_ONCE = 20
 # The first map waits until no server has registered for this long.
 FIRST_MAP_QUIET_S = 1.0
 
@@ -42,9 +48,11 @@
         self._term = leadership.revision
         self._calls_by_life = {}
         self._renewals = {}
-        self._handovers = []
+        self._announcements = []
         self._fenced = False
+        self._alone = False
         self._writing = False
+        self._written_at = 0.0
         self._started = node.now()
         self._rebalance_at = 0.0
         self._first_count = 0
@@ -100,6 +108,7 @@
         self._find_moves(records, now)
         for move in self.moves:
             self._advance(move, records, now)
+        self._announce()
         self._finish_moves(records, now)
         self._renew(records, now)
 
@@ -116,9 +125,10 @@
         self._write(placement.initial(candidates, 1), [], "first map")
 
     def _candidate(self, record):
+        known_s = self._node.load_estimate(self.service).service_s(record.server_id)
         server = self._node.dispatcher(self.service).servers[record.server_id]
         return placement.Candidate(
-            life=record.life, slots=record.slots, latency_s=server.latency_s
+            life=record.life, slots=record.slots, latency_s=known_s or server.latency_s
         )
 
     # Moves.
@@ -132,22 +142,25 @@
             reason = "gone" if record is None else "draining"
             for piece in without(first, last, moving):
                 self._move(*piece, owner, None, reason)
-        is_busy = any(move.state is not MoveState.LAPSING for move in self.moves)
-        if not is_busy and now >= self._rebalance_at:
+        room = MAX_MOVES_AT_ONCE - len(self.moves)
+        if room > 0 and now >= self._rebalance_at:
             self._rebalance_at = now + REBALANCE_S
-            self._rebalance(records, now)
+            self._rebalance(records, now, room)
 
-    def _rebalance(self, records, now):
+    def _rebalance(self, records, now, room):
         candidates = self._usable(records)
         estimate = self._node.load_estimate(self.service)
         estimate.decay(now)
+        placement.assign_load(self._map, candidates, estimate.rate_by_bucket)
+        estimate.learn({c.life[0]: c.busy for c in candidates})
         transfers = placement.rebalance(
             self._map,
             candidates,
             estimate.rate_by_bucket,
-            [(move.first, move.last) for move in self.moves],
+            [(move.first, move.last, move.to) for move in self.moves],
+            urgent=any(move.state is not MoveState.LAPSING for move in self.moves),
         )
-        for transfer in transfers:
+        for transfer in transfers[:room]:
             owner = self._map.owner(transfer.first)
             self._move(transfer.first, transfer.last, owner, transfer.to, "load")
 
@@ -176,6 +189,12 @@
             reason,
         )
 
+    def _announce(self):
+        """Keeps requests from owners that are being asked to release their keys."""
+        changes, self._announcements = self._announcements, []
+        if changes:
+            self._node.announce_owners(self.service, changes)
+
     def _advance(self, move, records, now):
         if move.state is MoveState.READY:
             return
@@ -189,7 +208,8 @@
                 self._let_lapse(move, now)
             elif not calls.log.is_under_way(move.first, move.last, now):
                 self._release(move, calls, now)
-        elif move.state is MoveState.LAPSING and now >= move.until:
+        elif now >= move.until:
+            # Also while a release waits for work that outlasts the grant.
             move.state = MoveState.READY
 
     def _has_ended(self, move, records):
@@ -222,13 +242,16 @@
             if other.service != self.service
         )
 
-    def _let_lapse(self, move, now):
+    def _lapses_at(self, move, now):
         # A grant of an earlier controller lasts on beside a later, shorter one.
-        move.until = max(now, self._inherited_until)
+        until = max(now, self._inherited_until)
         calls = self._calls_by_life.get(move.owner.life)
         if calls is not None:
-            lapses_at = calls.log.lapses_at(move.first, move.last, now)
-            move.until = max(move.until, lapses_at)
+            until = max(until, calls.log.lapses_at(move.first, move.last, now))
+        return until
+
+    def _let_lapse(self, move, now):
+        move.until = self._lapses_at(move, now)
         move.state = MoveState.LAPSING
 
     def _release(self, move, calls, now):
@@ -240,6 +263,9 @@
             self._let_lapse(move, now)
             return
         move.state = MoveState.RELEASING
+        move.until = self._lapses_at(move, now)
+        nobody = Owner(server_id=NOBODY, incarnation=0, fence=move.owner.fence)
+        self._announcements.append((move.first, move.last, nobody))
         self._node.spawn(self._call_release(move, calls))
 
     async def _call_release(self, move, calls):
@@ -250,6 +276,9 @@
             "grants_total", "released" if answer.accepted else "release-failed"
         )
         now = self._node.now()
+        if move.state is not MoveState.RELEASING:
+            # The last grant has lapsed meanwhile.
+            return
         if answer.accepted:
             move.handover = answer.handover
             move.state = MoveState.READY
@@ -267,7 +296,7 @@
 
     def _finish_moves(self, records, now):
         ready = [move for move in self.moves if move.state is MoveState.READY]
-        if not ready or self._writing:
+        if not ready or self._writing or now < self._written_at + WRITE_GAP_S:
             return
         candidates = self._usable(records)
         if not candidates:
@@ -275,16 +304,30 @@
         estimate = self._node.load_estimate(self.service)
         placement.assign_load(self._map, candidates, estimate.rate_by_bucket)
         by_life = {candidate.life: candidate for candidate in candidates}
+        total_load = sum(estimate.rate_by_bucket.values())
         fence = self._map.highest_fence + 1
         changes = []
         for move in ready:
             candidate = by_life.get(move.to)
             if candidate is None:
                 candidate = placement.least_busy(candidates)
-            share = (move.last - move.first + 1) / 65_536
-            candidate.load += max(
-                share, _load(estimate.rate_by_bucket, move.first, move.last)
+            load = _load(estimate.rate_by_bucket, move.first, move.last)
+            log.info(
+                "keys: move ends service=%s keys=%d-%d from=%s to=%s state=%s "
+                "requests_per_s=%d busy_percent=%d service_ms=%d",
+                self.service,
+                move.first,
+                move.last,
+                move.owner.server_id,
+                candidate.life[0],
+                "released" if move.handover else "lapsed",
+                load,
+                candidate.busy * 100,
+                candidate.latency_s * 1000,
             )
+            # Keys without known load still count, so that no server gets all.
+            share = (move.last - move.first + 1) / KEY_COUNT
+            candidate.load += max(load, share * total_load)
             owner = Owner(
                 server_id=candidate.life[0], incarnation=candidate.life[1], fence=fence
             )
@@ -324,7 +367,7 @@
             return
         self._fenced = True
         self._writing = False
-        now = self._node.now()
+        now = self._written_at = self._node.now()
         log.info(
             "keys: map written service=%s ranges=%d fence=%d reason=%s",
             self.service,
@@ -355,6 +398,9 @@
     def _renew(self, records, now):
         if not self._leadership.may_renew_grants(now):
             return
+        was_alone, self._alone = self._alone, self._leadership.is_alone(now)
+        # All ranges get the longer grants at once, as this process may end soon.
+        is_due = self._alone and not was_alone
         moving = [(move.first, move.last) for move in self.moves]
         current = {}
         for first, last, owner in self._map.ranges():
@@ -364,7 +410,7 @@
             key = (first, last, owner.life, owner.fence)
             renewal = self._renewals.get(key) or Renewal(now)
             current[key] = renewal
-            if renewal.in_call or now < renewal.due_at:
+            if renewal.in_call or (now < renewal.due_at and not is_due):
                 continue
             renewal.due_at = now + RENEWAL_S
             calls = self._calls(record)
@@ -411,6 +457,9 @@
         if answer.accepted:
             sent.settle(now, answered=True)
             self._node.metrics.count("grants_total", "accepted")
+            if renewal is None and self._is_current(sent, owner):
+                self._announcements.append((sent.first, sent.last, owner))
+                self._node.wake_control()
             return
         if answer.accepted is None and answer.sent:
             sent.settle(now, answered=False)
--- a/briarspoke/keyspace/leadership.py
+++ b/briarspoke/keyspace/leadership.py
@@ -104,16 +104,19 @@
         """Returns whether grants may be renewed, contact with the store or not."""
         return self.holds and now - self._renewed_at < RENEWAL_WITHOUT_STORE_S
 
+    def is_alone(self, now):
+        """Returns whether contact with the store is lost for longer than usual."""
+        return now - self._renewed_at >= LONG_HOLD_AFTER_S
+
     def hold_s(self, now, normal_s, longest_s):
         """Returns for how many seconds to grant.
 
         Every grant has lapsed ``RENEWAL_WITHOUT_STORE_S`` and one normal hold after
         the last contact with the store; another controller relies on that.
         """
-        alone_s = now - self._renewed_at
-        if alone_s < LONG_HOLD_AFTER_S:
+        if not self.is_alone(now):
             return min(normal_s, longest_s)
-        left_s = RENEWAL_WITHOUT_STORE_S + normal_s - alone_s
+        left_s = RENEWAL_WITHOUT_STORE_S + normal_s - (now - self._renewed_at)
         return max(0.0, min(longest_s, left_s))
 
     def holder(self):
--- a/briarspoke/keyspace/placement.py
+++ b/briarspoke/keyspace/placement.py
@@ -6,15 +6,21 @@
 from briarspoke.keyspace.load import KEYS_PER_BUCKET
 
 # Requests in a server per slot above which keys move away from it.
-BUSY = 0.45
+BUSY = 0.6
+# The same while other keys are on the move: only what cannot wait for them.
+URGENT = 1.2
 # Keys move only from a server that is this much busier than the mean.
-IMBALANCE = 1.25
+IMBALANCE = 1.4
 # Ranges that move in one round.
 MAX_MOVES = 10
 # A bucket with this part of a server's load is too much to be balanced by others.
 HOT_PART = 0.4
 # Such a bucket moves if its next server would be this much less busy.
 WORTH_MOVING = 0.7
+# Requests per slot from which one bucket leaves no room for others at its server.
+FULL = 1.0
+# Requests per second of keys beside such a bucket that are worth a move.
+LEAST_LOAD_BESIDE = 0.3
 # Part of a mean server's load that a server without keys is given first.
 FIRST_SHARE = 0.5
 
@@ -96,19 +102,23 @@
     )
 
 
-def rebalance(key_map, candidates, rate_by_bucket, moving=()):
+def rebalance(key_map, candidates, rate_by_bucket, moving=(), *, urgent=False):
     """Returns the :class:`Transfer` list that brings servers closer to each other.
 
     Moved keys are paid for by their number, so the narrowest range with the
     wanted load moves.
 
-    :param moving: (first, last) of ranges that are on the move already.
+    :param moving: (first, last, life of the next owner or None) of ranges that are
+        on the move already.
+    :param urgent: whether only servers far over their room are relieved.
     """
     ranges_by_life = assign_load(key_map, candidates, rate_by_bucket)
-    for first, last in moving:
-        _leave_out(ranges_by_life, first, last)
+    by_life = {candidate.life: candidate for candidate in candidates}
+    for first, last, to in moving:
+        _leave_out(ranges_by_life, by_life, first, last, to)
     if len(candidates) < 2:
         return []
+    threshold = URGENT if urgent else BUSY
     transfers = []
     for candidate in candidates:
         if candidate.life not in ranges_by_life and len(transfers) < MAX_MOVES:
@@ -116,17 +126,18 @@
             if transfer is not None:
                 transfers.append(transfer)
     while len(transfers) < MAX_MOVES:
-        transfer = _relieve(candidates, ranges_by_life)
+        transfer = _relieve(candidates, ranges_by_life, threshold)
         if transfer is None:
             break
         transfers.append(transfer)
     return transfers
 
 
-def _relieve(candidates, ranges_by_life):
-    mean = sum(c.busy for c in candidates) / len(candidates)
+def _relieve(candidates, ranges_by_life, threshold):
+    # One hot key must not hide that others are too busy as well.
+    mean = sum(min(FULL, c.busy) for c in candidates) / len(candidates)
     for busy in sorted(candidates, key=lambda c: c.busy, reverse=True):
-        if busy.busy < BUSY or busy.busy < IMBALANCE * mean:
+        if busy.busy < threshold or busy.busy < IMBALANCE * mean:
             return None
         transfer = _move_hottest(busy, candidates, ranges_by_life)
         if transfer is not None:
@@ -140,6 +151,35 @@
         transfer = _transfer(busy, target, min(wanted, excess), ranges_by_life)
         if transfer is not None:
             return transfer
+        transfer = _clear_beside_hottest(busy, target, ranges_by_life)
+        if transfer is not None:
+            return transfer
+    return None
+
+
+def _clear_beside_hottest(source, target, ranges_by_life):
+    """Moves keys away that share a server with a key that fills it alone."""
+    rate, bucket = max(
+        (
+            (rate, bucket)
+            for _, _, inside in ranges_by_life.get(source.life, ())
+            for bucket, rate in inside
+        ),
+        default=(0.0, 0),
+    )
+    if rate * source.latency_s / source.slots < FULL:
+        return None
+    key = bucket * KEYS_PER_BUCKET
+    for found in ranges_by_life[source.life]:
+        first, last, inside = found
+        pieces = (
+            (first, min(last, key - 1)),
+            (max(first, key + KEYS_PER_BUCKET), last),
+        )
+        for low, high in pieces:
+            load = sum(r for b, r in inside if low <= b * KEYS_PER_BUCKET <= high)
+            if low <= high and load > LEAST_LOAD_BESIDE:
+                return _hand(source, target, found, low, high, load, ranges_by_life)
     return None
 
 
@@ -242,11 +282,24 @@
     return best if best is not None and best[0] < 0.4 else None
 
 
-def _leave_out(ranges_by_life, first, last):
+def _leave_out(ranges_by_life, by_life, moving_first, moving_last, to):
+    """Counts a range on the move as its next owner's."""
     for life, ranges in ranges_by_life.items():
         for found in list(ranges):
-            if found[0] <= last and found[1] >= first:
-                _cut(ranges_by_life, life, found, first, last)
+            first = max(found[0], moving_first)
+            last = min(found[1], moving_last)
+            if first > last:
+                continue
+            load = sum(
+                rate
+                for bucket, rate in found[2]
+                if first <= bucket * KEYS_PER_BUCKET <= last
+            )
+            _cut(ranges_by_life, life, found, first, last)
+            if life in by_life:
+                by_life[life].load -= load
+            if to in by_life:
+                by_life[to].load += load
 
 
 def _cut(ranges_by_life, life, found, new_first, new_last):
--- a/briarspoke/metrics.py
+++ b/briarspoke/metrics.py
@@ -1,8 +1,11 @@
-"""Counters and gauges of a node."""
+"""Counters, gauges and latency histograms of a node."""
 
 from __future__ import annotations
 
-from aioprometheus import Counter, Gauge, render
+import bisect
+import itertools
+
+from aioprometheus import Counter, Gauge, Histogram, render
 from aioprometheus.collectors import Registry
 
 # Name of the counter: name of its label, and its help text.
@@ -42,9 +45,52 @@
     "partitions_moving": ("", "Partitions on the move, as known here."),
     "zones_controlled": ("", "Availability zones that this entry VM controls."),
     "members_live": ("", "Entry VMs known here as alive or suspect, this one too."),
+    "configuration_age_seconds": ("", "Since the configuration came into force."),
+    "store_age_seconds": ("", "Since the last word of the store or the relay."),
+    "servers_known": ("", "Servers that this entry VM may use."),
+    "connections_open": ("", "Connections of callers."),
+    "key_ranges": ("service", "Ranges of the key map, by service."),
+    "key_ranges_moving": ("service", "Ranges on the move, at the controller."),
+    "controls": ("", "1 if this entry VM holds control of key ownership, else 0."),
+    "loop_lag_seconds": ("", "Largest delay of the event loop since the last read."),
+    "log_lines_dropped": ("", "Log lines dropped since standard output was full."),
     "store_reachable": ("", "1 if the last call to the store got an answer, else 0."),
 }
 
+# Name of the histogram: name of its label, and its help text.
+HISTOGRAMS = {
+    "receive_seconds": ("rank", "From a request's first byte to its last, by rank."),
+    "queue_seconds": ("rank", "From a whole request to its first send, by rank."),
+    "server_seconds": ("service", "From a send to the server's answer, by service."),
+    "request_seconds": ("rank", "From a request's first byte to its answer, by rank."),
+    "store_seconds": ("kind", "Calls to the platform's store, by kind."),
+}
+# Upper bounds in seconds; objectives lie between 0.25 and 4 s.
+BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 1.5, 2.5, 5.0, 10.0)
+
+
+class Distribution:
+    """Observed times, counted by bucket, in the form that aioprometheus renders."""
+
+    __slots__ = ("_counts", "observations", "sum")
+
+    def __init__(self):
+        self._counts = [0] * (len(BUCKETS_S) + 1)
+        self.observations = 0
+        self.sum = 0.0
+
+    def observe(self, seconds):
+        """Counts one time."""
+        self._counts[bisect.bisect_left(BUCKETS_S, seconds)] += 1
+        self.observations += 1
+        self.sum += seconds
+
+    @property
+    def buckets(self):
+        """Cumulative counts as ``{upper bound: count}``."""
+        bounds = (*BUCKETS_S, float("inf"))
+        return dict(zip(bounds, itertools.accumulate(self._counts), strict=True))
+
 
 class Metrics:
     """All metrics of one node, each in a registry of its own.
@@ -58,6 +104,7 @@
         self.registry = Registry()
         self._labels = {"node": node_id}
         self._counts = {}
+        self._distributions = {}
         self._collectors = {}
         self._gauges = {}
 
@@ -70,6 +117,18 @@
         key = (name, label)
         self._counts[key] = self._counts.get(key, 0) + by
 
+    def observe(self, name, label, seconds):
+        """Adds a time to a histogram.
+
+        :param name: key of :data:`HISTOGRAMS`.
+        :param label: value of the histogram's own label.
+        """
+        key = (name, label)
+        distribution = self._distributions.get(key)
+        if distribution is None:
+            distribution = self._distributions[key] = Distribution()
+        distribution.observe(seconds)
+
     def gauge(self, name, read):
         """Registers a function that reads a gauge of :data:`GAUGES`.
 
@@ -98,6 +157,10 @@
             if label_name:
                 labels[label_name] = str(label)
             collector.set(labels, value)
+        for (name, label), distribution in self._distributions.items():
+            label_name, help_text = HISTOGRAMS[name]
+            collector = self._collector(name, help_text, Histogram)
+            collector.set_value({**self._labels, label_name: str(label)}, distribution)
         for name, read in self._gauges.items():
             label_name, help_text = GAUGES[name]
             collector = self._collector(name, help_text, Gauge)
--- a/briarspoke/platform/grants.py
+++ b/briarspoke/platform/grants.py
@@ -8,8 +8,9 @@
 from briarspoke.platform.values import milliseconds
 
 GRANT_TIMEOUT_S = 0.6
-# A release answers once the work on its keys has ended.
-RELEASE_TIMEOUT_S = 2.5
+# A release answers once the work on its keys has ended; by then every grant of the
+# usual 4 s has lapsed.
+RELEASE_TIMEOUT_S = 4.5
 
 
 class GrantAnswer:
--- a/briarspoke/platform/keyvalue.py
+++ b/briarspoke/platform/keyvalue.py
@@ -85,17 +85,21 @@
     """Calls of the store; each returns a Deferred or is a coroutine.
 
     :param http: the :class:`briarspoke.entry.calls.HttpClient` to the store.
-    :param count: called with (kind, outcome) of each call.
+    :param count: called with (kind, outcome, seconds) of each call.
+    :param clock: function that returns monotonic seconds.
     """
 
-    def __init__(self, *, http, count):
+    def __init__(self, *, http, count, clock):
         self._http = http
         self._count = count
+        self._clock = clock
 
     async def _call(self, kind, method, path, body=None, timeout_s=CALL_TIMEOUT_S):
         data = b"" if body is None else json.dumps(body).encode()
+        sent_at = self._clock()
         answer = await self._http.call(method, path, data, timeout_s=timeout_s)
-        self._count(kind, str(answer.status) if answer.status else answer.failure)
+        outcome = str(answer.status) if answer.status else answer.failure
+        self._count(kind, outcome, self._clock() - sent_at)
         if answer.status is None:
             raise StoreError(f"{kind}: {answer.failure}", unknown=answer.sent)
         if answer.status == 410:
@@ -121,8 +125,8 @@
         path = f"/briarspoke/kv-key?key={PROBE_KEY}"
         await self._call("probe", b"GET", path, timeout_s=PROBE_TIMEOUT_S)
 
-    async def read_all(self):
-        """Returns :class:`Changes` with every item of the store.
+    async def read_all(self, prefix=""):
+        """Returns :class:`Changes` with every item whose key begins with a prefix.
 
         Pages are no snapshot, so the revision is that of the first page: the
         watch from there repeats what changed between pages.
@@ -131,7 +135,7 @@
         revision = None
         after = ""
         while True:
-            path = "/briarspoke/kv-range?prefix="
+            path = "/briarspoke/kv-range?prefix=" + quote(prefix, safe="")
             if after:
                 path += "&after=" + quote(after, safe="")
             body = await self._call("range", b"GET", path, timeout_s=READ_TIMEOUT_S)
--- a/scripts/generate_docs.py
+++ b/scripts/generate_docs.py
@@ -81,6 +81,8 @@
     for name, (label, meaning) in sorted(metrics.GAUGES.items()):
         shown = f"`{label}`" if label else ""
         lines.append(f"| `briarspoke_{name}` | gauge | {shown} | {meaning} |")
+    for name, (label, meaning) in sorted(metrics.HISTOGRAMS.items()):
+        lines.append(f"| `briarspoke_{name}` | histogram | `{label}` | {meaning} |")
     return "\n".join([*lines, ""])
 
 
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -98,19 +98,29 @@
 class Reactor(MemoryReactorClock):
     """A reactor in memory that also takes datagram ports."""
 
+    def __init__(self):
+        super().__init__()
+        self.datagram_ports = {}
+
     def listenUDP(self, port, protocol, interface="", maxPacketSize=8192):
-        protocol.makeConnection(Datagrams())
+        self.datagram_ports[(interface, port)] = protocol
+        protocol.makeConnection(Datagrams(self, (interface, port)))
         return protocol
 
 
 class Datagrams:
-    """Collects datagrams."""
+    """Carries datagrams from one port to the others."""
 
-    def __init__(self):
-        self.sent = []
+    def __init__(self, reactor, sender):
+        self._reactor = reactor
+        self._sender = sender
 
     def write(self, data, address):
-        self.sent.append((data, address))
+        receiver = self._reactor.datagram_ports.get(address)
+        if receiver is not None:
+            self._reactor.callLater(
+                LATENCY_S, receiver.datagramReceived, data, self._sender
+            )
 
 
 class Faults:
@@ -149,6 +159,9 @@
                 reply = Answer(failure="refused", sent=False)
             else:
                 reply = target(method.decode(), path, body, arrived)
+            if reply is None:
+                # The call waits until its timeout.
+                return
             if isinstance(reply, Waiting):
                 self._world.waiting.append((reply, done, timer, self._faults))
             elif answered and not self._faults.cut:
@@ -212,7 +225,10 @@
         return Answer(status=reply.status, body=reply.encode())
 
     def _call_server(self, model, path, body, arrived):
-        status, headers = model.call(path, body, arrived)
+        reply = model.call(path, body, arrived)
+        if reply is None:
+            return None
+        status, headers = reply
         pairs = [(n.lower().encode(), v.encode()) for n, v in headers.items()]
         return Answer(status=status, headers=pairs)
 
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -130,7 +130,12 @@
     def test_metrics_both_ways(self):
         text = (ROOT / "docs/user/metrics.md").read_text()
         documented = set(re.findall(r"`briarspoke_(\w+)`", text))
-        assert documented == metrics.COUNTERS.keys() | metrics.GAUGES.keys()
+        assert documented == self.declared_metrics()
+
+    def declared_metrics(self):
+        return (
+            metrics.COUNTERS.keys() | metrics.GAUGES.keys() | metrics.HISTOGRAMS.keys()
+        )
 
     def test_counted_metrics_are_declared(self):
         # Guards against a counter that fails only when it is rendered.
@@ -142,7 +147,7 @@
                     first = node.args[0] if node.args else None
                     if receiver.endswith("metrics") and isinstance(first, ast.Constant):
                         used.add(first.value)
-        declared = metrics.COUNTERS.keys() | metrics.GAUGES.keys()
+        declared = self.declared_metrics()
         assert used <= declared, used - declared
 
 
--- a/tests/test_entry_parts.py
+++ b/tests/test_entry_parts.py
@@ -5,10 +5,19 @@
 import json
 
 import pytest
-from entry_fakes import SETTINGS, configuration, entry, route
+from entry_fakes import (
+    SETTINGS,
+    World,
+    answer,
+    configuration,
+    entry,
+    request,
+    route,
+)
 
 from briarspoke.entry import settings as entry_settings
 from briarspoke.entry.budget import RetryBudget
+from briarspoke.entry.gauges import LoopLag
 from briarspoke.entry.timers import Timers
 from briarspoke.platform import documents, values
 from briarspoke.settings import InvalidValuesError
@@ -31,6 +40,58 @@
         assert paths == {"$.store", "$.grace_s", "$.extra", "$.node"}
 
 
+class TestMetricsPage:
+    @pytest.fixture
+    def world(self):
+        world = World()
+        world.store.put("op/config", configuration())
+        world.add_server("stock", 11)
+        world.node = world.add_node()
+        world.advance(3.0)
+        return world
+
+    def samples(self, world):
+        """Returns ``{metric with labels: value}`` of the metrics page."""
+        lines = world.node.metrics.render().decode().splitlines()
+        pairs = (line.rsplit(" ", 1) for line in lines if not line.startswith("#"))
+        return {
+            name.replace('node="front-poa-1"', "").replace(",}", "}"): float(value)
+            for name, value in pairs
+        }
+
+    def test_times_of_a_request_are_in_the_histograms(self, world):
+        # Guards against a slow stage that no figure shows.
+        caller = world.caller(world.node)
+        caller.send(request())
+        server, _ = world.accept()
+        world.reactor.advance(0.4)
+        server.send(answer())
+        found = self.samples(world)
+        times = {
+            name: value for name, value in found.items() if "_seconds_bucket" in name
+        }
+        assert any("server_seconds" in name for name in times)
+        slow = [n for n in times if "request_seconds" in n and 'le="0.5"' in n]
+        fast = [n for n in times if "request_seconds" in n and 'le="0.25"' in n]
+        assert [times[n] for n in slow] == [1.0]
+        assert [times[n] for n in fast] == [0.0]
+
+    def test_state_of_the_node_is_shown(self, world):
+        found = self.samples(world)
+        assert found["briarspoke_configuration_version{}"] == 4
+        assert found["briarspoke_servers_known{}"] == 1
+        assert found["briarspoke_controls{}"] == 1
+        assert found["briarspoke_store_reachable{}"] == 1
+        assert found["briarspoke_store_age_seconds{}"] < 3.0
+
+    def test_delay_of_the_loop_is_shown_once(self):
+        lag = LoopLag(period_s=0.05)
+        for now in (1.0, 1.05, 1.4, 1.45):
+            lag.called(now)
+        assert 0.29 < lag.take() < 0.31
+        assert lag.take() == 0.0
+
+
 class TestConfigurationDocument:
     def test_longest_prefix_wins(self):
         routes = {
--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import json
 import re
 
 import pytest
@@ -325,6 +326,42 @@
         assert "s-21" not in servers
 
 
+class TestCrowdedOwner:
+    @pytest.fixture
+    def crowd(self, world):
+        """Registers so many entry VMs that one has less than one place at a server."""
+        body = {"zone": "cwb", "ip": "10.0.3.1", "port": 9000, "link_mbps": 10}
+        for number in range(33):
+            world.store.put(f"briarspoke/nodes/far-{number}", json.dumps(body).encode())
+        world.advance(0.5)
+        assert world.node.node_count == 34
+        return world
+
+    def serve(self, world, number, seconds):
+        """Lets one lookup take a time; returns the status for its caller."""
+        caller = world.caller(world.node)
+        caller.send(request(request_id=f"r{number}"))
+        if not world.reactor.tcpClients:
+            return status_of(caller.take() or b"HTTP/1.1 0 ")
+        server, _ = world.accept()
+        world.advance(seconds)
+        server.send(answer(request_id=f"r{number}", extra="Connection: close"))
+        return status_of(caller.take())
+
+    def test_slow_owner_is_left_to_others_for_a_time(self, crowd):
+        # Guards against the queue of a server that never answers what it cannot
+        # queue: 34 entry VMs with one request each are more than its 20 places.
+        for number in range(3):
+            self.serve(crowd, number, 0.29)
+        assert self.serve(crowd, 4, 0.29) != 200
+        crowd.advance(2.5)
+        assert self.serve(crowd, 5, 0.05) == 200
+
+    def test_one_slow_answer_is_not_a_crowd(self, crowd):
+        for number, seconds in enumerate((0.05, 0.29, 0.05, 0.05)):
+            assert self.serve(crowd, number, seconds) == 200
+
+
 class TestLostAnswers:
     def test_owner_that_loses_answers_is_still_asked(self, world):
         # Guards against refusals for all keys of a server after two lost answers,
@@ -352,6 +389,25 @@
         caller.send(request())
         assert status_of(caller.take()) == 503
 
+    def test_caller_comes_back_after_as_long_as_the_outage_has_lasted(self, world):
+        # Guards against callers that use up their repeats while an availability zone
+        # is cut off, and against requests that are held without being sent.
+        def refused():
+            caller = world.caller(world.node)
+            caller.send(request())
+            while world.reactor.tcpClients:
+                world.refuse()
+            return float(header(caller.take(), b"retry-after"))
+
+        caller = world.caller(world.node)
+        caller.send(request())
+        world.refuse()
+        assert refused() < 0.5
+        for _ in range(20):
+            world.advance(0.1)
+            again = refused()
+        assert 1.8 < again < 2.3
+
     def test_orders_avoid_a_server_that_loses_answers(self, world):
         losing = None
         for number in range(8):
--- a/tests/test_keyspace_ownership.py
+++ b/tests/test_keyspace_ownership.py
@@ -69,6 +69,60 @@
         assert all(len(holders(world, key)) == 1 for key in KEYS)
 
 
+class TestAnnouncedOwners:
+    def drain(self, world):
+        """Lets the first server drain; returns the key maps that nodes use then."""
+        number = SERVERS[0]
+        world.store.put(f"servers/s-{number}", entry("stock", number, state="draining"))
+        return [node.key_maps for node in world.nodes]
+
+    def test_requests_wait_while_keys_are_released(self, world):
+        # Guards against requests at a server that has released their key: each of
+        # them is turned away and costs a repeat.
+        release = world.servers[address(SERVERS[0])]
+        call = release.call
+
+        def keep_waiting(path, body, arrived):
+            return None if path.endswith("release") else call(path, body, arrived)
+
+        release.call = keep_waiting
+        maps = self.drain(world)
+        world.advance(0.5)
+        key = 7
+        assert holders(world, key) == [f"s-{SERVERS[0]}"]
+        assert all(m.owner("stock", key).server_id == keymap.NOBODY for m in maps)
+        world.advance(5.0)
+        assert all(
+            [m.owner("stock", key).server_id] == holders(world, key) for m in maps
+        )
+
+    def test_owner_is_known_without_the_store(self, world):
+        # Guards against keys that wait for the next answer of a watch.
+        other = next(node for node in world.nodes if not node.control.leads)
+        maps = self.drain(world)
+        world.advance(0.02)
+        other.faults(STORE).cut = True
+        world.advance(0.3)
+        assert all([m.owner("stock", 7).server_id] == holders(world, 7) for m in maps)
+
+
+class TestSlowRelease:
+    def test_work_that_outlasts_the_grant_does_not_hold_the_key(self, world):
+        # Guards against a key that stays without owner for the release's timeout,
+        # and the grant's time after that.
+        slow = world.servers[address(SERVERS[0])]
+        call = slow.call
+
+        def call_or_wait(path, body, arrived):
+            return None if path.endswith("release") else call(path, body, arrived)
+
+        slow.call = call_or_wait
+        number = SERVERS[0]
+        world.store.put(f"servers/s-{number}", entry("stock", number, state="draining"))
+        world.advance(4.0 * 1.02 + 0.8)
+        assert holders(world, 7) and holders(world, 7) != [f"s-{number}"]
+
+
 class TestLostController:
     def test_another_takes_over_before_grants_lapse(self, world):
         leader = controller(world)
--- a/tests/test_keyspace_parts.py
+++ b/tests/test_keyspace_parts.py
@@ -10,7 +10,7 @@
 
 from briarspoke.keyspace import keymap, placement
 from briarspoke.keyspace.grantlog import GrantLog, lapse_time
-from briarspoke.keyspace.load import LoadEstimate
+from briarspoke.keyspace.load import LoadCounts, LoadEstimate
 
 SERVERS = [("a", 1), ("b", 1), ("c", 1)]
 
@@ -26,6 +26,10 @@
     return keymap.Owner(server_id=life[0], incarnation=life[1], fence=fence)
 
 
+def counts(requests, latencies=()):
+    return LoadCounts(requests=requests, latencies=dict(latencies))
+
+
 changes = st.lists(
     st.tuples(st.integers(0, 65_535), st.integers(0, 3_000), st.sampled_from(SERVERS)),
     max_size=5,
@@ -69,6 +73,55 @@
             keymap.decode(data)
 
 
+class TestKeyMaps:
+    @pytest.fixture
+    def maps(self):
+        maps = keymap.KeyMaps()
+        maps.put("s", keymap.KeyMap(starts=[0, 100], owners=[owner(("a", 1), 3)] * 2))
+        return maps
+
+    def nobody(self, fence):
+        return keymap.Owner(server_id=keymap.NOBODY, incarnation=0, fence=fence)
+
+    def test_released_keys_have_no_owner_until_the_next_is_announced(self, maps):
+        # Guards against requests at a server that has released their key.
+        assert maps.announce("s", [(10, 20, self.nobody(3))], 0.0)
+        assert maps.owner("s", 15).server_id == keymap.NOBODY
+        assert maps.owner("s", 9).server_id == "a"
+        assert maps.by_service["s"].owner(15).server_id == "a"
+        maps.announce("s", [(10, 20, owner(("b", 1), 4))], 1.0)
+        assert maps.owner("s", 15).server_id == "b"
+
+    def test_late_announcement_does_not_undo_a_newer_map(self, maps):
+        # Guards against keys without an owner after datagrams out of order.
+        newer = maps.by_service["s"].with_owner([(10, 20, owner(("b", 1), 4))])
+        maps.put("s", newer)
+        assert not maps.announce("s", [(10, 20, self.nobody(3))], 0.0)
+        assert not maps.announce("s", [(10, 20, owner(("c", 1), 4))], 0.0)
+        assert maps.owner("s", 15).server_id == "b"
+
+    def test_announcement_outlasts_an_older_map(self, maps):
+        maps.announce("s", [(10, 20, self.nobody(3))], 0.0)
+        maps.put("s", maps.by_service["s"].with_owner([(40, 50, owner(("b", 1), 4))]))
+        assert maps.owner("s", 15).server_id == keymap.NOBODY
+        assert maps.owner("s", 45).server_id == "b"
+
+    def test_move_of_a_part_keeps_the_announced_owner_of_the_rest(self, maps):
+        # Guards against requests at an owner of two moves ago, until the next map.
+        maps.announce("s", [(10, 20, owner(("b", 1), 4))], 0.0)
+        maps.announce("s", [(12, 13, self.nobody(4))], 0.1)
+        maps.put("s", maps.by_service["s"].with_owner([(40, 50, owner(("c", 1), 5))]))
+        assert maps.owner("s", 11).server_id == "b"
+        assert maps.owner("s", 12).server_id == keymap.NOBODY
+        assert maps.owner("s", 14).server_id == "b"
+
+    def test_release_that_leads_to_nothing_is_forgotten(self, maps):
+        # Guards against keys that are refused for ever after their controller ended.
+        maps.announce("s", [(10, 20, self.nobody(3))], 0.0)
+        maps.expire(keymap.ANNOUNCED_S)
+        assert maps.owner("s", 15).server_id == "a"
+
+
 class TestGrantLog:
     def test_lapse_covers_a_slow_clock(self):
         assert lapse_time(10.0, 4.0) > 10.0 + 4.0 * 1.02
@@ -141,9 +194,27 @@
     def test_ranges_on_the_move_stay(self):
         key_map = placement.initial(candidates(), 1)
         rates = dict.fromkeys(range(0, 120), 1.0)
-        moving = [(0, 21_844)]
+        moving = [(0, 21_844, None)]
         assert not placement.rebalance(key_map, candidates(), rates, moving)
 
+    def test_ranges_on_the_move_count_at_their_next_owner(self):
+        # Guards against several rounds that all choose the same idle server.
+        found = candidates(latencies=(0.1, 0.1, 0.1))
+        key_map = placement.initial(found, 1)
+        rates = dict.fromkeys(range(0, 120), 1.0)
+        moving = [(0, 59, ("b", 1))]
+        plan = placement.rebalance(key_map, found, rates, moving)
+        assert all(t.to == ("c", 1) for t in plan)
+
+    def test_keys_beside_a_key_that_fills_its_server_leave(self):
+        # Guards against refusals for the neighbours of a hot key.
+        found = candidates(latencies=(0.04, 0.1, 0.1))
+        key_map = placement.initial(found, 1)
+        rates = {100: 300.0, **dict.fromkeys(range(200, 210), 1.0)}
+        plan = placement.rebalance(key_map, found, rates)
+        assert any(t.first <= 200 and t.last >= 209 for t in plan)
+        assert not any(t.first <= 100 <= t.last for t in plan)
+
     def test_quiet_servers_are_left_alone(self):
         # Guards against moves, which are paid for, while nobody is busy.
         key_map = placement.initial(candidates(), 1)
@@ -154,11 +225,24 @@
     def test_steady_load_converges_to_its_rate(self):
         estimate = LoadEstimate()
         for step in range(40):
-            estimate.add({7: 5}, step * 0.25)
+            estimate.add(counts({7: 5}), step * 0.25)
         assert 16 < estimate.rate_by_bucket[7] < 26
 
     def test_old_load_fades(self):
         estimate = LoadEstimate()
-        estimate.add({7: 5}, 0.0)
+        estimate.add(counts({7: 5}), 0.0)
         estimate.decay(30.0)
         assert not estimate.rate_by_bucket
+
+    def test_queue_of_a_busy_server_is_not_its_speed(self):
+        # Guards against a hot key that moves away from the fastest server, since its
+        # own queue makes that one look slow.
+        estimate = LoadEstimate()
+        estimate.add(counts({}, {"a": (10, 2.0)}), 0.0)
+        estimate.learn({})
+        estimate.add(counts({}, {"a": (10, 20.0)}), 1.0)
+        estimate.learn({"a": 7.0})
+        assert estimate.service_s("a") == 0.2
+        estimate.add(counts({}, {"a": (10, 4.0)}), 2.0)
+        estimate.learn({"a": 0.3})
+        assert 0.2 < estimate.service_s("a") < 0.4
