Divide a zone's servers among its entry VMs, and give connections more time

A quarter of the requests crossed zones, since any idle server elsewhere counted as better than a second request at one nearby; 140 connections were given up after 0.3 s while their packets waited on links of 5 Mbit/s.

Ruled out: the queue before the send (98% within 25 ms) and receiving (94% of uploads within 0.25 s).

Change: for each server, three VMs of its zone (more where servers are few) prefer it and may have two requests there; a connection may take a third of the objective, up to 0.6 s. With one or two VMs in a zone nothing changes.

--- a/briarspoke/entry/dispatch.py
+++ b/briarspoke/entry/dispatch.py
@@ -7,6 +7,7 @@
 import math
 
 from briarspoke import codes
+from briarspoke.entry.affinity import Affinity
 from briarspoke.entry.budget import RetryBudget
 from briarspoke.keyspace.keymap import NOBODY
 
@@ -19,6 +20,9 @@
 # zones, and how much each byte adds to that, since crossings are paid by the byte.
 CROSSING_FACTOR = 1.25
 CROSSING_FACTOR_PER_BYTE = 1 / 30_000
+# How much slower a server that this entry VM prefers may be before another is chosen:
+# two requests in flight at a preferred one come before one at another.
+FOREIGN_FACTOR = 2.5
 # A server that loses all answers is chosen only if others are this much slower.
 LOSS_FACTOR = 8.0
 # Part of the latency objective that a request may always wait for a slot.
@@ -55,6 +59,7 @@
             window_s=node.settings.retry_window_s,
         )
         self._node = node
+        self._affinity = Affinity(node=node.settings.node)
         self._waiting = []
         self._numbers = itertools.count()
 
@@ -185,11 +190,10 @@
 
     def limit(self, server):
         """Returns how many requests this entry VM may have at a server."""
-        node = self._node
         limit = self._room_of_one(server)
-        if not self.keyed and server.record.zone == node.settings.zone:
+        if not self.keyed and self._affinity.prefers(server.record.server_id):
             in_zone = server.record.slots * REQUESTS_PER_SLOT_IN_ZONE
-            limit = max(limit, in_zone / node.zone_node_count)
+            limit = max(limit, in_zone / self._affinity.sharers)
         return max(1, math.ceil(limit))
 
     def _room_of_one(self, server):
@@ -231,12 +235,30 @@
                 continue
             score = server.expected_s(now) * (1 + server.in_flight)
             score *= 1 + LOSS_FACTOR * server.loss
+            if not self._affinity.prefers(server.record.server_id):
+                score *= self._foreign_factor()
             if server.record.zone != zone:
                 score *= crossing
             if score < best_score:
                 best, best_score = server, score
         return best
 
+    def _foreign_factor(self):
+        # With few entry VMs a zone all of them prefer all of its servers.
+        return FOREIGN_FACTOR if self._affinity.sharers < self._zone_nodes() else 1.0
+
+    def _zone_nodes(self):
+        return len(self._node.zone_nodes)
+
+    def _servers_changed(self):
+        zone = self._node.settings.zone
+        in_zone = sorted(
+            server.record.server_id
+            for server in self.servers.values()
+            if server.record.zone == zone and self._is_usable(server)
+        )
+        self._affinity.update(self._node.zone_nodes, tuple(in_zone))
+
     def _owner(self, key):
         owner = self._node.key_maps.owner(self.name, key)
         if owner is None:
@@ -352,6 +374,8 @@
 
     def tick(self, now):
         """Starts what waited for the end of a pause, and closes idle connections."""
+        if not self.keyed:
+            self._servers_changed()
         for server in list(self.servers.values()):
             server.close_idle(now)
             if server.waiting:
--- a/briarspoke/entry/exchange.py
+++ b/briarspoke/entry/exchange.py
@@ -202,6 +202,7 @@
             self._encode(server, now),
             self._answered,
             idempotent=self.route.idempotent,
+            objective_s=self.route.objective_s,
             echo=(names.REQUEST_ID, request.request_id) if request.request_id else None,
             is_head=request.method == b"HEAD",
         )
--- a/briarspoke/entry/node.py
+++ b/briarspoke/entry/node.py
@@ -135,9 +135,9 @@
         return self.registry.count
 
     @property
-    def zone_node_count(self):
-        """Entry VMs in the own availability zone."""
-        return self.registry.zone_count
+    def zone_nodes(self):
+        """Names of the entry VMs in the own availability zone, as a tuple."""
+        return self.registry.zone_nodes
 
     def dispatcher(self, service):
         """Returns the :class:`Dispatcher` of a service."""
--- a/briarspoke/entry/registry.py
+++ b/briarspoke/entry/registry.py
@@ -40,7 +40,8 @@
         self._left = False
         # The last counts hold while the store is away and leases run out.
         self.count = 1
-        self.zone_count = 1
+        # Names of the entry VMs in the own availability zone.
+        self.zone_nodes = ()
         node.view.observe(NODE_PREFIX, self._changed)
 
     def _changed(self, key, item):
@@ -53,7 +54,7 @@
                     zone=value["zone"],
                     host=value["ip"],
                     port=value["port"],
-                    link_mbps=value["link_mbps"],
+                    link_mbps=value.get("link_mbps", 0),
                 )
             except (ValueError, TypeError, KeyError) as error:
                 log.warning(
@@ -62,8 +63,10 @@
                 return
         own_zone = self._node.settings.zone
         self.count = max(1, len(self._entry_by_key))
-        self.zone_count = max(
-            1, sum(entry.zone == own_zone for entry in self._entry_by_key.values())
+        self.zone_nodes = tuple(
+            key.removeprefix(NODE_PREFIX)
+            for key, entry in sorted(self._entry_by_key.items())
+            if entry.zone == own_zone
         )
 
     @property
--- a/briarspoke/entry/servers.py
+++ b/briarspoke/entry/servers.py
@@ -6,7 +6,11 @@
 
 from briarspoke.entry.connections import Answer, ConnectionFactory
 
-CONNECT_TIMEOUT_S = 0.3
+# A connection takes a round trip, and longer on a link that is full; an owner that is
+# not there must leave time for another try within the objective.
+SHORTEST_CONNECT_S = 0.3
+LONGEST_CONNECT_S = 0.6
+CONNECT_PART = 1 / 3
 # A server may drop an idle connection at any moment. A request that must not run
 # twice uses a connection only if it was in use just now.
 IDLE_LIMIT_S = 4.0
@@ -168,10 +172,11 @@
 
     # Connections.
 
-    def send(self, data, listener, *, idempotent, echo, is_head):
+    def send(self, data, listener, *, idempotent, objective_s, echo, is_head):
         """Sends a whole request.
 
         :param listener: called with the :class:`Answer`.
+        :param objective_s: time within which the caller wants the answer.
         :returns: a :class:`Sending` that can be abandoned.
         """
         sending = Sending(self, data, listener, echo=echo, is_head=is_head)
@@ -180,11 +185,12 @@
             sending.start(connection)
         else:
             self._opening.append(sending)
+            timeout_s = max(SHORTEST_CONNECT_S, CONNECT_PART * objective_s)
             self._reactor.connectTCP(
                 self.record.host,
                 self.record.port,
                 ConnectionFactory(self, self._connect_failed),
-                timeout=CONNECT_TIMEOUT_S,
+                timeout=min(LONGEST_CONNECT_S, timeout_s),
             )
         return sending
 
--- /dev/null
+++ b/tests/test_entry_affinity.py
@@ -0,0 +1,44 @@
+"""Division of a zone's servers among its entry VMs."""
+
+from __future__ import annotations
+
+from briarspoke.entry.affinity import LEAST_PREFERRED, SHARERS, Affinity
+
+NODES = tuple(f"front-poa-{number}" for number in range(10))
+SERVERS = tuple(f"s-{number}" for number in range(20))
+
+
+def affinities(nodes, servers):
+    found = {name: Affinity(node=name) for name in nodes}
+    for affinity in found.values():
+        affinity.update(nodes, servers)
+    return found.values()
+
+
+class TestManyNodes:
+    def test_each_server_has_the_same_number_of_vms(self):
+        # Guards against servers that no VM, or every VM, sends to first.
+        found = affinities(NODES, SERVERS)
+        for server in SERVERS:
+            assert sum(a.prefers(server) for a in found) == SHARERS
+
+    def test_a_new_server_changes_no_other(self):
+        # Guards against connections that are all opened anew when servers join.
+        before = Affinity(node=NODES[0])
+        before.update(NODES, SERVERS)
+        after = Affinity(node=NODES[0])
+        after.update(NODES, (*SERVERS, "s-new"))
+        assert all(before.prefers(s) == after.prefers(s) for s in SERVERS)
+
+    def test_few_servers_are_shared_by_more(self):
+        found = affinities(NODES, SERVERS[:5])
+        for affinity in found:
+            assert sum(affinity.prefers(s) for s in SERVERS[:5]) >= LEAST_PREFERRED - 2
+
+
+class TestFewNodes:
+    def test_all_servers_are_preferred(self):
+        # Guards against idle servers in zones of one or two entry VMs.
+        for affinity in affinities(NODES[:2], SERVERS):
+            assert affinity.sharers == 2
+            assert all(affinity.prefers(s) for s in SERVERS)
