Split grants from the keeper and request lines from the node, remove what nobody used

No change of behaviour. Durations are parsed in one place; HttpClient.close, Leadership.since, Sending.server and Dispatcher.owner_changed go.

--- a/briarspoke/entry/callers.py
+++ b/briarspoke/entry/callers.py
@@ -170,7 +170,7 @@
             # The connection ends behind the last request that was read.
             self.exchanges[-1].request.closes = True
             return
-        self.node.count_result(code, None)
+        self.node.request_log.result(code, None)
         write_at_once(
             self.transport,
             answers.result(
--- a/briarspoke/entry/calls.py
+++ b/briarspoke/entry/calls.py
@@ -25,7 +25,6 @@
         self._clock = clock
         self._host_header = f"{host}:{port}".encode()
         self._idle = []
-        self._opening = []
 
     def call(self, method, path, body=b"", *, timeout_s):
         """Makes one call; the Deferred gets an :class:`Answer`, never an error."""
@@ -40,11 +39,6 @@
         data = b"\r\n".join([*lines, b"", body])
         return _Call(client=self, data=data, timeout_s=timeout_s).done
 
-    def close(self):
-        """Closes idle connections."""
-        while self._idle:
-            self._idle.pop().abandon()
-
     def take_idle(self):
         """Returns an idle connection, or None."""
         while self._idle:
--- a/briarspoke/entry/dispatch.py
+++ b/briarspoke/entry/dispatch.py
@@ -281,10 +281,6 @@
         owner = self._node.key_maps.owner(self.name, key)
         return server if exchange.may_go_to(owner) else None
 
-    def owner_changed(self):
-        """Offers requests again that wait for an owner."""
-        self.pump()
-
     def misdirected(self, exchange, server, found_id):
         """Notes that a server did not take a request as its own.
 
--- a/briarspoke/entry/exchange.py
+++ b/briarspoke/entry/exchange.py
@@ -306,7 +306,7 @@
         self._unknown(server, codes.OUTCOME_UNKNOWN, answer.failure)
 
     def _unknown(self, server, code, reason):
-        self.node.log_attempt(self, server, reason)
+        self.node.request_log.attempt(self, server, reason)
         self.outcome_unknown = code
         if self.route.idempotent and self._may_repeat(reason):
             self.dispatcher.offer(self)
@@ -372,7 +372,7 @@
         if not written:
             self._end_not_run(codes.OWNER_UNREACHABLE, None)
         else:
-            self.node.log_attempt(self, server, "timeout")
+            self.node.request_log.attempt(self, server, "timeout")
             self._fail(codes.ANSWER_TIMEOUT)
         self.dispatcher.server_freed(server)
 
@@ -403,7 +403,7 @@
         # A timer holds the exchange until its deadline; the body can go now.
         self.request.body = b""
         if isinstance(answer, tuple):
-            self.node.count_result(answer[0], self)
+            self.node.request_log.result(answer[0], self)
         else:
             self.node.metrics.count("answers_total", self.route.priority)
         if self.route is not None:
--- a/briarspoke/entry/gauges.py
+++ b/briarspoke/entry/gauges.py
@@ -45,7 +45,7 @@
     gauge = node.metrics.gauge
     view = node.view
     maps = node.key_maps.by_service
-    gauge("configuration_version", lambda: node.table.version if node.table else 0)
+    gauge("configuration_version", lambda: node.configuration_version)
     gauge("configuration_age_seconds", lambda: _age(node.now(), node.table_since))
     gauge("store_reachable", lambda: int(view.reachable))
     gauge("store_age_seconds", lambda: _age(node.now(), view.last_contact))
--- a/briarspoke/entry/node.py
+++ b/briarspoke/entry/node.py
@@ -7,7 +7,7 @@
 
 from twisted.internet import defer, task
 
-from briarspoke.entry import gauges, logs, status
+from briarspoke.entry import gauges, status
 from briarspoke.entry.callers import CallerFactory
 from briarspoke.entry.calls import HttpClient
 from briarspoke.entry.control import Control
@@ -15,6 +15,7 @@
 from briarspoke.entry.registry import NodeRegistry
 from briarspoke.entry.relays import ALIVE_S, Relay, RelayFollower
 from briarspoke.entry.reports import REPORT_S, Datagrams
+from briarspoke.entry.requestlog import RequestLog
 from briarspoke.entry.routes import DEFAULT_LIMITS
 from briarspoke.entry.servers import Server
 from briarspoke.entry.timers import Timers
@@ -68,7 +69,7 @@
         self.process = os.urandom(6).hex()
         self._dispatchers_by_service = {}
         self._leaving_by_key = {}
-        self._lines = logs.LineLimit(clock)
+        self.request_log = RequestLog(node=self)
         self._ports = []
         self._loops = []
         store = self.http_client(settings.store.host, settings.store.port)
@@ -119,7 +120,9 @@
         if outcome != "200":
             self.metrics.count("store_failures_total", kind)
 
-    def _version(self):
+    @property
+    def configuration_version(self):
+        """Version of the configuration in force, or 0."""
         return 0 if self.table is None else self.table.version
 
     # What requests need.
@@ -153,59 +156,6 @@
             for server in dispatcher.servers.values():
                 yield server.record
 
-    def count_result(self, code, exchange):
-        """Counts and logs a result that is not a server's answer."""
-        self.metrics.count("refusals_total", code.number)
-        if not self._lines.allows():
-            return
-        if exchange is None:
-            log.info("requests: rejected code=%d left_out=%d", code.number, self._out())
-            return
-        request = exchange.request
-        server = None
-        if exchange.dispatcher is not None:
-            server = exchange.server or exchange.dispatcher.owner_of(exchange)
-        contact = self.view.last_contact
-        log.info(
-            "requests: %s id=%s code=%d route=%s service=%s key=%s attempts=%d "
-            "waited_ms=%d server=%s latency_ms=%d in_flight=%d queued=%d "
-            "configuration=%d store_age_ms=%d nodes=%d left_out=%d",
-            code.name,
-            request.request_id.decode("latin-1"),
-            code.number,
-            exchange.route.name if exchange.route else "-",
-            exchange.dispatcher.name if exchange.dispatcher else "-",
-            request.key if request.key is not None else "-",
-            exchange.attempts,
-            (self.now() - request.arrived) * 1000,
-            server.record.server_id if server else "-",
-            server.latency_s * 1000 if server else 0,
-            server.in_flight if server else 0,
-            len(server.waiting) if server else 0,
-            self._version(),
-            -1 if contact is None else (self.now() - contact) * 1000,
-            self.node_count,
-            self._out(),
-        )
-
-    def log_attempt(self, exchange, server, reason):
-        """Logs an attempt whose outcome is unknown."""
-        if self._lines.allows():
-            log.info(
-                "requests: attempt failed id=%s server=%s reason=%s after_ms=%d "
-                "in_flight=%d attempts=%d left_out=%d",
-                exchange.request.request_id.decode("latin-1"),
-                server.record.server_id,
-                reason,
-                (self.now() - exchange.sent_at) * 1000,
-                server.in_flight,
-                exchange.attempts,
-                self._out(),
-            )
-
-    def _out(self):
-        return self._lines.take_left_out()
-
     # What the store says.
 
     def _configuration_changed(self, key, item):
@@ -220,7 +170,7 @@
             return
         if self.table is not None and table.version <= self.table.version:
             return
-        old = self._version()
+        old = self.configuration_version
         self.table = table
         self.table_since = self.now()
         log.info("configuration: in force version=%d before=%d", table.version, old)
@@ -318,7 +268,7 @@
         except keymap.KeyMapError as error:
             log.error("keys: map not usable service=%s error=%r", service, str(error))
             return
-        self.dispatcher(service).owner_changed()
+        self.dispatcher(service).pump()
 
     def announce_owners(self, service, changes):
         """Tells all entry VMs, this one too, which ranges have a new owner."""
@@ -327,7 +277,7 @@
 
     def _owners_announced(self, service, changes):
         if self.key_maps.announce(service, changes, self.now()):
-            self.dispatcher(service).owner_changed()
+            self.dispatcher(service).pump()
 
     async def write_key_map(self, service, key_map, term):
         """Writes a key map under the condition that control was not lost."""
--- /dev/null
+++ b/briarspoke/entry/requestlog.py
@@ -0,0 +1,77 @@
+"""Counts and log lines of requests that got no answer of a server."""
+
+from __future__ import annotations
+
+import logging
+
+from briarspoke.entry.logs import LineLimit
+
+log = logging.getLogger(__name__)
+
+
+class RequestLog:
+    """Writes a bounded number of lines about single requests.
+
+    :param node: the :class:`briarspoke.entry.node.EntryNode`.
+    """
+
+    def __init__(self, *, node):
+        self._node = node
+        self._lines = LineLimit(node.now)
+
+    def result(self, code, exchange):
+        """Counts and logs a result that is not a server's answer.
+
+        :param exchange: the exchange, or None if the request could not be read.
+        """
+        node = self._node
+        node.metrics.count("refusals_total", code.number)
+        if not self._lines.allows():
+            return
+        if exchange is None:
+            log.info("requests: rejected code=%d left_out=%d", code.number, self._out())
+            return
+        request = exchange.request
+        server = None
+        if exchange.dispatcher is not None:
+            server = exchange.server or exchange.dispatcher.owner_of(exchange)
+        contact = node.view.last_contact
+        log.info(
+            "requests: %s id=%s code=%d route=%s service=%s key=%s attempts=%d "
+            "waited_ms=%d server=%s latency_ms=%d in_flight=%d queued=%d "
+            "configuration=%d store_age_ms=%d nodes=%d left_out=%d",
+            code.name,
+            request.request_id.decode("latin-1"),
+            code.number,
+            exchange.route.name if exchange.route else "-",
+            exchange.dispatcher.name if exchange.dispatcher else "-",
+            request.key if request.key is not None else "-",
+            exchange.attempts,
+            (node.now() - request.arrived) * 1000,
+            server.record.server_id if server else "-",
+            server.latency_s * 1000 if server else 0,
+            server.in_flight if server else 0,
+            len(server.waiting) if server else 0,
+            node.configuration_version,
+            -1 if contact is None else (node.now() - contact) * 1000,
+            node.node_count,
+            self._out(),
+        )
+
+    def attempt(self, exchange, server, reason):
+        """Logs an attempt whose outcome is unknown."""
+        if self._lines.allows():
+            log.info(
+                "requests: attempt failed id=%s server=%s reason=%s after_ms=%d "
+                "in_flight=%d attempts=%d left_out=%d",
+                exchange.request.request_id.decode("latin-1"),
+                server.record.server_id,
+                reason,
+                (self._node.now() - exchange.sent_at) * 1000,
+                server.in_flight,
+                exchange.attempts,
+                self._out(),
+            )
+
+    def _out(self):
+        return self._lines.take_left_out()
--- a/briarspoke/entry/servers.py
+++ b/briarspoke/entry/servers.py
@@ -179,7 +179,7 @@
         :param objective_s: time within which the caller wants the answer.
         :returns: a :class:`Sending` that can be abandoned.
         """
-        sending = Sending(self, data, listener, echo=echo, is_head=is_head)
+        sending = Sending(data, listener, echo=echo, is_head=is_head)
         connection = self._take_idle(IDLE_LIMIT_S if idempotent else IDLE_LIMIT_ONCE_S)
         if connection is not None:
             sending.start(connection)
@@ -257,12 +257,10 @@
         "_is_head",
         "abandoned",
         "listener",
-        "server",
         "written",
     )
 
-    def __init__(self, server, data, listener, *, echo, is_head):
-        self.server = server
+    def __init__(self, data, listener, *, echo, is_head):
         self.listener = listener
         self.abandoned = False
         self.written = False
--- a/briarspoke/entry/settings.py
+++ b/briarspoke/entry/settings.py
@@ -4,12 +4,11 @@
 
 import ipaddress
 
-from briarspoke import schema
+from briarspoke import durations, schema
 from briarspoke.configuration.resources import NAME_PATTERN
 from briarspoke.settings import InvalidValuesError, read_json
 
 MAX_PORT = 65535
-_DURATION_PATTERN = r"\d+(\.\d+)?(ms|s)"
 
 
 class Address:
@@ -81,16 +80,14 @@
     """A time such as ``1500ms`` or ``2.5s``, as seconds."""
 
     def __init__(self, **kwargs):
-        super().__init__(pattern=_DURATION_PATTERN, max_length=20, **kwargs)
+        super().__init__(pattern=durations.PATTERN, max_length=20, **kwargs)
 
     def check(self, value, path, problems):
         known = len(problems)
         text = super().check(value, path, problems)
         if len(problems) > known:
             return None
-        if text.endswith("ms"):
-            return float(text[:-2]) / 1000
-        return float(text[:-1])
+        return durations.parse(text)
 
 
 SCHEMA = schema.Section(
--- a/briarspoke/keyspace/keeper.py
+++ b/briarspoke/keyspace/keeper.py
@@ -1,4 +1,4 @@
-"""Grants, renews and moves the key ranges of one service."""
+"""Plans, moves and writes the key ranges of one service."""
 
 from __future__ import annotations
 
@@ -6,22 +6,19 @@
 
 from briarspoke.errors import BriarspokeError, invariant
 from briarspoke.keyspace import placement
+from briarspoke.keyspace.granter import HOLD_S, Granter
 from briarspoke.keyspace.grantlog import lapse_time
 from briarspoke.keyspace.keymap import KEY_COUNT, NOBODY, Owner
 from briarspoke.keyspace.leadership import RENEWAL_WITHOUT_STORE_S, PredecessorEnd
-from briarspoke.keyspace.moves import Move, MoveState, Renewal, ServerCalls
+from briarspoke.keyspace.moves import Move, MoveState
 from briarspoke.keyspace.ranges import without
 from briarspoke.platform import grants
 from briarspoke.platform.keyvalue import ConditionFailedError
 
 log = logging.getLogger(__name__)
 
-HOLD_S = 4.0
-RENEWAL_S = 1.2
-# A grant that failed is sent again after this time.
-RETRY_S = 0.4
-# After a change, neighbouring ranges of a server are renewed as one from here on.
-MERGE_DELAY_S = 0.4
+# A write of the map that failed is tried again after this time.
+WRITE_RETRY_S = 0.4
 # Moves that end within this time are written together, since each write costs a call
 # here and one at each entry VM that watches.
 WRITE_GAP_S = 0.2
@@ -46,11 +43,14 @@
         self._node = node
         self._leadership = leadership
         self._term = leadership.revision
-        self._calls_by_life = {}
-        self._renewals = {}
+        self._granter = Granter(
+            node=node,
+            leadership=leadership,
+            service=service,
+            answered=self._grant_answered,
+        )
         self._announcements = []
         self._fenced = False
-        self._alone = False
         self._writing = False
         self._written_at = 0.0
         self._started = node.now()
@@ -84,21 +84,13 @@
             if not server.replaced
         }
 
-    def _calls(self, record):
-        calls = self._calls_by_life.get(record.life)
-        if calls is None:
-            http = self._node.http_client(record.host, record.port)
-            calls = ServerCalls(record=record, http=http)
-            self._calls_by_life[record.life] = calls
-        return calls
-
     # One round.
 
     def tick(self, now):
         """Does what is due; called several times a second."""
         records = self._records()
         for record in records.values():
-            self._calls(record)
+            self._granter.calls(record)
         if self._map is None:
             self._begin(records, now)
             return
@@ -110,7 +102,8 @@
             self._advance(move, records, now)
         self._announce()
         self._finish_moves(records, now)
-        self._renew(records, now)
+        moving = [(move.first, move.last) for move in self.moves]
+        self._granter.renew(self._map, records, moving, now)
 
     def _begin(self, records, now):
         usable = sorted(r.life for r in records.values() if not r.draining)
@@ -168,7 +161,7 @@
         return [
             self._candidate(record)
             for _, record in sorted(records.items())
-            if not record.draining and self._calls(record).reachable
+            if not record.draining and self._granter.calls(record).reachable
         ]
 
     def _move(self, first, last, owner, to, reason):
@@ -201,7 +194,7 @@
         if self._has_ended(move, records):
             move.state = MoveState.READY
             return
-        calls = self._calls_by_life.get(move.owner.life)
+        calls = self._granter.known(move.owner.life)
         if move.state is MoveState.QUIET:
             if calls is None:
                 # Known from the map alone; where it listens is not known.
@@ -219,7 +212,7 @@
         have taken some, so the range may only go to that process at once.
         """
         owner = move.owner
-        calls = self._calls_by_life.get(owner.life)
+        calls = self._granter.known(owner.life)
         for record in records.values():
             if record.server_id != owner.server_id:
                 continue
@@ -245,7 +238,7 @@
     def _lapses_at(self, move, now):
         # A grant of an earlier controller lasts on beside a later, shorter one.
         until = max(now, self._inherited_until)
-        calls = self._calls_by_life.get(move.owner.life)
+        calls = self._granter.known(move.owner.life)
         if calls is not None:
             until = max(until, calls.log.lapses_at(move.first, move.last, now))
         return until
@@ -355,14 +348,14 @@
         except ConditionFailedError:
             # The view brings the newer map, or another controller.
             self._leadership.record_changed()
-            await self._node.sleep(RETRY_S)
+            await self._node.sleep(WRITE_RETRY_S)
             self._writing = False
             return
         except BriarspokeError as error:
             log.warning(
                 "keys: cannot write service=%s error=%r", self.service, str(error)
             )
-            await self._node.sleep(RETRY_S)
+            await self._node.sleep(WRITE_RETRY_S)
             self._writing = False
             return
         self._fenced = True
@@ -381,98 +374,26 @@
             handover = next(
                 (m.handover for m in moves if m.first == first and m.last == last), None
             )
-            calls = self._calls_by_life.get(owner.life)
+            calls = self._granter.known(owner.life)
             if calls is not None:
-                self._send_grant(calls, first, last, owner, handover, None)
-        merged = {
-            (first, last, owner.life, owner.fence)
-            for first, last, owner in key_map.ranges()
-        }
-        for key in merged:
-            if key not in self._renewals and changes:
-                self._renewals[key] = Renewal(now + MERGE_DELAY_S)
+                self._granter.send(calls, first, last, owner, handover)
+        if changes:
+            self._granter.map_changed(key_map, now)
         self._node.wake_control()
 
-    # Renewing.
-
-    def _renew(self, records, now):
-        if not self._leadership.may_renew_grants(now):
-            return
-        was_alone, self._alone = self._alone, self._leadership.is_alone(now)
-        # All ranges get the longer grants at once, as this process may end soon.
-        is_due = self._alone and not was_alone
-        moving = [(move.first, move.last) for move in self.moves]
-        current = {}
-        for first, last, owner in self._map.ranges():
-            record = records.get(owner.life)
-            if record is None:
-                continue
-            key = (first, last, owner.life, owner.fence)
-            renewal = self._renewals.get(key) or Renewal(now)
-            current[key] = renewal
-            if renewal.in_call or (now < renewal.due_at and not is_due):
-                continue
-            renewal.due_at = now + RENEWAL_S
-            calls = self._calls(record)
-            for piece in without(first, last, moving):
-                self._send_grant(calls, *piece, owner, None, renewal)
-        self._renewals = current
-
-    def _send_grant(self, calls, first, last, owner, handover, renewal):
-        now = self._node.now()
-        longest_s = self._node.settings.max_hold_s
-        hold_s = self._leadership.hold_s(now, HOLD_S, longest_s)
-        sent = calls.log.add(first=first, last=last, hold_s=hold_s)
-        if renewal is not None:
-            renewal.in_call = True
-        self._node.spawn(
-            self._call_grant(calls, sent, owner, hold_s, handover, renewal)
-        )
+    def _grant_answered(self, sent, owner, *, accepted, first):
+        """Takes a server's answer to a grant.
 
-    async def _call_grant(self, calls, sent, owner, hold_s, handover, renewal):
-        answer = await grants.grant(
-            calls.http,
-            first=sent.first,
-            last=sent.last,
-            fence=owner.fence,
-            hold_s=hold_s,
-            handover=handover,
-        )
-        now = self._node.now()
-        if renewal is not None:
-            renewal.in_call = False
-        reachable = answer.accepted is not None
-        if reachable != calls.reachable:
-            calls.reachable = reachable
-            log.info(
-                "keys: server %s service=%s server=%s keys=%d-%d fence=%d reason=%s",
-                "takes grants" if reachable else "does not take grants",
-                self.service,
-                owner.server_id,
-                sent.first,
-                sent.last,
-                owner.fence,
-                answer.failure or "answered",
-            )
-        if answer.accepted:
-            sent.settle(now, answered=True)
-            self._node.metrics.count("grants_total", "accepted")
-            if renewal is None and self._is_current(sent, owner):
-                self._announcements.append((sent.first, sent.last, owner))
-                self._node.wake_control()
+        :param first: whether the grant gave the keys, and did not renew them.
+        """
+        if not self._is_current(sent, owner):
             return
-        if answer.accepted is None and answer.sent:
-            sent.settle(now, answered=False)
-        else:
-            sent.discard(now)
-        if renewal is not None:
-            renewal.due_at = now + RETRY_S
-        self._node.metrics.count(
-            "grants_total", "refused" if answer.accepted is False else "failed"
-        )
-        if answer.accepted is False and self._is_current(sent, owner):
+        if not accepted:
             # Only another controller gives higher tokens.
             self._leadership.lose(f"{owner.server_id} has seen a higher token")
+        elif first:
+            self._announcements.append((sent.first, sent.last, owner))
+            self._node.wake_control()
 
     def _is_current(self, sent, owner):
         """Returns whether the map still says what was granted."""
--- a/briarspoke/keyspace/leadership.py
+++ b/briarspoke/keyspace/leadership.py
@@ -84,7 +84,6 @@
         self.own = own
         # Revision of the control key while this process holds control.
         self.revision = None
-        self.since = None
         self.predecessor = PredecessorEnd.UNKNOWN
         self._client = client
         self._view = view
@@ -207,7 +206,6 @@
         self._lease = lease
         self._renewed_at = sent_at
         self.revision = revision
-        self.since = self._clock()
         self.predecessor = predecessor
         log.info("control: taken revision=%s before=%r", revision, predecessor.value)
 
--- a/briarspoke/platform/values.py
+++ b/briarspoke/platform/values.py
@@ -2,12 +2,9 @@
 
 from __future__ import annotations
 
-import re
-
+from briarspoke import durations
 from briarspoke.errors import BriarspokeError
 
-_DURATION = re.compile(r"(\d+(?:\.\d+)?)(ms|s)")
-
 
 class DecodeError(BriarspokeError):
     """A body of the platform does not have the documented form."""
@@ -18,11 +15,10 @@
 
     :raises DecodeError: if the text is not a duration.
     """
-    match = _DURATION.fullmatch(text) if isinstance(text, str) else None
-    if match is None:
-        raise DecodeError(f"{text!r} is not a duration")
-    value = float(match[1])
-    return value / 1000 if match[2] == "ms" else value
+    try:
+        return durations.parse(text)
+    except ValueError as error:
+        raise DecodeError(str(error)) from error
 
 
 def milliseconds(value_s):
