Read the settings again after SIGHUP or a change of the file

The settings file may also change without a signal.

Change: the file is read again; drain, grace and hold times, the retry budget and the log level come into force, other changes are named in a log line and need a restart; a file that cannot be used changes nothing.

--- a/briarspoke/entry/budget.py
+++ b/briarspoke/entry/budget.py
@@ -31,6 +31,11 @@
         self._requests = collections.deque()
         self._spent = collections.deque()
 
+    def change(self, *, ratio, slack):
+        """Takes other limits over; what was spent stays spent."""
+        self._ratio = ratio
+        self._slack = slack
+
     def _add(self, counters, now):
         step = int(now / self._step_s)
         if counters and counters[-1][0] == step:
--- a/briarspoke/entry/node.py
+++ b/briarspoke/entry/node.py
@@ -384,6 +384,13 @@
         for service, counts in taken.items():
             self.datagrams.send_load(service, counts, (holder.host, holder.port))
 
+    def settings_changed(self):
+        """Takes settings over that other parts have copied."""
+        for dispatcher in self._dispatchers_by_service.values():
+            dispatcher.budget.change(
+                ratio=self.settings.retry_ratio, slack=self.settings.retry_slack
+            )
+
     async def stop(self):
         """Takes no new callers, lets open requests end, and gives control up."""
         if self.stopping:
--- a/briarspoke/entry/process.py
+++ b/briarspoke/entry/process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import signal
 import sys
 
 from briarspoke.errors import UserError
@@ -23,11 +24,16 @@
 
     settings = settings_module.load(path)
     logs.setup(settings.log_level)
-    from twisted.internet import defer, reactor
+    from twisted.internet import defer, reactor, task
 
     from briarspoke.entry.node import EntryNode
+    from briarspoke.entry.reload import CHECK_S, SettingsReload
 
     node = EntryNode(reactor=reactor, settings=settings, clock=clock.monotonic)
+    reload = SettingsReload(node=node, path=path)
+    # Without a handler the signal would end the process.
+    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(reload.reload))
+    task.LoopingCall(reload.check).start(CHECK_S, now=False)
     reactor.callWhenRunning(node.start)
     reactor.addSystemEventTrigger(
         "before", "shutdown", lambda: defer.ensureDeferred(node.stop())
--- /dev/null
+++ b/briarspoke/entry/reload.py
@@ -0,0 +1,70 @@
+"""Takes changed settings over without a restart."""
+
+from __future__ import annotations
+
+import logging
+import os
+
+from briarspoke.entry import settings as entry_settings
+from briarspoke.errors import BriarspokeError
+
+log = logging.getLogger(__name__)
+
+# The file may change without a signal; looking at it is one system call.
+CHECK_S = 2.0
+# Everything else is bound to sockets, keys in the store or windows that have begun.
+CHANGEABLE = frozenset(
+    {"drain_s", "grace_s", "log_level", "max_hold_s", "retry_ratio", "retry_slack"}
+)
+
+
+class SettingsReload:
+    """Reads the settings file again after a signal or a change.
+
+    :param node: the :class:`briarspoke.entry.node.EntryNode`.
+    :param path: path of the settings file.
+    """
+
+    def __init__(self, *, node, path):
+        self._node = node
+        self._path = path
+        self._seen = self._stamp()
+
+    def _stamp(self):
+        try:
+            status = os.stat(self._path)
+        except OSError:
+            return None
+        return (status.st_mtime_ns, status.st_size, status.st_ino)
+
+    def check(self):
+        """Reads the file if it has changed; called periodically."""
+        stamp = self._stamp()
+        if stamp is not None and stamp != self._seen:
+            self.reload()
+
+    def reload(self):
+        """Reads the file; settings that cannot be used change nothing."""
+        self._seen = self._stamp()
+        try:
+            new = entry_settings.load(self._path)
+        except BriarspokeError as error:
+            log.error(
+                "entry: settings kept, the file cannot be used error=%r", str(error)
+            )
+            return
+        old = self._node.settings
+        changed = [
+            name
+            for name in new.__slots__
+            if str(getattr(new, name)) != str(getattr(old, name))
+        ]
+        for name in CHANGEABLE.intersection(changed):
+            setattr(old, name, getattr(new, name))
+        logging.getLogger().setLevel(old.log_level.upper())
+        self._node.settings_changed()
+        log.info(
+            "entry: settings read changed=%s need_restart=%s",
+            ",".join(sorted(CHANGEABLE.intersection(changed))) or "-",
+            ",".join(sorted(set(changed) - CHANGEABLE)) or "-",
+        )
