Answer what is open at the end of the grace time, so that ready answers leave

A caller's lookup had its server's answer at 16.71 s and the connection closed at 19.55 s without it: answers leave in the order of the requests, an earlier one on the connection still waited for a silent server, and both ended with the process 5.6 s after SIGTERM.

Ruled out: the balancer (the request came 2.3 s after SIGTERM on a kept connection) and the server, which had answered.

Change: 0.6 s before the end of the grace time every open request gets its final answer, 504 if it may have run and 503 if it was never sent; the answers behind it follow, and the process waits 0.3 s for them to leave.

Test: TestStop.test_ready_answer_behind_a_silent_server_leaves_before_the_end failed before.

--- a/briarspoke/entry/callers.py
+++ b/briarspoke/entry/callers.py
@@ -192,6 +192,15 @@
         elif not self.exchanges and now - self.quiet_since > limits.idle_timeout_s:
             self._close_idle()
 
+    def finish(self):
+        """Answers every open request and closes.
+
+        Answers leave in order, so one slow request would take the ready answers
+        behind it along when the process ends.
+        """
+        for exchange in list(self.exchanges):
+            exchange.process_ends()
+
     def close_if_idle(self):
         """Closes a connection on which no request is open or arriving."""
         if not self.exchanges and self._head_since is None and not self.closing:
--- a/briarspoke/entry/exchange.py
+++ b/briarspoke/entry/exchange.py
@@ -376,6 +376,22 @@
             self._fail(codes.ANSWER_TIMEOUT)
         self.dispatcher.server_freed(server)
 
+    def process_ends(self):
+        """Answers at once, since the process has no time left to wait."""
+        if self.done:
+            return
+        if self.queued_at is not None:
+            self.dispatcher.leave(self)
+        written = self.server is not None and self.sending.written
+        if self.server is not None:
+            server = self.server
+            self._leave_server()
+            self.node.request_log.attempt(self, server, "process-ends")
+        if written:
+            self._fail(codes.OUTCOME_UNKNOWN)
+        else:
+            self._end_not_run(codes.SHUTTING_DOWN, self.node.RETRY_UNAVAILABLE_S)
+
     def _leave_server(self):
         server, self.server = self.server, None
         self.sending.abandon()
--- a/briarspoke/entry/node.py
+++ b/briarspoke/entry/node.py
@@ -37,8 +37,10 @@
 DRAIN_MARGIN_S = 0.5
 # The balancer takes a VM out after two questions, one a second.
 BALANCER_S = 2.2
-# Left of the grace time when open requests are cut off.
-STOP_MARGIN_S = 0.4
+# Left of the grace time when open requests get a final answer.
+STOP_MARGIN_S = 0.6
+# Time for the last answers to leave before the process ends.
+FLUSH_S = 0.3
 LISTEN_BACKLOG = 512
 
 
@@ -408,6 +410,11 @@
             for connection in list(self.callers):
                 connection.close_if_idle()
             await self.sleep(TICK_S)
+        unfinished = list(self.callers)
+        for connection in unfinished:
+            connection.finish()
+        if unfinished:
+            await self.sleep(FLUSH_S)
         for loop in self._loops:
             loop.stop()
         log.info("entry: stopped open_connections=%d", len(self.callers))
--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -275,6 +275,30 @@
         world.advance(5.0)
         assert stopped.called
 
+    def test_ready_answer_behind_a_silent_server_leaves_before_the_end(self, world):
+        # Guards against answers that are lost with the process, since the answer to
+        # an earlier request of the same caller never came.
+        from twisted.internet import defer
+
+        routes = {"lookup": route("stock", timeout="9000ms")}
+        world.store.put("op/config", configuration(5, routes=routes))
+        world.advance(0.5)
+        caller = world.caller(world.node)
+        caller.send(request(request_id="r1", key=7, deadline=9000))
+        caller.send(request(request_id="r2", key=60_000, deadline=9000))
+        world.accept()
+        ready, _ = world.accept()
+        ready.send(answer(request_id="r2", body=b"ready"))
+        stopped = defer.ensureDeferred(world.node.stop())
+        world.advance(5.3)
+        assert caller.take() == b""
+        world.advance(0.7)
+        got = caller.take()
+        assert status_of(got) in (502, 504)
+        assert got.endswith(b"ready")
+        assert b"connection: close" in got.rsplit(b"HTTP/1.1", 1)[1].lower()
+        assert stopped.called
+
     def test_idle_connections_close_after_the_balancer_has_seen_it(self, world):
         from twisted.internet import defer
 
