Show how a move ended and the life of a server in the logs

Change: `keys: move ends` has state released, ended or expired; `servers: ready` and `servers: draining` have the incarnation. No decision changes.

--- a/briarspoke/entry/node.py
+++ b/briarspoke/entry/node.py
@@ -240,13 +240,15 @@
         elif server.drain_until is None:
             server.drain_until = self.now() + self.settings.drain_s - DRAIN_MARGIN_S
         log.info(
-            "servers: %s id=%s service=%s zone=%s address=%s:%d revision=%d",
+            "servers: %s id=%s service=%s zone=%s address=%s:%d incarnation=%d "
+            "revision=%d",
             "draining" if record.draining else "ready",
             record.server_id,
             record.service,
             record.zone,
             record.host,
             record.port,
+            record.incarnation,
             item.revision,
         )
         self.wake_control()
--- a/briarspoke/keyspace/moves.py
+++ b/briarspoke/keyspace/moves.py
@@ -16,6 +16,14 @@
     READY = "has no owner"
 
 
+class MoveEnd(enum.Enum):
+    """Why the owner of a moving range holds it no longer."""
+
+    RELEASED = "released"
+    OWNER_ENDED = "ended"
+    EXPIRED = "expired"
+
+
 class Move:
     """A move of a key range away from its owner.
 
@@ -26,9 +34,11 @@
     :ivar grants_expire_at: when the grants of the owner have expired, or None if that
         is not known yet.
     :ivar handover: token from the release, passed on to the next owner, or None.
+    :ivar end: the :class:`MoveEnd` once the range has no owner.
     """
 
     __slots__ = (
+        "end",
         "first",
         "grants_expire_at",
         "handover",
@@ -48,6 +58,15 @@
         self.state = MoveState.AWAITING_CALLS
         self.grants_expire_at = None
         self.handover = None
+        self.end = None
+
+    def finish(self, end):
+        """Records that the range has no owner and why.
+
+        :param end: the :class:`MoveEnd`.
+        """
+        self.state = MoveState.READY
+        self.end = end
 
 
 class Renewal:
--- a/briarspoke/keyspace/range_manager.py
+++ b/briarspoke/keyspace/range_manager.py
@@ -11,7 +11,7 @@
 from briarspoke.keyspace.grantlog import MAX_TRANSIT_S, expiry_time
 from briarspoke.keyspace.keymap import KEY_COUNT, UNOWNED, Owner
 from briarspoke.keyspace.leadership import RENEWAL_WITHOUT_STORE_S, PredecessorEnd
-from briarspoke.keyspace.moves import Move, MoveState
+from briarspoke.keyspace.moves import Move, MoveEnd, MoveState
 from briarspoke.keyspace.ranges import subtract_ranges
 from briarspoke.platform import grants
 from briarspoke.platform.keyvalue import ConditionFailedError
@@ -250,7 +250,7 @@
         if move.state is MoveState.READY:
             return
         if self._has_owner_ended(move, records):
-            move.state = MoveState.READY
+            move.finish(MoveEnd.OWNER_ENDED)
             return
         client = self._granter.known_client(move.owner.server_instance)
         if move.state is MoveState.AWAITING_CALLS:
@@ -261,7 +261,7 @@
                 self._release(move, client, now)
         elif now >= move.grants_expire_at:
             # Also ends a release whose owner is busy for longer than its grant lasts.
-            move.state = MoveState.READY
+            move.finish(MoveEnd.EXPIRED)
 
     def _has_owner_ended(self, move, records):
         """Returns whether the owner has ended and the range can move immediately.
@@ -335,7 +335,7 @@
             return
         if answer.accepted:
             move.handover = answer.handover
-            move.state = MoveState.READY
+            move.finish(MoveEnd.RELEASED)
             self._node.wake_control()
         else:
             log.info(
@@ -374,7 +374,7 @@
                 move.last,
                 move.owner.server_id,
                 candidate.server_instance[0],
-                "released" if move.handover else "lapsed",
+                move.end.value,
                 load,
                 candidate.utilisation * 100,
                 candidate.latency_s * 1000,
