Reproduce the three ways to two owners of a key

The stand-in for servers refuses calls that name another server, the one for the store can pause leases, and the in-memory client keeps a connection that ends with the process at its other end.

--- a/briarspoke/standins/platform_http.py
+++ b/briarspoke/standins/platform_http.py
@@ -181,7 +181,12 @@
             exchange.connection.transport.abortConnection()
             return
         if exchange.target.startswith(b"/briarspoke/"):
-            status, headers = self._model.call(exchange.target.decode(), exchange.body)
+            target = exchange.headers.get(b"target-instance")
+            status, headers = self._model.call(
+                exchange.target.decode(),
+                exchange.body,
+                target=None if target is None else target.decode(),
+            )
             pairs = [(n.encode(), v.encode()) for n, v in headers.items()]
             exchange.respond(status, b"", pairs)
             return
--- a/briarspoke/standins/platform_server.py
+++ b/briarspoke/standins/platform_server.py
@@ -82,13 +82,17 @@
         ]
         return any(held.first <= key <= held.last for held in self._held_ranges)
 
-    def call(self, path, body, arrived_at=None):
+    def call(self, path, body, arrived_at=None, target=None):
         """Handles a grant or release call and returns (status, headers).
 
         :param path: path of the call; it ends with ``/grant`` for a grant.
         :param body: the call's JSON body as bytes.
         :param arrived_at: time from which the hold counts; None for the current time.
+        :param target: identifier of the only server that may handle the call; None for
+            any server.
         """
+        if target not in (None, self.server_id):
+            return 421, {"Instance-Id": self.server_id}
         value = json.loads(body)
         if path.endswith("/grant"):
             return self.grant(value, arrived_at), {}
--- a/briarspoke/standins/platform_store.py
+++ b/briarspoke/standins/platform_store.py
@@ -84,6 +84,13 @@
         for lease in list(self._leases):
             self._end_lease(lease)
 
+    def extend_all_leases(self, seconds):
+        """Extends every lease, as if leases had been paused in an outage."""
+        self._leases = {
+            lease: (expires_at + seconds, duration_s)
+            for lease, (expires_at, duration_s) in self._leases.items()
+        }
+
     def call(self, method, target, body):
         """Handles a call and returns its :class:`Response`.
 
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -144,11 +144,24 @@
         self._world = world
         self._faults = faults
         self._address = (host, port)
+        # Process at the other end of the kept connection, or None without one.
+        self._peer = None
 
-    def call(self, method, path, body=b"", *, timeout_s, new_connection=False):
+    @property
+    def has_idle(self):
+        return self._peer is not None
+
+    def call(
+        self, method, path, body=b"", *, timeout_s, headers=(), new_connection=False
+    ):
         done = defer.Deferred()
         later = self._world.reactor.callLater
+        # A call takes the kept connection, and only its answer makes one available.
+        expected_peer = None
+        if not new_connection:
+            expected_peer, self._peer = self._peer, None
         timer = later(timeout_s, self._finish, done, Answer(failure="timeout"))
+        lower = {name.lower(): value.decode() for name, value in headers}
         if self._faults.cut:
             return done
         arrived = self._world.reactor.seconds() + self._faults.transit_s
@@ -156,17 +169,23 @@
         answered = not self._faults.answers_lost
 
         def arrive():
+            peer = self._world.peer(self._address)
+            if expected_peer is not None and peer is not expected_peer:
+                self._finish(done, Answer(failure="reset"), timer)
+                return
             target = self._world.target(self._address)
             if target is None:
                 reply = Answer(failure="refused", sent=False)
             else:
-                reply = target(method.decode(), path, body, arrived)
+                reply = target(method.decode(), path, body, arrived, lower)
             if reply is None:
                 # The server does not answer, so the call times out.
                 return
             if isinstance(reply, PendingWatch):
                 self._world.waiting.append((reply, done, timer, self._faults))
             elif answered and not self._faults.cut:
+                if not new_connection and not done.called:
+                    self._peer = peer
                 self._finish(done, reply, timer)
 
         later(delay_s, arrive)
@@ -207,6 +226,10 @@
         self.waiting = []
         self.store_down = False
 
+    def peer(self, address):
+        """Returns the process that listens at an address, or None."""
+        return self.store if address == STORE else self.servers.get(address)
+
     def target(self, address):
         """Returns the function that handles calls to an address, or None."""
         if address == STORE:
@@ -214,11 +237,11 @@
         model = self.servers.get(address)
         if model is None:
             return None
-        return lambda method, path, body, arrived: self._call_server(
-            model, path, body, arrived
+        return lambda method, path, body, arrived, headers: self._call_server(
+            model, path, body, arrived, headers
         )
 
-    def _call_store(self, method, path, body, arrived):
+    def _call_store(self, method, path, body, arrived, headers):
         if self.store_down:
             return Answer(failure="reset")
         reply = self.store.call(method, path, body)
@@ -226,8 +249,8 @@
             return reply
         return Answer(status=reply.status, body=reply.encode())
 
-    def _call_server(self, model, path, body, arrived):
-        reply = model.call(path, body, arrived)
+    def _call_server(self, model, path, body, arrived, headers):
+        reply = model.call(path, body, arrived, headers.get(b"target-instance"))
         if reply is None:
             return None
         status, headers = reply
--- a/tests/test_keyspace_ownership.py
+++ b/tests/test_keyspace_ownership.py
@@ -85,8 +85,10 @@
         server = world.servers[address(SERVERS[0])]
         call = server.call
 
-        def call_except_release(path, body, arrived):
-            return None if path.endswith("release") else call(path, body, arrived)
+        def call_except_release(path, body, arrived, target):
+            if path.endswith("release"):
+                return None
+            return call(path, body, arrived, target)
 
         server.call = call_except_release
         maps = self.drain(world)
@@ -118,8 +120,10 @@
         slow_server = world.servers[address(SERVERS[0])]
         call = slow_server.call
 
-        def call_except_release(path, body, arrived):
-            return None if path.endswith("release") else call(path, body, arrived)
+        def call_except_release(path, body, arrived, target):
+            if path.endswith("release"):
+                return None
+            return call(path, body, arrived, target)
 
         slow_server.call = call_except_release
         number = SERVERS[0]
@@ -279,6 +283,87 @@
         assert f"s-{number}" not in owners
 
 
+class TestReusedAddress:
+    def next_server(self, world, number):
+        """Replaces a server by one with another id at its address."""
+        model = ServerModel(server_id="s-99", clock=world.reactor.seconds)
+        world.servers[address(number)] = model
+        return model
+
+    def test_next_server_at_an_address_does_not_take_renewals(self, world):
+        # Guards against a server that takes keys with the token of its predecessor.
+        model = self.next_server(world, SERVERS[0])
+        world.advance(2.0)
+        assert not any(model.holds(key) for key in KEYS)
+        assert model.highest_fence(0, keymap.KEY_COUNT - 1) == 0
+
+    def test_next_life_of_a_server_takes_keys_with_a_higher_token(self, world):
+        # Guards against a restarted server that takes keys with the token of its
+        # former process, before its registration tells of the restart.
+        number = SERVERS[0]
+        world.advance(2.0)
+        former = world.servers[address(number)]
+        model = ServerModel(server_id=f"s-{number}", clock=world.reactor.seconds)
+        world.servers[address(number)] = model
+        world.advance(2.0)
+        every_key = (0, keymap.KEY_COUNT - 1)
+        assert model.highest_fence(*every_key) > former.highest_fence(*every_key)
+
+    def test_keys_move_at_once_when_another_server_answers(self, world):
+        # Guards against keys that wait for grants which no server has any more.
+        self.next_server(world, SERVERS[0])
+        world.advance(2.0)
+        assert all(len(holders(world, key)) == 1 for key in KEYS)
+
+    def test_registration_at_an_owners_address_does_not_move_its_keys(self, world):
+        # Guards against two owners: a registration of a server that has ended is
+        # written late and names the address of a live owner.
+        late = registration("orders", SERVERS[0], born=0)
+        world.store.put("servers/s-99", late)
+        for _ in range(80):
+            world.advance(0.1)
+            assert all(len(holders(world, key)) <= 1 for key in KEYS)
+
+    def test_next_server_does_not_release_for_its_predecessor(self, world):
+        # Guards against a release that is answered by a server which had no keys,
+        # while grants to its predecessor are still on their way.
+        number = SERVERS[0]
+        self.next_server(world, number)
+        world.store.put("servers/s-99", registration("stock", number, born=2))
+        world.store.delete(f"servers/s-{number}")
+        for _ in range(30):
+            world.advance(0.1)
+            assert all(len(holders(world, key)) <= 1 for key in KEYS)
+        assert all(len(holders(world, key)) == 1 for key in KEYS)
+
+
+class TestLongGrants:
+    def test_successor_waits_for_long_grants_of_a_resigned_controller(self, world):
+        # Guards against two owners: a controller sends long grants while the store is
+        # down and resigns as soon as it is back.
+        leader = controller(world)
+        number = SERVERS[0]
+        world.advance(20.0)
+        world.store_down = True
+        world.advance(4.0)
+        assert holders(world, 7) == [f"s-{number}"]
+        other = next(node for node in world.nodes if node is not leader)
+        for node in world.nodes:
+            node.faults(address(number)).cut = True
+        world.store.extend_all_leases(4.0)
+        world.store_down = False
+        world.store.delete(f"servers/s-{number}")
+        world.advance(0.5)
+        assert leader.control.is_leader
+        leader.spawn(leader.control.stop())
+        for _ in range(120):
+            world.advance(0.1)
+            assert all(len(holders(world, key)) <= 1 for key in KEYS)
+        assert other.control.is_leader
+        world.advance(8.0)
+        assert all(len(holders(world, key)) == 1 for key in KEYS)
+
+
 class TestLateGrants:
     def test_range_with_an_unanswered_grant_waits_until_it_expires(self, world):
         # Guards against a delayed grant that is applied after the range has moved.
