Name the server in grants and releases

What callers saw: two servers held the same keys; "key N went to i-N with fence N; i-N had it with fence N".

Cause: grants and releases named an address. After a crash the next server there, which had seen no token, took the renewals of its predecessor.

Change: both calls name their server (Target-Instance). Another server refuses them with 421, which shows that the owner has ended: its server is no longer used, and a release that is answered so ends the move at once. An owner that is gone is also asked to release when grants to it may arrive late, and again when another server registers at its address, so that its keys do not wait for grants that no server has.

--- a/briarspoke/entry/httpclient.py
+++ b/briarspoke/entry/httpclient.py
@@ -29,11 +29,14 @@
         self._host_header = f"{host}:{port}".encode()
         self._idle = []
 
-    def call(self, method, path, body=b"", *, timeout_s, new_connection=False):
+    def call(
+        self, method, path, body=b"", *, timeout_s, headers=(), new_connection=False
+    ):
         """Makes one call.
 
         :param method: HTTP method in bytes.
         :param path: path and query as text.
+        :param headers: additional (name, value) pairs in bytes.
         :param new_connection: whether the call must not use a kept connection, on which
             a late second answer to an earlier call could be taken for its own.
         :returns: a Deferred that fires with an :class:`Answer`, never with an error.
@@ -42,6 +45,7 @@
             b"%b %b HTTP/1.1" % (method, path.encode()),
             b"Host: " + self._host_header,
         ]
+        lines += [b"%b: %b" % header for header in headers]
         if body:
             lines.append(b"Content-Type: application/json")
         if body or method == b"POST":
--- a/briarspoke/keyspace/granter.py
+++ b/briarspoke/keyspace/granter.py
@@ -29,13 +29,16 @@
     :param service: name of the service.
     :param on_answer: called with (sent grant, owner, accepted=, first=) when a server
         has accepted or refused a grant.
+    :param on_other_server: called with (:class:`ServerRecord`, identifier in bytes)
+        when another server answers at the address of a server.
     """
 
-    def __init__(self, *, node, leadership, service, on_answer):
+    def __init__(self, *, node, leadership, service, on_answer, on_other_server):
         self._node = node
         self._leadership = leadership
         self._service = service
         self._on_answer = on_answer
+        self._on_other_server = on_other_server
         self._clients_by_instance = {}
         self._renewals = {}
         self._store_lost = False
@@ -122,6 +125,7 @@
     async def _call_once(self, client, sent, owner, hold_s, handover, renewal):
         answer = await grants.grant(
             client.http,
+            server_id=owner.server_id,
             first=sent.first,
             last=sent.last,
             fence=owner.fence,
@@ -145,6 +149,8 @@
         self._node.metrics.count(
             "grants_total", "refused" if answer.accepted is False else "failed"
         )
+        if answer.other_server is not None:
+            self._on_other_server(client.record, answer.other_server)
         if answer.accepted is False:
             self._on_answer(sent, owner, accepted=False, first=renewal is None)
 
--- a/briarspoke/keyspace/moves.py
+++ b/briarspoke/keyspace/moves.py
@@ -34,15 +34,20 @@
     :ivar grants_expire_at: when the grants of the owner have expired, or None if that
         is not known yet.
     :ivar handover: token from the release, passed on to the next owner, or None.
+    :ivar may_be_granted_late: whether a grant to the owner may take effect after the
+        owner has released the range.
+    :ivar asked_at: time of the last release call, or None.
     :ivar end: the :class:`MoveEnd` once the range has no owner.
     """
 
     __slots__ = (
+        "asked_at",
         "end",
         "first",
         "grants_expire_at",
         "handover",
         "last",
+        "may_be_granted_late",
         "owner",
         "reason",
         "state",
@@ -58,6 +63,8 @@
         self.state = MoveState.AWAITING_CALLS
         self.grants_expire_at = None
         self.handover = None
+        self.may_be_granted_late = False
+        self.asked_at = None
         self.end = None
 
     def finish(self, end):
--- a/briarspoke/keyspace/range_manager.py
+++ b/briarspoke/keyspace/range_manager.py
@@ -27,6 +27,8 @@
 REBALANCE_INTERVAL_S = 0.3
 # Interval between two plans of how many requests for overloaded owners are admitted.
 ALLOWANCE_INTERVAL_S = 0.5
+# Interval between two calls that ask whether an owner has ended.
+ASK_INTERVAL_S = 0.5
 # Reason for the write of the first key map of a service, for the log.
 FIRST_MAP = "first map"
 # Each move in progress needs a release, a write and a grant.
@@ -56,6 +58,7 @@
             leadership=leadership,
             service=service,
             on_answer=self._grant_answered,
+            on_other_server=self._other_server_answered,
         )
         self._announcements = []
         self._allowances = Allowances()
@@ -258,10 +261,17 @@
                 # Only the map names this instance, so its address is unknown.
                 self._wait_for_expiry(move, now)
             elif not client.log.is_pending(move.first, move.last, now):
-                self._release(move, client, now)
+                self._release(move, client, records, now)
         elif now >= move.grants_expire_at:
             # Also ends a release whose owner is busy for longer than its grant lasts.
             move.finish(MoveEnd.EXPIRED)
+        elif (
+            move.state is MoveState.EXPIRING
+            and client is not None
+            and (move.asked_at is None or now >= move.asked_at + ASK_INTERVAL_S)
+            and self._is_address_reused(client)
+        ):
+            self._send_release(move, client, now)
 
     def _has_owner_ended(self, move, records):
         """Returns whether the owner has ended and the range can move immediately.
@@ -294,6 +304,14 @@
             if other.service != self.service
         )
 
+    def _is_address_reused(self, client):
+        """Returns whether another server is registered at the address of a server."""
+        return any(
+            other.server_id != client.record.server_id
+            and (other.host, other.port) == (client.record.host, client.record.port)
+            for other in self._node.all_records()
+        )
+
     def _grants_expire_at(self, move, now):
         # A shorter grant sent later does not shorten a grant of a predecessor.
         grants_expire_at = max(now, self._previous_grants_expire_at)
@@ -308,43 +326,59 @@
         move.grants_expire_at = self._grants_expire_at(move, now)
         move.state = MoveState.EXPIRING
 
-    def _release(self, move, client, now):
-        if client.log.is_uncertain(move.first, move.last, now) or (
+    def _release(self, move, client, records, now):
+        # A grant without an answer could still be applied after the release.
+        move.may_be_granted_late = client.log.is_uncertain(
+            move.first, move.last, now
+        ) or (
             now < self._previous_grants_expire_at
             and not client.log.was_accepted(move.first, move.last, now)
-        ):
-            # A grant without an answer could still be applied after the release.
+        )
+        if move.may_be_granted_late and move.owner.server_instance in records:
             self._wait_for_expiry(move, now)
             return
         move.state = MoveState.RELEASING
         move.grants_expire_at = self._grants_expire_at(move, now)
         unowned = Owner(server_id=UNOWNED, incarnation=0, fence=move.owner.fence)
         self._announcements.append((move.first, move.last, unowned))
+        self._send_release(move, client, now)
+
+    def _send_release(self, move, client, now):
+        move.asked_at = now
         self._node.spawn(self._request_release(move, client))
 
     async def _request_release(self, move, client):
         answer = await grants.release(
-            client.http, first=move.first, last=move.last, fence=move.owner.fence
+            client.http,
+            server_id=move.owner.server_id,
+            first=move.first,
+            last=move.last,
+            fence=move.owner.fence,
         )
         self._node.metrics.count(
             "grants_total", "released" if answer.accepted else "release-failed"
         )
         now = self._node.now()
-        if move.state is not MoveState.RELEASING:
+        if move.state is MoveState.READY:
             # The last grant expired before the release was answered.
             return
-        if answer.accepted:
+        if answer.other_server is not None:
+            # No server has the grants that were sent to the owner.
+            self._other_server_answered(client.record, answer.other_server)
+            move.finish(MoveEnd.OWNER_ENDED)
+            self._node.wake_control()
+        elif answer.accepted and not move.may_be_granted_late:
             move.handover = answer.handover
             move.finish(MoveEnd.RELEASED)
             self._node.wake_control()
-        else:
+        elif move.state is MoveState.RELEASING:
             log.info(
                 "keys: release failed service=%s server=%s keys=%d-%d reason=%s",
                 self.service,
                 move.owner.server_id,
                 move.first,
                 move.last,
-                answer.failure or "refused",
+                answer.failure or "late-grants",
             )
             self._wait_for_expiry(move, now)
 
@@ -463,6 +497,15 @@
             self._announcements.append((sent.first, sent.last, owner))
             self._node.wake_control()
 
+    def _other_server_answered(self, record, answering_id):
+        """Stops using a server at whose address another server has answered."""
+        server = self._node.dispatcher(self.service).servers.get(record.server_id)
+        if server is not None and server.record.server_instance == (
+            record.server_instance
+        ):
+            server.replaced = True
+            self._node.server_replaced(record, answering_id)
+
     def _is_current(self, sent, owner):
         """Returns whether the map still has the owner and token of a grant."""
         key_map = self._map
--- a/briarspoke/platform/grants.py
+++ b/briarspoke/platform/grants.py
@@ -17,27 +17,39 @@
     """Result of a grant or a release.
 
     :param accepted: True, False if the server has seen a higher fencing token, or
-        None if the outcome is unknown.
+        None if the outcome is unknown or another server answered.
     :param handover: handover token for the next owner, or None.
     :param failure: reason why the outcome is unknown, or an empty string.
     :param sent: whether the call may have reached the server.
+    :param other_server: identifier of another server that answered at the address, in
+        bytes, or None. An address is used again only after its server has ended.
     """
 
-    __slots__ = ("accepted", "failure", "handover", "sent")
+    __slots__ = ("accepted", "failure", "handover", "other_server", "sent")
 
-    def __init__(self, *, accepted, handover=None, failure="", sent=True):
+    def __init__(
+        self, *, accepted, handover=None, failure="", sent=True, other_server=None
+    ):
         self.accepted = accepted
         self.handover = handover
         self.failure = failure
         self.sent = sent
+        self.other_server = other_server
 
 
 _ACCEPTED_BY_STATUS = {200: True, 409: False}
+_OTHER_SERVER_STATUS = 421
 
 
 def _decode_answer(answer):
     if answer.status is None:
         return GrantAnswer(accepted=None, failure=answer.failure, sent=answer.sent)
+    if answer.status == _OTHER_SERVER_STATUS:
+        return GrantAnswer(
+            accepted=None,
+            failure="other-server",
+            other_server=answer.get(headers.SERVER_ID) or b"unknown",
+        )
     handover = answer.get(headers.HANDOVER)
     return GrantAnswer(
         accepted=_ACCEPTED_BY_STATUS.get(answer.status),
@@ -50,10 +62,17 @@
 # must not confirm a change of ownership, so calls that change it use new connections.
 
 
-async def grant(http, *, first, last, fence, hold_s, handover=None, renews=False):
+def _target(server_id):
+    return [(headers.TARGET_SERVER, server_id.encode())]
+
+
+async def grant(
+    http, *, server_id, first, last, fence, hold_s, handover=None, renews=False
+):
     """Grants a key range to a server, or renews the grant.
 
     :param http: the :class:`briarspoke.entry.httpclient.HttpClient` to the server.
+    :param server_id: the only server that may accept the grant.
     :param first: first key of the range.
     :param last: last key of the range.
     :param fence: fencing token of the owner.
@@ -76,17 +95,19 @@
             headers.GRANT_PATH.decode(),
             json.dumps(body).encode(),
             timeout_s=GRANT_TIMEOUT_S,
+            headers=_target(server_id),
             new_connection=not renews,
         )
     )
 
 
-async def release(http, *, first, last, fence):
+async def release(http, *, server_id, first, last, fence):
     """Asks a server to give up a key range.
 
     The server answers when no request on these keys is in progress.
 
     :param http: the :class:`briarspoke.entry.httpclient.HttpClient` to the server.
+    :param server_id: the only server that may handle the release.
     :param first: first key of the range.
     :param last: last key of the range.
     :param fence: fencing token of the owner.
@@ -99,6 +120,7 @@
             headers.RELEASE_PATH.decode(),
             json.dumps(body).encode(),
             timeout_s=RELEASE_TIMEOUT_S,
+            headers=_target(server_id),
             new_connection=True,
         )
     )
--- a/tests/test_entry_faults.py
+++ b/tests/test_entry_faults.py
@@ -57,6 +57,23 @@
     return caller, server
 
 
+def grant_client(world):
+    return HttpClient(
+        reactor=world.reactor,
+        clock=world.reactor.seconds,
+        host="10.0.9.99",
+        port=80,
+        held_answers=world.node.held_answers,
+    )
+
+
+def start(coroutine):
+    """Starts a coroutine; returns a list that gets its result."""
+    results = []
+    defer.ensureDeferred(coroutine).addCallback(results.append)
+    return results
+
+
 class TestSecondCopies:
     @pytest.mark.parametrize("options", [ORDER, {}], ids=["order", "lookup"])
     def test_copy_before_the_next_request_closes_the_connection(self, world, options):
@@ -136,26 +153,14 @@
     def test_change_of_ownership_uses_new_connections(self, world):
         # Guards against a release that is taken as confirmed by a second copy of the
         # answer to a renewal.
-        client = HttpClient(
-            reactor=world.reactor,
-            clock=world.reactor.seconds,
-            host="10.0.9.99",
-            port=80,
-            held_answers=world.node.held_answers,
-        )
-
-        def start(coroutine):
-            results = []
-            defer.ensureDeferred(coroutine).addCallback(results.append)
-            return results
-
-        renewal = {"first": 0, "last": 9, "fence": 3, "hold_s": 4.0, "renews": True}
-        done = start(grants.grant(client, **renewal))
+        client = grant_client(world)
+        keys = {"server_id": "s-1", "first": 0, "last": 9, "fence": 3}
+        done = start(grants.grant(client, **keys, hold_s=4.0, renews=True))
         server, _ = world.accept()
         server.take()
         server.send(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
         assert done[0].accepted
-        released = start(grants.release(client, first=0, last=9, fence=3))
+        released = start(grants.release(client, **keys))
         server.send(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
         assert not released
         fresh, _ = world.accept()
@@ -163,6 +168,22 @@
         assert released[0].handover == "h"
 
 
+class TestCallsToOwners:
+    """Guards against grants and releases that the next server at an address takes."""
+
+    @pytest.mark.parametrize("call", [grants.grant, grants.release])
+    def test_call_names_its_server(self, world, call):
+        client = grant_client(world)
+        options = {"hold_s": 4.0} if call is grants.grant else {}
+        keys = {"server_id": "s-1", "first": 0, "last": 9, "fence": 3}
+        answers = start(call(client, **keys, **options))
+        server, _ = world.accept()
+        assert b"\r\ntarget-instance: s-1\r\n" in server.take().lower()
+        server.send(b"HTTP/1.1 421 X\r\nInstance-Id: s-2\r\nContent-Length: 0\r\n\r\n")
+        assert answers[0].other_server == b"s-2"
+        assert answers[0].accepted is None
+
+
 class TestDecoders:
     """Unusable data raises an error that the callers of the decoder expect."""
 
