Take only an answer as proof that an owner has ended

What callers saw: two servers held the same keys and ran requests on them.

Cause: the controller took a registration of another service at an owner's address as proof that the owner had ended, and moved its keys with no release and no wait. The platform's store may execute a write seconds late, so the registration can be that of a server that ended before the owner started. Revisions order writes, not lives.

Change: such a registration is only a reason to ask.

--- a/briarspoke/keyspace/range_manager.py
+++ b/briarspoke/keyspace/range_manager.py
@@ -252,7 +252,7 @@
     def _advance(self, move, records, now):
         if move.state is MoveState.READY:
             return
-        if self._has_owner_ended(move, records):
+        if self._has_new_process(move, records):
             move.finish(MoveEnd.OWNER_ENDED)
             return
         client = self._granter.known_client(move.owner.server_instance)
@@ -273,12 +273,15 @@
         ):
             self._send_release(move, client, now)
 
-    def _has_owner_ended(self, move, records):
-        """Returns whether the owner has ended and the range can move immediately.
+    def _has_new_process(self, move, records):
+        """Returns whether a newer process of the owner's server may get the range now.
 
         Grants are sent to an address. A new process of the same server at that address
         may have accepted some of them, so until they expire the range can be moved to
         that process only, which then becomes the next owner.
+
+        A registration of another server at the owner's address does not count: it may
+        be a late write of a server that has ended.
         """
         owner = move.owner
         client = self._granter.known_client(owner.server_instance)
@@ -296,13 +299,7 @@
                 return False
             move.to = record.server_instance
             return True
-        if client is None:
-            return False
-        return any(
-            (other.host, other.port) == (client.record.host, client.record.port)
-            for other in self._node.all_records()
-            if other.service != self.service
-        )
+        return False
 
     def _is_address_reused(self, client):
         """Returns whether another server is registered at the address of a server."""
