Pass on the end of long grants when a controller resigns

What callers could see: two servers hold the same keys, after an outage of the store and a stop of the controller.

If it resigned when the store was back, its record told how long the grants of controllers before it last, but not its own long ones, and its successor waited one normal hold.

Change: the record's time includes the controller's own long grants.

--- a/briarspoke/keyspace/granter.py
+++ b/briarspoke/keyspace/granter.py
@@ -4,7 +4,7 @@
 
 import logging
 
-from briarspoke.keyspace.grantlog import transit_s
+from briarspoke.keyspace.grantlog import MAX_TRANSIT_S, expiry_time, transit_s
 from briarspoke.keyspace.moves import GrantClient, Renewal
 from briarspoke.keyspace.ranges import subtract_ranges
 from briarspoke.platform import grants
@@ -107,6 +107,9 @@
         now = self._node.now()
         longest_s = self._node.settings.max_hold_s
         hold_s = self._leadership.hold_s(now, HOLD_S, longest_s)
+        if hold_s > HOLD_S:
+            arrived_at = now + grants.GRANT_TIMEOUT_S + MAX_TRANSIT_S
+            self._leadership.record_long_grant(expiry_time(arrived_at, hold_s))
         sent = client.log.add(first=first, last=last, hold_s=hold_s)
         if renewal is not None:
             renewal.in_flight = True
--- a/briarspoke/keyspace/leadership.py
+++ b/briarspoke/keyspace/leadership.py
@@ -45,7 +45,7 @@
     :param process: random name of the process, new with each start.
     :param resigned: whether the controller has resigned.
     :param unsettled_s: seconds, from the time of the record, until the grants of the
-        controllers before it have expired.
+        controllers before it and its own long grants have expired.
     """
 
     __slots__ = ("host", "node", "port", "process", "resigned", "unsettled_s")
@@ -102,7 +102,8 @@
         # Seconds, from the start of this term, until the grants of the controllers
         # before the predecessor have expired.
         self.inherited_unsettled_s = 0.0
-        # Time at which the grants of all earlier controllers have expired.
+        # Time at which the grants of all earlier controllers and the own long ones have
+        # expired.
         self.settled_at = 0.0
         self._client = client
         self._view = view
@@ -141,6 +142,13 @@
         left_s = RENEWAL_WITHOUT_STORE_S + normal_s - (now - self._renewed_at)
         return max(0.0, min(longest_s, left_s))
 
+    def record_long_grant(self, expires_at):
+        """Records a grant for longer than the normal hold.
+
+        :param expires_at: time at which it has certainly expired.
+        """
+        self.settled_at = max(self.settled_at, expires_at)
+
     def holder(self):
         """Returns the :class:`ControlRecord` in the store, or None."""
         item = self._view.items.get(CONTROL_KEY)
