Give each new connection to an owner a new fencing token

Cause: a new connection may reach the next life of a server, under the same id at the same address, before its registration tells of the restart. It took the renewals of the life before with the token that this one had; the platform asks for a higher one.

Change: a term of the controller has a block of tokens of its own, of which only the first has to be in the store, so that it can issue new ones during an outage. The first call on each connection to an owner has a new token, and later calls to that owner repeat it. A refusal of a call that a later one of the same controller overtook no longer ends the term.

--- a/briarspoke/entry/httpclient.py
+++ b/briarspoke/entry/httpclient.py
@@ -56,16 +56,24 @@
             client=self, connection=connection, data=data, timeout_s=timeout_s
         ).deferred
 
+    @property
+    def has_idle(self):
+        """Whether the next call can use a kept connection."""
+        while self._idle:
+            connection = self._idle[-1]
+            if (
+                connection.reusable
+                and self._clock() - connection.idle_since < MAX_IDLE_S
+            ):
+                return True
+            self._idle.pop()
+            if connection.reusable:
+                connection.abandon()
+        return False
+
     def take_idle(self):
         """Returns an idle connection, or None."""
-        while self._idle:
-            connection = self._idle.pop()
-            if not connection.reusable:
-                continue
-            if self._clock() - connection.idle_since < MAX_IDLE_S:
-                return connection
-            connection.abandon()
-        return None
+        return self._idle.pop() if self.has_idle else None
 
     def connect(self, call):
         """Opens a connection for a call and returns Twisted's connector."""
--- a/briarspoke/keyspace/granter.py
+++ b/briarspoke/keyspace/granter.py
@@ -27,16 +27,20 @@
     :param node: the :class:`briarspoke.entry.node.EntryNode`.
     :param leadership: the :class:`briarspoke.keyspace.leadership.Leadership`.
     :param service: name of the service.
+    :param issue_fence: function that returns a new fencing token.
     :param on_answer: called with (sent grant, owner, accepted=, first=) when a server
         has accepted or refused a grant.
     :param on_other_server: called with (:class:`ServerRecord`, identifier in bytes)
         when another server answers at the address of a server.
     """
 
-    def __init__(self, *, node, leadership, service, on_answer, on_other_server):
+    def __init__(
+        self, *, node, leadership, service, issue_fence, on_answer, on_other_server
+    ):
         self._node = node
         self._leadership = leadership
         self._service = service
+        self._issue_fence = issue_fence
         self._on_answer = on_answer
         self._on_other_server = on_other_server
         self._clients_by_instance = {}
@@ -110,14 +114,30 @@
         if hold_s > HOLD_S:
             arrived_at = now + grants.GRANT_TIMEOUT_S + MAX_TRANSIT_S
             self._leadership.record_long_grant(expiry_time(arrived_at, hold_s))
-        sent = client.log.add(first=first, last=last, hold_s=hold_s)
+        new_connection = renewal is None or not client.http.has_idle
+        fence = self.new_connection_fence(client) if new_connection else client.fence
+        sent = client.log.add(first=first, last=last, fence=fence, hold_s=hold_s)
         if renewal is not None:
             renewal.in_flight = True
-        self._node.spawn(self._call(client, sent, owner, hold_s, handover, renewal))
+        self._node.spawn(
+            self._call(client, sent, owner, handover, renewal, new_connection)
+        )
+
+    def new_connection_fence(self, client):
+        """Returns the token for a call that opens a new connection to a server.
 
-    async def _call(self, client, sent, owner, hold_s, handover, renewal):
+        The connection may reach a new process of the server, which must not take keys
+        with a token that another process had. So each has a new token, which all later
+        calls to the server repeat.
+        """
+        client.fence = self._issue_fence()
+        return client.fence
+
+    async def _call(self, client, sent, owner, handover, renewal, new_connection):
         try:
-            await self._call_once(client, sent, owner, hold_s, handover, renewal)
+            await self._call_once(
+                client, sent, owner, handover, renewal, new_connection
+            )
         finally:
             if sent.answered is None:
                 # An unexpected error: the grant may have been applied.
@@ -125,16 +145,16 @@
             if renewal is not None:
                 renewal.in_flight = False
 
-    async def _call_once(self, client, sent, owner, hold_s, handover, renewal):
+    async def _call_once(self, client, sent, owner, handover, renewal, new_connection):
         answer = await grants.grant(
             client.http,
             server_id=owner.server_id,
             first=sent.first,
             last=sent.last,
-            fence=owner.fence,
-            hold_s=hold_s,
+            fence=sent.fence,
+            hold_s=sent.hold_s,
             handover=handover,
-            renews=renewal is not None,
+            new_connection=new_connection,
         )
         now = self._node.now()
         self._note_reachable(client, sent, owner, answer)
@@ -154,7 +174,7 @@
         )
         if answer.other_server is not None:
             self._on_other_server(client.record, answer.other_server)
-        if answer.accepted is False:
+        if answer.accepted is False and not client.log.was_overtaken(sent, now):
             self._on_answer(sent, owner, accepted=False, first=renewal is None)
 
     def _note_reachable(self, client, sent, owner, answer):
--- a/briarspoke/keyspace/grantlog.py
+++ b/briarspoke/keyspace/grantlog.py
@@ -34,19 +34,29 @@
 class SentGrant:
     """One grant call.
 
+    :ivar fence: fencing token of the call.
     :ivar answered: None while the call is pending, then whether it was answered.
     :ivar expires_at: when the grant has certainly expired; None while the call is
         pending.
     """
 
-    __slots__ = ("_hold_s", "_transit_s", "answered", "expires_at", "first", "last")
-
-    def __init__(self, *, first, last, hold_s, transit_s):
+    __slots__ = (
+        "_transit_s",
+        "answered",
+        "expires_at",
+        "fence",
+        "first",
+        "hold_s",
+        "last",
+    )
+
+    def __init__(self, *, first, last, fence, hold_s, transit_s):
         self.first = first
         self.last = last
+        self.fence = fence
         self.expires_at = None
         self.answered = None
-        self._hold_s = hold_s
+        self.hold_s = hold_s
         self._transit_s = transit_s
 
     def settle(self, now, *, answered):
@@ -56,7 +66,7 @@
         """
         self.answered = answered
         arrived_at = now if answered else now + self._transit_s
-        self.expires_at = expiry_time(arrived_at, self._hold_s)
+        self.expires_at = expiry_time(arrived_at, self.hold_s)
 
     def discard(self, now):
         """Records the end of a call that had no effect."""
@@ -76,10 +86,14 @@
         self._sent = []
         self._transit_s = transit_s
 
-    def add(self, *, first, last, hold_s):
+    def add(self, *, first, last, fence, hold_s):
         """Records a call before it is sent and returns its :class:`SentGrant`."""
         sent = SentGrant(
-            first=first, last=last, hold_s=hold_s, transit_s=self._transit_s
+            first=first,
+            last=last,
+            fence=fence,
+            hold_s=hold_s,
+            transit_s=self._transit_s,
         )
         self._sent.append(sent)
         return sent
@@ -102,6 +116,11 @@
         """Returns whether a call ended without an answer and may be applied later."""
         return any(s.answered is False for s in self._overlapping(first, last, now))
 
+    def was_overtaken(self, sent, now):
+        """Returns whether a call with a higher token for any of its keys was sent."""
+        overlapping = self._overlapping(sent.first, sent.last, now)
+        return any(s.fence > sent.fence for s in overlapping)
+
     def was_accepted(self, first, last, now):
         """Returns whether the server has accepted a grant that covers all the keys."""
         return any(
--- a/briarspoke/keyspace/moves.py
+++ b/briarspoke/keyspace/moves.py
@@ -93,12 +93,14 @@
     :param http: HTTP client for the address of the server.
     :param transit_s: time for which a call that was given up can still arrive.
     :ivar reachable: whether the last grant call was answered.
+    :ivar fence: the token of the first call on the newest connection for renewals.
     """
 
-    __slots__ = ("http", "log", "reachable", "record")
+    __slots__ = ("fence", "http", "log", "reachable", "record")
 
     def __init__(self, *, record, http, transit_s):
         self.record = record
         self.http = http
         self.log = GrantLog(transit_s=transit_s)
         self.reachable = True
+        self.fence = 0
--- a/briarspoke/keyspace/range_manager.py
+++ b/briarspoke/keyspace/range_manager.py
@@ -13,6 +13,7 @@
 from briarspoke.keyspace.leadership import RENEWAL_WITHOUT_STORE_S, PredecessorEnd
 from briarspoke.keyspace.moves import Move, MoveEnd, MoveState
 from briarspoke.keyspace.ranges import subtract_ranges
+from briarspoke.keyspace.tokens import FencingTokens
 from briarspoke.platform import grants
 from briarspoke.platform.keyvalue import ConditionFailedError
 
@@ -53,10 +54,13 @@
         self._node = node
         self._leadership = leadership
         self._term = leadership.revision
+        # The tokens of this term, once they are in the store.
+        self._tokens = None
         self._granter = Granter(
             node=node,
             leadership=leadership,
             service=service,
+            issue_fence=self._issue_fence,
             on_answer=self._grant_answered,
             on_other_server=self._other_server_answered,
         )
@@ -87,6 +91,9 @@
             )
         return expiry_time(arrived_at + RENEWAL_WITHOUT_STORE_S, HOLD_S)
 
+    def _issue_fence(self):
+        return self._tokens.issue()
+
     @property
     def _map(self):
         return self._node.key_maps.by_service.get(self.service)
@@ -115,6 +122,9 @@
         if not self._fence_raised:
             self._write(self._map, [], "new term")
             return
+        if self._tokens.is_used_up:
+            self._leadership.step_down("its fencing tokens are used up")
+            return
         self._start_moves(records, now)
         for move in self.moves:
             self._advance(move, records, now)
@@ -350,7 +360,7 @@
             server_id=move.owner.server_id,
             first=move.first,
             last=move.last,
-            fence=move.owner.fence,
+            fence=self._granter.new_connection_fence(client),
         )
         self._node.metrics.count(
             "grants_total", "released" if answer.accepted else "release-failed"
@@ -390,7 +400,7 @@
         placement.assign_load(self._map, candidates, estimate.rate_by_bucket)
         by_instance = {candidate.server_instance: candidate for candidate in candidates}
         total_load = sum(estimate.rate_by_bucket.values())
-        fence = self._map.highest_fence + 1
+        fence = self._issue_fence()
         changes = []
         for move in ready:
             candidate = by_instance.get(move.to)
@@ -426,7 +436,8 @@
         if self._writing:
             return
         if not self._fence_raised:
-            fence = key_map.highest_fence + 1
+            self._tokens = FencingTokens(highest=key_map.highest_fence)
+            fence = self._tokens.issue()
             owners = [
                 Owner(server_id=o.server_id, incarnation=o.incarnation, fence=fence)
                 for o in key_map.owners
--- a/briarspoke/platform/grants.py
+++ b/briarspoke/platform/grants.py
@@ -67,7 +67,7 @@
 
 
 async def grant(
-    http, *, server_id, first, last, fence, hold_s, handover=None, renews=False
+    http, *, server_id, first, last, fence, hold_s, handover=None, new_connection=True
 ):
     """Grants a key range to a server, or renews the grant.
 
@@ -78,7 +78,7 @@
     :param fence: fencing token of the owner.
     :param hold_s: seconds that the grant lasts.
     :param handover: handover token of the previous owner, or None.
-    :param renews: whether the server already holds the range.
+    :param new_connection: whether the call must not use a kept connection.
     :returns: a :class:`GrantAnswer`.
     """
     body = {
@@ -96,7 +96,7 @@
             json.dumps(body).encode(),
             timeout_s=GRANT_TIMEOUT_S,
             headers=_target(server_id),
-            new_connection=not renews,
+            new_connection=new_connection,
         )
     )
 
--- a/tests/test_keyspace_parts.py
+++ b/tests/test_keyspace_parts.py
@@ -11,6 +11,7 @@
 from briarspoke.keyspace import keymap, placement
 from briarspoke.keyspace.grantlog import MAX_TRANSIT_S, GrantLog, expiry_time, transit_s
 from briarspoke.keyspace.load import LoadCounts, LoadEstimate
+from briarspoke.keyspace.tokens import FencingTokens
 
 SERVERS = [("a", 1), ("b", 1), ("c", 1)]
 
@@ -130,6 +131,24 @@
         assert maps.owner("s", 15).server_id == "a"
 
 
+class TestFencingTokens:
+    """Guards against tokens that two terms issue, or one term twice."""
+
+    def test_term_issues_tokens_above_those_of_the_term_before(self):
+        before = FencingTokens(highest=5)
+        in_store = before.issue()
+        unstored = [before.issue() for _ in range(100)]
+        after = FencingTokens(highest=in_store)
+        assert after.issue() > max(unstored) > in_store
+
+    def test_term_ends_before_its_tokens_reach_the_next_term(self):
+        tokens = FencingTokens(highest=0)
+        first = tokens.issue()
+        while not tokens.is_used_up:
+            last = tokens.issue()
+        assert last < FencingTokens(highest=first).issue()
+
+
 class TestGrantLog:
     def test_expiry_covers_a_slow_clock(self):
         assert expiry_time(10.0, 4.0) > 10.0 + 4.0 * 1.02
@@ -137,7 +156,7 @@
     def test_unanswered_calls_stay_uncertain_until_they_expire(self):
         # Guards against moving a range whose grant may still be applied.
         log = GrantLog()
-        sent = log.add(first=0, last=9, hold_s=4.0)
+        sent = log.add(first=0, last=9, fence=1, hold_s=4.0)
         assert log.is_pending(5, 5, 1.0)
         sent.settle(0.6, answered=False)
         assert log.is_uncertain(5, 5, 1.0)
@@ -146,11 +165,19 @@
         assert log.is_uncertain(5, 5, longest_s)
         assert not log.is_uncertain(5, 5, longest_s + 0.2)
 
+    def test_refusal_of_a_call_that_a_later_one_overtook(self):
+        # Guards against a controller that takes its own later call for another's.
+        log = GrantLog()
+        first = log.add(first=0, last=9, fence=1, hold_s=4.0)
+        assert not log.was_overtaken(first, 0.0)
+        log.add(first=5, last=5, fence=2, hold_s=4.0)
+        assert log.was_overtaken(first, 0.0)
+
     def test_hold_starts_at_the_latest_possible_arrival(self):
         # Guards against a key that moves while a grant is valid that arrived just
         # before its call timed out.
         log = GrantLog()
-        sent = log.add(first=0, last=9, hold_s=4.0)
+        sent = log.add(first=0, last=9, fence=1, hold_s=4.0)
         sent.settle(100.6, answered=False)
         assert log.expires_at(5, 5, 101.0) >= 100.6 + 4.0 * 1.02
 
@@ -162,7 +189,7 @@
 
     def test_call_without_effect_is_ignored(self):
         log = GrantLog()
-        sent = log.add(first=0, last=9, hold_s=4.0)
+        sent = log.add(first=0, last=9, fence=1, hold_s=4.0)
         sent.discard(0.1)
         assert log.expires_at(5, 5, 0.2) == 0.2
         assert not log.was_accepted(5, 5, 0.2)
