Let the ownership machine reuse addresses and check tokens

The machine restarted servers under their ids only, with their registrations in the store at once, and did not look at tokens, so it could not find servers that take the grants of their predecessors. It now starts other servers at an address, restarts without a registration, brings late registrations, and records each token that another process had before.

--- a/tests/test_keyspace_ownership.py
+++ b/tests/test_keyspace_ownership.py
@@ -383,6 +383,35 @@
             assert all(len(holders(world, key)) <= 1 for key in KEYS)
 
 
+class Process(ServerModel):
+    """One process of a server; records tokens that another process had before.
+
+    :param highest_by_key: ``{key: (highest token, process)}`` of all processes.
+    :param violations: list of (key, token, token that another process had).
+    """
+
+    def __init__(self, *, highest_by_key, violations, born, **options):
+        super().__init__(**options)
+        self.born = born
+        self._highest_by_key = highest_by_key
+        self._violations = violations
+
+    def grant(self, body, arrived_at=None):
+        status = super().grant(body, arrived_at)
+        if status == 200:
+            for key in KEYS:
+                if body["from"] <= key <= body["target"]:
+                    self._note(key, body["fence"])
+        return status
+
+    def _note(self, key, token):
+        highest, process = self._highest_by_key.get(key, (0, self))
+        if process is not self and token <= highest:
+            self._violations.append((key, token, highest))
+        if token >= highest:
+            self._highest_by_key[key] = (token, self)
+
+
 class OwnershipMachine(RuleBasedStateMachine):
     """No key ever has two owners, whichever parts are cut off, lost or restarted."""
 
@@ -390,12 +419,25 @@
         super().__init__()
         self.world = World()
         self.world.store.put("op/config", configuration())
+        self.highest_by_key = {}
+        self.violations = []
+        self.born = 1
         for number in SERVERS:
-            self.world.add_server("stock", number)
+            self.start(number, f"s-{number}")
+            self.register(number, "ready")
         for number in (1, 2, 3):
             self.world.add_node(f"front-poa-{number}", number)
         self.world.advance(3.0, 0.05)
-        self.born = 1
+
+    def start(self, number, server_id):
+        """Starts a process at the address of a server."""
+        self.world.servers[address(number)] = Process(
+            server_id=server_id,
+            clock=self.world.reactor.seconds,
+            highest_by_key=self.highest_by_key,
+            violations=self.violations,
+            born=self.born,
+        )
 
     @rule(seconds=st.floats(0.1, 6.0))
     def time_passes(self, seconds):
@@ -435,25 +477,41 @@
 
     @rule(number=st.sampled_from(SERVERS), state=st.sampled_from(("ready", "draining")))
     def register(self, number, state):
-        key = f"servers/s-{number}"
-        self.world.store.put(
-            key, registration("stock", number, state=state, born=self.current(number))
-        )
+        process = self.world.servers[address(number)]
+        value = registration("stock", number, state=state, born=process.born)
+        self.world.store.put(f"servers/{process.server_id}", value)
 
     @rule(number=st.sampled_from(SERVERS))
     def entry_lapses(self, number):
-        self.world.store.delete(f"servers/s-{number}")
+        process = self.world.servers[address(number)]
+        self.world.store.delete(f"servers/{process.server_id}")
 
-    @rule(number=st.sampled_from(SERVERS))
-    def restart(self, number):
+    @rule(number=st.sampled_from(SERVERS), registers=st.booleans())
+    def restart(self, number, registers):
         self.born += 1
-        model = ServerModel(server_id=f"s-{number}", clock=self.world.reactor.seconds)
-        model.born = self.born
-        self.world.servers[address(number)] = model
-        self.register(number, "ready")
+        self.start(number, self.world.servers[address(number)].server_id)
+        if registers:
+            self.register(number, "ready")
 
-    def current(self, number):
-        return getattr(self.world.servers[address(number)], "born", 1)
+    @rule(
+        number=st.sampled_from(SERVERS), registers=st.booleans(), lapses=st.booleans()
+    )
+    def reuse_address(self, number, registers, lapses):
+        if lapses:
+            self.entry_lapses(number)
+        self.born += 1
+        self.start(number, f"s-{number}-{self.born}")
+        if registers:
+            self.register(number, "ready")
+
+    @rule(number=st.sampled_from(SERVERS), service=st.sampled_from(("stock", "orders")))
+    def late_registration_of_an_ended_server(self, number, service):
+        late = registration(service, number, born=0)
+        self.world.store.put(f"servers/s-{number}-late", late)
+
+    @invariant()
+    def tokens_are_new(self):
+        assert not self.violations, self.violations[0]
 
     @invariant()
     def check(self):
