Let the soak replace servers and check tokens

Two more faults, another server at an address and a late registration of the server before it, and one more check: a process takes keys with higher tokens than all others had. The connections to a server stand-in now end with its process; they reached the next process before, which no connection does.

--- a/briarspoke/soak/checks.py
+++ b/briarspoke/soak/checks.py
@@ -24,6 +24,8 @@
         self._refused_ids = set()
         self._at_most_once_ids = set()
         self._overlap_start_by_key = {}
+        # Highest token of each checked key, and the process that had it.
+        self._highest_by_key = {}
 
     def _add_violation(self, promise, detail):
         self.violations.append({"promise": promise, "detail": detail})
@@ -62,6 +64,23 @@
                     "a refused request has not run", request_id.decode()
                 )
 
+    def grant_accepted(self, process, first, last, token):
+        """Checks that a process takes keys with higher tokens than all others had.
+
+        :param process: name of the process, unique for each start.
+        """
+        for key in CHECKED_KEYS:
+            if not first <= key <= last:
+                continue
+            highest, holder = self._highest_by_key.get(key, (0, process))
+            if holder != process and token <= highest:
+                self._add_violation(
+                    "each owner has a new token",
+                    f"key {key} at {process}, token {token} of {holder}",
+                )
+            if token >= highest:
+                self._highest_by_key[key] = (token, process)
+
     def check_owners(self, models):
         """Checks that no two servers hold a key for longer than ``MAX_OVERLAP_S``."""
         now = self._clock()
--- a/briarspoke/soak/deployment.py
+++ b/briarspoke/soak/deployment.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import json
 import os
 import signal
@@ -95,12 +96,15 @@
         self.number = number
         self.server_id = f"{service}-{number}"
         self.incarnation = 0
+        # Identifier and incarnation of the server that had the address before.
+        self.replaced_server = None
         self.state = "ready"
         self.stand_in = None
         self.model = None
         self._deployment = deployment
+        self._factory = StandInFactory(self._handle)
         self._listener = deployment.reactor.listenTCP(
-            0, StandInFactory(self._handle), interface="127.0.0.1"
+            0, self._factory, interface="127.0.0.1"
         )
         self.proxy = Proxy(
             reactor=deployment.reactor, port=self._listener.getHost().port
@@ -112,12 +116,30 @@
 
     def restart(self):
         """Simulates a new server process, which holds no keys, and registers it."""
+        self.start()
+        self.register()
+
+    def replace(self):
+        """Simulates a new server at the address, which is not registered yet."""
+        self.replaced_server = (self.server_id, self.incarnation)
+        self.server_id = f"{self.service}-{self.number}-{self.incarnation + 1}"
+        self.start()
+
+    def start(self):
+        """Simulates a new process of the server, which holds no keys."""
         if self.stand_in is not None:
             self.stand_in.stopped = True
+            self._factory.reset_connections()
         self.incarnation += 1
         self.state = "ready"
+        server_id = self.server_id
         self.model = ServerModel(
-            server_id=self.server_id, clock=self._deployment.reactor.seconds
+            server_id=server_id,
+            clock=self._deployment.reactor.seconds,
+            on_grant=functools.partial(
+                self._deployment.checks.grant_accepted,
+                f"{server_id} started as {self.incarnation}",
+            ),
         )
         self.stand_in = PlatformServerStandIn(
             reactor=self._deployment.reactor,
@@ -126,23 +148,30 @@
             work_s=WORK_S,
             slots=SLOTS,
             on_run=lambda request_id, key: self._deployment.checks.request_ran(
-                self.server_id, request_id, key
+                server_id, request_id, key
             ),
         )
         # Half of the servers reject by a reset, which does not say that nothing ran.
         self.stand_in.resets_when_full = self.number % 2 == 1
-        self.register()
 
     def register(self):
         """Writes the registration to the store."""
+        self._write_registration(self.server_id, self.incarnation, self.state)
+
+    def register_late(self):
+        """Writes the registration of the server that had the address before."""
+        if self.replaced_server is not None:
+            self._write_registration(*self.replaced_server, "ready")
+
+    def _write_registration(self, server_id, incarnation, state):
         data = platform_documents.registration(
             service=self.service,
             address=f"127.0.0.1:{self.proxy.port}",
             slots=SLOTS,
-            state=self.state,
-            born=self.incarnation,
+            state=state,
+            born=incarnation,
         )
-        self._deployment.store.put(f"servers/{self.server_id}", data)
+        self._deployment.store.put(f"servers/{server_id}", data)
 
     def expire_registration(self):
         """Deletes the registration, as the store does when its lease expires."""
--- a/briarspoke/soak/faults.py
+++ b/briarspoke/soak/faults.py
@@ -92,6 +92,22 @@
     return lambda: None
 
 
+@fault
+def replace_server(run):
+    server = run.choose(run.deployment.servers)
+    if run.choose((True, False)):
+        server.expire_registration()
+    server.replace()
+    return server.register
+
+
+@fault
+def late_registration(run):
+    server = run.choose(run.deployment.servers)
+    server.register_late()
+    return server.register
+
+
 @fault
 def drain_server(run):
     server = run.choose(run.deployment.servers)
--- a/briarspoke/standins/platform_http.py
+++ b/briarspoke/standins/platform_http.py
@@ -41,8 +41,9 @@
 class StandInConnection(protocol.Protocol):
     """HTTP connection that passes each complete request to a handler."""
 
-    def __init__(self, handler):
+    def __init__(self, factory, handler):
         self.disconnected = False
+        self._factory = factory
         self._handler = handler
         self._parser = httptools.HttpRequestParser(self)
         self._reset_message()
@@ -78,8 +79,12 @@
     def dataReceived(self, data):
         self._parser.feed_data(data)
 
+    def connectionMade(self):
+        self._factory.connections.add(self)
+
     def connectionLost(self, reason):
         self.disconnected = True
+        self._factory.connections.discard(self)
 
 
 class StandInFactory(protocol.ServerFactory):
@@ -91,10 +96,16 @@
     noisy = False
 
     def __init__(self, handler):
+        self.connections = set()
         self._handler = handler
 
     def buildProtocol(self, address):
-        return StandInConnection(self._handler)
+        return StandInConnection(self, self._handler)
+
+    def reset_connections(self):
+        """Resets all connections, as at the end of a process."""
+        for connection in list(self.connections):
+            connection.transport.abortConnection()
 
 
 class PlatformStoreStandIn:
--- a/briarspoke/standins/platform_server.py
+++ b/briarspoke/standins/platform_server.py
@@ -24,11 +24,14 @@
     of all accepted grants that cover it.
 
     :param clock: function that returns the monotonic time in seconds.
+    :param on_grant: function that is called with the first key, the last key and the
+        fencing token of each accepted grant, or None.
     """
 
-    def __init__(self, *, server_id, clock):
+    def __init__(self, *, server_id, clock, on_grant=None):
         self.server_id = server_id
         self._clock = clock
+        self._on_grant = on_grant
         self._held_ranges = []
         # (first, last, fence) of every accepted grant.
         self._granted_tokens = []
@@ -44,6 +47,8 @@
         if self.highest_fence(first, last) > fence:
             return 409
         self._granted_tokens.append((first, last, fence))
+        if self._on_grant is not None:
+            self._on_grant(first, last, fence)
         arrived_at = self._clock() if arrived_at is None else arrived_at
         hold_s = float(body["hold_time"][:-2]) / 1000
         self._held_ranges.append(
