Pass on the time of a predecessor's grants from the start of a term

What callers could see: two servers hold the same keys for up to a tenth of a second.

Cause: found by a review. The time until which grants of earlier controllers may last was taken over when the first key map of a term was handled. A controller that resigned before that, or had no keyed service, told its successor that none was left.

Change: the time is taken over when the term begins.

--- a/briarspoke/keyspace/leadership.py
+++ b/briarspoke/keyspace/leadership.py
@@ -8,6 +8,9 @@
 import random
 
 from briarspoke.errors import BriarspokeError
+from briarspoke.keyspace.granter import HOLD_S
+from briarspoke.keyspace.grantlog import MAX_TRANSIT_S, expiry_time
+from briarspoke.platform import grants
 from briarspoke.platform.keyvalue import ConditionFailedError, LeaseExpiredError
 
 log = logging.getLogger(__name__)
@@ -99,9 +102,8 @@
         # Revision of the control key while this process is the controller, else None.
         self.revision = None
         self.predecessor = PredecessorEnd.UNKNOWN
-        # Seconds, from the start of this term, until the grants of the controllers
-        # before the predecessor have expired.
-        self.inherited_unsettled_s = 0.0
+        # Time at which the grants of all controllers before this term have expired.
+        self.previous_grants_expire_at = 0.0
         # Time at which the grants of all earlier controllers and the own long ones have
         # expired.
         self.settled_at = 0.0
@@ -243,13 +245,22 @@
         # A former process of this VM may have taken over just before it ended, from a
         # controller that still renews grants.
         predecessor = PredecessorEnd.UNKNOWN
-        self.inherited_unsettled_s = 0.0
+        unsettled_s = 0.0
         if holder is not None and holder.resigned:
             predecessor = PredecessorEnd.RESIGNED
-            self.inherited_unsettled_s = holder.unsettled_s
-        self._became_leader(revision, lease, sent_at, predecessor)
-
-    def _became_leader(self, revision, lease, sent_at, predecessor):
+            unsettled_s = holder.unsettled_s
+        self._became_leader(revision, lease, sent_at, predecessor, unsettled_s)
+
+    def _became_leader(self, revision, lease, sent_at, predecessor, unsettled_s=0.0):
+        now = self._clock()
+        # The last grant calls of the predecessor can arrive after their timeout.
+        arrived_at = now + grants.GRANT_TIMEOUT_S + MAX_TRANSIT_S
+        if predecessor is PredecessorEnd.UNKNOWN:
+            arrived_at += RENEWAL_WITHOUT_STORE_S
+        self.previous_grants_expire_at = max(
+            expiry_time(arrived_at, HOLD_S), now + unsettled_s
+        )
+        self.settled_at = max(self.settled_at, self.previous_grants_expire_at)
         self._lease = lease
         self._renewed_at = sent_at
         self.revision = revision
--- a/briarspoke/keyspace/range_manager.py
+++ b/briarspoke/keyspace/range_manager.py
@@ -7,10 +7,8 @@
 from briarspoke.errors import BriarspokeError, invariant
 from briarspoke.keyspace import placement
 from briarspoke.keyspace.allowance import Allowances
-from briarspoke.keyspace.granter import HOLD_S, Granter
-from briarspoke.keyspace.grantlog import MAX_TRANSIT_S, expiry_time
+from briarspoke.keyspace.granter import Granter
 from briarspoke.keyspace.keymap import KEY_COUNT, UNOWNED, Owner
-from briarspoke.keyspace.leadership import RENEWAL_WITHOUT_STORE_S, PredecessorEnd
 from briarspoke.keyspace.moves import Move, MoveEnd, MoveState
 from briarspoke.keyspace.ranges import subtract_ranges
 from briarspoke.keyspace.tokens import FencingTokens
@@ -76,20 +74,7 @@
         self._usable_count = 0
         self._usable_count_since = self._started_at
         # Grants of previous controllers may be valid until this time.
-        self._previous_grants_expire_at = self._previous_grants_expiry()
-        leadership.settled_at = max(
-            leadership.settled_at, self._previous_grants_expire_at
-        )
-
-    def _previous_grants_expiry(self):
-        # The last grant calls of the predecessor can arrive after their timeout.
-        arrived_at = self._started_at + grants.GRANT_TIMEOUT_S + MAX_TRANSIT_S
-        if self._leadership.predecessor is PredecessorEnd.RESIGNED:
-            return max(
-                expiry_time(arrived_at, HOLD_S),
-                self._started_at + self._leadership.inherited_unsettled_s,
-            )
-        return expiry_time(arrived_at + RENEWAL_WITHOUT_STORE_S, HOLD_S)
+        self._previous_grants_expire_at = leadership.previous_grants_expire_at
 
     def _issue_fence(self):
         return self._tokens.issue()
--- a/tests/test_keyspace_ownership.py
+++ b/tests/test_keyspace_ownership.py
@@ -9,7 +9,9 @@
 from profiles import stateful_settings
 
 from briarspoke.keyspace import keymap
-from briarspoke.keyspace.grantlog import MAX_TRANSIT_S
+from briarspoke.keyspace.granter import HOLD_S, RENEWAL_INTERVAL_S
+from briarspoke.keyspace.grantlog import MAX_TRANSIT_S, expiry_time
+from briarspoke.platform import grants
 from briarspoke.standins.platform_server import ServerModel
 
 KEYS = tuple(range(0, 65_536, 997))
@@ -421,6 +423,44 @@
         self.world.store.put("op/config", configuration())
         self.highest_by_key = {}
         self.violations = []
+    def test_controller_that_resigns_at_once(self, world):
+        # Guards against two owners: the time of its predecessor's grants is lost.
+        leader = controller(world)
+        number = SERVERS[0]
+        world.add_node("front-cwb-2", 3)
+        world.advance(20.0)
+        world.store_down = True
+        world.advance(4.0)
+        for node in world.nodes:
+            node.faults(address(number)).cut = True
+        world.store.extend_all_leases(4.0)
+        world.store_down = False
+        world.store.delete(f"servers/s-{number}")
+        world.advance(0.5)
+        leader.spawn(leader.control.stop())
+        successors = [node for node in world.nodes if node is not leader]
+        while not any(node.control.is_leader for node in successors):
+            world.advance(0.005, 0.005)
+        successor = next(node for node in successors if node.control.is_leader)
+        successor.spawn(successor.control.stop())
+        for _ in range(150):
+            world.advance(0.1)
+            assert all(len(holders(world, key)) <= 1 for key in KEYS)
+
+    def test_recorded_time_covers_the_late_arrival_of_a_call(self, world):
+        leader = controller(world)
+        world.advance(20.0)
+        world.store_down = True
+        world.advance(3.0)
+        leader.faults(address(SERVERS[0])).cut = True
+        world.advance(1.0)
+        sent_at = world.reactor.seconds()
+        arrived_at = sent_at + grants.GRANT_TIMEOUT_S + MAX_TRANSIT_S
+        settled_at = leader.control.leadership.settled_at
+        # The last long grant was sent at most one renewal interval ago.
+        hold_s = leader.control.leadership.hold_s(sent_at, HOLD_S, 10.0)
+        assert settled_at >= expiry_time(arrived_at, hold_s) - RENEWAL_INTERVAL_S
+
         self.born = 1
         for number in SERVERS:
             self.start(number, f"s-{number}")
