Keep the tokens of calls below those of the key map

Cause: found by a review. The map had the first token of a term's block and servers later ones.

Change: the map has tokens above all that the term can issue for calls.

--- a/briarspoke/keyspace/range_manager.py
+++ b/briarspoke/keyspace/range_manager.py
@@ -58,7 +58,7 @@
             node=node,
             leadership=leadership,
             service=service,
-            issue_fence=self._issue_fence,
+            issue_fence=self._issue_fence_of_call,
             on_answer=self._grant_answered,
             on_other_server=self._other_server_answered,
         )
@@ -76,8 +76,8 @@
         # Grants of previous controllers may be valid until this time.
         self._previous_grants_expire_at = leadership.previous_grants_expire_at
 
-    def _issue_fence(self):
-        return self._tokens.issue()
+    def _issue_fence_of_call(self):
+        return self._tokens.issue_for_call()
 
     @property
     def _map(self):
@@ -385,7 +385,7 @@
         placement.assign_load(self._map, candidates, estimate.rate_by_bucket)
         by_instance = {candidate.server_instance: candidate for candidate in candidates}
         total_load = sum(estimate.rate_by_bucket.values())
-        fence = self._issue_fence()
+        fence = self._tokens.issue_for_map()
         changes = []
         for move in ready:
             candidate = by_instance.get(move.to)
@@ -422,7 +422,7 @@
             return
         if not self._fence_raised:
             self._tokens = FencingTokens(highest=key_map.highest_fence)
-            fence = self._tokens.issue()
+            fence = self._tokens.issue_for_map()
             owners = [
                 Owner(server_id=o.server_id, incarnation=o.incarnation, fence=fence)
                 for o in key_map.owners
--- a/briarspoke/keyspace/tokens.py
+++ b/briarspoke/keyspace/tokens.py
@@ -2,34 +2,42 @@
 
 from __future__ import annotations
 
-# A term has its own block of tokens, so that it can issue new ones without the store.
+# Number of tokens for the calls of one term.
 TOKENS_PER_TERM = 1 << 22
 # A term ends when fewer tokens are left.
 MIN_TOKENS_LEFT = 1 << 16
 
 
 class FencingTokens:
-    """Issues ascending fencing tokens above those of all earlier terms.
+    """Issues the ascending fencing tokens of calls, and higher ones for the key map.
 
-    The first token has to be in the store before any of them is used: the next term
-    begins with the block above the highest token in the store.
+    Tokens of calls are not stored, so that new ones can be issued without the store.
+    The map has a token of this term before any of them is used. It is above all that
+    the term can issue for calls, so the next term begins above them.
 
-    :param highest: highest token in the store.
+    :param highest: highest token in the map of the term before.
     """
 
-    __slots__ = ("_end", "_next")
+    __slots__ = ("_first_of_map", "_next_of_call", "_next_of_map")
 
     def __init__(self, *, highest):
-        self._next = (highest // TOKENS_PER_TERM + 1) * TOKENS_PER_TERM
-        self._end = self._next + TOKENS_PER_TERM
+        self._next_of_call = highest + 1
+        self._first_of_map = self._next_of_call + TOKENS_PER_TERM
+        self._next_of_map = self._first_of_map
+
+    def issue_for_call(self):
+        """Returns a token that is higher than those of all earlier calls."""
+        token = self._next_of_call
+        self._next_of_call += 1
+        return token
 
-    def issue(self):
-        """Returns a token that is higher than all issued before."""
-        token = self._next
-        self._next += 1
+    def issue_for_map(self):
+        """Returns a token that is higher than all others in the map."""
+        token = self._next_of_map
+        self._next_of_map += 1
         return token
 
     @property
     def is_used_up(self):
-        """Whether the term has to end because it is running out of tokens."""
-        return self._end - self._next < MIN_TOKENS_LEFT
+        """Whether the term has to end because it is running out of tokens for calls."""
+        return self._first_of_map - self._next_of_call < MIN_TOKENS_LEFT
--- a/tests/test_keyspace_parts.py
+++ b/tests/test_keyspace_parts.py
@@ -136,17 +136,18 @@
 
     def test_term_issues_tokens_above_those_of_the_term_before(self):
         before = FencingTokens(highest=5)
-        in_store = before.issue()
-        unstored = [before.issue() for _ in range(100)]
-        after = FencingTokens(highest=in_store)
-        assert after.issue() > max(unstored) > in_store
+        in_store = before.issue_for_map()
+        of_calls = [before.issue_for_call() for _ in range(100)]
+        assert of_calls == sorted(set(of_calls)) and of_calls[0] > 5
+        assert FencingTokens(highest=in_store).issue_for_call() > in_store
+        assert in_store > of_calls[-1]
 
-    def test_term_ends_before_its_tokens_reach_the_next_term(self):
+    def test_term_ends_before_its_calls_reach_the_tokens_of_the_map(self):
         tokens = FencingTokens(highest=0)
-        first = tokens.issue()
+        in_store = tokens.issue_for_map()
         while not tokens.is_used_up:
-            last = tokens.issue()
-        assert last < FencingTokens(highest=first).issue()
+            last = tokens.issue_for_call()
+        assert last < in_store
 
 
 class TestGrantLog:
