Take only another server's 421 as proof that an owner has ended

Cause: found by a review. The identifier in a 421 was not compared with that of the owner, and an answer without one counted too, so one wrong answer gave the keys a second owner.

Change: only the identifier of another server counts. A grant that got 421 has not been applied. The granter takes a kept connection before it chooses the token, so that a connection cannot become too old in between; the in-memory client keeps connections as the real one does, which it did not for grants.

--- a/briarspoke/entry/httpclient.py
+++ b/briarspoke/entry/httpclient.py
@@ -30,13 +30,22 @@
         self._idle = []
 
     def call(
-        self, method, path, body=b"", *, timeout_s, headers=(), new_connection=False
+        self,
+        method,
+        path,
+        body=b"",
+        *,
+        timeout_s,
+        headers=(),
+        connection=None,
+        new_connection=False,
     ):
         """Makes one call.
 
         :param method: HTTP method in bytes.
         :param path: path and query as text.
         :param headers: additional (name, value) pairs in bytes.
+        :param connection: a connection that :meth:`take_idle` has returned, or None.
         :param new_connection: whether the call must not use a kept connection, on which
             a late second answer to an earlier call could be taken for its own.
         :returns: a Deferred that fires with an :class:`Answer`, never with an error.
@@ -51,29 +60,22 @@
         if body or method == b"POST":
             lines.append(b"Content-Length: %d" % len(body))
         data = b"\r\n".join([*lines, b"", body])
-        connection = None if new_connection else self.take_idle()
+        if connection is None and not new_connection:
+            connection = self.take_idle()
         return _Call(
             client=self, connection=connection, data=data, timeout_s=timeout_s
         ).deferred
 
-    @property
-    def has_idle(self):
-        """Whether the next call can use a kept connection."""
-        while self._idle:
-            connection = self._idle[-1]
-            if (
-                connection.reusable
-                and self._clock() - connection.idle_since < MAX_IDLE_S
-            ):
-                return True
-            self._idle.pop()
-            if connection.reusable:
-                connection.abandon()
-        return False
-
     def take_idle(self):
         """Returns an idle connection, or None."""
-        return self._idle.pop() if self.has_idle else None
+        while self._idle:
+            connection = self._idle.pop()
+            if not connection.reusable:
+                continue
+            if self._clock() - connection.idle_since < MAX_IDLE_S:
+                return connection
+            connection.abandon()
+        return None
 
     def connect(self, call):
         """Opens a connection for a call and returns Twisted's connector."""
--- a/briarspoke/keyspace/granter.py
+++ b/briarspoke/keyspace/granter.py
@@ -114,30 +114,26 @@
         if hold_s > HOLD_S:
             arrived_at = now + grants.GRANT_TIMEOUT_S + MAX_TRANSIT_S
             self._leadership.record_long_grant(expiry_time(arrived_at, hold_s))
-        new_connection = renewal is None or not client.http.has_idle
-        fence = self.new_connection_fence(client) if new_connection else client.fence
+        connection = None if renewal is None else client.http.take_idle()
+        fence = self.issue_fence(client) if connection is None else client.fence
         sent = client.log.add(first=first, last=last, fence=fence, hold_s=hold_s)
         if renewal is not None:
             renewal.in_flight = True
-        self._node.spawn(
-            self._call(client, sent, owner, handover, renewal, new_connection)
-        )
+        self._node.spawn(self._call(client, sent, owner, handover, renewal, connection))
 
-    def new_connection_fence(self, client):
-        """Returns the token for a call that opens a new connection to a server.
+    def issue_fence(self, client):
+        """Issues the token for a call that opens a new connection to a server.
 
         The connection may reach a new process of the server, which must not take keys
-        with a token that another process had. So each has a new token, which all later
-        calls to the server repeat.
+        with a token that another process had. Later calls on kept connections repeat
+        the token.
         """
         client.fence = self._issue_fence()
         return client.fence
 
-    async def _call(self, client, sent, owner, handover, renewal, new_connection):
+    async def _call(self, client, sent, owner, handover, renewal, connection):
         try:
-            await self._call_once(
-                client, sent, owner, handover, renewal, new_connection
-            )
+            await self._call_once(client, sent, owner, handover, renewal, connection)
         finally:
             if sent.answered is None:
                 # An unexpected error: the grant may have been applied.
@@ -145,7 +141,7 @@
             if renewal is not None:
                 renewal.in_flight = False
 
-    async def _call_once(self, client, sent, owner, handover, renewal, new_connection):
+    async def _call_once(self, client, sent, owner, handover, renewal, connection):
         answer = await grants.grant(
             client.http,
             server_id=owner.server_id,
@@ -154,7 +150,7 @@
             fence=sent.fence,
             hold_s=sent.hold_s,
             handover=handover,
-            new_connection=new_connection,
+            connection=connection,
         )
         now = self._node.now()
         self._note_reachable(client, sent, owner, answer)
@@ -189,6 +185,6 @@
             owner.server_id,
             sent.first,
             sent.last,
-            owner.fence,
+            sent.fence,
             answer.failure or "answered",
         )
--- a/briarspoke/keyspace/range_manager.py
+++ b/briarspoke/keyspace/range_manager.py
@@ -345,8 +345,9 @@
             server_id=move.owner.server_id,
             first=move.first,
             last=move.last,
-            fence=self._granter.new_connection_fence(client),
+            fence=fence,
         )
+        fence = self._granter.issue_fence(client)
         self._node.metrics.count(
             "grants_total", "released" if answer.accepted else "release-failed"
         )
--- a/briarspoke/platform/grants.py
+++ b/briarspoke/platform/grants.py
@@ -41,14 +41,15 @@
 _OTHER_SERVER_STATUS = 421
 
 
-def _decode_answer(answer):
+def _decode_answer(answer, server_id):
     if answer.status is None:
         return GrantAnswer(accepted=None, failure=answer.failure, sent=answer.sent)
     if answer.status == _OTHER_SERVER_STATUS:
+        answering_id = answer.get(headers.SERVER_ID)
+        if answering_id == server_id.encode():
+            answering_id = None
         return GrantAnswer(
-            accepted=None,
-            failure="other-server",
-            other_server=answer.get(headers.SERVER_ID) or b"unknown",
+            accepted=None, failure="421", sent=False, other_server=answering_id
         )
     handover = answer.get(headers.HANDOVER)
     return GrantAnswer(
@@ -67,7 +68,7 @@
 
 
 async def grant(
-    http, *, server_id, first, last, fence, hold_s, handover=None, new_connection=True
+    http, *, server_id, first, last, fence, hold_s, handover=None, connection=None
 ):
     """Grants a key range to a server, or renews the grant.
 
@@ -75,10 +76,10 @@
     :param server_id: the only server that may accept the grant.
     :param first: first key of the range.
     :param last: last key of the range.
-    :param fence: fencing token of the owner.
+    :param fence: fencing token of the call.
     :param hold_s: seconds that the grant lasts.
     :param handover: handover token of the previous owner, or None.
-    :param new_connection: whether the call must not use a kept connection.
+    :param connection: kept connection to use, or None for a new one.
     :returns: a :class:`GrantAnswer`.
     """
     body = {
@@ -96,8 +97,10 @@
             json.dumps(body).encode(),
             timeout_s=GRANT_TIMEOUT_S,
             headers=_target(server_id),
-            new_connection=new_connection,
-        )
+            connection=connection,
+            new_connection=connection is None,
+        ),
+        server_id,
     )
 
 
@@ -110,7 +113,7 @@
     :param server_id: the only server that may handle the release.
     :param first: first key of the range.
     :param last: last key of the range.
-    :param fence: fencing token of the owner.
+    :param fence: fencing token of the call.
     :returns: a :class:`GrantAnswer`.
     """
     body = {"from": first, "target": last, "fence": fence}
@@ -122,5 +125,6 @@
             timeout_s=RELEASE_TIMEOUT_S,
             headers=_target(server_id),
             new_connection=True,
-        )
+        ),
+        server_id,
     )
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -147,19 +147,27 @@
         # Process at the other end of the kept connection, or None without one.
         self._peer = None
 
-    @property
-    def has_idle(self):
-        return self._peer is not None
+    def take_idle(self):
+        peer, self._peer = self._peer, None
+        return peer
 
     def call(
-        self, method, path, body=b"", *, timeout_s, headers=(), new_connection=False
+        self,
+        method,
+        path,
+        body=b"",
+        *,
+        timeout_s,
+        headers=(),
+        connection=None,
+        new_connection=False,
     ):
         done = defer.Deferred()
         later = self._world.reactor.callLater
         # A call takes the kept connection, and only its answer makes one available.
-        expected_peer = None
-        if not new_connection:
-            expected_peer, self._peer = self._peer, None
+        expected_peer = connection
+        if expected_peer is None and not new_connection:
+            expected_peer = self.take_idle()
         timer = later(timeout_s, self._finish, done, Answer(failure="timeout"))
         lower = {name.lower(): value.decode() for name, value in headers}
         if self._faults.cut:
@@ -184,7 +192,7 @@
             if isinstance(reply, PendingWatch):
                 self._world.waiting.append((reply, done, timer, self._faults))
             elif answered and not self._faults.cut:
-                if not new_connection and not done.called:
+                if not done.called:
                     self._peer = peer
                 self._finish(done, reply, timer)
 
--- a/tests/test_entry_faults.py
+++ b/tests/test_entry_faults.py
@@ -155,7 +155,7 @@
         # answer to a renewal.
         client = grant_client(world)
         keys = {"server_id": "s-1", "first": 0, "last": 9, "fence": 3}
-        done = start(grants.grant(client, **keys, hold_s=4.0, new_connection=False))
+        done = start(grants.grant(client, **keys, hold_s=4.0))
         server, _ = world.accept()
         server.take()
         server.send(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
