Judge each release by the grants that may still arrive

What callers could see: two servers hold the same keys.

Cause: found by a review. Whether a grant to the owner may still arrive was judged once, when a move began. A move whose owner was unknown at that time took a later answer to a release for the end of all grants, while a predecessor still renewed.

Change: it is judged each time that a release is sent. A grant that follows the write of a map is sent only if the term still holds.

--- a/briarspoke/keyspace/moves.py
+++ b/briarspoke/keyspace/moves.py
@@ -34,14 +34,13 @@
     :ivar grants_expire_at: when the grants of the owner have expired, or None if that
         is not known yet.
     :ivar handover: token from the release, passed on to the next owner, or None.
-    :ivar may_be_granted_late: whether a grant to the owner may take effect after the
-        owner has released the range.
-    :ivar asked_at: time of the last release call, or None.
+    :ivar may_be_granted_late: whether a grant to the owner may arrive after the last
+        release call.
+    :ivar release_sent_at: time of the last release call, or None.
     :ivar end: the :class:`MoveEnd` once the range has no owner.
     """
 
     __slots__ = (
-        "asked_at",
         "end",
         "first",
         "grants_expire_at",
@@ -50,6 +49,7 @@
         "may_be_granted_late",
         "owner",
         "reason",
+        "release_sent_at",
         "state",
         "to",
     )
@@ -64,7 +64,7 @@
         self.grants_expire_at = None
         self.handover = None
         self.may_be_granted_late = False
-        self.asked_at = None
+        self.release_sent_at = None
         self.end = None
 
     def finish(self, end):
@@ -93,7 +93,7 @@
     :param http: HTTP client for the address of the server.
     :param transit_s: time for which a call that was given up can still arrive.
     :ivar reachable: whether the last grant call was answered.
-    :ivar fence: the token of the first call on the newest connection for renewals.
+    :ivar fence: the token of the first call on the newest connection.
     """
 
     __slots__ = ("fence", "http", "log", "reachable", "record")
--- a/briarspoke/keyspace/range_manager.py
+++ b/briarspoke/keyspace/range_manager.py
@@ -26,8 +26,8 @@
 REBALANCE_INTERVAL_S = 0.3
 # Interval between two plans of how many requests for overloaded owners are admitted.
 ALLOWANCE_INTERVAL_S = 0.5
-# Interval between two calls that ask whether an owner has ended.
-ASK_INTERVAL_S = 0.5
+# Interval between two releases that only ask whether an owner has ended.
+RELEASE_INTERVAL_S = 0.5
 # Reason for the write of the first key map of a service, for the log.
 FIRST_MAP = "first map"
 # Each move in progress needs a release, a write and a grant.
@@ -263,7 +263,10 @@
         elif (
             move.state is MoveState.EXPIRING
             and client is not None
-            and (move.asked_at is None or now >= move.asked_at + ASK_INTERVAL_S)
+            and (
+                move.release_sent_at is None
+                or now >= move.release_sent_at + RELEASE_INTERVAL_S
+            )
             and self._is_address_reused(client)
         ):
             self._send_release(move, client, now)
@@ -318,15 +321,18 @@
         move.grants_expire_at = self._grants_expire_at(move, now)
         move.state = MoveState.EXPIRING
 
-    def _release(self, move, client, records, now):
-        # A grant without an answer could still be applied after the release.
-        move.may_be_granted_late = client.log.is_uncertain(
+    def _may_be_granted_late(self, move, client, now):
+        """Returns whether a grant to the owner may arrive after a release."""
+        if client.log.is_uncertain(move.first, move.last, now):
+            return True
+        # A predecessor may renew until the owner has seen a token of this term.
+        return now < self._previous_grants_expire_at and not client.log.was_accepted(
             move.first, move.last, now
-        ) or (
-            now < self._previous_grants_expire_at
-            and not client.log.was_accepted(move.first, move.last, now)
         )
-        if move.may_be_granted_late and move.owner.server_instance in records:
+
+    def _release(self, move, client, records, now):
+        is_used = move.owner.server_instance in records
+        if is_used and self._may_be_granted_late(move, client, now):
             self._wait_for_expiry(move, now)
             return
         move.state = MoveState.RELEASING
@@ -336,10 +342,12 @@
         self._send_release(move, client, now)
 
     def _send_release(self, move, client, now):
-        move.asked_at = now
+        move.release_sent_at = now
+        move.may_be_granted_late = self._may_be_granted_late(move, client, now)
         self._node.spawn(self._request_release(move, client))
 
     async def _request_release(self, move, client):
+        fence = self._granter.issue_fence(client)
         answer = await grants.release(
             client.http,
             server_id=move.owner.server_id,
@@ -347,7 +355,6 @@
             last=move.last,
             fence=fence,
         )
-        fence = self._granter.issue_fence(client)
         self._node.metrics.count(
             "grants_total", "released" if answer.accepted else "release-failed"
         )
@@ -452,6 +459,8 @@
             )
             await self._node.sleep(WRITE_RETRY_S)
             return
+        if self._leadership.revision != self._term:
+            return
         if reason == FIRST_MAP:
             # Without a map, no earlier controller has sent a grant.
             self._previous_grants_expire_at = self._node.now()
--- a/tests/test_keyspace_ownership.py
+++ b/tests/test_keyspace_ownership.py
@@ -325,6 +325,64 @@
         for _ in range(80):
             world.advance(0.1)
             assert all(len(holders(world, key)) <= 1 for key in KEYS)
+        assert all(len(holders(world, key)) == 1 for key in KEYS)
+
+    def test_owner_that_was_unknown_when_its_keys_began_to_move(self, world):
+        # Guards against two owners: a controller learns the address of an owner while
+        # its predecessor still renews, and takes a release for the end of the grants.
+        leader = controller(world)
+        other = next(node for node in world.nodes if node is not leader)
+        number = SERVERS[0]
+        for unreachable in SERVERS[1:]:
+            leader.faults(address(unreachable)).cut = True
+        leader.faults(STORE).cut = True
+        world.store.delete(f"servers/s-{number}")
+        world.advance(4.5)
+        assert other.control.is_leader
+        world.store.put(f"servers/s-{number}", registration("stock", number))
+        world.advance(0.6)
+        world.store.put("servers/s-99", registration("orders", number, born=2))
+        for _ in range(60):
+            world.advance(0.1)
+            assert all(len(holders(world, key)) <= 1 for key in KEYS)
+
+    def test_owner_is_asked_again_when_another_server_registers(self, world):
+        # Guards against keys that wait for grants which no server has any more.
+        number = SERVERS[0]
+        del world.servers[address(number)]
+        world.advance(0.5)
+        world.store.delete(f"servers/s-{number}")
+        world.advance(1.0)
+        self.next_server(world, number)
+        world.store.put("servers/s-99", registration("orders", number, born=2))
+        world.advance(1.2)
+        assert all(len(holders(world, key)) == 1 for key in KEYS)
+
+    def test_refusal_that_names_the_owner_itself_proves_nothing(self, world):
+        # Guards against two owners after one wrong answer.
+        number = SERVERS[0]
+        model = world.servers[address(number)]
+        call = model.call
+
+        def refuse_releases(path, body, arrived, target):
+            if path.endswith("release"):
+                return 421, {"Instance-Id": target}
+            return call(path, body, arrived, target)
+
+        model.call = refuse_releases
+        state = registration("stock", number, state="draining")
+        world.store.put(f"servers/s-{number}", state)
+        for _ in range(60):
+            world.advance(0.1)
+            assert all(len(holders(world, key)) <= 1 for key in KEYS)
+
+    def test_kept_connections_need_no_new_tokens(self, world):
+        # Guards against a token for each renewal, which would use up those of a term.
+        world.advance(2.0)
+        models = world.servers.values()
+        before = max(m.highest_fence(0, keymap.KEY_COUNT - 1) for m in models)
+        world.advance(20.0)
+        assert before == max(m.highest_fence(0, keymap.KEY_COUNT - 1) for m in models)
 
     def test_next_server_does_not_release_for_its_predecessor(self, world):
         # Guards against a release that is answered by a server which had no keys,
@@ -365,8 +423,60 @@
         world.advance(8.0)
         assert all(len(holders(world, key)) == 1 for key in KEYS)
 
+    def test_controller_that_resigns_at_once(self, world):
+        # Guards against two owners: the time of its predecessor's grants is lost.
+        leader = controller(world)
+        number = SERVERS[0]
+        world.add_node("front-cwb-2", 3)
+        world.advance(20.0)
+        world.store_down = True
+        world.advance(4.0)
+        for node in world.nodes:
+            node.faults(address(number)).cut = True
+        world.store.extend_all_leases(4.0)
+        world.store_down = False
+        world.store.delete(f"servers/s-{number}")
+        world.advance(0.5)
+        leader.spawn(leader.control.stop())
+        successors = [node for node in world.nodes if node is not leader]
+        while not any(node.control.is_leader for node in successors):
+            world.advance(0.005, 0.005)
+        successor = next(node for node in successors if node.control.is_leader)
+        successor.spawn(successor.control.stop())
+        for _ in range(150):
+            world.advance(0.1)
+            assert all(len(holders(world, key)) <= 1 for key in KEYS)
+
+    def test_recorded_time_covers_the_late_arrival_of_a_call(self, world):
+        leader = controller(world)
+        world.advance(20.0)
+        world.store_down = True
+        world.advance(3.0)
+        leader.faults(address(SERVERS[0])).cut = True
+        world.advance(1.0)
+        sent_at = world.reactor.seconds()
+        arrived_at = sent_at + grants.GRANT_TIMEOUT_S + MAX_TRANSIT_S
+        settled_at = leader.control.leadership.settled_at
+        # The last long grant was sent at most one renewal interval ago.
+        hold_s = leader.control.leadership.hold_s(sent_at, HOLD_S, 10.0)
+        assert settled_at >= expiry_time(arrived_at, hold_s) - RENEWAL_INTERVAL_S
+
 
 class TestLateGrants:
+    def test_late_grant_to_an_owner_that_is_gone(self, world):
+        # Guards against two owners: the owner has released, then a grant arrives.
+        leader = controller(world)
+        faults = leader.faults(address(SERVERS[0]))
+        faults.answers_lost = True
+        faults.late_s = 2.0
+        world.advance(1.5)
+        faults.answers_lost = False
+        faults.late_s = 0.0
+        world.store.delete(f"servers/s-{SERVERS[0]}")
+        for _ in range(70):
+            world.advance(0.1)
+            assert all(len(holders(world, key)) <= 1 for key in KEYS)
+
     def test_range_with_an_unanswered_grant_waits_until_it_expires(self, world):
         # Guards against a delayed grant that is applied after the range has moved.
         leader = controller(world)
@@ -423,44 +533,6 @@
         self.world.store.put("op/config", configuration())
         self.highest_by_key = {}
         self.violations = []
-    def test_controller_that_resigns_at_once(self, world):
-        # Guards against two owners: the time of its predecessor's grants is lost.
-        leader = controller(world)
-        number = SERVERS[0]
-        world.add_node("front-cwb-2", 3)
-        world.advance(20.0)
-        world.store_down = True
-        world.advance(4.0)
-        for node in world.nodes:
-            node.faults(address(number)).cut = True
-        world.store.extend_all_leases(4.0)
-        world.store_down = False
-        world.store.delete(f"servers/s-{number}")
-        world.advance(0.5)
-        leader.spawn(leader.control.stop())
-        successors = [node for node in world.nodes if node is not leader]
-        while not any(node.control.is_leader for node in successors):
-            world.advance(0.005, 0.005)
-        successor = next(node for node in successors if node.control.is_leader)
-        successor.spawn(successor.control.stop())
-        for _ in range(150):
-            world.advance(0.1)
-            assert all(len(holders(world, key)) <= 1 for key in KEYS)
-
-    def test_recorded_time_covers_the_late_arrival_of_a_call(self, world):
-        leader = controller(world)
-        world.advance(20.0)
-        world.store_down = True
-        world.advance(3.0)
-        leader.faults(address(SERVERS[0])).cut = True
-        world.advance(1.0)
-        sent_at = world.reactor.seconds()
-        arrived_at = sent_at + grants.GRANT_TIMEOUT_S + MAX_TRANSIT_S
-        settled_at = leader.control.leadership.settled_at
-        # The last long grant was sent at most one renewal interval ago.
-        hold_s = leader.control.leadership.hold_s(sent_at, HOLD_S, 10.0)
-        assert settled_at >= expiry_time(arrived_at, hold_s) - RENEWAL_INTERVAL_S
-
         self.born = 1
         for number in SERVERS:
             self.start(number, f"s-{number}")
