Move the use of server registrations out of the entry VM's node

No change of behaviour; the tests of the entry VM, of key ownership and of the pages pass unchanged.

--- a/briarspoke/entry/node.py
+++ b/briarspoke/entry/node.py
@@ -10,6 +10,7 @@
 from briarspoke.entry import gauges, status
 from briarspoke.entry.callers import CallerFactory
 from briarspoke.entry.control import Control
+from briarspoke.entry.discovery import ServerDiscovery
 from briarspoke.entry.dispatch import Dispatcher
 from briarspoke.entry.heldbytes import HeldBytes
 from briarspoke.entry.httpclient import HttpClient
@@ -18,7 +19,6 @@
 from briarspoke.entry.reports import REPORT_INTERVAL_S, Datagrams
 from briarspoke.entry.requestlog import RequestLog
 from briarspoke.entry.routes import DEFAULT_LIMITS
-from briarspoke.entry.servers import Server
 from briarspoke.entry.timers import Timers
 from briarspoke.entry.view import StoreView
 from briarspoke.errors import BriarspokeError
@@ -32,11 +32,6 @@
 
 TICK_INTERVAL_S = 0.05
 CONNECTION_CHECK_INTERVAL_S = 0.5
-# Servers whose registration expired during an outage of the store have this long to
-# register again after the store is reachable.
-REREGISTRATION_TIMEOUT_S = 2.0
-# A draining server gets its last request this long before its drain time ends.
-DRAIN_MARGIN_S = 0.5
 # The load balancer removes a VM after two failed readiness checks, one per second.
 BALANCER_REMOVAL_S = 2.2
 # Pending requests get a final answer this long before the grace time ends.
@@ -83,9 +78,6 @@
         # Random name of this process, new with each start.
         self.process = os.urandom(6).hex()
         self._dispatchers_by_service = {}
-        # Time at which a server is removed unless it has registered again, by the key
-        # of its registration.
-        self._remove_at_by_key = {}
         self.request_log = RequestLog(node=self)
         self._ports = []
         self._loops = []
@@ -106,7 +98,7 @@
             on_allowances=self._allowances_announced,
         )
         self.view.observe(documents.CONFIGURATION_KEY, self._configuration_changed)
-        self.view.observe(documents.SERVER_PREFIX, self._server_changed)
+        self._discovery = ServerDiscovery(node=self)
         self.view.observe(keymap.KEY_MAP_PREFIX, self._key_map_changed)
         self._loop_lag = gauges.LoopLag(period_s=TICK_INTERVAL_S)
         gauges.register(self, self._loop_lag)
@@ -173,6 +165,10 @@
             self._dispatchers_by_service[service] = dispatcher
         return dispatcher
 
+    def dispatchers(self):
+        """Returns the :class:`Dispatcher` of each service that is known."""
+        return list(self._dispatchers_by_service.values())
+
     def all_records(self):
         """Yields the :class:`ServerRecord` of every known server."""
         for dispatcher in self._dispatchers_by_service.values():
@@ -201,65 +197,6 @@
         for service in table.services:
             self.dispatcher(service).dispatch_waiting()
 
-    def _server_changed(self, key, item):
-        if item is None:
-            self._registration_expired(key)
-            return
-        try:
-            record = documents.decode_server(key, item.value)
-        except BriarspokeError as error:
-            log.warning("servers: entry not usable key=%s error=%r", key, str(error))
-            self._registration_expired(key)
-            return
-        self._remove_at_by_key.pop(key, None)
-        for dispatcher in self._dispatchers_by_service.values():
-            known = dispatcher.servers.get(record.server_id)
-            if known is not None and dispatcher.name != record.service:
-                dispatcher.remove_server(record.server_id)
-        self._remove_from_address(record)
-        dispatcher = self.dispatcher(record.service)
-        server = dispatcher.servers.get(record.server_id)
-        is_same_process = (
-            server is not None
-            and server.record.server_instance == record.server_instance
-            and (server.record.host, server.record.port) == (record.host, record.port)
-        )
-        if not is_same_process:
-            server = Server(
-                record=record,
-                latency_s=dispatcher.expected_latency_s(),
-                reactor=self.reactor,
-                clock=self.now,
-                held_answers=self.held_answers,
-            )
-            dispatcher.add_server(server)
-        server.record = record
-        server.registration_missing = server.replaced = False
-        if not record.draining:
-            server.drain_until = None
-        elif server.drain_until is None:
-            server.drain_until = self.now() + self.settings.drain_s - DRAIN_MARGIN_S
-        log.info(
-            "servers: %s id=%s service=%s zone=%s address=%s:%d incarnation=%d "
-            "revision=%d",
-            "draining" if record.draining else "ready",
-            record.server_id,
-            record.service,
-            record.zone,
-            record.host,
-            record.port,
-            record.incarnation,
-            item.revision,
-        )
-        self.wake_control()
-
-    def _remove_from_address(self, record):
-        """Removes other servers that were registered at the address of a server."""
-        for other in list(self.all_records()):
-            is_other = other.server_id != record.server_id
-            if is_other and (other.host, other.port) == (record.host, record.port):
-                self._remove_server(documents.SERVER_PREFIX + other.server_id)
-
     def server_replaced(self, record, answering_id):
         """Called when an answer from a server's address has another server's id.
 
@@ -274,26 +211,6 @@
         )
         self.wake_control()
 
-    def _registration_expired(self, key):
-        recovered_at = self.view.recovered_at or 0.0
-        remove_at = recovered_at + REREGISTRATION_TIMEOUT_S
-        if self.now() < remove_at:
-            self._remove_at_by_key[key] = remove_at
-            server_id = key.removeprefix(documents.SERVER_PREFIX)
-            for dispatcher in self._dispatchers_by_service.values():
-                if server_id in dispatcher.servers:
-                    dispatcher.servers[server_id].registration_missing = True
-        else:
-            self._remove_server(key)
-
-    def _remove_server(self, key):
-        server_id = key.removeprefix(documents.SERVER_PREFIX)
-        for dispatcher in self._dispatchers_by_service.values():
-            if server_id in dispatcher.servers:
-                log.info("servers: gone id=%s service=%s", server_id, dispatcher.name)
-                dispatcher.remove_server(server_id)
-        self.wake_control()
-
     def _key_map_changed(self, key, item):
         service = key.removeprefix(keymap.KEY_MAP_PREFIX)
         if item is None:
@@ -413,10 +330,7 @@
     def _tick(self):
         now = self.now()
         self._loop_lag.record_call(now)
-        for key, remove_at in list(self._remove_at_by_key.items()):
-            if now >= remove_at:
-                del self._remove_at_by_key[key]
-                self._remove_server(key)
+        self._discovery.tick(now)
         self.key_maps.expire(now)
         if self.routing_table is None:
             return
