Keep late records of ended servers from replacing live ones

Seen by callers: a live server lost its requests and keys when a registration of a server that had ended arrived seconds late. Its keys moved without a release, so two servers held them. In the same way requests reached a draining server, and an earlier life replaced the present one.

Cause: the registration with the newest revision of the store won, both among the records of one server and at one address. Revisions order writes; a write may be carried out after its server has ended.

Change: `entry/registrations.py` decides which registrations are in use. Records of one server are ordered by its start and the number of its report (`born`, `seq`). At one address the server that started last is in use; others are set aside and used once it has gone. For 20 s after a registration was removed, a record of that server that is not newer is not used. `seq` is decoded and has to be an integer. Records that are not used are logged (`servers: not used`, with the reason) and counted (`registrations_not_used_total`). The servers of the soak and of the ownership machine number their reports, as real ones do; without that, a server that registers again would count as a late write.

--- a/briarspoke/entry/discovery.py
+++ b/briarspoke/entry/discovery.py
@@ -4,6 +4,8 @@
 
 import logging
 
+from briarspoke.entry import registrations
+from briarspoke.entry.registrations import Registrations
 from briarspoke.entry.servers import Server
 from briarspoke.errors import BriarspokeError
 from briarspoke.platform import documents
@@ -25,9 +27,7 @@
 
     def __init__(self, *, node):
         self._node = node
-        # Time at which a server is removed unless it has registered again, by the key
-        # of its registration.
-        self._remove_at_by_key = {}
+        self._registrations = Registrations()
         node.view.observe(documents.SERVER_PREFIX, self._server_changed)
 
     def tick(self, now):
@@ -35,25 +35,43 @@
 
         :param now: current time of the node's clock, in seconds.
         """
-        for key, remove_at in list(self._remove_at_by_key.items()):
-            if now >= remove_at:
-                del self._remove_at_by_key[key]
-                self._remove_server(key)
+        self._apply(self._registrations.expire(now))
 
     def _server_changed(self, key, item):
+        server_id = key.removeprefix(documents.SERVER_PREFIX)
         if item is None:
-            self._registration_expired(key)
+            self._registration_removed(server_id)
             return
         try:
             record = documents.decode_server(key, item.value)
         except BriarspokeError as error:
             log.warning("servers: entry not usable key=%s error=%r", key, str(error))
-            self._registration_expired(key)
+            self._registration_removed(server_id)
             return
-        self._remove_at_by_key.pop(key, None)
-        self._remove_from_address(record)
-        self._use(record, item.revision)
-        self._node.wake_control()
+        now = self._node.now()
+        self._apply(self._registrations.put(record, item.revision, now))
+
+    def _registration_removed(self, server_id):
+        now = self._node.now()
+        recovered_at = self._node.view.recovered_at or 0.0
+        return_until = recovered_at + REREGISTRATION_TIMEOUT_S
+        if now < return_until:
+            for dispatcher in self._node.dispatchers():
+                if server_id in dispatcher.servers:
+                    dispatcher.servers[server_id].registration_missing = True
+        self._apply(self._registrations.remove(server_id, now, return_until))
+
+    def _apply(self, changes):
+        for change in changes:
+            record = change.registration.record
+            if change.reason is None:
+                self._use(record, change.registration.revision)
+            elif change.reason == registrations.GONE:
+                self._remove_gone(record.server_id)
+            else:
+                self._set_aside(change)
+        if changes:
+            self._node.wake_control()
 
     def _use(self, record, revision):
         """Adds the server of a record, or updates the one that is known."""
@@ -84,8 +102,8 @@
         elif server.drain_until is None:
             server.drain_until = node.now() + node.settings.drain_s - DRAIN_MARGIN_S
         log.info(
-            "servers: %s id=%s service=%s zone=%s address=%s:%d incarnation=%d "
-            "revision=%d",
+            "servers: %s id=%s service=%s zone=%s address=%s:%d incarnation=%d"
+            " sequence=%d revision=%d",
             "draining" if record.draining else "ready",
             record.server_id,
             record.service,
@@ -93,32 +111,32 @@
             record.host,
             record.port,
             record.incarnation,
+            record.sequence,
             revision,
         )
 
-    def _remove_from_address(self, record):
-        """Removes other servers that were registered at the address of a server."""
-        for other in list(self._node.all_records()):
-            is_other = other.server_id != record.server_id
-            if is_other and (other.host, other.port) == (record.host, record.port):
-                self._remove_server(documents.SERVER_PREFIX + other.server_id)
-
-    def _registration_expired(self, key):
-        recovered_at = self._node.view.recovered_at or 0.0
-        remove_at = recovered_at + REREGISTRATION_TIMEOUT_S
-        if self._node.now() < remove_at:
-            self._remove_at_by_key[key] = remove_at
-            server_id = key.removeprefix(documents.SERVER_PREFIX)
+    def _set_aside(self, change):
+        """Logs a registration that is not used, and removes its server if necessary."""
+        record = change.registration.record
+        if change.reason == registrations.ADDRESS_IN_USE:
             for dispatcher in self._node.dispatchers():
-                if server_id in dispatcher.servers:
-                    dispatcher.servers[server_id].registration_missing = True
-        else:
-            self._remove_server(key)
+                dispatcher.remove_server(record.server_id)
+        self._node.metrics.count("registrations_not_used_total", change.reason)
+        log.info(
+            "servers: not used id=%s service=%s address=%s:%d incarnation=%d"
+            " sequence=%d revision=%d reason=%s",
+            record.server_id,
+            record.service,
+            record.host,
+            record.port,
+            record.incarnation,
+            record.sequence,
+            change.registration.revision,
+            change.reason,
+        )
 
-    def _remove_server(self, key):
-        server_id = key.removeprefix(documents.SERVER_PREFIX)
+    def _remove_gone(self, server_id):
         for dispatcher in self._node.dispatchers():
             if server_id in dispatcher.servers:
                 log.info("servers: gone id=%s service=%s", server_id, dispatcher.name)
                 dispatcher.remove_server(server_id)
-        self._node.wake_control()
--- a/briarspoke/entry/servers.py
+++ b/briarspoke/entry/servers.py
@@ -42,6 +42,7 @@
     """Registration of a server in the store.
 
     :param incarnation: start of the server's process in Unix milliseconds, or 0.
+    :param sequence: number of the process's report, or 0.
     :param warmup_s: seconds for which the server is still slow after its start.
     """
 
@@ -50,6 +51,7 @@
         "host",
         "incarnation",
         "port",
+        "sequence",
         "server_id",
         "service",
         "slots",
@@ -68,6 +70,7 @@
         slots,
         draining,
         incarnation,
+        sequence,
         warmup_s,
     ):
         self.server_id = server_id
@@ -78,6 +81,7 @@
         self.slots = slots
         self.draining = draining
         self.incarnation = incarnation
+        self.sequence = sequence
         self.warmup_s = warmup_s
 
     @property
--- a/briarspoke/metrics.py
+++ b/briarspoke/metrics.py
@@ -52,6 +52,10 @@
     ),
     "member_changes_total": ("status", "Status changes of members, by new status."),
     "documents_taken_total": ("source", "Documents accepted, by source."),
+    "registrations_not_used_total": (
+        "reason",
+        "Registrations of servers that were read and are not used, by reason.",
+    ),
     "store_calls_total": ("kind", "Calls to the platform's store, by kind."),
     "store_failures_total": ("kind", "Failed calls to the store, by kind."),
     "store_sent_bytes_total": ("kind", "Estimated bytes sent to the store, by kind."),
--- a/briarspoke/platform/documents.py
+++ b/briarspoke/platform/documents.py
@@ -143,9 +143,11 @@
     state = require_field(body, "state", str)
     if state not in _STATES:
         raise DecodeError(f"state {state[:20]!r} is unknown")
-    incarnation = body.get("born")
-    if incarnation is not None:
+    incarnation = sequence = 0
+    if body.get("born") is not None:
         incarnation = require_field(body, "born", int)
+    if body.get("seq") is not None:
+        sequence = require_field(body, "seq", int)
     slots = require_field(body, "slots", int)
     if slots > MAX_SLOTS:
         raise DecodeError("slots is out of range")
@@ -157,7 +159,8 @@
         zone=require_field(body, "zone", str),
         slots=max(1, slots),
         draining=state == "draining",
-        incarnation=incarnation or 0,
+        incarnation=incarnation,
+        sequence=sequence,
         warmup_s=parse_duration_s(body["warmup_left"])
         if "warmup_left" in body
         else 0.0,
--- a/briarspoke/soak/deployment.py
+++ b/briarspoke/soak/deployment.py
@@ -96,8 +96,10 @@
         self.number = number
         self.server_id = f"{service}-{number}"
         self.incarnation = 0
-        # Identifier and incarnation of the server that had the address before.
+        # Identifier, incarnation and sequence number of the server that had the address
+        # before.
         self.replaced_server = None
+        self.sequence = 0
         self.state = "ready"
         self.stand_in = None
         self.model = None
@@ -121,7 +123,7 @@
 
     def replace(self):
         """Simulates a new server at the address, which is not registered yet."""
-        self.replaced_server = (self.server_id, self.incarnation)
+        self.replaced_server = (self.server_id, self.incarnation, self.sequence)
         self.server_id = f"{self.service}-{self.number}-{self.incarnation + 1}"
         self.start()
 
@@ -131,6 +133,7 @@
             self.stand_in.stopped = True
             self._factory.reset_connections()
         self.incarnation += 1
+        self.sequence = 0
         self.state = "ready"
         server_id = self.server_id
         self.model = ServerModel(
@@ -156,20 +159,24 @@
 
     def register(self):
         """Writes the registration to the store."""
-        self._write_registration(self.server_id, self.incarnation, self.state)
+        self.sequence += 1
+        self._write_registration(
+            self.server_id, self.incarnation, self.sequence, self.state
+        )
 
     def register_late(self):
         """Writes the registration of the server that had the address before."""
         if self.replaced_server is not None:
             self._write_registration(*self.replaced_server, "ready")
 
-    def _write_registration(self, server_id, incarnation, state):
+    def _write_registration(self, server_id, incarnation, sequence, state):
         data = platform_documents.registration(
             service=self.service,
             address=f"127.0.0.1:{self.proxy.port}",
             slots=SLOTS,
             state=state,
             born=incarnation,
+            sequence=sequence,
         )
         self._deployment.store.put(f"servers/{server_id}", data)
 
--- a/briarspoke/standins/platform_documents.py
+++ b/briarspoke/standins/platform_documents.py
@@ -12,7 +12,9 @@
 }
 
 
-def registration(*, service, address, slots, state="ready", born=1, zone="a"):
+def registration(
+    *, service, address, slots, state="ready", born=1, sequence=1, zone="a"
+):
     """Returns the encoded registration of a server."""
     body = {
         "service": service,
@@ -21,6 +23,7 @@
         "slots": slots,
         "state": state,
         "warmup_left": "0ms",
+        "seq": sequence,
         "born": born,
     }
     return json.dumps(body).encode()
--- a/tests/test_entry_parts.py
+++ b/tests/test_entry_parts.py
@@ -137,6 +137,7 @@
             "servers/s-1", registration("stock", 1, state="draining")
         )
         assert record.server_instance == ("s-1", 1)
+        assert record.sequence == 1
         assert record.draining
         assert (record.host, record.port) == ("10.0.9.1", 80)
 
@@ -147,6 +148,9 @@
             {"address": "nowhere"},
             {"state": "resting"},
             {"born": "early"},
+            {"seq": "first"},
+            {"seq": 1.5},
+            {"seq": True},
             {"slots": None},
             {"zone": None},
         ],
--- a/tests/test_keyspace_ownership.py
+++ b/tests/test_keyspace_ownership.py
@@ -534,6 +534,7 @@
         self.highest_by_key = {}
         self.violations = []
         self.born = 1
+        self.sequence = 0
         for number in SERVERS:
             self.start(number, f"s-{number}")
             self.register(number, "ready")
@@ -590,7 +591,10 @@
     @rule(number=st.sampled_from(SERVERS), state=st.sampled_from(("ready", "draining")))
     def register(self, number, state):
         process = self.world.servers[address(number)]
-        value = registration("stock", number, state=state, born=process.born)
+        self.sequence += 1
+        value = registration(
+            "stock", number, state=state, born=process.born, seq=self.sequence
+        )
         self.world.store.put(f"servers/{process.server_id}", value)
 
     @rule(number=st.sampled_from(SERVERS))
