Restore the stand-in of the store from a copy

The stand-in could not play a store that comes back from a copy: changes since the copy are lost, revisions and leases are given out again, and the header `Store-Era` rises by one. `StoreModel` takes copies and is restored from them. Every answer carries the era, in tests and over HTTP. A watch from a revision that the store does not have gets 410. Nothing reads the header yet.

--- a/briarspoke/platform/headers.py
+++ b/briarspoke/platform/headers.py
@@ -17,6 +17,9 @@
 KEY = b"shard-key"
 # Token with which the next owner of a key range needs no warm-up.
 HANDOVER = b"handover"
+# Number of the store's eras. It rises by one each time the store is restored from a
+# copy, and revisions and leases of an earlier era are then given out again.
+STORE_ERA = b"store-era"
 
 READY_PATH = b"/briarspoke/ready"
 GRANT_PATH = b"/briarspoke/grant"
--- a/briarspoke/standins/platform_http.py
+++ b/briarspoke/standins/platform_http.py
@@ -127,7 +127,7 @@
     def handle(self, exchange):
         """Handles a call, with the faults that are active."""
         if self.outage == "busy":
-            exchange.respond(503)
+            exchange.respond(503, headers=self._model.headers)
         elif self.outage == "reset":
             exchange.connection.transport.abortConnection()
         elif not self.outage:
@@ -149,7 +149,7 @@
                     )
                 return
             reply = response
-        exchange.respond(reply.status, reply.encode())
+        exchange.respond(reply.status, reply.encode(), reply.headers)
 
 
 def _echo(exchange):
--- a/briarspoke/standins/platform_store.py
+++ b/briarspoke/standins/platform_store.py
@@ -6,19 +6,26 @@
 import json
 from urllib.parse import parse_qs, urlsplit
 
+from briarspoke.platform import headers
+
 # Older changes are dropped, as after a compaction.
 MAX_HISTORY_EVENTS = 5_000
 PAGE_SIZE = 500
 
 
 class Response:
-    """Answer to a call: HTTP status and JSON value, None for no body."""
+    """Answer to a call.
+
+    :param body: JSON value, None for no body.
+    :param headers: list of (name in lower case, value) in bytes.
+    """
 
-    __slots__ = ("body", "status")
+    __slots__ = ("body", "headers", "status")
 
-    def __init__(self, status, body=None):
+    def __init__(self, status, body=None, *, headers):
         self.status = status
         self.body = body
+        self.headers = headers
 
     def encode(self):
         """Returns the body encoded as JSON."""
@@ -40,6 +47,29 @@
         self.expires_at = expires_at
 
 
+class StoreCopy:
+    """State of a store at one time, from which the store can be restored."""
+
+    __slots__ = (
+        "history",
+        "items",
+        "leases",
+        "next_lease",
+        "oldest_revision",
+        "revision",
+    )
+
+    def __init__(
+        self, *, items, revision, history, oldest_revision, leases, next_lease
+    ):
+        self.items = items
+        self.revision = revision
+        self.history = history
+        self.oldest_revision = oldest_revision
+        self.leases = leases
+        self.next_lease = next_lease
+
+
 class StoreModel:
     """Items, leases and change history of the store.
 
@@ -49,6 +79,7 @@
     """
 
     def __init__(self, *, clock, protected_prefixes=("op/", "servers/")):
+        self.era = 1
         self.revision = 1
         self.items = {}
         self.oldest_revision = 1
@@ -91,6 +122,40 @@
             for lease, (expires_at, duration_s) in self._leases.items()
         }
 
+    def copy(self):
+        """Returns a :class:`StoreCopy` of the present state."""
+        return StoreCopy(
+            items=dict(self.items),
+            revision=self.revision,
+            history=list(self._history),
+            oldest_revision=self.oldest_revision,
+            leases=dict(self._leases),
+            next_lease=self._next_lease,
+        )
+
+    def restore(self, copy):
+        """Replaces the state by that of a copy, which begins a new era.
+
+        Changes since the copy are lost, and their revisions and leases are given out
+        again.
+        """
+        self.era += 1
+        self.items = dict(copy.items)
+        self.revision = copy.revision
+        self.oldest_revision = copy.oldest_revision
+        self._history = list(copy.history)
+        self._leases = dict(copy.leases)
+        self._next_lease = copy.next_lease
+        self.changed()
+
+    @property
+    def headers(self):
+        """Headers of every answer, as (name in lower case, value) in bytes."""
+        return [(headers.STORE_ERA, b"%d" % self.era)]
+
+    def _response(self, status, body=None):
+        return Response(status, body, headers=self.headers)
+
     def call(self, method, target, body):
         """Handles a call and returns its :class:`Response`.
 
@@ -109,17 +174,21 @@
         name, _, argument = path.partition("/")
         handler = self._handlers.get((method, name))
         if handler is None:
-            return Response(404)
+            return self._response(404)
         return handler(self, query, json.loads(body) if body else {}, argument)
 
     def _key(self, query, body, argument):
         item = self.items.get(query["key"])
-        return Response(404) if item is None else Response(200, self._item_json(item))
+        return (
+            self._response(404)
+            if item is None
+            else self._response(200, self._item_json(item))
+        )
 
     def _range(self, query, body, argument):
         prefix, after = query.get("prefix", ""), query.get("after", "")
         keys = sorted(k for k in self.items if k.startswith(prefix) and k > after)
-        return Response(
+        return self._response(
             200,
             {
                 "items": [self._item_json(self.items[key]) for key in keys[:PAGE_SIZE]],
@@ -138,8 +207,8 @@
 
     def poll_watch(self, watch):
         """Returns the :class:`Response` to a watch, or None if it is still pending."""
-        if watch.after + 1 < self.oldest_revision:
-            return Response(410)
+        if not self.oldest_revision <= watch.after + 1 <= self.revision + 1:
+            return self._response(410)
         events = [
             event
             for event in self._history
@@ -147,7 +216,7 @@
         ]
         if not events and self._clock() < watch.expires_at:
             return None
-        return Response(200, {"events": events, "store_revision": self.revision})
+        return self._response(200, {"events": events, "store_revision": self.revision})
 
     def _txn(self, query, body, argument):
         preconditions = body.get("precondition", [])
@@ -156,39 +225,39 @@
             if (item["rev"] if item else 0) != precondition["rev"]:
                 found = [self.items.get(p["key"]) for p in preconditions]
                 current = [self._item_json(item) for item in found if item]
-                return Response(412, {"items": current})
+                return self._response(412, {"items": current})
         puts = body.get("puts", [])
         keys = [put["key"] for put in puts] + list(body.get("remove", []))
         if any(key.startswith(self._protected_prefixes) for key in keys):
-            return Response(403)
+            return self._response(403)
         if any(put["lease"] and put["lease"] not in self._leases for put in puts):
-            return Response(404)
+            return self._response(404)
         self._apply(
             [(p["key"], base64.b64decode(p["value"]), p["lease"]) for p in puts],
             body.get("remove", []),
         )
-        return Response(200, {"rev": self.revision})
+        return self._response(200, {"rev": self.revision})
 
     def _grant_lease(self, query, body, argument):
         ttl = body["ttl_time"]
         duration_s = float(ttl[:-2]) / 1000
         self._next_lease += 1
         self._leases[self._next_lease] = (self._clock() + duration_s, duration_s)
-        return Response(200, {"lease": self._next_lease, "ttl_time": ttl})
+        return self._response(200, {"lease": self._next_lease, "ttl_time": ttl})
 
     def _keep_alive(self, query, body, argument):
         lease = int(argument)
         if lease not in self._leases:
-            return Response(404)
+            return self._response(404)
         duration_s = self._leases[lease][1]
         self._leases[lease] = (self._clock() + duration_s, duration_s)
-        return Response(200, {"ttl_time": f"{round(duration_s * 1000)}ms"})
+        return self._response(200, {"ttl_time": f"{round(duration_s * 1000)}ms"})
 
     def _revoke_lease(self, query, body, argument):
         if int(argument) not in self._leases:
-            return Response(404)
+            return self._response(404)
         self._end_lease(int(argument))
-        return Response(200, {})
+        return self._response(200, {})
 
     _handlers = {
         ("GET", "kv-key"): _key,
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -255,7 +255,10 @@
         reply = self.store.call(method, path, body)
         if isinstance(reply, PendingWatch):
             return reply
-        return Answer(status=reply.status, body=reply.encode())
+        return self._answer(reply)
+
+    def _answer(self, reply):
+        return Answer(status=reply.status, headers=reply.headers, body=reply.encode())
 
     def _call_server(self, model, path, body, arrived, headers):
         reply = model.call(path, body, arrived, headers.get(b"target-instance"))
@@ -274,7 +277,7 @@
                     pending.append((waiting, done, timer, faults))
                 continue
             timer.cancel()
-            answer = Answer(status=reply.status, body=reply.encode())
+            answer = self._answer(reply)
             self.reactor.callLater(LATENCY_S, done.callback, answer)
         self.waiting = pending
 
