Order the view of the store by era and revision

Cause: revisions alone ordered items, and a watch continued from the last revision. A store that is restored from a copy gives revisions and leases out again, with another `Store-Era`, which nothing read. Callers saw routes of an old configuration: versions written after the restore had lower revisions than those known and were dropped, or lay before the revision from which the watch went on. A renewal could renew another VM's lease.

The client reads the era of every answer and tells observers when it rises. An answer of an earlier era is an error. Leases carry their era; a lease of an earlier era is never sent. Writes may name the era of the revisions that they expect. The view reads everything again as soon as any call shows a new era; a pending watch of the old one is abandoned with its connection. Frames of relays carry the era.

Existing tests follow the signatures only: items, changes and frames have an era.

--- a/briarspoke/entry/control.py
+++ b/briarspoke/entry/control.py
@@ -147,11 +147,13 @@
             map has changed.
         """
         node = self._node
+        era = node.view.era
         key = KEY_MAP_PREFIX + service
         known = node.view.items.get(key)
         data = key_map.encode()
         revision = await node.store.write(
             expected={CONTROL_KEY: term, key: known.revision if known else 0},
             puts={key: data},
+            era=era,
         )
-        node.view.put(Item(key=key, value=data, revision=revision))
+        node.view.put(Item(key=key, value=data, revision=revision, era=era))
--- a/briarspoke/entry/httpclient.py
+++ b/briarspoke/entry/httpclient.py
@@ -48,7 +48,8 @@
         :param connection: a connection that :meth:`take_idle` has returned, or None.
         :param new_connection: whether the call must not use a kept connection, on which
             a late second answer to an earlier call could be taken for its own.
-        :returns: a Deferred that fires with an :class:`Answer`, never with an error.
+        :returns: a Deferred that fires with an :class:`Answer`, and with an error only
+            if it is cancelled; the connection is then closed.
         """
         lines = [
             b"%b %b HTTP/1.1" % (method, path.encode()),
@@ -111,7 +112,7 @@
     __slots__ = ("_client", "_connection", "_connector", "_data", "_timer", "deferred")
 
     def __init__(self, *, client, connection, data, timeout_s):
-        self.deferred = defer.Deferred()
+        self.deferred = defer.Deferred(self._cancelled)
         self._client = client
         self._data = data
         self._connector = None
@@ -137,12 +138,20 @@
         if not self.deferred.called:
             self._finish(Answer(failure=failure, sent=False))
 
-    def _timed_out(self):
-        sent = self._connection is not None
-        if sent:
+    def _give_up(self):
+        if self._connection is not None:
             self._connection.abandon()
         else:
             self._connector.disconnect()
+
+    def _cancelled(self, deferred):
+        self._timer.cancel()
+        deferred.errback(defer.CancelledError())
+        self._give_up()
+
+    def _timed_out(self):
+        sent = self._connection is not None
+        self._give_up()
         if not self.deferred.called:
             self._finish(Answer(failure="timeout", sent=sent))
 
--- a/briarspoke/entry/relays.py
+++ b/briarspoke/entry/relays.py
@@ -40,13 +40,14 @@
 COMPRESSION_LEVEL = 1
 
 
-def _encode(items, revision, *, whole):
-    """Returns a frame.
+def _encode(changes, *, whole):
+    """Returns a frame with :class:`Changes`.
 
     :param whole: whether the items are the whole view and not only changes of it.
     """
-    rows = [[item.key, item.value, item.revision] for item in items]
-    return zlib.compress(cbor2.dumps([rows, revision, whole]), COMPRESSION_LEVEL)
+    rows = [[item.key, item.value, item.revision] for item in changes.items]
+    body = [rows, changes.revision, changes.era, whole]
+    return zlib.compress(cbor2.dumps(body), COMPRESSION_LEVEL)
 
 
 def _decode(data):
@@ -56,16 +57,18 @@
     :raises DecodeError: if it does not have the expected form.
     """
     try:
-        rows, revision, whole = cbor2.loads(zlib.decompress(data))
+        rows, revision, era, whole = cbor2.loads(zlib.decompress(data))
+        era = int(era)
         items = [
             Item(
                 key=str(key),
                 value=None if value is None else bytes(value),
                 revision=int(item_revision),
+                era=era,
             )
             for key, value, item_revision in rows
         ]
-        return Changes(items=items, revision=int(revision)), bool(whole)
+        return Changes(items=items, revision=int(revision), era=era), bool(whole)
     except (
         zlib.error,
         cbor2.CBORDecodeError,
@@ -117,19 +120,23 @@
             link.transport.loseConnection()
             return
         self.links.add(link)
-        link.sendString(_encode(view.items.values(), view.revision, whole=True))
+        link.sendString(_encode(self._whole_view(), whole=True))
 
     def store_changed(self, changes):
         """Sends changes to the followers; empty ones act as a heartbeat."""
-        self._send(changes.items, changes.revision, whole=False)
+        self._send(changes, whole=False)
 
     def view_replaced(self):
         """Sends the whole view to the followers after all items were read again."""
-        self._send(self._view.items.values(), self._view.revision, whole=True)
+        self._send(self._whole_view(), whole=True)
 
-    def _send(self, items, revision, *, whole):
+    def _whole_view(self):
+        view = self._view
+        return Changes(items=view.items.values(), revision=view.revision, era=view.era)
+
+    def _send(self, changes, *, whole):
         if self.links:
-            data = _encode(items, revision, whole=whole)
+            data = _encode(changes, whole=whole)
             for link in self.links:
                 link.sendString(data)
 
@@ -139,8 +146,9 @@
         Sends nothing while the view has no revision, because all items are being read
         again after the store has dropped its history.
         """
-        if self._view.revision is not None:
-            self.store_changed(Changes(items=[], revision=self._view.revision))
+        view = self._view
+        if view.revision is not None:
+            self.store_changed(Changes(items=[], revision=view.revision, era=view.era))
 
     def view_abandoned(self):
         """Disconnects the followers, because this VM follows a relay itself."""
--- a/briarspoke/entry/view.py
+++ b/briarspoke/entry/view.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
 import random
 
 from twisted.internet import defer
 
 from briarspoke.errors import BriarspokeError
-from briarspoke.platform.keyvalue import HistoryGoneError
+from briarspoke.platform.keyvalue import HistoryGoneError, StoreRestoredError
 
 log = logging.getLogger(__name__)
 
@@ -35,7 +36,10 @@
 
     def __init__(self, *, client, sleep, clock):
         self.items = {}
+        # Revision up to which the items are complete, or None while they are not.
         self.revision = None
+        # Era of the store to which the revision belongs.
+        self.era = 0
         self.reachable = False
         self.last_contact = None
         # Time of the first answer at the start or after the last outage.
@@ -56,6 +60,9 @@
         # Coroutine function that runs before all items are read. It may connect to a
         # relay, which makes reading them unnecessary.
         self.find_relay = None
+        # Deferred of the pause between two calls.
+        self._pause = None
+        client.era_observers.append(self._era_rose)
 
     def observe(self, prefix, observer):
         """Calls ``observer(key, item)`` for each change; item is None if removed."""
@@ -101,6 +108,25 @@
         ended, self._relay_ended = self._relay_ended, None
         ended.callback(None)
 
+    @property
+    def has_store_era(self):
+        """Whether the items are of the highest era of the store that is known."""
+        return self.era == self._client.era
+
+    def _era_rose(self):
+        # A view that follows a relay takes its revision from there.
+        if not self.has_store_era and not self.uses_relay:
+            self.revision = None
+            if self._pause is not None:
+                self._pause.cancel()
+
+    async def _sleep_in_era(self, seconds):
+        """Waits for a number of seconds, or until the store is known as restored."""
+        self._pause = self._sleep(seconds)
+        with contextlib.suppress(defer.CancelledError):
+            await self._pause
+        self._pause = None
+
     async def read_prefix(self, prefix):
         """Reads the items whose keys begin with a prefix, before all others.
 
@@ -121,11 +147,14 @@
             except HistoryGoneError:
                 log.info("store: history gone, reading all revision=%s", self.revision)
                 self.revision = None
+            except StoreRestoredError:
+                # The next call reads all items, since they are not of the store's era.
+                continue
             except BriarspokeError as error:
                 if self.uses_relay:
                     continue
                 self._contact_failed(error)
-                await self._sleep(retry_s * (0.75 + random.random() / 2))
+                await self._sleep_in_era(retry_s * (0.75 + random.random() / 2))
                 retry_s = min(MAX_RETRY_S, 2 * retry_s)
             except Exception:
                 # The process would never hear of a change again if this loop ended.
@@ -139,6 +168,8 @@
             # detects the end of the outage sooner than reading all items.
             await self._client.probe()
             self.revision = None
+        if not self.has_store_era:
+            self.revision = None
         if self.revision is None and self.find_relay is not None:
             await self.find_relay()
             if self.uses_relay:
@@ -150,12 +181,12 @@
                 listener.view_replaced()
             return
         wait_s = RELAY_WATCH_WAIT_S if self.has_followers() else WATCH_WAIT_S
-        changes = await self._client.watch(self.revision, wait_s)
+        changes = await self._client.watch(self.revision, wait_s, self.era)
         if self.uses_relay:
             return
         self.apply_changes(changes)
         if changes.items:
-            await self._sleep(BATCH_DELAY_S)
+            await self._sleep_in_era(BATCH_DELAY_S)
 
     def _contact_succeeded(self):
         now = self._clock()
@@ -173,6 +204,11 @@
 
     def _replace_all(self, changes):
         self._contact_succeeded()
+        if changes.era != self.era:
+            # Registrations that the copy lacks get the time to return.
+            self.recovered_at = self._clock()
+            self.era = changes.era
+            self._client.learn_era(changes.era)
         by_key = {item.key: item for item in changes.items}
         for key in [key for key in self.items if key not in by_key]:
             self._remove(key)
@@ -181,13 +217,15 @@
         self.revision = changes.revision
 
     def _apply(self, item):
+        if item.era < self.era:
+            return
         if item.value is None:
             known = self.items.get(item.key)
-            if known is not None and known.revision < item.revision:
+            if known is not None and known.position < item.position:
                 self._remove(item.key)
             return
         known = self.items.get(item.key)
-        if known is not None and known.revision >= item.revision:
+        if known is not None and known.position >= item.position:
             return
         self.items[item.key] = item
         if known is None or known.value != item.value:
--- a/briarspoke/platform/keyvalue.py
+++ b/briarspoke/platform/keyvalue.py
@@ -4,9 +4,13 @@
 
 import base64
 import json
+import logging
 from urllib.parse import quote
 
+from twisted.internet import defer
+
 from briarspoke.errors import BriarspokeError
+from briarspoke.platform import headers
 from briarspoke.platform.values import (
     DecodeError,
     format_duration,
@@ -14,6 +18,8 @@
     require_field,
 )
 
+log = logging.getLogger(__name__)
+
 CALL_TIMEOUT_S = 1.0
 # A probe only looks up a missing key and transfers almost no data.
 PROBE_TIMEOUT_S = 0.5
@@ -24,6 +30,8 @@
 # The store answers a watch at the end of its wait. If no answer has come this long
 # after the wait, the connection is dead.
 WATCH_GRACE_S = 0.6
+# Statuses that tell something of the store's items or leases.
+STATUSES_OF_STATE = (200, 404, 410, 412)
 
 
 class StoreError(BriarspokeError):
@@ -41,8 +49,12 @@
     """The store no longer has the history that a watch requested."""
 
 
+class StoreRestoredError(StoreError):
+    """The store was restored from a copy, so revisions of before mean nothing."""
+
+
 class LeaseExpiredError(StoreError):
-    """The lease has expired or was ended."""
+    """The lease has expired, was ended or is of an earlier era of the store."""
 
 
 class ConditionFailedError(StoreError):
@@ -54,27 +66,57 @@
 
     :param value: bytes, or None if the key was removed.
     :param revision: store revision of the key's last change.
+    :param era: era of the store to which the revision belongs.
     """
 
-    __slots__ = ("key", "revision", "value")
+    __slots__ = ("era", "key", "revision", "value")
 
-    def __init__(self, *, key, value, revision):
+    def __init__(self, *, key, value, revision, era):
         self.key = key
         self.value = value
         self.revision = revision
+        self.era = era
+
+    @property
+    def position(self):
+        """Position in the order of all changes, over all eras."""
+        return (self.era, self.revision)
 
 
 class Changes:
-    """Items and the store revision up to which they are complete."""
+    """Items and the store revision, of one era, up to which they are complete."""
 
-    __slots__ = ("items", "revision")
+    __slots__ = ("era", "items", "revision")
 
-    def __init__(self, *, items, revision):
+    def __init__(self, *, items, revision, era):
         self.items = items
         self.revision = revision
+        self.era = era
+
+
+class Lease:
+    """A lease of the store.
+
+    :param lease_id: its number; it is given out again in a later era.
+    :param era: era of the store in which the lease was created.
+    """
+
+    __slots__ = ("era", "lease_id")
+
+    def __init__(self, *, lease_id, era):
+        self.lease_id = lease_id
+        self.era = era
+
 
+def _decode_era(answer):
+    """Returns the store's era in an answer, 0 if it has none that is readable."""
+    try:
+        return max(0, int(answer.get(headers.STORE_ERA) or 0))
+    except ValueError:
+        return 0
 
-def _decode_item(body):
+
+def _decode_item(body, era):
     if not isinstance(body, dict):
         raise DecodeError("an item is not a JSON object")
     if body.get("deleted"):
@@ -88,12 +130,16 @@
         key=require_field(body, "key", str),
         value=value,
         revision=require_field(body, "rev", int),
+        era=era,
     )
 
 
 class KeyValueClient:
     """Calls the key-value store; every call is a coroutine.
 
+    The store's era rises each time that the store is restored from a copy. Revisions
+    and leases are then given out again, so those of an earlier era are never sent.
+
     :param http: the :class:`briarspoke.entry.httpclient.HttpClient` to the store.
     :param count: called with (kind, outcome, seconds) after each call.
     :param clock: function that returns monotonic seconds.
@@ -103,15 +149,61 @@
         self._http = http
         self._count = count
         self._clock = clock
+        # Highest era known; 0 also for a store that has none.
+        self.era = 0
+        self._is_era_known = False
+        # Functions that are called without arguments after the era has risen.
+        self.era_observers = []
+        # HTTP calls of the watches that wait for an answer.
+        self._watches = set()
+
+    def learn_era(self, era):
+        """Notes an era of the store and calls the observers if it has risen.
+
+        Watches that are pending then fail with :class:`StoreRestoredError`.
+        """
+        if not self._is_era_known:
+            self._is_era_known = True
+            self.era = era
+        if era <= self.era:
+            return
+        log.warning("store: restored from a copy era=%d before=%d", era, self.era)
+        self.era = era
+        for observer in self.era_observers:
+            try:
+                observer()
+            except Exception:
+                log.exception("store: an observer of the era failed")
+        for watch in list(self._watches):
+            watch.cancel()
 
     async def _call(self, kind, method, path, body=None, timeout_s=CALL_TIMEOUT_S):
+        """Makes a call and returns the JSON value of its answer.
+
+        The answer is of the era that is known when the call returns.
+        """
         data = b"" if body is None else json.dumps(body).encode()
         sent_at = self._clock()
-        answer = await self._http.call(method, path, data, timeout_s=timeout_s)
+        pending = self._http.call(method, path, data, timeout_s=timeout_s)
+        if kind == "watch":
+            self._watches.add(pending)
+        try:
+            answer = await pending
+        except defer.CancelledError as error:
+            self._count(kind, "abandoned", self._clock() - sent_at)
+            raise StoreRestoredError(f"{kind}: the store was restored") from error
+        finally:
+            self._watches.discard(pending)
         outcome = str(answer.status) if answer.status else answer.failure
         self._count(kind, outcome, self._clock() - sent_at)
         if answer.status is None:
             raise StoreError(f"{kind}: {answer.failure}", outcome_unknown=answer.sent)
+        era = _decode_era(answer)
+        self.learn_era(era)
+        if era < self.era and answer.status in STATUSES_OF_STATE:
+            raise StoreError(
+                f"{kind}: the answer is of the earlier era {era}", outcome_unknown=True
+            )
         if answer.status == 410:
             raise HistoryGoneError(
                 f"{kind}: the requested history is no longer available"
@@ -146,48 +238,81 @@
 
         The pages are not one snapshot, so the result has the revision of the first
         page. A watch from that revision returns the changes made between pages.
+
+        :raises StoreRestoredError: if the store was restored between pages.
         """
         items = []
-        revision = None
+        revision = era = None
         after = ""
         while True:
             path = "/briarspoke/kv-range?prefix=" + quote(prefix, safe="")
             if after:
                 path += "&after=" + quote(after, safe="")
             body = await self._call("range", b"GET", path, timeout_s=READ_TIMEOUT_S)
-            items += [
-                _decode_item(entry) for entry in require_field(body, "items", list)
-            ]
             if revision is None:
                 revision = require_field(body, "store_revision", int)
+                era = self.era
+            self._require_era(era, "range")
+            items += [
+                _decode_item(entry, era) for entry in require_field(body, "items", list)
+            ]
             if not body.get("has_more") or not items:
-                return Changes(items=items, revision=revision)
+                return Changes(items=items, revision=revision, era=era)
             after = items[-1].key
 
-    async def watch(self, after, wait_s):
+    def _require_era(self, era, kind):
+        if era != self.era:
+            raise StoreRestoredError(f"{kind}: the store was restored")
+
+    def _require_lease(self, lease, kind):
+        if lease.era != self.era:
+            raise LeaseExpiredError(f"{kind}: the store was restored")
+
+    async def watch(self, after, wait_s, era):
         """Waits for changes after a store revision.
 
         :param after: store revision.
         :param wait_s: seconds to wait if there are no changes yet.
+        :param era: era to which the store revision belongs.
         :returns: the :class:`Changes`, without items if the wait ended first.
         :raises HistoryGoneError: if the store's history begins later.
+        :raises StoreRestoredError: if the store has a later era, also as soon as
+            another call shows it.
         """
+        self._require_era(era, "watch")
         path = f"/briarspoke/kv-watch?prefix=&after={after}&wait_ms={int(wait_s * 1e3)}"
         body = await self._call("watch", b"GET", path, timeout_s=wait_s + WATCH_GRACE_S)
-        items = [_decode_item(event) for event in require_field(body, "events", list)]
-        return Changes(items=items, revision=require_field(body, "store_revision", int))
+        self._require_era(era, "watch")
+        return Changes(
+            items=[
+                _decode_item(event, era)
+                for event in require_field(body, "events", list)
+            ],
+            revision=require_field(body, "store_revision", int),
+            era=era,
+        )
 
-    async def write(self, *, expected, puts=(), removals=(), lease=0):
+    async def write(self, *, expected, puts=(), removals=(), lease=None, era=None):
         """Runs a transaction and returns its store revision.
 
         :param expected: ``{key: revision}`` that the store must have; 0 means that
             the key must not exist.
         :param puts: ``{key: bytes}`` to write.
         :param removals: keys to remove.
-        :param lease: lease to which the written keys belong, or 0.
-        :raises ConditionFailedError: if a key has another revision; nothing is
-            written.
+        :param lease: :class:`Lease` to which the written keys belong, or None.
+        :param era: era to which the expected revisions belong; None if the
+            transaction expects none.
+        :raises ConditionFailedError: if a key has another revision, or the store is
+            known to have another era; nothing is written.
+        :raises LeaseExpiredError: if the lease has ended; nothing is written.
+        :raises StoreError: with an unknown outcome, if the answer shows that the store
+            has been restored.
         """
+        if lease is not None:
+            self._require_lease(lease, "write")
+            era = lease.era if era is None else era
+        if era is not None and era != self.era:
+            raise ConditionFailedError("write: the store was restored")
         body = await self._call(
             "write",
             b"POST",
@@ -200,17 +325,19 @@
                     {
                         "key": key,
                         "value": base64.b64encode(value).decode(),
-                        "lease": lease,
+                        "lease": 0 if lease is None else lease.lease_id,
                     }
                     for key, value in dict(puts).items()
                 ],
                 "remove": list(removals),
             },
         )
+        if era is not None and era != self.era:
+            raise StoreError("write: the store was restored", outcome_unknown=True)
         return require_field(body, "rev", int)
 
     async def create_lease(self, duration_s):
-        """Creates a lease and returns (lease, seconds until it expires)."""
+        """Returns a new :class:`Lease` and the seconds until it expires."""
         body = await self._call(
             "lease",
             b"POST",
@@ -218,17 +345,25 @@
             {"ttl_time": format_duration(duration_s)},
         )
         return (
-            require_field(body, "lease", int),
+            Lease(lease_id=require_field(body, "lease", int), era=self.era),
             parse_duration_s(require_field(body, "ttl_time", str)),
         )
 
     async def renew_lease(self, lease):
-        """Renews a lease.
+        """Renews a :class:`Lease`.
 
         :raises LeaseExpiredError: if it has expired or was ended.
         """
-        await self._call("renew", b"POST", f"/briarspoke/kv-keep/{lease}")
+        self._require_lease(lease, "renew")
+        await self._call("renew", b"POST", f"/briarspoke/kv-keep/{lease.lease_id}")
+        self._require_lease(lease, "renew")
 
     async def end_lease(self, lease):
-        """Ends a lease; the store removes its keys."""
-        await self._call("end-lease", b"DELETE", f"/briarspoke/kv-lease-end/{lease}")
+        """Ends a :class:`Lease`; the store removes its keys.
+
+        :raises LeaseExpiredError: if it has ended before.
+        """
+        self._require_lease(lease, "end-lease")
+        await self._call(
+            "end-lease", b"DELETE", f"/briarspoke/kv-lease-end/{lease.lease_id}"
+        )
--- a/tests/test_entry_faults.py
+++ b/tests/test_entry_faults.py
@@ -255,7 +255,7 @@
     @settings(derandomize=True, deadline=None)
     def test_any_item_of_the_store(self, entry):
         with pytest.raises(BriarspokeError):
-            keyvalue._decode_item(entry)
+            keyvalue._decode_item(entry, 1)
 
     @given(data=CBOR_DATA)
     @settings(derandomize=True, deadline=None)
--- /dev/null
+++ b/tests/test_entry_restored.py
@@ -0,0 +1,364 @@
+"""Tests of a store that was restored from a copy."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+from entry_fakes import STORE, World, configuration
+from twisted.internet import defer
+
+from briarspoke.entry.httpclient import HttpClient
+from briarspoke.platform.keyvalue import (
+    ConditionFailedError,
+    KeyValueClient,
+    LeaseExpiredError,
+    StoreError,
+    StoreRestoredError,
+)
+from briarspoke.standins.platform_store import StoreModel
+
+OWN_KEY = "briarspoke/nodes/front-poa-1"
+
+
+@pytest.fixture
+def world():
+    world = World()
+    world.store.put("op/config", configuration(version=4))
+    world.add_server("stock", 11)
+    world.node = world.add_node()
+    world.advance(1.0)
+    return world
+
+
+def write_others(world, count):
+    """Raises the store's revision by writes that no VM uses."""
+    for number in range(count):
+        world.store.put("op/other", b"%d" % number)
+
+
+def record_calls(world):
+    """Returns the list to which the target of each call to the store is added."""
+    targets = []
+    call = world.store.call
+    world.store.call = lambda *args: targets.append(args[1]) or call(*args)
+    return targets
+
+
+def leave_watches_silent(world):
+    """Leaves the watches that are pending now without an answer."""
+    pending = [entry[0] for entry in world.waiting]
+    poll = world.store.poll_watch
+    world.store.poll_watch = lambda watch: None if watch in pending else poll(watch)
+
+
+class TestRestoredStore:
+    def test_configuration_written_after_a_restore_is_in_force(self, world):
+        # Guards against new versions that are dropped for their lower revisions.
+        copy = world.store.copy()
+        write_others(world, 20)
+        world.store.put("op/config", configuration(version=7))
+        world.advance(1.0)
+        assert world.node.configuration_version == 7
+        world.store.restore(copy)
+        world.advance(1.0)
+        world.store.put("op/config", configuration(version=9))
+        world.advance(1.0)
+        assert world.node.configuration_version == 9
+
+    def test_configuration_written_after_an_outage_is_in_force(self, world):
+        copy = world.store.copy()
+        write_others(world, 20)
+        world.store.put("op/config", configuration(version=7))
+        world.advance(1.0)
+        world.store_down = True
+        world.advance(2.0)
+        world.store.restore(copy)
+        world.store.put("op/config", configuration(version=8))
+        world.store_down = False
+        world.advance(1.5)
+        assert world.node.configuration_version == 8
+        world.store.put("op/config", configuration(version=9))
+        world.advance(1.0)
+        assert world.node.configuration_version == 9
+
+    def test_watch_is_not_continued_at_a_revision_given_out_again(self, world):
+        # Guards against changes that are missed since a revision occurs a second time.
+        copy = world.store.copy()
+        write_others(world, 20)
+        world.advance(1.0)
+        world.node.faults(STORE).cut = True
+        world.store.restore(copy)
+        world.store.put("op/config", configuration(version=9))
+        world.store.delete("servers/s-11")
+        write_others(world, 40)
+        world.node.faults(STORE).cut = False
+        world.advance(1.0)
+        assert world.node.configuration_version == 9
+        assert "servers/s-11" not in world.node.view.items
+
+    def test_pending_watch_does_not_delay_the_new_era(self, world):
+        # Guards against a VM that waits for the end of a watch of the old era.
+        copy = world.store.copy()
+        write_others(world, 20)
+        world.advance(1.0)
+        leave_watches_silent(world)
+        world.store.restore(copy)
+        world.store.put("op/config", configuration(version=9))
+        defer.ensureDeferred(world.node.store.probe())
+        world.advance(0.1)
+        assert world.node.configuration_version == 9
+
+    def test_late_answer_of_an_old_watch_is_not_applied(self, world):
+        copy = world.store.copy()
+        write_others(world, 20)
+        world.advance(1.0)
+        seen = []
+        world.node.view.observe("op/late", lambda key, item: seen.append(item))
+        world.store.put("op/late", b"1")
+        world.reactor.advance(0.001)
+        world.store.restore(copy)
+        world.node.store.learn_era(world.store.era)
+        world.advance(2.0)
+        assert not seen
+
+    def test_configuration_does_not_go_back_to_the_copy(self, world):
+        copy = world.store.copy()
+        world.store.put("op/config", configuration(version=7))
+        world.advance(1.0)
+        world.store.restore(copy)
+        world.advance(5.0)
+        assert world.node.configuration_version == 7
+        world.store.put("op/config", configuration(version=7))
+        world.advance(1.0)
+        assert world.node.configuration_version == 7
+        world.store.put("op/config", configuration(version=8))
+        world.advance(1.0)
+        assert world.node.configuration_version == 8
+
+    def test_items_missing_in_the_copy_are_removed(self, world):
+        copy = world.store.copy()
+        world.store.put("op/new", b"1")
+        world.advance(1.0)
+        world.store.restore(copy)
+        world.advance(1.0)
+        assert "op/new" not in world.node.view.items
+
+    def test_servers_missing_in_the_copy_have_time_to_return(self, world):
+        copy = world.store.copy()
+        for number in (12, 13):
+            world.add_server("stock", number)
+        world.advance(5.0)
+        servers = world.node.dispatcher("stock").servers
+        world.store.restore(copy)
+        world.advance(1.0)
+        assert {"s-12", "s-13"} <= servers.keys()
+        world.add_server("stock", 12)
+        world.advance(2.0)
+        assert "s-12" in servers
+        assert "s-13" not in servers
+
+    def test_two_restores(self, world):
+        copy = world.store.copy()
+        for version in (7, 9):
+            write_others(world, 20)
+            world.advance(1.0)
+            world.store.restore(copy)
+            world.store.put("op/config", configuration(version=version))
+            world.advance(1.0)
+            assert world.node.configuration_version == version
+
+
+class TestAbandonedWatch:
+    @pytest.fixture
+    def client(self, world):
+        http = HttpClient(
+            reactor=world.reactor,
+            clock=world.reactor.seconds,
+            host=STORE[0],
+            port=STORE[1],
+            held_answers=world.node.held_answers,
+        )
+        return KeyValueClient(
+            http=http, count=lambda *args: None, clock=world.reactor.seconds
+        )
+
+    def watch(self, client):
+        """Returns the outcomes of a watch that begins now."""
+        results = []
+        client.learn_era(1)
+        watch = defer.ensureDeferred(client.watch(5, 3.0, 1))
+        watch.addErrback(lambda failure: results.append(failure.type))
+        return results
+
+    def test_connection_is_closed(self, world, client):
+        # Guards against connections of watches that pile up.
+        timers = len(world.reactor.getDelayedCalls())
+        results = self.watch(client)
+        peer, _ = world.accept()
+        client.learn_era(2)
+        assert results == [StoreRestoredError]
+        assert peer.socket.aborted
+        peer.close()
+        assert len(world.reactor.getDelayedCalls()) == timers
+
+    def test_connection_that_is_not_open_yet_is_closed(self, world, client):
+        results = self.watch(client)
+        client.learn_era(2)
+        assert results == [StoreRestoredError]
+        peer, _ = world.accept()
+        assert peer.socket.aborted
+        assert not peer.take()
+
+    def test_next_call_has_an_answer(self, world, client):
+        self.watch(client)
+        world.accept()
+        client.learn_era(2)
+        results = []
+        defer.ensureDeferred(client.probe()).addBoth(results.append)
+        peer, _ = world.accept()
+        peer.send(b"HTTP/1.1 404 X\r\nStore-Era: 2\r\nContent-Length: 0\r\n\r\n")
+        assert results == [None]
+
+
+class TestRegistrationInARestoredStore:
+    @pytest.mark.parametrize("missing", [True, False])
+    def test_vm_is_registered_again(self, world, missing):
+        # Guards against a VM whose registration ends with a lease of the old era.
+        if missing:
+            world.store.delete(OWN_KEY)
+        copy = world.store.copy()
+        world.advance(4.0)
+        world.store.restore(copy)
+        world.advance(0.2)
+        assert OWN_KEY in world.store.items
+        world.advance(20.0)
+        assert OWN_KEY in world.store.items
+
+    def test_lease_of_another_vm_is_not_renewed(self, world):
+        # Guards against a VM that keeps another's lease, given out again, alive.
+        world.advance(0.5)
+        world.store.delete(OWN_KEY)
+        copy = world.store.copy()
+        world.advance(1.0)
+        lease = world.store.items[OWN_KEY]["lease"]
+        world.node.faults(STORE).cut = True
+        world.store.restore(copy)
+        body = json.dumps({"ttl_time": "9000ms"}).encode()
+        reply = world.store.call("POST", "/briarspoke/kv-lease", body)
+        assert reply.body["lease"] == lease
+        world.store.put("op/of-another-vm", b"1", lease)
+        world.node.faults(STORE).cut = False
+        world.advance(9.5)
+        assert OWN_KEY in world.store.items
+        assert "op/of-another-vm" not in world.store.items
+
+
+class TestClientOfARestoredStore:
+    @pytest.fixture
+    def client(self, world):
+        return world.node.store
+
+    def run(self, world, coroutine):
+        """Returns the outcome of a call, a result or a Failure."""
+        results = []
+        defer.ensureDeferred(coroutine).addBoth(results.append)
+        world.advance(0.1)
+        return results[0]
+
+    def lease_given_out_again(self, world, client):
+        copy = world.store.copy()
+        lease, _ = self.run(world, client.create_lease(10.0))
+        world.store.restore(copy)
+        body = json.dumps({"ttl_time": "9000ms"}).encode()
+        reply = world.store.call("POST", "/briarspoke/kv-lease", body)
+        world.store.put("op/of-another-vm", b"1", reply.body["lease"])
+        return lease
+
+    def test_lease_id_given_out_again_is_not_renewed(self, world, client):
+        lease = self.lease_given_out_again(world, client)
+        self.run(world, client.probe())
+        targets = record_calls(world)
+        failure = self.run(world, client.renew_lease(lease))
+        assert failure.check(LeaseExpiredError)
+        assert not any("kv-keep" in target for target in targets)
+
+    def test_lease_id_given_out_again_is_not_ended(self, world, client):
+        lease = self.lease_given_out_again(world, client)
+        self.run(world, client.probe())
+        failure = self.run(world, client.end_lease(lease))
+        assert failure.check(LeaseExpiredError)
+        assert "op/of-another-vm" in world.store.items
+
+    def test_lease_id_given_out_again_is_not_written_with(self, world, client):
+        lease = self.lease_given_out_again(world, client)
+        self.run(world, client.probe())
+        write = client.write(expected={}, puts={"k": b"1"}, lease=lease)
+        assert self.run(world, write).check(LeaseExpiredError)
+        assert "k" not in world.store.items
+
+    def test_renewal_that_shows_a_new_era_has_failed(self, world, client):
+        lease = self.lease_given_out_again(world, client)
+        failure = self.run(world, client.renew_lease(lease))
+        assert failure.check(LeaseExpiredError)
+
+    def test_write_with_a_revision_of_the_old_era_is_not_sent(self, world, client):
+        era = client.era
+        world.store.restore(world.store.copy())
+        self.run(world, client.probe())
+        write = client.write(expected={"k": 0}, puts={"k": b"1"}, era=era)
+        assert self.run(world, write).check(ConditionFailedError)
+        assert "k" not in world.store.items
+
+    def test_write_that_shows_a_new_era_has_an_unknown_outcome(self, world, client):
+        era = client.era
+        world.advance(0.5)
+        world.store.restore(world.store.copy())
+        write = client.write(expected={"k": 0}, puts={"k": b"1"}, era=era)
+        failure = self.run(world, write)
+        assert failure.check(StoreError)
+        assert failure.value.outcome_unknown
+
+    def test_answer_of_an_old_era_is_refused(self, world, client):
+        world.store.restore(world.store.copy())
+        self.run(world, client.probe())
+        world.store.era -= 1
+        failure = self.run(world, client.write(expected={}, puts={"k": b"1"}))
+        assert failure.check(StoreError)
+        assert failure.value.outcome_unknown
+        assert client.era == 2
+
+    def test_pages_of_two_eras_are_not_mixed(self, world, client):
+        for number in range(600):
+            world.store.put(f"op/{number:03}", b"1")
+        world.advance(2.0)
+        call = world.store.call
+
+        def restore_after_a_page(*args):
+            reply = call(*args)
+            if "after=op" not in args[1] and "kv-range" in args[1]:
+                world.store.restore(world.store.copy())
+            return reply
+
+        world.node.view.find_relay = None
+        reading = client.read_all("op/")
+        world.store.call = restore_after_a_page
+        assert self.run(world, reading).check(StoreError)
+
+    def test_observers_are_called_when_the_era_rises(self, world):
+        eras = []
+        node = world.add_node("front-poa-2", 2, start=False)
+        client = node.store
+        client.era_observers.append(lambda: eras.append(client.era))
+        self.run(world, client.probe())
+        assert not eras
+        world.store.restore(world.store.copy())
+        self.run(world, client.probe())
+        self.run(world, client.probe())
+        assert eras == [2]
+
+    def test_store_without_the_header_has_era_0(self, world, monkeypatch):
+        monkeypatch.setattr(StoreModel, "headers", [])
+        node = world.add_node("front-poa-2", 2, start=False)
+        changes = self.run(world, node.store.read_all())
+        assert changes.era == 0
--- a/tests/test_entry_view.py
+++ b/tests/test_entry_view.py
@@ -24,11 +24,12 @@
 def relayed(world, version):
     """Returns the :class:`Changes` that a relay with a configuration version sends."""
     world.store.put("op/config", configuration(version=version))
+    era = world.store.era
     items = [
-        Item(key=item["key"], value=item["value"], revision=item["rev"])
+        Item(key=item["key"], value=item["value"], revision=item["rev"], era=era)
         for item in world.store.items.values()
     ]
-    return Changes(items=items, revision=world.store.revision)
+    return Changes(items=items, revision=world.store.revision, era=era)
 
 
 class TestRegistration:
@@ -197,7 +198,8 @@
         # configuration arrives, and then reads all items from the store.
         _other, follower, link, data = self.connect(world)
         link.dataReceived(data)
-        frame = zlib.compress(cbor2.dumps([[], world.store.revision, False]))
+        body = [[], world.store.revision, world.store.era, False]
+        frame = zlib.compress(cbor2.dumps(body))
         for byte in len(frame).to_bytes(4) + frame:
             link.dataReceived(bytes([byte]))
             world.advance(0.2)
@@ -243,7 +245,10 @@
         other, _follower, link, data = self.connect(world)
         link.dataReceived(data)
         items = [i for i in other.view.items.values() if i.key != "servers/s-11"]
-        frame = _encode(items, other.view.revision + 1, whole=True)
+        changes = Changes(
+            items=items, revision=other.view.revision + 1, era=other.view.era
+        )
+        frame = _encode(changes, whole=True)
         link.dataReceived(len(frame).to_bytes(4) + frame)
         assert "s-11" in other.dispatcher("stock").servers
         world.advance(2.5)
