Keep followers and relays of different eras apart

Cause: a follower compared the revision of a relay's view with its own, and took changes from its relay without a look at the era. A follower in a new era could go back to the view of a relay that had not learned of it, and one whose own call showed the new era stayed with that relay. Callers would see routes of an old configuration meanwhile.

A follower applies changes of its own era only, takes a whole view of a newer era, and refuses one that is older than the highest era it knows. One that learns of a newer era by a call of its own leaves its relay at once; if the relay turns out to be behind, it reads all items itself without waiting for it.

Evidence: TestRelayInARestoredStore (four VMs in a zone).

--- a/briarspoke/entry/relays.py
+++ b/briarspoke/entry/relays.py
@@ -193,6 +193,15 @@
         self._connecting = False
         self._last_data_at = 0.0
         self._next_attempt_at = 0.0
+        # Whether the relay's last frame was refused because of its era or revision.
+        self._is_relay_behind = False
+        node.store.era_observers.append(self._era_rose)
+
+    def _era_rose(self):
+        # The relay may learn of the new era later than this VM.
+        view = self._node.view
+        if self.connected and view.uses_relay and not view.has_store_era:
+            self._disconnect()
 
     @property
     def connected(self):
@@ -219,14 +228,20 @@
     async def wait_for_first_view(self):
         """Connects to the relay and waits until it has sent its whole view.
 
-        Returns without a view if there is no relay or it cannot be reached in time.
+        Returns without a view if there is no relay, it cannot be reached in time or its
+        view is older than this VM's.
 
         :raises BriarspokeError: if the store does not answer.
         """
         node = self._node
         await node.view.read_prefix(node.registry.prefix)
         give_up_at = node.now() + FIRST_VIEW_TIMEOUT_S
-        while not node.view.uses_relay and node.registry.relay_address() is not None:
+        self._is_relay_behind = False
+        while (
+            not node.view.uses_relay
+            and not self._is_relay_behind
+            and node.registry.relay_address() is not None
+        ):
             if self.connected:
                 # The first frame may take long, so only the heartbeat timeout ends the
                 # wait.
@@ -268,18 +283,30 @@
             self._disconnect()
             return
         view = self._node.view
-        if view.uses_relay and whole:
-            view.replace_from_relay(changes)
-        elif view.uses_relay:
-            view.apply_changes(changes)
-        elif view.revision is None or changes.revision >= view.revision:
+        if not self._is_current(changes, whole):
+            self._is_relay_behind = True
+            self._disconnect()
+        elif not view.uses_relay:
             log.info(
                 "relays: follows host=%s revision=%d", self._host, changes.revision
             )
             view.switch_to_relay(changes)
+        elif whole:
+            view.replace_from_relay(changes)
         else:
-            # The relay's view is older than this VM's.
-            self._disconnect()
+            view.apply_changes(changes)
+
+    def _is_current(self, changes, whole):
+        """Returns whether a frame is not older than the view and can be applied."""
+        view = self._node.view
+        if changes.era < self._node.store.era:
+            return False
+        if view.uses_relay:
+            return whole or changes.era == view.era
+        return whole and (
+            view.revision is None
+            or (changes.era, changes.revision) >= (view.era, view.revision)
+        )
 
     def connection_lost(self, link):
         """Watches the store again if the link was the current one."""
--- a/tests/test_entry_restored.py
+++ b/tests/test_entry_restored.py
@@ -5,12 +5,15 @@
 import json
 
 import pytest
-from entry_fakes import STORE, World, configuration
+from entry_fakes import CLOSED, STORE, ServerSocket, World, configuration
 from twisted.internet import defer
 
 from briarspoke.entry.httpclient import HttpClient
+from briarspoke.entry.relays import _decode, _encode
 from briarspoke.platform.keyvalue import (
+    Changes,
     ConditionFailedError,
+    Item,
     KeyValueClient,
     LeaseExpiredError,
     StoreError,
@@ -221,6 +224,172 @@
         assert results == [None]
 
 
+class RelayNetwork:
+    """Carries the connections between the relay and the followers of a zone."""
+
+    def __init__(self, world):
+        self.world = world
+        # Frames that the relay has sent, each with the follower's link.
+        self.frames = []
+        self._pairs = []
+
+    def advance(self, seconds):
+        for _ in range(round(seconds / 0.02)):
+            self.world.advance(0.02)
+            self._connect()
+            for pair in list(self._pairs):
+                self._deliver(pair)
+
+    def _connect(self):
+        clients = self.world.reactor.tcpClients
+        for attempt in [attempt for attempt in clients if attempt[1] == 9000]:
+            clients.remove(attempt)
+            host, _, factory = attempt[:3]
+            relay = next(n.relay for n in self.world.nodes if n.settings.ip == host)
+            pair = (relay.buildProtocol(None), factory.buildProtocol(None))
+            for end in pair:
+                end.makeConnection(ServerSocket())
+            self._pairs.append(pair)
+
+    def _deliver(self, pair):
+        relay_link, link = pair
+        data = relay_link.transport.take()
+        if data and not link.transport.disconnecting:
+            self.frames.append((link, data))
+            link.dataReceived(data)
+        if any(end.transport.disconnecting for end in pair):
+            self._pairs.remove(pair)
+            for end in pair:
+                end.connectionLost(CLOSED)
+
+
+def decode_frames(data):
+    """Returns [(:class:`Changes`, whether they are a whole view)] of frames."""
+    frames = []
+    while data:
+        end = 4 + int.from_bytes(data[:4])
+        frames.append(_decode(data[4:end]))
+        data = data[end:]
+    return frames
+
+
+class TestRelayInARestoredStore:
+    @pytest.fixture
+    def zone(self, world):
+        """A zone of four VMs, of which the first is the relay."""
+        world.network = RelayNetwork(world)
+        for number in (2, 3, 4):
+            world.add_node(f"front-poa-{number}", number)
+        world.network.advance(8.0)
+        assert [node.view.uses_relay for node in world.nodes] == [False] + 3 * [True]
+        return world
+
+    def send(self, node, changes, *, whole):
+        """Sends a frame to a follower in the name of its relay."""
+        frame = _encode(changes, whole=whole)
+        follower = node.relay_follower
+        follower._link.dataReceived(len(frame).to_bytes(4) + frame)
+
+    def changes(self, *, era, revision, version):
+        item = Item(
+            key="op/config",
+            value=configuration(version=version),
+            revision=revision,
+            era=era,
+        )
+        return Changes(items=[item], revision=revision, era=era)
+
+    @pytest.mark.parametrize("outage_s", [0.0, 2.0])
+    def test_all_vms_of_a_zone_take_the_new_configuration(self, zone, outage_s):
+        copy = zone.store.copy()
+        write_others(zone, 20)
+        zone.store.put("op/config", configuration(version=7))
+        zone.network.advance(2.0)
+        if outage_s:
+            zone.store_down = True
+            zone.network.advance(outage_s)
+        zone.store.restore(copy)
+        zone.store.put("op/config", configuration(version=8))
+        zone.store_down = False
+        zone.network.advance(2.0)
+        assert [node.configuration_version for node in zone.nodes] == 4 * [8]
+        zone.store.put("op/config", configuration(version=9))
+        zone.network.advance(1.0)
+        assert [node.configuration_version for node in zone.nodes] == 4 * [9]
+
+    def test_followers_and_relay_of_different_eras(self, zone):
+        # Guards against a follower that stays with a relay in the old era.
+        copy = zone.store.copy()
+        write_others(zone, 20)
+        zone.network.advance(1.0)
+        leave_watches_silent(zone)
+        zone.store.restore(copy)
+        zone.store.put("op/config", configuration(version=9))
+        follower = zone.nodes[1]
+        defer.ensureDeferred(follower.store.probe())
+        zone.network.advance(0.3)
+        assert follower.configuration_version == 9
+        zone.network.advance(2.0)
+        assert [node.configuration_version for node in zone.nodes] == 4 * [9]
+        zone.network.advance(4.0)
+        assert all(node.view.uses_relay for node in zone.nodes[1:])
+
+    def test_whole_view_of_a_new_era_is_taken(self, zone):
+        follower = zone.nodes[1]
+        changes = self.changes(era=2, revision=1, version=9)
+        self.send(follower, changes, whole=True)
+        assert follower.view.uses_relay
+        assert (follower.view.era, follower.view.revision) == (2, 1)
+        assert follower.store.era == 2
+        assert follower.configuration_version == 9
+        assert list(follower.view.items) == ["op/config"]
+
+    @pytest.mark.parametrize("era", [1, 3])
+    def test_changes_of_another_era_are_not_applied(self, zone, era):
+        follower = zone.nodes[1]
+        self.send(follower, self.changes(era=2, revision=1, version=5), whole=True)
+        self.send(follower, self.changes(era=era, revision=900, version=9), whole=False)
+        assert not follower.view.uses_relay
+        assert follower.configuration_version == 5
+
+    def test_whole_view_of_an_old_era_is_refused(self, zone):
+        follower = zone.nodes[1]
+        self.send(follower, self.changes(era=2, revision=1, version=5), whole=True)
+        self.send(follower, self.changes(era=1, revision=900, version=9), whole=True)
+        assert not follower.view.uses_relay
+        assert follower.configuration_version == 5
+
+    def test_relay_sends_nothing_before_it_has_read_the_new_era(self, zone):
+        # Guards against frames with items of two eras.
+        network = zone.network
+        copy = zone.store.copy()
+        write_others(zone, 20)
+        network.advance(1.0)
+        network.frames.clear()
+        relay = zone.nodes[0]
+        relay.faults(STORE).late_s = 0.2
+        zone.store.restore(copy)
+        relay.store.learn_era(zone.store.era)
+        network.advance(0.1)
+        assert not network.frames
+        network.advance(2.0)
+        for node in zone.nodes[1:]:
+            link = node.relay_follower._link
+            data = b"".join(data for to, data in network.frames if to is link)
+            frames = decode_frames(data)
+            assert {changes.era for changes, _ in frames} == {2}
+            assert frames[0][1]
+
+    def test_relay_with_an_old_view_takes_no_follower(self, zone):
+        relay = zone.nodes[0]
+        relay.faults(STORE).late_s = 0.2
+        relay.store.learn_era(2)
+        link = relay.relay.buildProtocol(None)
+        link.makeConnection(ServerSocket())
+        assert link.transport.disconnecting
+        assert not link.transport.take()
+
+
 class TestRegistrationInARestoredStore:
     @pytest.mark.parametrize("missing", [True, False])
     def test_vm_is_registered_again(self, world, missing):
