Let leases of a restored copy run on in the stand-in

A lease of the copy kept its time of expiry, so a copy of some seconds ago came back without the control record and the registrations that it has. The time that was left at the copy now counts from the restore. test_leases_of_the_copy_run_on failed before at `"b" in store.items`.

--- a/briarspoke/standins/platform_store.py
+++ b/briarspoke/standins/platform_store.py
@@ -48,7 +48,10 @@
 
 
 class StoreCopy:
-    """State of a store at one time, from which the store can be restored."""
+    """State of a store at one time, from which the store can be restored.
+
+    :param leases: ``{lease: (seconds left, duration in seconds)}``.
+    """
 
     __slots__ = (
         "history",
@@ -124,12 +127,16 @@
 
     def copy(self):
         """Returns a :class:`StoreCopy` of the present state."""
+        now = self._clock()
         return StoreCopy(
             items=dict(self.items),
             revision=self.revision,
             history=list(self._history),
             oldest_revision=self.oldest_revision,
-            leases=dict(self._leases),
+            leases={
+                lease: (expires_at - now, duration_s)
+                for lease, (expires_at, duration_s) in self._leases.items()
+            },
             next_lease=self._next_lease,
         )
 
@@ -137,14 +144,18 @@
         """Replaces the state by that of a copy, which begins a new era.
 
         Changes since the copy are lost, and their revisions and leases are given out
-        again.
+        again. Leases of the copy run on from now.
         """
+        now = self._clock()
         self.era += 1
         self.items = dict(copy.items)
         self.revision = copy.revision
         self.oldest_revision = copy.oldest_revision
         self._history = list(copy.history)
-        self._leases = dict(copy.leases)
+        self._leases = {
+            lease: (now + left_s, duration_s)
+            for lease, (left_s, duration_s) in copy.leases.items()
+        }
         self._next_lease = copy.next_lease
         self.changed()
 
--- a/tests/test_standins_platform_store.py
+++ b/tests/test_standins_platform_store.py
@@ -10,8 +10,13 @@
 
 
 @pytest.fixture
-def store():
-    store = StoreModel(clock=lambda: 10.0)
+def clock():
+    return [10.0]
+
+
+@pytest.fixture
+def store(clock):
+    store = StoreModel(clock=lambda: clock[0])
     store.put("a", b"1")
     return store
 
@@ -62,6 +67,20 @@
         assert again == lease
         assert post(store, f"kv-keep/{lease}").status == 200
 
+    def test_leases_of_the_copy_run_on(self, store, clock):
+        lease = post(store, "kv-lease", {"ttl_time": "1000ms"}).body["lease"]
+        store.put("b", b"2", lease)
+        clock[0] += 0.4
+        copy = store.copy()
+        clock[0] += 5.0
+        store.restore(copy)
+        clock[0] += 0.5
+        store.expire()
+        assert "b" in store.items
+        clock[0] += 0.2
+        store.expire()
+        assert "b" not in store.items
+
     def test_pending_watch_of_a_lost_revision_gets_410(self, store):
         copy = store.copy()
         store.put("b", b"2")
