Register and compete for control again in a new era

Cause: registration and control lasted until the next renewal failed, and control competed with the view of the old era. For up to 0.8 s a controller of the old era wrote key maps, whose preconditions the new era may satisfy again. A controller could also take the record that its own earlier term has in the copy for the one that it had just tried to write, and hold it with a lease that the record does not have.

A VM registers at once when the era rises, whichever call shows it. The controller steps down at once and forgets the lease of its last attempt. A VM competes again when its view is of the store's era, and only with a lease of that era; writes of the control record name the era of the revision that they expect. A controller that learns of the new era while it resigns does not compete again.

--- a/briarspoke/entry/registry.py
+++ b/briarspoke/entry/registry.py
@@ -5,6 +5,7 @@
 import json
 import logging
 
+from briarspoke.entry.pauses import Pause
 from briarspoke.entry.relays import MIN_NODES
 from briarspoke.errors import BriarspokeError
 
@@ -56,7 +57,14 @@
         self._lower_since = None
         # Names of the entry VMs in this VM's availability zone, sorted.
         self.zone_nodes = ()
+        self._pause = Pause(sleep=node.sleep)
         node.view.observe(NODE_PREFIX, self._changed)
+        node.store.era_observers.append(self._era_rose)
+
+    def _era_rose(self):
+        # The lease of the old era may be another VM's now.
+        self._lease = None
+        self._pause.end()
 
     def _changed(self, key, item):
         if item is None:
@@ -170,6 +178,7 @@
         }
         value = json.dumps(registration).encode()
         while not self._stopping:
+            era = store.era
             try:
                 if self._lease is None:
                     lease, _ = await store.create_lease(LEASE_S)
@@ -184,7 +193,8 @@
                 log.info("registry: call failed error=%r", str(error))
                 if not getattr(error, "outcome_unknown", False):
                     self._lease = None
-                await self._node.sleep(CHECK_INTERVAL_S)
+                if store.era == era:
+                    await self._pause.wait(CHECK_INTERVAL_S)
             except Exception:
                 log.exception("registry: unexpected error")
                 await self._node.sleep(CHECK_INTERVAL_S)
@@ -192,7 +202,7 @@
     async def _wait_for_renewal(self):
         renew_at = self._node.now() + RENEWAL_INTERVAL_S
         while self._lease is not None and self._node.now() < renew_at:
-            await self._node.sleep(CHECK_INTERVAL_S)
+            await self._pause.wait(CHECK_INTERVAL_S)
 
     async def leave(self):
         """Removes the registration by ending its lease."""
--- a/briarspoke/entry/view.py
+++ b/briarspoke/entry/view.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import contextlib
 import logging
 import random
 
 from twisted.internet import defer
 
+from briarspoke.entry.pauses import Pause
 from briarspoke.errors import BriarspokeError
 from briarspoke.platform.keyvalue import HistoryGoneError, StoreRestoredError
 
@@ -60,8 +60,7 @@
         # Coroutine function that runs before all items are read. It may connect to a
         # relay, which makes reading them unnecessary.
         self.find_relay = None
-        # Deferred of the pause between two calls.
-        self._pause = None
+        self._pause = Pause(sleep=sleep)
         client.era_observers.append(self._era_rose)
 
     def observe(self, prefix, observer):
@@ -117,15 +116,7 @@
         # A view that follows a relay takes its revision from there.
         if not self.has_store_era and not self.uses_relay:
             self.revision = None
-            if self._pause is not None:
-                self._pause.cancel()
-
-    async def _sleep_in_era(self, seconds):
-        """Waits for a number of seconds, or until the store is known as restored."""
-        self._pause = self._sleep(seconds)
-        with contextlib.suppress(defer.CancelledError):
-            await self._pause
-        self._pause = None
+            self._pause.end()
 
     async def read_prefix(self, prefix):
         """Reads the items whose keys begin with a prefix, before all others.
@@ -154,7 +145,7 @@
                 if self.uses_relay:
                     continue
                 self._contact_failed(error)
-                await self._sleep_in_era(retry_s * (0.75 + random.random() / 2))
+                await self._pause.wait(retry_s * (0.75 + random.random() / 2))
                 retry_s = min(MAX_RETRY_S, 2 * retry_s)
             except Exception:
                 # The process would never hear of a change again if this loop ended.
@@ -186,7 +177,7 @@
             return
         self.apply_changes(changes)
         if changes.items:
-            await self._sleep_in_era(BATCH_DELAY_S)
+            await self._pause.wait(BATCH_DELAY_S)
 
     def _contact_succeeded(self):
         now = self._clock()
--- a/briarspoke/keyspace/leadership.py
+++ b/briarspoke/keyspace/leadership.py
@@ -116,6 +116,11 @@
         self._attempted_lease = None
         self._renewed_at = None
         self._resigned = False
+        client.era_observers.append(self._era_rose)
+
+    def _era_rose(self):
+        self._attempted_lease = None
+        self.step_down("the store was restored")
 
     @property
     def is_leader(self):
@@ -205,8 +210,9 @@
 
     async def _try_to_acquire(self):
         view = self._view
-        if not view.reachable:
+        if not view.reachable or not view.has_store_era:
             return
+        era = view.era
         item = view.items.get(CONTROL_KEY)
         holder = None if item is None else decode(item.value)
         is_free = (
@@ -235,12 +241,15 @@
         if not is_free:
             return
         lease, _ = await self._client.create_lease(LEASE_S)
+        if lease.era != era:
+            return
         self._attempted_lease = lease
         expected = 0 if item is None else item.revision
         revision = await self._client.write(
             expected={CONTROL_KEY: expected},
             puts={CONTROL_KEY: self.own_record.encode()},
             lease=lease,
+            era=era,
         )
         # A former process of this VM may have taken over just before it ended, from a
         # controller that still renews grants.
@@ -281,9 +290,15 @@
             # it would be unknown which process is the controller.
             await self._renew()
         except BriarspokeError as error:
-            log.warning("control: kept, the store does not answer error=%r", str(error))
-            return not self.is_leader
+            if self.is_leader:
+                log.warning(
+                    "control: kept, the store does not answer error=%r", str(error)
+                )
+                return False
         self._resigned = True
+        if not self.is_leader:
+            return True
+        era = self._view.era
         revision, self.revision = self.revision, None
         record = ControlRecord(
             node=self.own_record.node,
@@ -295,7 +310,9 @@
         )
         try:
             await self._client.write(
-                expected={CONTROL_KEY: revision}, puts={CONTROL_KEY: record.encode()}
+                expected={CONTROL_KEY: revision},
+                puts={CONTROL_KEY: record.encode()},
+                era=era,
             )
             log.info("control: resigned")
         except BriarspokeError as error:
--- a/tests/test_entry_restored.py
+++ b/tests/test_entry_restored.py
@@ -399,10 +399,32 @@
         copy = world.store.copy()
         world.advance(4.0)
         world.store.restore(copy)
-        world.advance(0.2)
-        assert OWN_KEY in world.store.items
-        world.advance(20.0)
-        assert OWN_KEY in world.store.items
+        world.advance(0.1)
+        assert world.store.items[OWN_KEY]["rev"] > copy.revision
+        for _ in range(200):
+            world.advance(0.1)
+            assert OWN_KEY in world.store.items
+
+    def test_vm_is_registered_again_after_a_call_of_its_own(self, world):
+        copy = world.store.copy()
+        leave_watches_silent(world)
+        world.store.restore(copy)
+        defer.ensureDeferred(world.node.store.probe())
+        world.advance(0.1)
+        assert world.store.items[OWN_KEY]["rev"] > copy.revision
+
+    def test_vm_is_registered_again_while_it_registers(self, world):
+        # Guards against a VM that waits since its first attempt met the new era.
+        copy = world.store.copy()
+        world.node.faults(STORE).late_s = 0.1
+        world.store.delete(OWN_KEY)
+        targets = record_calls(world)
+        while not any("kv-lease" in target for target in targets):
+            world.advance(0.01)
+        world.node.faults(STORE).late_s = 0.0
+        world.store.restore(copy)
+        world.advance(0.3)
+        assert world.store.items[OWN_KEY]["rev"] > copy.revision
 
     def test_lease_of_another_vm_is_not_renewed(self, world):
         # Guards against a VM that keeps another's lease, given out again, alive.
@@ -423,6 +445,108 @@
         assert "op/of-another-vm" not in world.store.items
 
 
+class TestControlOfARestoredStore:
+    @pytest.fixture
+    def leader(self, world):
+        world.add_node("front-cwb-1", 2, zone="cwb")
+        world.advance(3.0)
+        return self.leader_of(world)
+
+    def leader_of(self, world):
+        """Returns the only VM that is the controller."""
+        [leader] = [node for node in world.nodes if node.control.is_leader]
+        return leader
+
+    def test_controller_steps_down(self, world, leader):
+        # Guards against a controller whose lease may be another's in the new era.
+        world.store.restore(world.store.copy())
+        defer.ensureDeferred(leader.store.probe())
+        world.advance(0.01)
+        assert not leader.control.is_leader
+
+    def test_there_is_a_controller_again(self, world, leader):
+        copy = world.store.copy()
+        world.advance(4.0)
+        world.store.restore(copy)
+        world.advance(4.0)
+        leadership = self.leader_of(world).control.leadership
+        assert leadership.revision == world.store.items["briarspoke/control"]["rev"]
+        assert leadership.revision > copy.revision
+        world.advance(10.0)
+        assert self.leader_of(world).control.leadership is leadership
+
+    def test_controller_of_the_copy_does_not_return_with_its_record(
+        self, world, leader
+    ):
+        copy = world.store.copy()
+        leader.faults(STORE).cut = True
+        world.advance(4.0)
+        other = next(node for node in world.nodes if node is not leader)
+        assert other.control.is_leader
+        leader.faults(STORE).cut = False
+        world.advance(2.0)
+        assert not leader.control.is_leader
+        world.store.restore(copy)
+        world.advance(0.5)
+        assert not any(node.control.is_leader for node in world.nodes)
+        world.advance(4.0)
+        assert self.leader_of(world).control.leadership.revision > copy.revision
+
+    def test_no_vm_competes_before_it_has_read_the_new_era(self, world, leader):
+        # Guards against leases that are created for writes that cannot succeed.
+        leader.control.leadership.step_down("test")
+        bodies = []
+        call = world.store.call
+        world.store.call = lambda *args: bodies.append(args[2]) or call(*args)
+        for node in world.nodes:
+            del node.view.items["briarspoke/control"]
+            node.view.find_relay = lambda: defer.Deferred()
+            node.store.learn_era(2)
+        world.store.restore(world.store.copy())
+        world.advance(2.0)
+        assert not any(b'"2500ms"' in body for body in bodies)
+
+    def test_lease_of_a_new_era_does_not_make_the_record_of_the_copy_valid(
+        self, world, leader
+    ):
+        # Guards against a controller whose record has a lease that nobody renews.
+        copy = world.store.copy()
+        world.advance(0.5)
+        leadership = leader.control.leadership
+        leadership.step_down("test")
+        del leader.view.items["briarspoke/control"]
+        leave_watches_silent(world)
+        world.store.restore(copy)
+        world.advance(1.0)
+        assert not leadership.is_leader
+
+    def test_key_map_of_the_old_era_is_not_written(self, world, leader):
+        key = "briarspoke/keys/stock"
+        key_map = leader.key_maps.by_service["stock"]
+        term = leader.control.leadership.revision
+        revision = world.store.items[key]["rev"]
+        leader.view.find_relay = lambda: defer.Deferred()
+        world.store.restore(world.store.copy())
+        leader.store.learn_era(2)
+        results = []
+        write = leader.control.write_key_map("stock", key_map, term)
+        defer.ensureDeferred(write).addErrback(lambda f: results.append(f.type))
+        world.advance(0.1)
+        assert results == [ConditionFailedError]
+        assert world.store.items[key]["rev"] == revision
+
+    def test_controller_resigns_in_its_era_only(self, world, leader):
+        world.store.restore(world.store.copy())
+        results = []
+        resign = leader.control.leadership.resign()
+        defer.ensureDeferred(resign).addCallback(results.append)
+        world.advance(0.1)
+        assert results == [True]
+        assert b'"resigned": false' in world.store.items["briarspoke/control"]["value"]
+        world.advance(6.0)
+        assert self.leader_of(world) is not leader
+
+
 class TestClientOfARestoredStore:
     @pytest.fixture
     def client(self, world):
