Keep the revision of a relay that comes during a call

Cause: a VM may connect to its relay while a call of its own to the store is pending. After a probe, a watch that got 410, or a read of all items, it reset or lowered the revision that the relay's view had just set. The next frame then raised a TypeError and the connection was lost; the VM watched the store itself for 3 s, or older items replaced newer ones for a moment. The view now drops what its call brought if it follows a relay by then. A restore of the store makes such calls more frequent, the fault is older.

--- a/briarspoke/entry/view.py
+++ b/briarspoke/entry/view.py
@@ -136,6 +136,8 @@
                 await self._update_once()
                 retry_s = FIRST_RETRY_S
             except HistoryGoneError:
+                if self.uses_relay:
+                    continue
                 log.info("store: history gone, reading all revision=%s", self.revision)
                 self.revision = None
             except StoreRestoredError:
@@ -158,6 +160,8 @@
             # the outage can be far more data than the items. The probe is small, so it
             # detects the end of the outage sooner than reading all items.
             await self._client.probe()
+            if self.uses_relay:
+                return
             self.revision = None
         if not self.has_store_era:
             self.revision = None
@@ -167,6 +171,8 @@
                 return
         if self.revision is None:
             changes = await self._client.read_all()
+            if self.uses_relay:
+                return
             self._replace_all(changes)
             for listener in self.listeners:
                 listener.view_replaced()
--- a/tests/test_entry_view.py
+++ b/tests/test_entry_view.py
@@ -6,6 +6,7 @@
 import cbor2
 import pytest
 from entry_fakes import STORE, ServerSocket, World, configuration, route
+from twisted.internet import defer
 
 from briarspoke.entry.relays import Relay, RelayFollower, _encode
 from briarspoke.platform.keyvalue import Changes, Item
@@ -159,6 +160,60 @@
         assert world.node.routing_table.version == 9
 
 
+class TestRelayThatComesDuringACall:
+    """Guards against a view that loses the revision which its relay has sent."""
+
+    def take_changes(self, world, version):
+        changes = relayed(world, version)
+        world.node.view.apply_changes(changes)
+        assert world.node.view.uses_relay
+        assert world.node.view.revision == changes.revision
+        assert world.node.configuration_version == version
+
+    def lose_history(self, world):
+        """Lets the pending watch end with 410."""
+        world.node.faults(STORE).cut = True
+        world.store.put("op/other", b"1")
+        world.store.forget_history()
+        world.node.faults(STORE).cut = False
+
+    def test_probe(self, world):
+        world.store_down = True
+        world.advance(4.0)
+        assert not world.node.view.reachable
+        world.store_down = False
+        world.node.faults(STORE).late_s = 0.4
+        world.advance(0.9)
+        world.node.view.switch_to_relay(relayed(world, 5))
+        world.advance(2.0)
+        self.take_changes(world, 6)
+
+    def test_watch_whose_history_is_gone(self, world):
+        world.advance(1.0)
+        world.node.faults(STORE).cut = True
+        world.node.view.switch_to_relay(relayed(world, 5))
+        self.lose_history(world)
+        world.advance(1.0)
+        self.take_changes(world, 6)
+
+    def test_read_of_all_items(self, world):
+        # Guards also against older items that replace those of the relay.
+        view = world.node.view
+        older = relayed(world, 5)
+        world.advance(1.0)
+        reading = defer.Deferred()
+        world.node.store.read_all = lambda prefix="": reading
+        view.find_relay = None
+        self.lose_history(world)
+        world.advance(1.0)
+        assert view.revision is None
+        newer = relayed(world, 6)
+        view.switch_to_relay(newer)
+        reading.callback(older)
+        assert view.revision == newer.revision
+        self.take_changes(world, 7)
+
+
 class TestRelayLink:
     """A relay and a follower; the test passes the data between them."""
 
