--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -368,6 +368,45 @@
         pass
 
 
+class RelayNetwork:
+    """Carries the connections between relays and their followers."""
+
+    def __init__(self, world):
+        self.world = world
+        # Data that relays have sent, each with the follower's link.
+        self.frames = []
+        self._pairs = []
+
+    def advance(self, seconds):
+        for _ in range(round(seconds / 0.02)):
+            self.world.advance(0.02)
+            self._connect()
+            for pair in list(self._pairs):
+                self._deliver(pair)
+
+    def _connect(self):
+        clients = self.world.reactor.tcpClients
+        for attempt in [attempt for attempt in clients if attempt[1] == 9000]:
+            clients.remove(attempt)
+            host, _, factory = attempt[:3]
+            relay = next(n.relay for n in self.world.nodes if n.settings.ip == host)
+            pair = (relay.buildProtocol(None), factory.buildProtocol(None))
+            for end in pair:
+                end.makeConnection(ServerSocket())
+            self._pairs.append(pair)
+
+    def _deliver(self, pair):
+        relay_link, link = pair
+        data = relay_link.transport.take()
+        if data and not link.transport.disconnecting:
+            self.frames.append((link, data))
+            link.dataReceived(data)
+        if any(end.transport.disconnecting for end in pair):
+            self._pairs.remove(pair)
+            for end in pair:
+                end.connectionLost(CLOSED)
+
+
 def request(
     method="GET", path="/lookup/1", *, request_id="r1", deadline=2000, body=b"", key=7
 ):
