Confirm owners and raise tokens after the store was restored

Cause: the copy has an older key map, and revisions of the control key are given out again. A term began with the map in the store and took its owners and tokens as the latest ones.

Change: tokens of each era are above those of all earlier ones. A map that was written in an earlier era names no owners. The process that was the controller when the store was restored has a head start; it repeats the grants of its former term, and owners that accept keep their keys, since no other controller can have moved them. All other keys have no owner until the grants of all earlier controllers have expired. Without that process this is true of all keys. Terms are told apart by era and revision; a control record of an earlier era is free to take; a map with lower tokens than the known one does not replace it; a first map waits if the copy may lack one.

Ruled out: asking owners with old tokens from another VM (an owner that has released its keys accepts them), and waiting for expiry in every case (17 s without keys).

--- a/briarspoke/entry/control.py
+++ b/briarspoke/entry/control.py
@@ -28,6 +28,8 @@
     def __init__(self, *, node):
         self._node = node
         self._range_managers_by_service = {}
+        self._former_managers_by_service = {}
+        self._former_term = None
         self._estimates_by_service = {}
         self._term = None
         self._wake_call = None
@@ -116,13 +118,13 @@
     def _tick(self):
         leadership = self.leadership
         if not leadership.is_leader or self._node.routing_table is None:
-            if self._range_managers_by_service:
-                self._range_managers_by_service = {}
-            self._term = None
+            self._end_term()
             return
-        if self._term != leadership.revision:
-            self._term = leadership.revision
-            self._range_managers_by_service = {}
+        if self._term is not leadership.term:
+            self._end_term()
+            self._term = leadership.term
+            if self._former_term is not leadership.inherited_term:
+                self._former_managers_by_service = {}
             # The loads of an earlier term are out of date.
             self._estimates_by_service = {}
         now = self._node.now()
@@ -135,25 +137,35 @@
                     node=self._node,
                     leadership=leadership,
                     service=service.name,
+                    former=self._former_managers_by_service.get(service.name),
                 )
                 self._range_managers_by_service[service.name] = range_manager
             range_manager.tick(now)
 
+    def _end_term(self):
+        if self._term is not None:
+            self._former_term = self._term
+            self._former_managers_by_service = self._range_managers_by_service
+            self._range_managers_by_service = {}
+            self._term = None
+
     async def write_key_map(self, service, key_map, term):
         """Writes a key map to the store and to this VM's view of it.
 
-        :param term: revision of the control key when this VM became the controller.
+        :param term: the :class:`briarspoke.keyspace.leadership.Term` of this VM.
         :raises ConditionFailedError: if another VM has written the control key or the
             map has changed.
         """
         node = self._node
-        era = node.view.era
         key = KEY_MAP_PREFIX + service
         known = node.view.items.get(key)
-        data = key_map.encode()
+        data = key_map.encode(term.era)
         revision = await node.store.write(
-            expected={CONTROL_KEY: term, key: known.revision if known else 0},
+            expected={
+                CONTROL_KEY: term.revision,
+                key: known.revision if known else 0,
+            },
             puts={key: data},
-            era=era,
+            era=term.era,
         )
-        node.view.put(Item(key=key, value=data, revision=revision, era=era))
+        node.view.put(Item(key=key, value=data, revision=revision, era=term.era))
--- a/briarspoke/entry/node.py
+++ b/briarspoke/entry/node.py
@@ -214,7 +214,7 @@
     def _key_map_changed(self, key, item):
         service = key.removeprefix(keymap.KEY_MAP_PREFIX)
         if item is None:
-            self.key_maps.remove(service)
+            # Only a copy of the store lacks a map. Its owners still hold their keys.
             return
         try:
             self.key_maps.put(service, keymap.decode(item.value))
@@ -250,7 +250,7 @@
     async def write_key_map(self, service, key_map, term):
         """Writes a key map, provided that this VM is still the controller.
 
-        :param term: revision of the control key when this VM became the controller.
+        :param term: the :class:`briarspoke.keyspace.leadership.Term` of this VM.
         :raises ConditionFailedError: if another VM has written the control key or the
             map has changed.
         """
--- a/briarspoke/keyspace/granter.py
+++ b/briarspoke/keyspace/granter.py
@@ -107,6 +107,7 @@
 
         :param renewal: the :class:`Renewal`, or None if the server gets the range
             with this grant.
+        :returns: the :class:`SentGrant`.
         """
         now = self._node.now()
         longest_s = self._node.settings.max_hold_s
@@ -120,6 +121,7 @@
         if renewal is not None:
             renewal.in_flight = True
         self._node.spawn(self._call(client, sent, owner, handover, renewal, connection))
+        return sent
 
     def issue_fence(self, client):
         """Issues the token for a call that opens a new connection to a server.
--- a/briarspoke/keyspace/grantlog.py
+++ b/briarspoke/keyspace/grantlog.py
@@ -36,12 +36,14 @@
 
     :ivar fence: fencing token of the call.
     :ivar answered: None while the call is pending, then whether it was answered.
+    :ivar accepted: whether the server has accepted the grant.
     :ivar expires_at: when the grant has certainly expired; None while the call is
         pending.
     """
 
     __slots__ = (
         "_transit_s",
+        "accepted",
         "answered",
         "expires_at",
         "fence",
@@ -56,6 +58,7 @@
         self.fence = fence
         self.expires_at = None
         self.answered = None
+        self.accepted = False
         self.hold_s = hold_s
         self._transit_s = transit_s
 
@@ -64,7 +67,7 @@
 
         Without an answer, it may even arrive later.
         """
-        self.answered = answered
+        self.answered = self.accepted = answered
         arrived_at = now if answered else now + self._transit_s
         self.expires_at = expiry_time(arrived_at, self.hold_s)
 
@@ -124,6 +127,6 @@
     def was_accepted(self, first, last, now):
         """Returns whether the server has accepted a grant that covers all the keys."""
         return any(
-            s.answered and s.first <= first and s.last >= last
+            s.accepted and s.first <= first and s.last >= last
             for s in self._overlapping(first, last, now)
         )
--- a/briarspoke/keyspace/keymap.py
+++ b/briarspoke/keyspace/keymap.py
@@ -44,13 +44,16 @@
 
     :param starts: first key of each range, ascending from 0.
     :param owners: one :class:`Owner` for each range.
+    :param era: era of the store in which a controller wrote the map, or None if the map
+        does not tell.
     """
 
-    __slots__ = ("owners", "starts")
+    __slots__ = ("era", "owners", "starts")
 
-    def __init__(self, *, starts, owners):
+    def __init__(self, *, starts, owners, era=None):
         self.starts = starts
         self.owners = owners
+        self.era = era
 
     def owner(self, key):
         """Returns the owner of a key."""
@@ -98,20 +101,31 @@
             return newest <= owner.fence
         return newest < owner.fence
 
-    def encode(self):
-        """Returns the bytes of the map in the store."""
+    def encode(self, era):
+        """Returns the bytes of the map in the store.
+
+        :param era: era of the store.
+        """
         rows = [
             [first, owner.server_id, owner.incarnation, owner.fence]
             for first, _, owner in self.ranges()
         ]
-        return json.dumps({"ranges": rows}, separators=(",", ":")).encode()
+        body = {"era": era, "ranges": rows}
+        return json.dumps(body, separators=(",", ":")).encode()
 
 
 def _merged(starts, owners):
-    """Returns a map in which neighbouring ranges of one instance are merged."""
+    """Returns a map in which neighbouring ranges of one instance are merged.
+
+    Ranges without an owner stay apart, so that several servers get them.
+    """
     merged_starts, merged_owners = [], []
     for start, owner in zip(starts, owners, strict=True):
-        if merged_owners and merged_owners[-1].server_instance == owner.server_instance:
+        if (
+            merged_owners
+            and owner.server_id != UNOWNED
+            and merged_owners[-1].server_instance == owner.server_instance
+        ):
             if owner.fence > merged_owners[-1].fence:
                 merged_owners[-1] = owner
             continue
@@ -126,7 +140,9 @@
     :raises KeyMapError: if the bytes are not a valid key map.
     """
     try:
-        rows = json.loads(data)["ranges"]
+        body = json.loads(data)
+        rows = body["ranges"]
+        era = body.get("era")
         starts = [int(row[0]) for row in rows]
         owners = []
         for _, server_id, incarnation, fence in rows:
@@ -134,12 +150,14 @@
                 server_id=str(server_id), incarnation=int(incarnation), fence=int(fence)
             )
             owners.append(owner)
-    except (ValueError, TypeError, KeyError, IndexError) as error:
+    except (ValueError, TypeError, KeyError, IndexError, AttributeError) as error:
         raise KeyMapError(f"the key map cannot be read: {error}") from error
+    if era is not None and not isinstance(era, int):
+        raise KeyMapError("the era of the key map is not a number")
     valid = starts and starts[0] == 0 and starts[-1] < KEY_COUNT
     if not valid or any(a >= b for a, b in itertools.pairwise(starts)):
         raise KeyMapError("the ranges of the key map do not cover all keys in order")
-    return KeyMap(starts=starts, owners=owners)
+    return KeyMap(starts=starts, owners=owners, era=era)
 
 
 class KeyMaps:
@@ -159,16 +177,16 @@
         self._announced_by_service = {}
 
     def put(self, service, key_map):
-        """Sets the map of a service to one read from the store."""
+        """Sets the map of a service to one read from the store.
+
+        A map with lower tokens comes from a copy of the store and is ignored.
+        """
+        known = self.by_service.get(service)
+        if known is not None and key_map.highest_fence < known.highest_fence:
+            return
         self.by_service[service] = key_map
         self._apply(service)
 
-    def remove(self, service):
-        """Removes a service whose map is no longer in the store."""
-        self.by_service.pop(service, None)
-        self._current_by_service.pop(service, None)
-        self._announced_by_service.pop(service, None)
-
     def announce(self, service, changes, now):
         """Applies owners that the controller has announced.
 
--- a/briarspoke/keyspace/leadership.py
+++ b/briarspoke/keyspace/leadership.py
@@ -33,6 +33,9 @@
 NARROW_LINK_DELAY_S = 0.15
 # Delay before a failed call is retried.
 RETRY_INTERVAL_S = 0.2
+# After the store was restored, other VMs leave control to the last controller for this
+# long: it knows the owners, and all keys wait for expiry without it.
+RESTORE_HEAD_START_S = 4.0
 
 
 class PredecessorEnd(enum.Enum):
@@ -49,17 +52,34 @@
     :param resigned: whether the controller has resigned.
     :param unsettled_s: seconds, from the time of the record, until the grants of the
         controllers before it and its own long grants have expired.
+    :param era: era of the store in which the record was written, or None if the record
+        does not tell.
     """
 
-    __slots__ = ("host", "node", "port", "process", "resigned", "unsettled_s")
-
-    def __init__(self, *, node, process, host, port, resigned=False, unsettled_s=0.0):
+    __slots__ = ("era", "host", "node", "port", "process", "resigned", "unsettled_s")
+
+    def __init__(
+        self,
+        *,
+        node,
+        process,
+        host,
+        port,
+        resigned=False,
+        unsettled_s=0.0,
+        era=None,
+    ):
         self.node = node
         self.process = process
         self.host = host
         self.port = port
         self.resigned = resigned
         self.unsettled_s = unsettled_s
+        self.era = era
+
+    def is_of_copy(self, era):
+        """Returns whether the record is of an earlier era and came with a copy."""
+        return self.era is not None and self.era < era
 
     def encode(self):
         """Returns the bytes of the record in the store."""
@@ -79,12 +99,28 @@
             port=int(body["port"]),
             resigned=bool(body["resigned"]),
             unsettled_s=float(body.get("unsettled_s", 0.0)),
+            era=None if body.get("era") is None else int(body["era"]),
         )
     except (ValueError, TypeError, KeyError) as error:
         log.warning("control: unreadable record error=%r", str(error))
         return None
 
 
+class Term:
+    """Time for which one process is the controller.
+
+    :param era: era of the store.
+    :param revision: revision of the control key. Revisions are given out again in later
+        eras.
+    """
+
+    __slots__ = ("era", "revision")
+
+    def __init__(self, *, era, revision):
+        self.era = era
+        self.revision = revision
+
+
 class Leadership:
     """Acquires, renews and gives up the lease of the controller.
 
@@ -99,8 +135,13 @@
 
     def __init__(self, *, client, view, own_record, clock, sleep, wider_fraction):
         self.own_record = own_record
-        # Revision of the control key while this process is the controller, else None.
-        self.revision = None
+        # The :class:`Term` while this process is the controller, else None.
+        self.term = None
+        # Whether this term is the first one since the store was restored.
+        self.is_restored = False
+        # The term that this process had when the store was restored, if this one may
+        # confirm the owners of that time, else None.
+        self.inherited_term = None
         self.predecessor = PredecessorEnd.UNKNOWN
         # Time at which the grants of all controllers before this term have expired.
         self.previous_grants_expire_at = 0.0
@@ -116,16 +157,26 @@
         self._attempted_lease = None
         self._renewed_at = None
         self._resigned = False
+        # Time since which the era of the store is known, and whether it has risen.
+        self._era_known_at = clock()
+        self._has_era_risen = False
+        self._term_at_restore = None
+        self._inherits_until = 0.0
         client.era_observers.append(self._era_rose)
 
     def _era_rose(self):
         self._attempted_lease = None
+        self._era_known_at = self._clock()
+        self._has_era_risen = True
+        if self.is_leader:
+            self._term_at_restore = self.term
+            self._inherits_until = self._renewed_at + RENEWAL_WITHOUT_STORE_S
         self.step_down("the store was restored")
 
     @property
     def is_leader(self):
         """Whether this process is the controller as far as it knows."""
-        return self.revision is not None
+        return self.term is not None
 
     def may_renew_grants(self, now):
         """Returns whether grants may be renewed, even if the store is unreachable."""
@@ -168,14 +219,17 @@
             self.is_leader
             and holder is not None
             and holder.process != self.own_record.process
+            and not holder.is_of_copy(self.term.era)
         ):
             self.step_down(f"{holder.node} has taken over")
 
     def step_down(self, reason):
         """Stops acting as the controller."""
         if self.is_leader:
-            log.warning("control: lost revision=%s reason=%r", self.revision, reason)
-        self.revision = None
+            log.warning(
+                "control: lost revision=%d reason=%r", self.term.revision, reason
+            )
+        self.term = None
         self._lease = None
 
     async def run(self):
@@ -213,8 +267,23 @@
         if not view.reachable or not view.has_store_era:
             return
         era = view.era
+        sent_at = self._clock()
         item = view.items.get(CONTROL_KEY)
         holder = None if item is None else decode(item.value)
+        is_of_copy = holder is not None and holder.is_of_copy(era)
+        if is_of_copy:
+            holder = None
+        self.is_restored = is_of_copy or self._has_era_risen
+        self.inherited_term = None
+        if sent_at < self._inherits_until:
+            self.inherited_term = self._term_at_restore
+        if (
+            holder is None
+            and self.is_restored
+            and self.inherited_term is None
+            and sent_at < self._era_known_at + RESTORE_HEAD_START_S
+        ):
+            return
         is_free = (
             holder is None
             or holder.resigned
@@ -225,14 +294,13 @@
         )
         if self._resigned:
             return
-        sent_at = self._clock()
         if holder is not None and holder.process == self.own_record.process:
             # The answer to the write was lost; a renewal shows whether the lease of
             # the write is valid.
             if self._attempted_lease is not None and not holder.resigned:
                 await self._client.renew_lease(self._attempted_lease)
                 self._became_leader(
-                    item.revision,
+                    Term(era=era, revision=item.revision),
                     self._attempted_lease,
                     sent_at,
                     PredecessorEnd.UNKNOWN,
@@ -245,6 +313,7 @@
             return
         self._attempted_lease = lease
         expected = 0 if item is None else item.revision
+        self.own_record.era = era
         revision = await self._client.write(
             expected={CONTROL_KEY: expected},
             puts={CONTROL_KEY: self.own_record.encode()},
@@ -258,9 +327,10 @@
         if holder is not None and holder.resigned:
             predecessor = PredecessorEnd.RESIGNED
             unsettled_s = holder.unsettled_s
-        self._became_leader(revision, lease, sent_at, predecessor, unsettled_s)
+        term = Term(era=era, revision=revision)
+        self._became_leader(term, lease, sent_at, predecessor, unsettled_s)
 
-    def _became_leader(self, revision, lease, sent_at, predecessor, unsettled_s=0.0):
+    def _became_leader(self, term, lease, sent_at, predecessor, unsettled_s=0.0):
         now = self._clock()
         # The last grant calls of the predecessor can arrive after their timeout.
         arrived_at = now + grants.GRANT_TIMEOUT_S + MAX_TRANSIT_S
@@ -272,9 +342,14 @@
         self.settled_at = max(self.settled_at, self.previous_grants_expire_at)
         self._lease = lease
         self._renewed_at = sent_at
-        self.revision = revision
+        self.term = term
         self.predecessor = predecessor
-        log.info("control: taken revision=%s before=%r", revision, predecessor.value)
+        log.info(
+            "control: taken revision=%d era=%d before=%r",
+            term.revision,
+            term.era,
+            predecessor.value,
+        )
 
     async def resign(self):
         """Resigns, so that another entry VM can take over immediately.
@@ -298,8 +373,7 @@
         self._resigned = True
         if not self.is_leader:
             return True
-        era = self._view.era
-        revision, self.revision = self.revision, None
+        term, self.term = self.term, None
         record = ControlRecord(
             node=self.own_record.node,
             process=self.own_record.process,
@@ -307,12 +381,13 @@
             port=self.own_record.port,
             resigned=True,
             unsettled_s=max(0.0, self.settled_at - self._clock()),
+            era=term.era,
         )
         try:
             await self._client.write(
-                expected={CONTROL_KEY: revision},
+                expected={CONTROL_KEY: term.revision},
                 puts={CONTROL_KEY: record.encode()},
-                era=era,
+                era=term.era,
             )
             log.info("control: resigned")
         except BriarspokeError as error:
--- a/briarspoke/keyspace/range_manager.py
+++ b/briarspoke/keyspace/range_manager.py
@@ -7,6 +7,7 @@
 from briarspoke.errors import BriarspokeError, invariant
 from briarspoke.keyspace import placement
 from briarspoke.keyspace.allowance import Allowances
+from briarspoke.keyspace.confirmation import OwnerConfirmation
 from briarspoke.keyspace.granter import Granter
 from briarspoke.keyspace.keymap import KEY_COUNT, UNOWNED, Owner
 from briarspoke.keyspace.moves import Move, MoveEnd, MoveState
@@ -30,6 +31,8 @@
 RELEASE_INTERVAL_S = 0.5
 # Reason for the write of the first key map of a service, for the log.
 FIRST_MAP = "first map"
+# Reason for the first write after the store was restored, for the log.
+RESTORED_MAP = "restored store"
 # Each move in progress needs a release, a write and a grant.
 MAX_CONCURRENT_MOVES = 20
 # The first map is written once the number of usable servers has not changed for
@@ -43,18 +46,21 @@
     :param node: the :class:`briarspoke.entry.node.EntryNode`.
     :param leadership: the :class:`briarspoke.keyspace.leadership.Leadership`.
     :param service: name of the service.
+    :param former: the manager of the service in the term that this process had when the
+        store was restored, or None.
+    :ivar granter: the :class:`briarspoke.keyspace.granter.Granter` of the term.
     :ivar moves: the :class:`briarspoke.keyspace.moves.Move` objects in progress.
     """
 
-    def __init__(self, *, node, leadership, service):
+    def __init__(self, *, node, leadership, service, former=None):
         self.service = service
         self.moves = []
         self._node = node
         self._leadership = leadership
-        self._term = leadership.revision
+        self._term = leadership.term
         # The tokens of this term, once they are in the store.
         self._tokens = None
-        self._granter = Granter(
+        self.granter = Granter(
             node=node,
             leadership=leadership,
             service=service,
@@ -62,6 +68,10 @@
             on_answer=self._grant_answered,
             on_other_server=self._other_server_answered,
         )
+        self._former_granter = None
+        if former is not None and former.has_written_map:
+            self._former_granter = former.granter
+        self._confirmation = None
         self._announcements = []
         self._allowances = Allowances()
         self._fraction_by_key = {}
@@ -76,6 +86,11 @@
         # Grants of previous controllers may be valid until this time.
         self._previous_grants_expire_at = leadership.previous_grants_expire_at
 
+    @property
+    def has_written_map(self):
+        """Whether the map has tokens of this term, so that grants may be sent."""
+        return self._fence_raised
+
     def _issue_fence_of_call(self):
         return self._tokens.issue_for_call()
 
@@ -100,12 +115,12 @@
         """
         records = self._records()
         for record in records.values():
-            self._granter.client(record)
+            self.granter.client(record)
         if self._map is None:
             self._write_first_map(records, now)
             return
         if not self._fence_raised:
-            self._write(self._map, [], "new term")
+            self._write_map_of_term()
             return
         if self._tokens.is_used_up:
             self._leadership.step_down("its fencing tokens are used up")
@@ -119,9 +134,24 @@
             self._plan_allowances_at = now + ALLOWANCE_INTERVAL_S
             self._plan_allowances(records, now)
         moving = [(move.first, move.last) for move in self.moves]
-        self._granter.renew(self._map, records, moving, now)
+        self.granter.renew(self._map, records, moving, now)
+
+    def _write_map_of_term(self):
+        if self._map.era in (None, self._term.era):
+            self._write(self._map, [], "new term")
+            return
+        # The owners that the map in the store names may be those of a while ago.
+        if self._confirmation is None:
+            self._confirmation = OwnerConfirmation(
+                key_map=self._map, granter=self._former_granter
+            )
+        if self._confirmation.is_complete:
+            self._write(self._confirmation.confirmed_map(), [], RESTORED_MAP)
 
     def _write_first_map(self, records, now):
+        if self._leadership.is_restored and now < self._previous_grants_expire_at:
+            # The copy of the store is older than the first map.
+            return
         usable_instances = sorted(
             r.server_instance for r in records.values() if not r.draining
         )
@@ -151,7 +181,10 @@
             record = records.get(owner.server_instance)
             if record is not None and not record.draining:
                 continue
-            reason = "gone" if record is None else "draining"
+            if owner.server_id == UNOWNED:
+                reason = "unowned"
+            else:
+                reason = "gone" if record is None else "draining"
             for piece in subtract_ranges(first, last, moving):
                 self._start_move(*piece, owner, None, reason)
         free_moves = MAX_CONCURRENT_MOVES - len(self.moves)
@@ -217,7 +250,7 @@
         return [
             self._candidate(record)
             for _, record in sorted(records.items())
-            if not record.draining and self._granter.client(record).reachable
+            if not record.draining and self.granter.client(record).reachable
         ]
 
     def _start_move(self, first, last, owner, to, reason):
@@ -250,7 +283,7 @@
         if self._has_new_process(move, records):
             move.finish(MoveEnd.OWNER_ENDED)
             return
-        client = self._granter.known_client(move.owner.server_instance)
+        client = self.granter.known_client(move.owner.server_instance)
         if move.state is MoveState.AWAITING_CALLS:
             if client is None:
                 # Only the map names this instance, so its address is unknown.
@@ -282,7 +315,7 @@
         be a late write of a server that has ended.
         """
         owner = move.owner
-        client = self._granter.known_client(owner.server_instance)
+        client = self.granter.known_client(owner.server_instance)
         for record in records.values():
             if record.server_id != owner.server_id:
                 continue
@@ -310,7 +343,7 @@
     def _grants_expire_at(self, move, now):
         # A shorter grant sent later does not shorten a grant of a predecessor.
         grants_expire_at = max(now, self._previous_grants_expire_at)
-        client = self._granter.known_client(move.owner.server_instance)
+        client = self.granter.known_client(move.owner.server_instance)
         if client is not None:
             grants_expire_at = max(
                 grants_expire_at, client.log.expires_at(move.first, move.last, now)
@@ -347,7 +380,7 @@
         self._node.spawn(self._request_release(move, client))
 
     async def _request_release(self, move, client):
-        fence = self._granter.issue_fence(client)
+        fence = self.granter.issue_fence(client)
         answer = await grants.release(
             client.http,
             server_id=move.owner.server_id,
@@ -429,7 +462,9 @@
         if self._writing:
             return
         if not self._fence_raised:
-            self._tokens = FencingTokens(highest=key_map.highest_fence)
+            self._tokens = FencingTokens(
+                highest=key_map.highest_fence, era=self._term.era
+            )
             fence = self._tokens.issue_for_map()
             owners = [
                 Owner(server_id=o.server_id, incarnation=o.incarnation, fence=fence)
@@ -459,7 +494,7 @@
             )
             await self._node.sleep(WRITE_RETRY_S)
             return
-        if self._leadership.revision != self._term:
+        if self._leadership.term is not self._term:
             return
         if reason == FIRST_MAP:
             # Without a map, no earlier controller has sent a grant.
@@ -479,11 +514,11 @@
             handover = next(
                 (m.handover for m in moves if m.first == first and m.last == last), None
             )
-            client = self._granter.known_client(owner.server_instance)
+            client = self.granter.known_client(owner.server_instance)
             if client is not None:
-                self._granter.send(client, first, last, owner, handover)
+                self.granter.send(client, first, last, owner, handover)
         if changes:
-            self._granter.map_changed(key_map, now)
+            self.granter.map_changed(key_map, now)
         self._node.wake_control()
 
     def _grant_answered(self, sent, owner, *, accepted, first):
@@ -512,7 +547,7 @@
     def _is_current(self, sent, owner):
         """Returns whether the map still has the owner and token of a grant."""
         key_map = self._map
-        if key_map is None or self._leadership.revision != self._term:
+        if key_map is None or self._leadership.term is not self._term:
             return False
         current = key_map.owner(sent.first)
         return (
--- a/briarspoke/keyspace/tokens.py
+++ b/briarspoke/keyspace/tokens.py
@@ -6,6 +6,9 @@
 TOKENS_PER_TERM = 1 << 22
 # A term ends when fewer tokens are left.
 MIN_TOKENS_LEFT = 1 << 16
+# A copy from which the store was restored does not have the highest tokens, so each era
+# of the store has its own ones. Up to 511 eras, tokens are exact in JSON.
+TOKENS_PER_ERA = 1 << 44
 
 
 class FencingTokens:
@@ -16,12 +19,13 @@
     the term can issue for calls, so the next term begins above them.
 
     :param highest: highest token in the map of the term before.
+    :param era: era of the store.
     """
 
     __slots__ = ("_first_of_map", "_next_of_call", "_next_of_map")
 
-    def __init__(self, *, highest):
-        self._next_of_call = highest + 1
+    def __init__(self, *, highest, era):
+        self._next_of_call = max(highest + 1, era * TOKENS_PER_ERA)
         self._first_of_map = self._next_of_call + TOKENS_PER_TERM
         self._next_of_map = self._first_of_map
 
--- a/tests/test_entry_restored.py
+++ b/tests/test_entry_restored.py
@@ -437,8 +437,10 @@
         world.store.restore(copy)
         world.advance(4.0)
         leadership = self.leader_of(world).control.leadership
-        assert leadership.revision == world.store.items["briarspoke/control"]["rev"]
-        assert leadership.revision > copy.revision
+        assert (
+            leadership.term.revision == world.store.items["briarspoke/control"]["rev"]
+        )
+        assert leadership.term.revision > copy.revision
         world.advance(10.0)
         assert self.leader_of(world).control.leadership is leadership
 
@@ -457,7 +459,7 @@
         world.advance(0.5)
         assert not any(node.control.is_leader for node in world.nodes)
         world.advance(4.0)
-        assert self.leader_of(world).control.leadership.revision > copy.revision
+        assert self.leader_of(world).control.leadership.term.revision > copy.revision
 
     def test_no_vm_competes_before_it_has_read_the_new_era(self, world, leader):
         # Guards against leases that are created for writes that cannot succeed.
@@ -490,7 +492,7 @@
     def test_key_map_of_the_old_era_is_not_written(self, world, leader):
         key = "briarspoke/keys/stock"
         key_map = leader.key_maps.by_service["stock"]
-        term = leader.control.leadership.revision
+        term = leader.control.leadership.term
         revision = world.store.items[key]["rev"]
         leader.view.find_relay = lambda: defer.Deferred()
         world.store.restore(world.store.copy())
--- a/tests/test_keyspace_ownership.py
+++ b/tests/test_keyspace_ownership.py
@@ -541,6 +541,7 @@
         for number in (1, 2, 3):
             self.world.add_node(f"front-poa-{number}", number)
         self.world.advance(3.0, 0.05)
+        self.copy = self.world.store.copy()
 
     def start(self, number, server_id):
         """Starts a process at the address of a server."""
@@ -588,6 +589,21 @@
     def history_goes(self):
         self.world.store.forget_history()
 
+    @rule()
+    def copy_store(self):
+        self.copy = self.world.store.copy()
+
+    @rule()
+    def restore_store(self):
+        written = {
+            key: item["value"]
+            for key, item in self.world.store.items.items()
+            if key.startswith(("op/", "servers/"))
+        }
+        self.world.store.restore(self.copy)
+        for key, value in written.items():
+            self.world.store.put(key, value)
+
     @rule(number=st.sampled_from(SERVERS), state=st.sampled_from(("ready", "draining")))
     def register(self, number, state):
         process = self.world.servers[address(number)]
--- a/tests/test_keyspace_parts.py
+++ b/tests/test_keyspace_parts.py
@@ -67,7 +67,7 @@
                 assert key_map.owner(key).fence >= expected.fence
             instances = [o.server_instance for o in key_map.owners]
             assert all(a != b for a, b in itertools.pairwise(instances))
-            decoded = keymap.decode(key_map.encode())
+            decoded = keymap.decode(key_map.encode(1))
             assert decoded.starts == key_map.starts
 
     @pytest.mark.parametrize(
@@ -135,20 +135,26 @@
     """Guards against tokens that two terms issue, or one term twice."""
 
     def test_term_issues_tokens_above_those_of_the_term_before(self):
-        before = FencingTokens(highest=5)
+        before = FencingTokens(highest=5, era=1)
         in_store = before.issue_for_map()
         of_calls = [before.issue_for_call() for _ in range(100)]
         assert of_calls == sorted(set(of_calls)) and of_calls[0] > 5
-        assert FencingTokens(highest=in_store).issue_for_call() > in_store
+        assert FencingTokens(highest=in_store, era=1).issue_for_call() > in_store
         assert in_store > of_calls[-1]
 
     def test_term_ends_before_its_calls_reach_the_tokens_of_the_map(self):
-        tokens = FencingTokens(highest=0)
+        tokens = FencingTokens(highest=0, era=1)
         in_store = tokens.issue_for_map()
         while not tokens.is_used_up:
             last = tokens.issue_for_call()
         assert last < in_store
 
+    def test_tokens_of_an_era_are_above_those_of_the_era_before(self):
+        # Guards against tokens that a copy of the store does not have.
+        tokens = FencingTokens(highest=5, era=1)
+        before = max(tokens.issue_for_map(), tokens.issue_for_call())
+        assert FencingTokens(highest=5, era=2).issue_for_call() > before
+
 
 class TestGrantLog:
     def test_expiry_covers_a_slow_clock(self):
--- /dev/null
+++ b/tests/test_keyspace_restored.py
@@ -0,0 +1,204 @@
+"""Ownership of keys after the store was restored from a copy."""
+
+from __future__ import annotations
+
+import pytest
+from entry_fakes import STORE, World, configuration, registration
+from test_keyspace_ownership import KEYS, SERVERS, address, controller, holders
+
+from briarspoke.keyspace import keymap
+from briarspoke.keyspace.granter import HOLD_S
+from briarspoke.keyspace.leadership import RENEWAL_WITHOUT_STORE_S
+
+# Time after which all grants of earlier controllers have expired.
+SETTLED_S = RENEWAL_WITHOUT_STORE_S + HOLD_S + 6.0
+
+
+@pytest.fixture
+def world():
+    world = World()
+    world.store.put("op/config", configuration())
+    for number in SERVERS:
+        world.add_server("stock", number)
+    for number, name in enumerate(("front-poa-1", "front-cwb-1"), start=1):
+        world.add_node(name, number)
+    world.advance(3.0)
+    return world
+
+
+def restore(world, copy):
+    """Restores the store; the operator and the servers write again what they wrote."""
+    written = {
+        key: item["value"]
+        for key, item in world.store.items.items()
+        if key.startswith(("op/", "servers/"))
+    }
+    world.store.restore(copy)
+    for key, value in written.items():
+        world.store.put(key, value)
+
+
+def drain(world, number):
+    world.store.put(
+        f"servers/s-{number}", registration("stock", number, state="draining")
+    )
+
+
+def check(world, seconds):
+    """Lets time pass; no key may have two owners."""
+    for _ in range(round(seconds * 10)):
+        world.advance(0.1)
+        for key in KEYS:
+            assert len(holders(world, key)) <= 1, (key, holders(world, key))
+
+
+def check_tokens(world):
+    """Checks that each owner has a higher token than any other server had."""
+    for key in KEYS:
+        (owner_id,) = holders(world, key)
+        tokens = {
+            model.server_id: model.highest_fence(key, key)
+            for model in world.servers.values()
+        }
+        owners_token = tokens.pop(owner_id)
+        assert owners_token > max(tokens.values()), key
+
+
+def cut_off(world, node):
+    for target in [STORE, *world.servers]:
+        node.faults(target).cut = True
+
+
+class TestMapOfACopy:
+    """Guards against owners that a copy names although their keys have moved."""
+
+    def test_moved_keys_stay_with_their_owners(self, world):
+        copy = world.store.copy()
+        drain(world, SERVERS[0])
+        world.advance(2.0)
+        before = {key: holders(world, key) for key in KEYS}
+        restore(world, copy)
+        for _ in range(200):
+            world.advance(0.1)
+            assert {key: holders(world, key) for key in KEYS} == before
+        check_tokens(world)
+
+    def test_requests_follow_the_owners(self, world):
+        copy = world.store.copy()
+        drain(world, SERVERS[0])
+        world.advance(2.0)
+        restore(world, copy)
+        for _ in range(50):
+            world.advance(0.1)
+            for node in world.nodes:
+                assert [node.key_maps.owner("stock", 7).server_id] == holders(world, 7)
+
+    def test_copy_without_a_map(self):
+        world = World()
+        world.store.put("op/config", configuration())
+        for number in SERVERS:
+            world.add_server("stock", number)
+        copy = world.store.copy()
+        world.add_node("front-poa-1", 1)
+        world.advance(3.0)
+        before = {key: holders(world, key) for key in KEYS}
+        restore(world, copy)
+        world.advance(5.0)
+        assert {key: holders(world, key) for key in KEYS} == before
+        check_tokens(world)
+
+    def test_later_moves(self, world):
+        restore(world, world.store.copy())
+        world.advance(1.0)
+        drain(world, SERVERS[1])
+        check(world, SETTLED_S)
+        assert all(len(holders(world, key)) == 1 for key in KEYS)
+        check_tokens(world)
+
+
+class TestLostController:
+    """Guards against two owners when nobody knows the moves since the copy."""
+
+    def test_all_grants_expire_first(self, world):
+        copy = world.store.copy()
+        leader = controller(world)
+        drain(world, SERVERS[0])
+        world.advance(2.0)
+        cut_off(world, leader)
+        other = next(node for node in world.nodes if node is not leader)
+        restore(world, copy)
+        check(world, SETTLED_S + 5.0)
+        assert other.control.is_leader
+        assert all(len(holders(world, key)) == 1 for key in KEYS)
+        check_tokens(world)
+
+    def test_next_controller_waits_as_long(self, world):
+        copy = world.store.copy()
+        leader = controller(world)
+        other = next(node for node in world.nodes if node is not leader)
+        drain(world, SERVERS[0])
+        world.advance(2.0)
+        cut_off(world, leader)
+        restore(world, copy)
+        check(world, 5.0)
+        assert other.control.is_leader
+        cut_off(world, other)
+        world.add_node("front-cwb-2", 3)
+        check(world, SETTLED_S + 5.0)
+        assert all(len(holders(world, key)) == 1 for key in KEYS)
+        check_tokens(world)
+
+    def test_all_processes_restart(self, world):
+        copy = world.store.copy()
+        drain(world, SERVERS[0])
+        world.advance(2.0)
+        for node in world.nodes:
+            cut_off(world, node)
+        restore(world, copy)
+        world.add_node("front-poa-1", 3)
+        check(world, SETTLED_S + 5.0)
+        assert all(len(holders(world, key)) == 1 for key in KEYS)
+        check_tokens(world)
+
+
+class TestReplacedController:
+    """Guards against two owners after two controllers before the restore."""
+
+    @pytest.mark.parametrize("cut_number", [None, *SERVERS])
+    def test_controller_that_was_cut_off_from_the_store(self, world, cut_number):
+        copy = world.store.copy()
+        leader = controller(world)
+        other = next(node for node in world.nodes if node is not leader)
+        if cut_number is not None:
+            leader.faults(address(cut_number)).cut = True
+        leader.faults(STORE).cut = True
+        world.advance(3.5)
+        assert other.control.is_leader
+        drain(world, SERVERS[0])
+        check(world, 2.0)
+        other.faults(STORE).cut = True
+        leader.faults(STORE).cut = False
+        restore(world, copy)
+        check(world, 3.0)
+        other.faults(STORE).cut = False
+        for number in SERVERS:
+            leader.faults(address(number)).cut = False
+        check(world, SETTLED_S + 5.0)
+        assert all(len(holders(world, key)) == 1 for key in KEYS)
+        check_tokens(world)
+
+
+class TestMapInMemory:
+    """Guards against requests that are sent to the owners which a copy names."""
+
+    def test_map_with_lower_tokens_is_ignored(self):
+        def key_map(fence):
+            owner = keymap.Owner(server_id=f"s-{fence}", incarnation=1, fence=fence)
+            return keymap.KeyMap(starts=[0], owners=[owner])
+
+        maps = keymap.KeyMaps()
+        maps.put("stock", key_map(4))
+        maps.put("stock", key_map(3))
+        assert maps.owner("stock", 7).server_id == "s-4"
+        maps.put("stock", key_map(5))
+        assert maps.owner("stock", 7).server_id == "s-5"
