Adopt a control record only with the lease that it belongs to

What callers could see: two servers hold the same keys, for as long as a process believes that it is the controller.

Cause: found by a review of the same class, a thing taken for another by its name. An attempt to take control may be executed late. If a process tried twice and then saw its own record, it renewed the lease of the second attempt, while the record belonged to that of the first and ended with it. It went on to renew grants for ever, while others took over and waited only for the time in which a controller renews without the store.

Change: the record names its lease; only the attempt with that lease adopts it.

Evidence: test_record_of_an_earlier_attempt_ends_with_its_lease failed before.

--- a/briarspoke/keyspace/leadership.py
+++ b/briarspoke/keyspace/leadership.py
@@ -54,9 +54,19 @@
         controllers before it and its own long grants have expired.
     :param era: era of the store in which the record was written, or None if the record
         does not tell.
+    :param lease_id: number of the lease to which the record belongs, or None.
     """
 
-    __slots__ = ("era", "host", "node", "port", "process", "resigned", "unsettled_s")
+    __slots__ = (
+        "era",
+        "host",
+        "lease_id",
+        "node",
+        "port",
+        "process",
+        "resigned",
+        "unsettled_s",
+    )
 
     def __init__(
         self,
@@ -68,6 +78,7 @@
         resigned=False,
         unsettled_s=0.0,
         era=None,
+        lease_id=None,
     ):
         self.node = node
         self.process = process
@@ -76,6 +87,7 @@
         self.resigned = resigned
         self.unsettled_s = unsettled_s
         self.era = era
+        self.lease_id = lease_id
 
     def is_of_copy(self, era):
         """Returns whether the record is of an earlier era and came with a copy."""
@@ -100,6 +112,7 @@
             resigned=bool(body["resigned"]),
             unsettled_s=float(body.get("unsettled_s", 0.0)),
             era=None if body.get("era") is None else int(body["era"]),
+            lease_id=body.get("lease_id"),
         )
     except (ValueError, TypeError, KeyError) as error:
         log.warning("control: unreadable record error=%r", str(error))
@@ -296,8 +309,13 @@
             return
         if holder is not None and holder.process == self.own_record.process:
             # The answer to the write was lost; a renewal shows whether the lease of
-            # the write is valid.
-            if self._attempted_lease is not None and not holder.resigned:
+            # the write is valid. The record may also be that of an earlier attempt.
+            lease = self._attempted_lease
+            if (
+                lease is not None
+                and lease.lease_id == holder.lease_id
+                and not holder.resigned
+            ):
                 await self._client.renew_lease(self._attempted_lease)
                 self._became_leader(
                     Term(era=era, revision=item.revision),
@@ -314,6 +332,7 @@
         self._attempted_lease = lease
         expected = 0 if item is None else item.revision
         self.own_record.era = era
+        self.own_record.lease_id = lease.lease_id
         revision = await self._client.write(
             expected={CONTROL_KEY: expected},
             puts={CONTROL_KEY: self.own_record.encode()},
--- a/tests/test_keyspace_ownership.py
+++ b/tests/test_keyspace_ownership.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import contextlib
+
 import pytest
 from entry_fakes import STORE, World, configuration, registration
 from hypothesis import strategies as st
@@ -11,7 +13,9 @@
 from briarspoke.keyspace import keymap
 from briarspoke.keyspace.granter import HOLD_S, RENEWAL_INTERVAL_S
 from briarspoke.keyspace.grantlog import MAX_TRANSIT_S, expiry_time
+from briarspoke.keyspace.leadership import CONTROL_KEY
 from briarspoke.platform import grants
+from briarspoke.platform.keyvalue import StoreError
 from briarspoke.standins.platform_server import ServerModel
 
 KEYS = tuple(range(0, 65_536, 997))
@@ -221,6 +225,36 @@
         assert restarted.control.is_leader
 
 
+class TestLateControlWrites:
+    def test_record_of_an_earlier_attempt_ends_with_its_lease(self):
+        # Guards against a controller that renews grants for ever: the record that made
+        # it controller belongs to a lease that it does not renew.
+        world = World()
+        world.store.put("op/config", configuration())
+        node = world.add_node()
+        write, delays_s = node.store.write, [1.5, 2.0]
+
+        async def ignore_failure(call):
+            with contextlib.suppress(StoreError):
+                await call
+
+        async def write_late(**options):
+            if CONTROL_KEY not in dict(options["puts"]) or not delays_s:
+                return await write(**options)
+            late = ignore_failure(write(**options))
+            world.reactor.callLater(delays_s.pop(0), node.spawn, late)
+            await node.sleep(0.8)
+            raise StoreError("write: timeout", outcome_unknown=True)
+
+        node.store.write = write_late
+        world.advance(2.6)
+        assert not delays_s
+        for _ in range(60):
+            world.advance(0.1)
+            assert not node.control.is_leader or CONTROL_KEY in world.store.items
+        assert node.control.is_leader
+
+
 class TestLateArrival:
     def test_grant_that_waits_in_a_link_longer_than_its_call(self, world):
         # Guards against two owners: a grant that was given up after its timeout reaches
