Store the addresses of owners with the key map

What callers saw: keys without an owner for up to 17 s (refused with no-owner).

Cause: a controller that started after owners had ended knew them from the map only. It could not ask at their addresses whether they had ended, and waited for the longest grants of all controllers before it.

Change: the map in the store has the addresses of its owners. Older versions ignore them.

Evidence: test_controller_that_starts_after_its_owners_have_ended failed before.

--- a/briarspoke/entry/servers.py
+++ b/briarspoke/entry/servers.py
@@ -84,6 +84,28 @@
         self.sequence = sequence
         self.warmup_s = warmup_s
 
+    @classmethod
+    def of_ended(cls, *, server_instance, service, address):
+        """Returns the record of a server that is not registered any more.
+
+        :param server_instance: pair of server identifier and incarnation.
+        :param address: pair of host and port.
+        """
+        server_id, incarnation = server_instance
+        host, port = address
+        return cls(
+            server_id=server_id,
+            service=service,
+            host=host,
+            port=port,
+            zone="",
+            slots=1,
+            draining=True,
+            incarnation=incarnation,
+            warmup_s=0.0,
+            sequence=0,
+        )
+
     @property
     def server_instance(self):
         """Pair of server identifier and incarnation, unique for each process."""
--- a/briarspoke/keyspace/keymap.py
+++ b/briarspoke/keyspace/keymap.py
@@ -46,14 +46,16 @@
     :param owners: one :class:`Owner` for each range.
     :param era: era of the store in which a controller wrote the map, or None if the map
         does not tell.
+    :param address_by_instance: ``{server_instance: (host, port)}`` of owners.
     """
 
-    __slots__ = ("era", "owners", "starts")
+    __slots__ = ("address_by_instance", "era", "owners", "starts")
 
-    def __init__(self, *, starts, owners, era=None):
+    def __init__(self, *, starts, owners, era=None, address_by_instance=None):
         self.starts = starts
         self.owners = owners
         self.era = era
+        self.address_by_instance = address_by_instance or {}
 
     def owner(self, key):
         """Returns the owner of a key."""
@@ -110,7 +112,11 @@
             [first, owner.server_id, owner.incarnation, owner.fence]
             for first, _, owner in self.ranges()
         ]
-        body = {"era": era, "ranges": rows}
+        addresses = [
+            [*instance, *address]
+            for instance, address in self.address_by_instance.items()
+        ]
+        body = {"era": era, "ranges": rows, "addresses": addresses}
         return json.dumps(body, separators=(",", ":")).encode()
 
 
@@ -143,6 +149,10 @@
         body = json.loads(data)
         rows = body["ranges"]
         era = body.get("era")
+        address_by_instance = {
+            (str(server_id), int(incarnation)): (str(host), int(port))
+            for server_id, incarnation, host, port in body.get("addresses", ())
+        }
         starts = [int(row[0]) for row in rows]
         owners = []
         for _, server_id, incarnation, fence in rows:
@@ -157,7 +167,12 @@
     valid = starts and starts[0] == 0 and starts[-1] < KEY_COUNT
     if not valid or any(a >= b for a, b in itertools.pairwise(starts)):
         raise KeyMapError("the ranges of the key map do not cover all keys in order")
-    return KeyMap(starts=starts, owners=owners, era=era)
+    return KeyMap(
+        starts=starts,
+        owners=owners,
+        era=era,
+        address_by_instance=address_by_instance,
+    )
 
 
 class KeyMaps:
--- a/briarspoke/keyspace/range_manager.py
+++ b/briarspoke/keyspace/range_manager.py
@@ -4,12 +4,13 @@
 
 import logging
 
+from briarspoke.entry.servers import ServerRecord
 from briarspoke.errors import BriarspokeError, invariant
 from briarspoke.keyspace import placement
 from briarspoke.keyspace.allowance import Allowances
 from briarspoke.keyspace.confirmation import OwnerConfirmation
 from briarspoke.keyspace.granter import Granter
-from briarspoke.keyspace.keymap import KEY_COUNT, UNOWNED, Owner
+from briarspoke.keyspace.keymap import KEY_COUNT, UNOWNED, KeyMap, Owner
 from briarspoke.keyspace.moves import Move, MoveEnd, MoveState
 from briarspoke.keyspace.ranges import subtract_ranges
 from briarspoke.keyspace.tokens import FencingTokens
@@ -283,10 +284,9 @@
         if self._has_new_process(move, records):
             move.finish(MoveEnd.OWNER_ENDED)
             return
-        client = self.granter.known_client(move.owner.server_instance)
+        client = self._owner_client(move)
         if move.state is MoveState.AWAITING_CALLS:
             if client is None:
-                # Only the map names this instance, so its address is unknown.
                 self._wait_for_expiry(move, now)
             elif not client.log.is_pending(move.first, move.last, now):
                 self._release(move, client, records, now)
@@ -332,6 +332,30 @@
             return True
         return False
 
+    def _owner_client(self, move):
+        """Returns the client of the owner, or None if its address is unknown.
+
+        An owner that is not registered any more may be known from the map only.
+        """
+        instance = move.owner.server_instance
+        client = self.granter.known_client(instance)
+        address = self._map.address_by_instance.get(instance)
+        if client is not None or address is None:
+            return client
+        record = ServerRecord.of_ended(
+            server_instance=instance, service=self.service, address=address
+        )
+        return self.granter.client(record)
+
+    def _address_by_instance(self, owners):
+        known = dict(self._map.address_by_instance) if self._map else {}
+        for owner in owners:
+            client = self.granter.known_client(owner.server_instance)
+            if client is not None:
+                known[owner.server_instance] = (client.record.host, client.record.port)
+        instances = {owner.server_instance for owner in owners}
+        return {i: address for i, address in known.items() if i in instances}
+
     def _is_address_reused(self, client):
         """Returns whether another server is registered at the address of a server."""
         return any(
@@ -470,7 +494,8 @@
                 Owner(server_id=o.server_id, incarnation=o.incarnation, fence=fence)
                 for o in key_map.owners
             ]
-            key_map = type(key_map)(starts=list(key_map.starts), owners=owners)
+            key_map = KeyMap(starts=list(key_map.starts), owners=owners)
+        key_map.address_by_instance = self._address_by_instance(key_map.owners)
         self._writing = True
         self._node.spawn(self._store_map(key_map, moves, reason, changes))
 
--- a/tests/test_keyspace_ownership.py
+++ b/tests/test_keyspace_ownership.py
@@ -392,6 +392,22 @@
         world.advance(1.2)
         assert all(len(holders(world, key)) == 1 for key in KEYS)
 
+    def test_controller_that_starts_after_its_owners_have_ended(self, world):
+        # Guards against keys that wait for the longest grants of earlier controllers,
+        # since only the map names their owner.
+        leader = controller(world)
+        number = SERVERS[0]
+        for node in world.nodes:
+            for target in [STORE, *world.servers]:
+                node.faults(target).cut = True
+        world.advance(1.0)
+        world.store.delete(f"servers/s-{number}")
+        self.next_server(world, number)
+        world.store.put("servers/s-99", registration("stock", number, born=2))
+        world.add_node(leader.settings.node, 9)
+        world.advance(2.0)
+        assert all(len(holders(world, key)) == 1 for key in KEYS)
+
     def test_refusal_that_names_the_owner_itself_proves_nothing(self, world):
         # Guards against two owners after one wrong answer.
         number = SERVERS[0]
