Move no keys for load while the store is out of reach

What callers saw: keys without an owner for the rest of an outage of the store.

Moves for load began without the store: the owner released its keys, and the map with the next owner could not be written.

Evidence: test_keys_do_not_move_for_load failed before.

--- a/briarspoke/keyspace/range_manager.py
+++ b/briarspoke/keyspace/range_manager.py
@@ -189,7 +189,11 @@
             for piece in subtract_ranges(first, last, moving):
                 self._start_move(*piece, owner, None, reason)
         free_moves = MAX_CONCURRENT_MOVES - len(self.moves)
-        if free_moves > 0 and now >= self._rebalance_at:
+        # Without the store, a released range stays without an owner.
+        may_move = self._node.view.reachable and not self._leadership.has_lost_store(
+            now
+        )
+        if free_moves > 0 and may_move and now >= self._rebalance_at:
             self._rebalance_at = now + REBALANCE_INTERVAL_S
             self._rebalance(records, now, free_moves)
 
--- a/tests/test_keyspace_ownership.py
+++ b/tests/test_keyspace_ownership.py
@@ -75,6 +75,21 @@
         world.advance(5.0)
         assert all(len(holders(world, key)) == 1 for key in KEYS)
 
+    def test_keys_do_not_move_for_load(self, world):
+        # Guards against keys without an owner for a whole outage: they were released,
+        # and the map with their next owner could not be written.
+        leader = controller(world)
+        world.store_down = True
+        world.advance(4.0)
+        busy = leader.key_maps.owner("stock", 7).server_id
+        for _ in range(50):
+            for key in KEYS:
+                if leader.key_maps.owner("stock", key).server_id == busy:
+                    for _ in range(6):
+                        leader.key_load.count("stock", key)
+            world.advance(0.1)
+            assert all(len(holders(world, key)) == 1 for key in KEYS)
+
 
 class TestAnnouncedOwners:
     def drain(self, world):
