Give keys to servers that were unreachable if no other is left

What callers saw: keys without an owner although a server for them is registered.

Whether a server takes grants is known from its last grant call. A server without keys gets none, so one that was cut off for a time got no keys for the rest of a term, also if it was the only one.

--- a/briarspoke/keyspace/range_manager.py
+++ b/briarspoke/keyspace/range_manager.py
@@ -252,11 +252,12 @@
             )
 
     def _usable_candidates(self, records):
-        return [
-            self._candidate(record)
-            for _, record in sorted(records.items())
-            if not record.draining and self.granter.client(record).reachable
+        usable = [
+            record for _, record in sorted(records.items()) if not record.draining
         ]
+        # A server without keys gets no grant that would show that it is back.
+        reachable = [r for r in usable if self.granter.client(r).reachable]
+        return [self._candidate(record) for record in reachable or usable]
 
     def _start_move(self, first, last, owner, to, reason):
         invariant(
--- a/tests/test_keyspace_ownership.py
+++ b/tests/test_keyspace_ownership.py
@@ -91,6 +91,27 @@
             assert all(len(holders(world, key)) == 1 for key in KEYS)
 
 
+class TestLastServer:
+    def test_server_that_was_unreachable_gets_keys_again(self, world):
+        # Guards against keys without an owner while a server is there: it was cut off
+        # for a time and has had no keys since.
+        number = SERVERS[0]
+        for node in world.nodes:
+            node.faults(address(number)).cut = True
+        world.advance(3.0)
+        world.store.delete(f"servers/s-{number}")
+        world.advance(8.0)
+        for node in world.nodes:
+            node.faults(address(number)).cut = False
+        world.store.put(f"servers/s-{number}", registration("stock", number, seq=2))
+        world.advance(3.0)
+        for other in SERVERS[1:]:
+            state = registration("stock", other, state="draining", seq=2)
+            world.store.put(f"servers/s-{other}", state)
+        world.advance(10.0)
+        assert all(holders(world, key) == [f"s-{number}"] for key in KEYS)
+
+
 class TestAnnouncedOwners:
     def drain(self, world):
         """Starts to drain the first server and returns the key maps of all nodes."""
