Accept a 421 without an identifier as another server's

What callers saw: keys without an owner for seconds after servers had ended.

Cause: took only a 421 with the identifier of another server as proof. The platform's answer to a grant or a release has none (its answers to requests have one), so owners that had ended were waited for until their grants had expired. Only a server with another identifier gives this answer to a call that names its server.

Change: an answer without an identifier counts; one with the owner's own does not.

--- a/briarspoke/entry/node.py
+++ b/briarspoke/entry/node.py
@@ -201,13 +201,13 @@
         """Called when an answer from a server's address has another server's id.
 
         :param record: the :class:`ServerRecord` of the server that was expected.
-        :param answering_id: identifier in the answer, in bytes.
+        :param answering_id: identifier in the answer in bytes, or None.
         """
         log.info(
             "servers: replaced id=%s service=%s found=%s",
             record.server_id,
             record.service,
-            answering_id.decode("latin-1"),
+            answering_id.decode("latin-1") if answering_id else "-",
         )
         self.wake_control()
 
--- a/briarspoke/keyspace/granter.py
+++ b/briarspoke/keyspace/granter.py
@@ -30,8 +30,8 @@
     :param issue_fence: function that returns a new fencing token.
     :param on_answer: called with (sent grant, owner, accepted=, first=) when a server
         has accepted or refused a grant.
-    :param on_other_server: called with (:class:`ServerRecord`, identifier in bytes)
-        when another server answers at the address of a server.
+    :param on_other_server: called with (:class:`ServerRecord`, identifier in bytes or
+        None) when another server answers at the address of a server.
     """
 
     def __init__(
@@ -170,8 +170,8 @@
         self._node.metrics.count(
             "grants_total", "refused" if answer.accepted is False else "failed"
         )
-        if answer.other_server is not None:
-            self._on_other_server(client.record, answer.other_server)
+        if answer.by_other_server:
+            self._on_other_server(client.record, answer.answering_id)
         if answer.accepted is False and not client.log.was_overtaken(sent, now):
             self._on_answer(sent, owner, accepted=False, first=renewal is None)
 
--- a/briarspoke/keyspace/range_manager.py
+++ b/briarspoke/keyspace/range_manager.py
@@ -424,9 +424,9 @@
         if move.state is MoveState.READY:
             # The last grant expired before the release was answered.
             return
-        if answer.other_server is not None:
+        if answer.by_other_server:
             # No server has the grants that were sent to the owner.
-            self._other_server_answered(client.record, answer.other_server)
+            self._other_server_answered(client.record, answer.answering_id)
             move.finish(MoveEnd.OWNER_ENDED)
             self._node.wake_control()
         elif answer.accepted and not move.may_be_granted_late:
--- a/briarspoke/platform/grants.py
+++ b/briarspoke/platform/grants.py
@@ -21,20 +21,36 @@
     :param handover: handover token for the next owner, or None.
     :param failure: reason why the outcome is unknown, or an empty string.
     :param sent: whether the call may have reached the server.
-    :param other_server: identifier of another server that answered at the address, in
-        bytes, or None. An address is used again only after its server has ended.
+    :param by_other_server: whether another server answered at the address. An address
+        is used again only after its server has ended.
+    :param answering_id: identifier of that server in bytes, or None if it is not told.
     """
 
-    __slots__ = ("accepted", "failure", "handover", "other_server", "sent")
+    __slots__ = (
+        "accepted",
+        "answering_id",
+        "by_other_server",
+        "failure",
+        "handover",
+        "sent",
+    )
 
     def __init__(
-        self, *, accepted, handover=None, failure="", sent=True, other_server=None
+        self,
+        *,
+        accepted,
+        handover=None,
+        failure="",
+        sent=True,
+        by_other_server=False,
+        answering_id=None,
     ):
         self.accepted = accepted
         self.handover = handover
         self.failure = failure
         self.sent = sent
-        self.other_server = other_server
+        self.by_other_server = by_other_server
+        self.answering_id = answering_id
 
 
 _ACCEPTED_BY_STATUS = {200: True, 409: False}
@@ -45,11 +61,14 @@
     if answer.status is None:
         return GrantAnswer(accepted=None, failure=answer.failure, sent=answer.sent)
     if answer.status == _OTHER_SERVER_STATUS:
+        # Only a server with another identifier gives this answer to these calls.
         answering_id = answer.get(headers.SERVER_ID)
-        if answering_id == server_id.encode():
-            answering_id = None
         return GrantAnswer(
-            accepted=None, failure="421", sent=False, other_server=answering_id
+            accepted=None,
+            failure="421",
+            sent=False,
+            by_other_server=answering_id != server_id.encode(),
+            answering_id=answering_id,
         )
     handover = answer.get(headers.HANDOVER)
     return GrantAnswer(
--- a/briarspoke/standins/platform_server.py
+++ b/briarspoke/standins/platform_server.py
@@ -97,7 +97,7 @@
             any server.
         """
         if target not in (None, self.server_id):
-            return 421, {"Instance-Id": self.server_id}
+            return 421, {}
         value = json.loads(body)
         if path.endswith("/grant"):
             return self.grant(value, arrived_at), {}
