--- a/briarspoke/soak/deployment.py
+++ b/briarspoke/soak/deployment.py
@@ -264,6 +264,20 @@
         )
         self.store.put("op/config", data)
 
+    def restore_store(self, copy):
+        """Restores the store; the operator and the servers write again.
+
+        :param copy: earlier :class:`briarspoke.standins.platform_store.StoreCopy`.
+        """
+        written = {
+            key: item["value"]
+            for key, item in self.store.items.items()
+            if key.startswith(("op/", "servers/"))
+        }
+        self.store.restore(copy)
+        for key, value in written.items():
+            self.store.put(key, value)
+
     def start(self):
         """Starts every entry VM."""
         for node in self.nodes:
--- a/briarspoke/soak/faults.py
+++ b/briarspoke/soak/faults.py
@@ -62,6 +62,12 @@
     return store_outage(run)
 
 
+@fault
+def restored_store(run):
+    copy = run.deployment.store.copy()
+    return lambda: run.deployment.restore_store(copy)
+
+
 @fault
 def lost_writes(run):
     stand_in = run.deployment.store_stand_in
