Move releases and ended owners out of the key range manager

`RangeReleaser` advances moves until their ranges have no owner. One change of behaviour: whether an answer to a release ends the ownership is kept with the call, since two calls of a move may be under way.

--- a/briarspoke/keyspace/moves.py
+++ b/briarspoke/keyspace/moves.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import math
 
 from briarspoke.keyspace.grantlog import GrantLog
 
@@ -34,9 +35,7 @@
     :ivar grants_expire_at: when the grants of the owner have expired, or None if that
         is not known yet.
     :ivar handover: token from the release, passed on to the next owner, or None.
-    :ivar may_be_granted_late: whether a grant to the owner may arrive after the last
-        release call.
-    :ivar release_sent_at: time of the last release call, or None.
+    :ivar release_sent_at: time of the last release call; minus infinity before it.
     :ivar end: the :class:`MoveEnd` once the range has no owner.
     """
 
@@ -46,7 +45,6 @@
         "grants_expire_at",
         "handover",
         "last",
-        "may_be_granted_late",
         "owner",
         "reason",
         "release_sent_at",
@@ -63,8 +61,7 @@
         self.state = MoveState.AWAITING_CALLS
         self.grants_expire_at = None
         self.handover = None
-        self.may_be_granted_late = False
-        self.release_sent_at = None
+        self.release_sent_at = -math.inf
         self.end = None
 
     def finish(self, end):
--- a/briarspoke/keyspace/range_manager.py
+++ b/briarspoke/keyspace/range_manager.py
@@ -4,17 +4,16 @@
 
 import logging
 
-from briarspoke.entry.servers import ServerRecord
 from briarspoke.errors import BriarspokeError, invariant
 from briarspoke.keyspace import placement
 from briarspoke.keyspace.allowance import Allowances
 from briarspoke.keyspace.confirmation import OwnerConfirmation
 from briarspoke.keyspace.granter import Granter
 from briarspoke.keyspace.keymap import KEY_COUNT, UNOWNED, KeyMap, Owner
-from briarspoke.keyspace.moves import Move, MoveEnd, MoveState
+from briarspoke.keyspace.moves import Move, MoveState
 from briarspoke.keyspace.ranges import subtract_ranges
+from briarspoke.keyspace.releases import RangeReleaser
 from briarspoke.keyspace.tokens import FencingTokens
-from briarspoke.platform import grants
 from briarspoke.platform.keyvalue import ConditionFailedError
 
 log = logging.getLogger(__name__)
@@ -28,8 +27,6 @@
 REBALANCE_INTERVAL_S = 0.3
 # Interval between two plans of how many requests for overloaded owners are admitted.
 ALLOWANCE_INTERVAL_S = 0.5
-# Interval between two releases that only ask whether an owner has ended.
-RELEASE_INTERVAL_S = 0.5
 # Reason for the write of the first key map of a service, for the log.
 FIRST_MAP = "first map"
 # Reason for the first write after the store was restored, for the log.
@@ -84,8 +81,14 @@
         self._rebalance_at = 0.0
         self._usable_count = 0
         self._usable_count_since = self._started_at
-        # Grants of previous controllers may be valid until this time.
-        self._previous_grants_expire_at = leadership.previous_grants_expire_at
+        self._releaser = RangeReleaser(
+            node=node,
+            service=service,
+            granter=self.granter,
+            previous_grants_expire_at=leadership.previous_grants_expire_at,
+            on_release=self._announce_release,
+            on_other_server=self._other_server_answered,
+        )
 
     @property
     def has_written_map(self):
@@ -128,7 +131,7 @@
             return
         self._start_moves(records, now)
         for move in self.moves:
-            self._advance(move, records, now)
+            self._releaser.advance(move, self._map, records)
         self._send_announcements()
         self._finish_moves(records, now)
         if now >= self._plan_allowances_at:
@@ -150,7 +153,8 @@
             self._write(self._confirmation.confirmed_map(), [], RESTORED_MAP)
 
     def _write_first_map(self, records, now):
-        if self._leadership.is_restored and now < self._previous_grants_expire_at:
+        settled_at = self._releaser.previous_grants_expire_at
+        if self._leadership.is_restored and now < settled_at:
             # The copy of the store is older than the first map.
             return
         usable_instances = sorted(
@@ -277,81 +281,16 @@
             reason,
         )
 
+    def _announce_release(self, move):
+        unowned = Owner(server_id=UNOWNED, incarnation=0, fence=move.owner.fence)
+        self._announcements.append((move.first, move.last, unowned))
+
     def _send_announcements(self):
         """Announces releases and new owners, so that requests follow them."""
         changes, self._announcements = self._announcements, []
         if changes:
             self._node.announce_owners(self.service, changes)
 
-    def _advance(self, move, records, now):
-        if move.state is MoveState.READY:
-            return
-        if self._has_new_process(move, records):
-            move.finish(MoveEnd.OWNER_ENDED)
-            return
-        client = self._owner_client(move)
-        if move.state is MoveState.AWAITING_CALLS:
-            if client is None:
-                self._wait_for_expiry(move, now)
-            elif not client.log.is_pending(move.first, move.last, now):
-                self._release(move, client, records, now)
-        elif now >= move.grants_expire_at:
-            # Also ends a release whose owner is busy for longer than its grant lasts.
-            move.finish(MoveEnd.EXPIRED)
-        elif (
-            move.state is MoveState.EXPIRING
-            and client is not None
-            and (
-                move.release_sent_at is None
-                or now >= move.release_sent_at + RELEASE_INTERVAL_S
-            )
-            and self._is_address_reused(client)
-        ):
-            self._send_release(move, client, now)
-
-    def _has_new_process(self, move, records):
-        """Returns whether a newer process of the owner's server may get the range now.
-
-        Grants are sent to an address. A new process of the same server at that address
-        may have accepted some of them, so until they expire the range can be moved to
-        that process only, which then becomes the next owner.
-
-        A registration of another server at the owner's address does not count: it may
-        be a late write of a server that has ended.
-        """
-        owner = move.owner
-        client = self.granter.known_client(owner.server_instance)
-        for record in records.values():
-            if record.server_id != owner.server_id:
-                continue
-            if record.incarnation <= owner.incarnation:
-                return False
-            if client is not None and (record.host, record.port) != (
-                client.record.host,
-                client.record.port,
-            ):
-                return True
-            if record.draining:
-                return False
-            move.to = record.server_instance
-            return True
-        return False
-
-    def _owner_client(self, move):
-        """Returns the client of the owner, or None if its address is unknown.
-
-        An owner that is not registered any more may be known from the map only.
-        """
-        instance = move.owner.server_instance
-        client = self.granter.known_client(instance)
-        address = self._map.address_by_instance.get(instance)
-        if client is not None or address is None:
-            return client
-        record = ServerRecord.of_ended(
-            server_instance=instance, service=self.service, address=address
-        )
-        return self.granter.client(record)
-
     def _address_by_instance(self, owners):
         known = dict(self._map.address_by_instance) if self._map else {}
         for owner in owners:
@@ -361,89 +300,6 @@
         instances = {owner.server_instance for owner in owners}
         return {i: address for i, address in known.items() if i in instances}
 
-    def _is_address_reused(self, client):
-        """Returns whether another server is registered at the address of a server."""
-        return any(
-            other.server_id != client.record.server_id
-            and (other.host, other.port) == (client.record.host, client.record.port)
-            for other in self._node.all_records()
-        )
-
-    def _grants_expire_at(self, move, now):
-        # A shorter grant sent later does not shorten a grant of a predecessor.
-        grants_expire_at = max(now, self._previous_grants_expire_at)
-        client = self.granter.known_client(move.owner.server_instance)
-        if client is not None:
-            grants_expire_at = max(
-                grants_expire_at, client.log.expires_at(move.first, move.last, now)
-            )
-        return grants_expire_at
-
-    def _wait_for_expiry(self, move, now):
-        move.grants_expire_at = self._grants_expire_at(move, now)
-        move.state = MoveState.EXPIRING
-
-    def _may_be_granted_late(self, move, client, now):
-        """Returns whether a grant to the owner may arrive after a release."""
-        if client.log.is_uncertain(move.first, move.last, now):
-            return True
-        # A predecessor may renew until the owner has seen a token of this term.
-        return now < self._previous_grants_expire_at and not client.log.was_accepted(
-            move.first, move.last, now
-        )
-
-    def _release(self, move, client, records, now):
-        is_used = move.owner.server_instance in records
-        if is_used and self._may_be_granted_late(move, client, now):
-            self._wait_for_expiry(move, now)
-            return
-        move.state = MoveState.RELEASING
-        move.grants_expire_at = self._grants_expire_at(move, now)
-        unowned = Owner(server_id=UNOWNED, incarnation=0, fence=move.owner.fence)
-        self._announcements.append((move.first, move.last, unowned))
-        self._send_release(move, client, now)
-
-    def _send_release(self, move, client, now):
-        move.release_sent_at = now
-        move.may_be_granted_late = self._may_be_granted_late(move, client, now)
-        self._node.spawn(self._request_release(move, client))
-
-    async def _request_release(self, move, client):
-        fence = self.granter.issue_fence(client)
-        answer = await grants.release(
-            client.http,
-            server_id=move.owner.server_id,
-            first=move.first,
-            last=move.last,
-            fence=fence,
-        )
-        self._node.metrics.count(
-            "grants_total", "released" if answer.accepted else "release-failed"
-        )
-        now = self._node.now()
-        if move.state is MoveState.READY:
-            # The last grant expired before the release was answered.
-            return
-        if answer.by_other_server:
-            # No server has the grants that were sent to the owner.
-            self._other_server_answered(client.record, answer.answering_id)
-            move.finish(MoveEnd.OWNER_ENDED)
-            self._node.wake_control()
-        elif answer.accepted and not move.may_be_granted_late:
-            move.handover = answer.handover
-            move.finish(MoveEnd.RELEASED)
-            self._node.wake_control()
-        elif move.state is MoveState.RELEASING:
-            log.info(
-                "keys: release failed service=%s server=%s keys=%d-%d reason=%s",
-                self.service,
-                move.owner.server_id,
-                move.first,
-                move.last,
-                answer.failure or "late-grants",
-            )
-            self._wait_for_expiry(move, now)
-
     def _finish_moves(self, records, now):
         ready = [move for move in self.moves if move.state is MoveState.READY]
         if not ready or self._writing or now < self._written_at + MIN_WRITE_INTERVAL_S:
@@ -528,7 +384,7 @@
             return
         if reason == FIRST_MAP:
             # Without a map, no earlier controller has sent a grant.
-            self._previous_grants_expire_at = self._node.now()
+            self._releaser.previous_grants_expire_at = self._node.now()
         self._fence_raised = True
         now = self._written_at = self._node.now()
         log.info(
