--- a/briarspoke/entry/control.py
+++ b/briarspoke/entry/control.py
@@ -28,6 +28,7 @@
     def __init__(self, *, node):
         self._node = node
         self._range_managers_by_service = {}
+        # The managers of the last term that has ended.
         self._former_managers_by_service = {}
         self._former_term = None
         self._estimates_by_service = {}
--- a/briarspoke/keyspace/leadership.py
+++ b/briarspoke/keyspace/leadership.py
@@ -150,7 +150,7 @@
         self.own_record = own_record
         # The :class:`Term` while this process is the controller, else None.
         self.term = None
-        # Whether this term is the first one since the store was restored.
+        # Whether the store may be a copy that lacks what earlier terms have written.
         self.is_restored = False
         # The term that this process had when the store was restored, if this one may
         # confirm the owners of that time, else None.
