Confirm owners after a restore on kept connections only

What callers could see: two servers hold the same keys after a restore.

Cause: found by a review. A server that restarts under its identifier has seen no token, so it accepted the grants of a former term for keys that another controller had moved from it. And a process that started after the restore wrote a first map at once, if the copy was older than the map.

Change: if the lease of the former term may have expired before the restore, owners are confirmed only on connections kept since then, one call after the other. A first map waits for earlier grants in every store that has been restored.

--- a/briarspoke/entry/control.py
+++ b/briarspoke/entry/control.py
@@ -124,7 +124,8 @@
         if self._term is not leadership.term:
             self._end_term()
             self._term = leadership.term
-            if self._former_term is not leadership.inherited_term:
+            inherited = leadership.inherited
+            if inherited is None or inherited.term is not self._former_term:
                 self._former_managers_by_service = {}
             # The loads of an earlier term are out of date.
             self._estimates_by_service = {}
--- a/briarspoke/keyspace/granter.py
+++ b/briarspoke/keyspace/granter.py
@@ -107,21 +107,37 @@
 
         :param renewal: the :class:`Renewal`, or None if the server gets the range
             with this grant.
-        :returns: the :class:`SentGrant`.
         """
+        connection = None if renewal is None else client.http.take_idle()
+        fence = self.issue_fence(client) if connection is None else client.fence
+        sent = self._record(client, first, last, fence)
+        if renewal is not None:
+            renewal.in_flight = True
+        self._node.spawn(self._call(client, sent, owner, handover, renewal, connection))
+
+    async def confirm(self, client, first, last, owner, *, only_same_process):
+        """Repeats a grant with a new token.
+
+        :param only_same_process: whether the call must not reach a process that has
+            started since the last grant.
+        :returns: whether the server has accepted it.
+        """
+        connection = client.http.take_idle()
+        if connection is None and only_same_process:
+            return False
+        sent = self._record(client, first, last, self.issue_fence(client))
+        await self._call(client, sent, owner, None, None, connection)
+        return sent.accepted
+
+    def _record(self, client, first, last, fence):
+        """Records a grant that is sent now and returns its :class:`SentGrant`."""
         now = self._node.now()
         longest_s = self._node.settings.max_hold_s
         hold_s = self._leadership.hold_s(now, HOLD_S, longest_s)
         if hold_s > HOLD_S:
             arrived_at = now + grants.GRANT_TIMEOUT_S + MAX_TRANSIT_S
             self._leadership.record_long_grant(expiry_time(arrived_at, hold_s))
-        connection = None if renewal is None else client.http.take_idle()
-        fence = self.issue_fence(client) if connection is None else client.fence
-        sent = client.log.add(first=first, last=last, fence=fence, hold_s=hold_s)
-        if renewal is not None:
-            renewal.in_flight = True
-        self._node.spawn(self._call(client, sent, owner, handover, renewal, connection))
-        return sent
+        return client.log.add(first=first, last=last, fence=fence, hold_s=hold_s)
 
     def issue_fence(self, client):
         """Issues the token for a call that opens a new connection to a server.
--- a/briarspoke/keyspace/leadership.py
+++ b/briarspoke/keyspace/leadership.py
@@ -134,6 +134,23 @@
         self.revision = revision
 
 
+class InheritedTerm:
+    """The term that a process had when the store was restored.
+
+    :param term: the :class:`Term`.
+    :param until: time until which its owners may be confirmed.
+    :param was_replaceable: whether its lease may have expired before the restore, so
+        that another process may have been the controller since.
+    """
+
+    __slots__ = ("term", "until", "was_replaceable")
+
+    def __init__(self, *, term, until, was_replaceable):
+        self.term = term
+        self.until = until
+        self.was_replaceable = was_replaceable
+
+
 class Leadership:
     """Acquires, renews and gives up the lease of the controller.
 
@@ -150,11 +167,8 @@
         self.own_record = own_record
         # The :class:`Term` while this process is the controller, else None.
         self.term = None
-        # Whether the store may be a copy that lacks what earlier terms have written.
-        self.is_restored = False
-        # The term that this process had when the store was restored, if this one may
-        # confirm the owners of that time, else None.
-        self.inherited_term = None
+        # The last :class:`InheritedTerm`, or None.
+        self._inherited = None
         self.predecessor = PredecessorEnd.UNKNOWN
         # Time at which the grants of all controllers before this term have expired.
         self.previous_grants_expire_at = 0.0
@@ -173,17 +187,19 @@
         # Time since which the era of the store is known, and whether it has risen.
         self._era_known_at = clock()
         self._has_era_risen = False
-        self._term_at_restore = None
-        self._inherits_until = 0.0
         client.era_observers.append(self._era_rose)
 
     def _era_rose(self):
+        now = self._clock()
         self._attempted_lease = None
-        self._era_known_at = self._clock()
+        self._era_known_at = now
         self._has_era_risen = True
         if self.is_leader:
-            self._term_at_restore = self.term
-            self._inherits_until = self._renewed_at + RENEWAL_WITHOUT_STORE_S
+            self._inherited = InheritedTerm(
+                term=self.term,
+                until=self._renewed_at + RENEWAL_WITHOUT_STORE_S,
+                was_replaceable=self.may_be_replaced(now),
+            )
         self.step_down("the store was restored")
 
     @property
@@ -195,6 +211,17 @@
         """Returns whether grants may be renewed, even if the store is unreachable."""
         return self.is_leader and now - self._renewed_at < RENEWAL_WITHOUT_STORE_S
 
+    def may_be_replaced(self, now):
+        """Returns whether the lease may have expired, as far as this process knows."""
+        return now - self._renewed_at >= LEASE_S
+
+    @property
+    def inherited(self):
+        """The :class:`InheritedTerm` whose owners may be confirmed now, or None."""
+        if self._inherited is None or self._clock() >= self._inherited.until:
+            return None
+        return self._inherited
+
     def has_lost_store(self, now):
         """Returns whether the store has been lost for ``LONG_HOLD_AFTER_S``."""
         return now - self._renewed_at >= LONG_HOLD_AFTER_S
@@ -286,14 +313,10 @@
         is_of_copy = holder is not None and holder.is_of_copy(era)
         if is_of_copy:
             holder = None
-        self.is_restored = is_of_copy or self._has_era_risen
-        self.inherited_term = None
-        if sent_at < self._inherits_until:
-            self.inherited_term = self._term_at_restore
         if (
             holder is None
-            and self.is_restored
-            and self.inherited_term is None
+            and (is_of_copy or self._has_era_risen)
+            and self.inherited is None
             and sent_at < self._era_known_at + RESTORE_HEAD_START_S
         ):
             return
--- a/briarspoke/keyspace/range_manager.py
+++ b/briarspoke/keyspace/range_manager.py
@@ -29,6 +29,8 @@
 ALLOWANCE_INTERVAL_S = 0.5
 # Reason for the write of the first key map of a service, for the log.
 FIRST_MAP = "first map"
+# Era of a store that has never been restored.
+FIRST_ERA = 1
 # Reason for the first write after the store was restored, for the log.
 RESTORED_MAP = "restored store"
 # Each move in progress needs a release, a write and a grant.
@@ -146,16 +148,20 @@
             return
         # The owners that the map in the store names may be those of a while ago.
         if self._confirmation is None:
+            inherited = self._leadership.inherited
             self._confirmation = OwnerConfirmation(
-                key_map=self._map, granter=self._former_granter
+                node=self._node,
+                key_map=self._map,
+                granter=self._former_granter if inherited else None,
+                only_same_process=inherited is None or inherited.was_replaceable,
             )
         if self._confirmation.is_complete:
             self._write(self._confirmation.confirmed_map(), [], RESTORED_MAP)
 
     def _write_first_map(self, records, now):
         settled_at = self._releaser.previous_grants_expire_at
-        if self._leadership.is_restored and now < settled_at:
-            # The copy of the store is older than the first map.
+        if self._term.era > FIRST_ERA and now < settled_at:
+            # The store may have been restored from a copy that is older than the map.
             return
         usable_instances = sorted(
             r.server_instance for r in records.values() if not r.draining
