Renew on kept connections only once the lease may have expired

What callers could see: two servers hold the same keys.

Cause: found by a review. If its successor moved the keys of a server that then restarted under its identifier, the new process knew no token and took a renewal on a new connection.

Change: once the lease of a controller may have expired, it renews only on kept connections, at whose other end is the process that had the keys.

--- a/briarspoke/keyspace/granter.py
+++ b/briarspoke/keyspace/granter.py
@@ -83,6 +83,8 @@
             self._store_lost,
             self._leadership.has_lost_store(now),
         )
+        # Another controller may have moved the keys of a server that has restarted.
+        only_same_process = self._leadership.may_be_replaced(now)
         # Renew all ranges with longer grants as soon as the store is lost, since this
         # process may end before the store is back.
         renew_all = self._store_lost and not was_store_lost
@@ -99,16 +101,30 @@
             renewal.due_at = now + RENEWAL_INTERVAL_S
             client = self.client(record)
             for piece in subtract_ranges(first, last, moving):
-                self.send(client, *piece, owner, renewal=renewal)
+                connection = client.http.take_idle()
+                if connection is not None or not only_same_process:
+                    self.send(
+                        client, *piece, owner, renewal=renewal, connection=connection
+                    )
         self._renewals = current
 
-    def send(self, client, first, last, owner, handover=None, *, renewal=None):
+    def send(
+        self,
+        client,
+        first,
+        last,
+        owner,
+        handover=None,
+        *,
+        renewal=None,
+        connection=None,
+    ):
         """Sends one grant.
 
         :param renewal: the :class:`Renewal`, or None if the server gets the range
             with this grant.
+        :param connection: kept connection to the server, or None for a new one.
         """
-        connection = None if renewal is None else client.http.take_idle()
         fence = self.issue_fence(client) if connection is None else client.fence
         sent = self._record(client, first, last, fence)
         if renewal is not None:
--- a/tests/test_keyspace_restored.py
+++ b/tests/test_keyspace_restored.py
@@ -4,11 +4,19 @@
 
 import pytest
 from entry_fakes import STORE, World, configuration, registration
-from test_keyspace_ownership import KEYS, SERVERS, address, controller, holders
+from test_keyspace_ownership import (
+    KEYS,
+    SERVERS,
+    Process,
+    address,
+    controller,
+    holders,
+)
 
 from briarspoke.keyspace import keymap
 from briarspoke.keyspace.granter import HOLD_S
 from briarspoke.keyspace.leadership import RENEWAL_WITHOUT_STORE_S
+from briarspoke.standins.platform_server import ServerModel
 
 # Time after which all grants of earlier controllers have expired.
 SETTLED_S = RENEWAL_WITHOUT_STORE_S + HOLD_S + 6.0
@@ -69,6 +77,40 @@
         node.faults(target).cut = True
 
 
+def reconnect(world, node):
+    for target in [STORE, *world.servers]:
+        node.faults(target).cut = False
+
+
+def move(node, first, last, number):
+    """Lets the controller move keys to a server."""
+    manager = node.control._range_managers_by_service["stock"]
+    owner = node.key_maps.by_service["stock"].owner(first)
+    manager._start_move(first, last, owner, (f"s-{number}", 1), "load")
+
+
+@pytest.fixture
+def recorded_world():
+    """A world whose servers record tokens that another process had before."""
+    world = World()
+    world.violations = []
+    highest_by_key = {}
+    world.store.put("op/config", configuration())
+    for number in SERVERS:
+        world.add_server("stock", number)
+        world.servers[address(number)] = Process(
+            server_id=f"s-{number}",
+            clock=world.reactor.seconds,
+            highest_by_key=highest_by_key,
+            violations=world.violations,
+            born=1,
+        )
+    for number, name in enumerate(("front-poa-1", "front-cwb-1"), start=1):
+        world.add_node(name, number)
+    world.advance(3.0)
+    return world
+
+
 class TestMapOfACopy:
     """Guards against owners that a copy names although their keys have moved."""
 
@@ -188,6 +230,145 @@
         check_tokens(world)
 
 
+class TestRestartedServer:
+    """Guards against a process that accepts tokens because it knows none."""
+
+    def isolate_and_restart(self, world):
+        """Cuts the controller off; its successor moves the keys of a server that then
+        restarts. Returns both VMs."""
+        leader = controller(world)
+        other = next(node for node in world.nodes if node is not leader)
+        cut_off(world, leader)
+        world.advance(3.3)
+        drain(world, SERVERS[0])
+        check(world, 1.5)
+        assert holders(world, 7) == [f"s-{SERVERS[1]}"]
+        number = SERVERS[0]
+        model = ServerModel(server_id=f"s-{number}", clock=world.reactor.seconds)
+        world.servers[address(number)] = model
+        world.store.put(f"servers/s-{number}", registration("stock", number, born=2))
+        world.advance(0.3)
+        return leader, other
+
+    @pytest.mark.parametrize("other_is", ["running", "cut off from the store", "ended"])
+    def test_former_controller_confirms_no_keys_there(self, world, other_is):
+        copy = world.store.copy()
+        leader, other = self.isolate_and_restart(world)
+        if other_is == "cut off from the store":
+            other.faults(STORE).cut = True
+        elif other_is == "ended":
+            cut_off(world, other)
+        leader.faults(STORE).cut = False
+        restore(world, copy)
+        while leader.store.era == 1:
+            world.advance(0.01)
+        reconnect(world, leader)
+        check(world, 8.0)
+
+    def test_controller_without_the_store_renews_no_keys_there(self, world):
+        leader, _ = self.isolate_and_restart(world)
+        for number in SERVERS:
+            leader.faults(address(number)).cut = False
+        check(world, 8.0)
+
+
+class TestProcessThatStartsAfterARestore:
+    """Guards against owners and tokens that only the lost writes tell."""
+
+    @pytest.mark.parametrize("controller_is", ["cut off from the store", "ended"])
+    def test_first_map_waits_for_earlier_grants(self, controller_is):
+        world = World()
+        world.store.put("op/config", configuration())
+        for number in SERVERS[:2]:
+            world.add_server("stock", number)
+        copy = world.store.copy()
+        leader = world.add_node("front-poa-1", 1)
+        world.advance(3.0)
+        world.add_server("stock", SERVERS[2])
+        world.advance(1.0)
+        leader.faults(STORE).cut = True
+        if controller_is == "ended":
+            cut_off(world, leader)
+        restore(world, copy)
+        world.add_node("front-cwb-1", 2)
+        check(world, SETTLED_S + 5.0)
+        assert all(len(holders(world, key)) == 1 for key in KEYS)
+
+    def test_owners_of_the_copy_are_not_trusted(self, recorded_world):
+        world = recorded_world
+        copy = world.store.copy()
+        leader = controller(world)
+        other = next(node for node in world.nodes if node is not leader)
+        move(leader, 0, 9_000, SERVERS[1])
+        check(world, 1.0)
+        assert holders(world, 0) == [f"s-{SERVERS[1]}"]
+        leader.faults(STORE).cut = True
+        cut_off(world, other)
+        restore(world, copy)
+        world.add_node("front-cwb-1", 3)
+        check(world, 30.0)
+        assert not world.violations
+
+    def test_tokens_are_above_those_of_the_lost_terms(self, recorded_world):
+        world = recorded_world
+        copy = world.store.copy()
+        for _ in range(2):
+            controller(world).control.leadership.step_down("test")
+            world.advance(3.5)
+        move(controller(world), 0, 9_000, SERVERS[1])
+        check(world, 1.0)
+        for node in world.nodes:
+            cut_off(world, node)
+        restore(world, copy)
+        world.add_node("front-cwb-1", 3)
+        check(world, 40.0)
+        assert all(len(holders(world, key)) == 1 for key in KEYS)
+        assert not world.violations
+
+
+class TestFormerController:
+    """Guards against owners that a controller of an earlier time confirms."""
+
+    def test_owner_that_knows_a_newer_token_is_not_confirmed(self, recorded_world):
+        world = recorded_world
+        copy = world.store.copy()
+        leader = controller(world)
+        other = next(node for node in world.nodes if node is not leader)
+        cut_off(world, leader)
+        world.advance(4.0)
+        assert other.control.is_leader
+        move(other, 0, 9_000, SERVERS[1])
+        check(world, 1.0)
+        assert holders(world, 0) == [f"s-{SERVERS[1]}"]
+        self.restore_and_reconnect(world, copy, leader, other)
+        check(world, 30.0)
+        assert not world.violations
+
+    def test_nothing_is_confirmed_after_the_time_of_renewals(self, recorded_world):
+        world = recorded_world
+        leader = controller(world)
+        other = next(node for node in world.nodes if node is not leader)
+        copy = world.store.copy()
+        cut_off(world, leader)
+        other.faults(address(SERVERS[0])).cut = True
+        world.advance(3.5)
+        assert other.control.is_leader
+        world.store.delete(f"servers/s-{SERVERS[0]}")
+        check(world, 20.0)
+        assert holders(world, 0) not in ([], [f"s-{SERVERS[0]}"])
+        self.restore_and_reconnect(world, copy, leader, other)
+        check(world, 30.0)
+        assert not world.violations
+
+    def restore_and_reconnect(self, world, copy, leader, other):
+        other.faults(STORE).cut = True
+        leader.faults(STORE).cut = False
+        restore(world, copy)
+        while leader.store.era == 1:
+            world.advance(0.01)
+        reconnect(world, leader)
+
+
 class TestMapInMemory:
     """Guards against requests that are sent to the owners which a copy names."""
 
