Learn no era of the store from an answer without one

Cause: found by a review. An answer without Store-Era counted as era 0. If the first answers that a process got were such ones, the first era looked like a restore.

Evidence: test_answer_without_the_header_tells_no_era failed before.

--- a/briarspoke/platform/keyvalue.py
+++ b/briarspoke/platform/keyvalue.py
@@ -109,11 +109,11 @@
 
 
 def _decode_era(answer):
-    """Returns the store's era in an answer, 0 if it has none that is readable."""
+    """Returns the store's era in an answer, or None if it has none that is readable."""
     try:
-        return max(0, int(answer.get(headers.STORE_ERA) or 0))
+        return max(0, int(answer.get(headers.STORE_ERA) or b""))
     except ValueError:
-        return 0
+        return None
 
 
 def _decode_item(body, era):
@@ -199,8 +199,9 @@
         if answer.status is None:
             raise StoreError(f"{kind}: {answer.failure}", outcome_unknown=answer.sent)
         era = _decode_era(answer)
-        self.learn_era(era)
-        if era < self.era and answer.status in STATUSES_OF_STATE:
+        if era is not None:
+            self.learn_era(era)
+        if (era or 0) < self.era and answer.status in STATUSES_OF_STATE:
             raise StoreError(
                 f"{kind}: the answer is of the earlier era {era}", outcome_unknown=True
             )
--- a/tests/test_entry_restored.py
+++ b/tests/test_entry_restored.py
@@ -624,3 +624,14 @@
         node = world.add_node("front-poa-2", 2, start=False)
         changes = self.run(world, node.store.read_all())
         assert changes.era == 0
+
+    def test_answer_without_the_header_tells_no_era(self, world, monkeypatch):
+        # Guards against a restore that a failing store seems to show.
+        node = world.add_node("front-poa-2", 2, start=False)
+        rises = []
+        node.store.era_observers.append(lambda: rises.append(node.store.era))
+        with monkeypatch.context() as patch:
+            patch.setattr(StoreModel, "headers", [])
+            self.run(world, node.store.read_all())
+        self.run(world, node.store.read_all())
+        assert not rises and node.store.era == 1
