Let no late write of an earlier era meet revisions given out again

Cause: found by a review. A write of the key map expects revisions of the control key and the map. If both exist again in a new era, a write of the old one that is executed late succeeds, and a process that starts then issues tokens that were used.

Change: a term writes a key of its own name with the control key, under the same lease, and its writes expect that too.

Evidence: test_map_is_not_written_at_revisions_given_out_again fails without the key.

--- a/briarspoke/entry/control.py
+++ b/briarspoke/entry/control.py
@@ -163,10 +163,7 @@
         known = node.view.items.get(key)
         data = key_map.encode(term.era)
         revision = await node.store.write(
-            expected={
-                CONTROL_KEY: term.revision,
-                key: known.revision if known else 0,
-            },
+            expected={**term.expected, key: known.revision if known else 0},
             puts={key: data},
             era=term.era,
         )
--- a/briarspoke/keyspace/leadership.py
+++ b/briarspoke/keyspace/leadership.py
@@ -16,6 +16,7 @@
 log = logging.getLogger(__name__)
 
 CONTROL_KEY = "briarspoke/control"
+TERM_PREFIX = "briarspoke/terms/"
 # Shorter than a grant, so that a new controller takes over before grants expire.
 LEASE_S = 2.5
 RENEWAL_INTERVAL_S = 0.8
@@ -122,16 +123,32 @@
 class Term:
     """Time for which one process is the controller.
 
+    :param process: random name of the process.
     :param era: era of the store.
     :param revision: revision of the control key. Revisions are given out again in later
         eras.
     """
 
-    __slots__ = ("era", "revision")
+    __slots__ = ("_key", "era", "revision")
 
-    def __init__(self, *, era, revision):
+    def __init__(self, *, process, era, revision):
         self.era = era
         self.revision = revision
+        self._key = term_key(process, era)
+
+    @property
+    def expected(self):
+        """``{key: revision}`` that the store must have for a write of this term.
+
+        A write may be executed late, in an era in which the control key has the same
+        revision. The key of the term does not exist there.
+        """
+        return {CONTROL_KEY: self.revision, self._key: self.revision}
+
+
+def term_key(process, era):
+    """Returns the key that is written with the control key, under the same lease."""
+    return f"{TERM_PREFIX}{process}-{era}"
 
 
 class InheritedTerm:
@@ -341,7 +358,7 @@
             ):
                 await self._client.renew_lease(self._attempted_lease)
                 self._became_leader(
-                    Term(era=era, revision=item.revision),
+                    self._term_of(era, item.revision),
                     self._attempted_lease,
                     sent_at,
                     PredecessorEnd.UNKNOWN,
@@ -358,7 +375,10 @@
         self.own_record.lease_id = lease.lease_id
         revision = await self._client.write(
             expected={CONTROL_KEY: expected},
-            puts={CONTROL_KEY: self.own_record.encode()},
+            puts={
+                CONTROL_KEY: self.own_record.encode(),
+                term_key(self.own_record.process, era): b"{}",
+            },
             lease=lease,
             era=era,
         )
@@ -369,9 +389,12 @@
         if holder is not None and holder.resigned:
             predecessor = PredecessorEnd.RESIGNED
             unsettled_s = holder.unsettled_s
-        term = Term(era=era, revision=revision)
+        term = self._term_of(era, revision)
         self._became_leader(term, lease, sent_at, predecessor, unsettled_s)
 
+    def _term_of(self, era, revision):
+        return Term(process=self.own_record.process, era=era, revision=revision)
+
     def _became_leader(self, term, lease, sent_at, predecessor, unsettled_s=0.0):
         now = self._clock()
         # The last grant calls of the predecessor can arrive after their timeout.
@@ -427,7 +450,7 @@
         )
         try:
             await self._client.write(
-                expected={CONTROL_KEY: term.revision},
+                expected=term.expected,
                 puts={CONTROL_KEY: record.encode()},
                 era=term.era,
             )
--- a/tests/test_keyspace_restored.py
+++ b/tests/test_keyspace_restored.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import json
+
 import pytest
 from entry_fakes import STORE, World, configuration, registration
 from test_keyspace_ownership import (
@@ -15,7 +17,7 @@
 
 from briarspoke.keyspace import keymap
 from briarspoke.keyspace.granter import HOLD_S
-from briarspoke.keyspace.leadership import RENEWAL_WITHOUT_STORE_S
+from briarspoke.keyspace.leadership import CONTROL_KEY, RENEWAL_WITHOUT_STORE_S
 from briarspoke.standins.platform_server import ServerModel
 
 # Time after which all grants of earlier controllers have expired.
@@ -369,6 +371,36 @@
         reconnect(world, leader)
 
 
+class TestLateWriteOfAnEarlierEra:
+    def test_map_is_not_written_at_revisions_given_out_again(self):
+        # Guards against a map of an earlier era in the store, whose tokens are lower.
+        world = World()
+        world.store.put("op/config", configuration())
+        world.add_server("stock", SERVERS[0])
+        copy = world.store.copy()
+        leader = world.add_node("front-poa-1", 1)
+        world.advance(3.0)
+        map_key = keymap.KEY_MAP_PREFIX + "stock"
+        term = leader.control.leadership.term
+        expected = {**term.expected, map_key: world.store.items[map_key]["rev"]}
+        world.store.restore(copy)
+        for key in (CONTROL_KEY, map_key):
+            while world.store.revision < expected[key] - 1:
+                world.store.put("op/other", b"")
+            world.store.put(key, b"{}")
+        transaction = {
+            "precondition": [{"key": k, "rev": r} for k, r in expected.items()],
+            "puts": [{"key": map_key, "value": "e30=", "lease": 0}],
+        }
+        data = json.dumps(transaction).encode()
+        reply = world.store.call("POST", "/briarspoke/kv-txn", data)
+        assert {i["key"]: i["rev"] for i in reply.body["items"]} == {
+            CONTROL_KEY: expected[CONTROL_KEY],
+            map_key: expected[map_key],
+        }
+        assert reply.status == 412
+
+
 class TestMapInMemory:
     """Guards against requests that are sent to the owners which a copy names."""
 
