--- /dev/null
+++ b/tests/test_keyspace_machine.py
@@ -0,0 +1,142 @@
+"""A state machine that cuts, restarts and loses parts that own and grant keys."""
+
+from __future__ import annotations
+
+from entry_fakes import STORE, World, configuration, registration
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from keyspace_fakes import KEYS, SERVERS, Process, address, holders, restore
+from profiles import stateful_settings
+
+from briarspoke.keyspace import keymap
+
+
+class OwnershipMachine(RuleBasedStateMachine):
+    """No key ever has two owners, whichever parts are cut off, lost or restarted."""
+
+    def __init__(self):
+        super().__init__()
+        self.world = World()
+        self.world.store.put("op/config", configuration())
+        self.highest_by_key = {}
+        self.violations = []
+        self.born = 1
+        self.sequence = 0
+        for number in SERVERS:
+            self.start(number, f"s-{number}")
+            self.register(number, "ready")
+        for number in (1, 2, 3):
+            self.world.add_node(f"front-poa-{number}", number)
+        self.world.advance(3.0, 0.05)
+        self.copy = self.world.store.copy()
+
+    def start(self, number, server_id):
+        """Starts a process at the address of a server."""
+        self.world.servers[address(number)] = Process(
+            server_id=server_id,
+            clock=self.world.reactor.seconds,
+            highest_by_key=self.highest_by_key,
+            violations=self.violations,
+            born=self.born,
+        )
+
+    @rule(seconds=st.floats(0.1, 6.0))
+    def time_passes(self, seconds):
+        for _ in range(max(1, int(seconds / 0.25))):
+            self.world.advance(0.25, 0.05)
+            self.check()
+
+    @rule(
+        node=st.integers(0, 2), number=st.sampled_from((0, *SERVERS)), cut=st.booleans()
+    )
+    def cut(self, node, number, cut):
+        target = address(number) if number else STORE
+        self.world.nodes[node].faults(target).cut = cut
+
+    @rule(
+        node=st.integers(0, 2),
+        number=st.sampled_from((0, *SERVERS)),
+        lost=st.booleans(),
+        late_s=st.sampled_from((0.0, 1.0, 4.0)),
+    )
+    def lose_answers(self, node, number, lost, late_s):
+        faults = self.world.nodes[node].faults(address(number) if number else STORE)
+        faults.answers_lost = lost
+        faults.late_s = late_s if lost else 0.0
+
+    @rule(down=st.booleans())
+    def store_outage(self, down):
+        self.world.store_down = down
+
+    @rule()
+    def leases_end(self):
+        self.world.store.end_all_leases()
+
+    @rule()
+    def history_goes(self):
+        self.world.store.forget_history()
+
+    @rule()
+    def copy_store(self):
+        self.copy = self.world.store.copy()
+
+    @rule()
+    def restore_store(self):
+        restore(self.world, self.copy)
+
+    @rule(number=st.sampled_from(SERVERS), state=st.sampled_from(("ready", "draining")))
+    def register(self, number, state):
+        process = self.world.servers[address(number)]
+        self.sequence += 1
+        value = registration(
+            "stock", number, state=state, born=process.born, seq=self.sequence
+        )
+        self.world.store.put(f"servers/{process.server_id}", value)
+
+    @rule(number=st.sampled_from(SERVERS))
+    def entry_lapses(self, number):
+        process = self.world.servers[address(number)]
+        self.world.store.delete(f"servers/{process.server_id}")
+
+    @rule(number=st.sampled_from(SERVERS), registers=st.booleans())
+    def restart(self, number, registers):
+        self.born += 1
+        self.start(number, self.world.servers[address(number)].server_id)
+        if registers:
+            self.register(number, "ready")
+
+    @rule(
+        number=st.sampled_from(SERVERS), registers=st.booleans(), lapses=st.booleans()
+    )
+    def reuse_address(self, number, registers, lapses):
+        if lapses:
+            self.entry_lapses(number)
+        self.born += 1
+        self.start(number, f"s-{number}-{self.born}")
+        if registers:
+            self.register(number, "ready")
+
+    @rule(number=st.sampled_from(SERVERS), service=st.sampled_from(("stock", "orders")))
+    def late_registration_of_an_ended_server(self, number, service):
+        late = registration(service, number, born=0)
+        self.world.store.put(f"servers/s-{number}-late", late)
+
+    @invariant()
+    def tokens_are_new(self):
+        assert not self.violations, self.violations[0]
+
+    @invariant()
+    def check(self):
+        for key in KEYS:
+            found = holders(self.world, key)
+            assert len(found) <= 1, (key, found)
+
+    @invariant()
+    def tokens_grow(self):
+        maps = [node.key_maps.by_service.get("stock") for node in self.world.nodes]
+        for key_map in maps:
+            assert key_map is None or isinstance(key_map, keymap.KeyMap)
+
+
+OwnershipMachine.TestCase.settings = stateful_settings()
+TestOwnership = OwnershipMachine.TestCase
--- a/tests/test_keyspace_restored.py
+++ b/tests/test_keyspace_restored.py
@@ -6,13 +6,16 @@
 
 import pytest
 from entry_fakes import STORE, World, configuration, registration
-from test_keyspace_ownership import (
+from keyspace_fakes import (
     KEYS,
     SERVERS,
     Process,
     address,
     controller,
     holders,
+    keyspace_world,
+    restore,
+    start_nodes,
 )
 
 from briarspoke.keyspace import keymap
@@ -26,26 +29,25 @@
 
 @pytest.fixture
 def world():
-    world = World()
-    world.store.put("op/config", configuration())
-    for number in SERVERS:
-        world.add_server("stock", number)
-    for number, name in enumerate(("front-poa-1", "front-cwb-1"), start=1):
-        world.add_node(name, number)
-    world.advance(3.0)
-    return world
+    return keyspace_world()
 
 
-def restore(world, copy):
-    """Restores the store; the operator and the servers write again what they wrote."""
-    written = {
-        key: item["value"]
-        for key, item in world.store.items.items()
-        if key.startswith(("op/", "servers/"))
-    }
-    world.store.restore(copy)
-    for key, value in written.items():
-        world.store.put(key, value)
+@pytest.fixture
+def recorded_world():
+    """A world whose servers record tokens that another process had before."""
+    world = keyspace_world(start=False)
+    world.violations = []
+    highest_by_key = {}
+    for number in SERVERS:
+        world.servers[address(number)] = Process(
+            server_id=f"s-{number}",
+            clock=world.reactor.seconds,
+            highest_by_key=highest_by_key,
+            violations=world.violations,
+            born=1,
+        )
+    start_nodes(world)
+    return world
 
 
 def drain(world, number):
@@ -91,28 +93,6 @@
     manager._start_move(first, last, owner, (f"s-{number}", 1), "load")
 
 
-@pytest.fixture
-def recorded_world():
-    """A world whose servers record tokens that another process had before."""
-    world = World()
-    world.violations = []
-    highest_by_key = {}
-    world.store.put("op/config", configuration())
-    for number in SERVERS:
-        world.add_server("stock", number)
-        world.servers[address(number)] = Process(
-            server_id=f"s-{number}",
-            clock=world.reactor.seconds,
-            highest_by_key=highest_by_key,
-            violations=world.violations,
-            born=1,
-        )
-    for number, name in enumerate(("front-poa-1", "front-cwb-1"), start=1):
-        world.add_node(name, number)
-    world.advance(3.0)
-    return world
-
-
 class TestMapOfACopy:
     """Guards against owners that a copy names although their keys have moved."""
 
