Send long grants on kept connections only

What callers could see: two servers hold the same keys.

Cause: a controller that has lost the store sends grants of up to 10 s from 2.4 s on, but chose kept connections only from 2.5 s on. A long grant on a new connection may be carried out late, by the next life of a server whose keys have moved.

Change: one time for both.

--- a/briarspoke/keyspace/granter.py
+++ b/briarspoke/keyspace/granter.py
@@ -84,7 +84,7 @@
             self._leadership.has_lost_store(now),
         )
         # Another controller may have moved the keys of a server that has restarted.
-        only_same_process = self._leadership.may_be_replaced(now)
+        only_same_process = self._store_lost
         # Renew all ranges with longer grants as soon as the store is lost, since this
         # process may end before the store is back.
         renew_all = self._store_lost and not was_store_lost
--- a/tests/test_keyspace_machine.py
+++ b/tests/test_keyspace_machine.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import random
+
+import pytest
 from entry_fakes import STORE, World, configuration, registration
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
@@ -140,3 +143,26 @@
 
 OwnershipMachine.TestCase.settings = stateful_settings()
 TestOwnership = OwnershipMachine.TestCase
+
+
+class TestLateLongGrant:
+    @pytest.mark.parametrize("seed", range(20))
+    def test_next_life_of_a_server_does_not_take_it(self, seed):
+        # Guards against two owners: keys have moved from a server, it restarts, and a
+        # long grant of a controller that had lost the store is carried out only then.
+        random.seed(seed)
+        state = OwnershipMachine()
+        state.restart(number=11, registers=True)
+        state.register(number=11, state="draining")
+        state.history_goes()
+        state.time_passes(seconds=1.1)
+        state.lose_answers(late_s=4.0, lost=True, node=2, number=12)
+        state.register(number=11, state="ready")
+        state.store_outage(down=True)
+        state.time_passes(seconds=2.9)
+        state.store_outage(down=False)
+        state.time_passes(seconds=1.45)
+        state.time_passes(seconds=2.0)
+        state.register(number=11, state="ready")
+        state.restart(number=12, registers=True)
+        state.time_passes(seconds=4.5)
