Share the rate limit of a server among all entry VMs

A server that named a limit got as many requests as before: nothing read the limit, and pacing, allowances and placement follow latency and rejections, which a server in need does not show. Callers noticed nothing; the server's protection was missing. The class: a decision that is for all entry VMs together has no owner.

The controller gives out a permit for each request that the limit allows. Each VM tells the others about a limit. Calls for grants count. What can't be sent in time is refused at once with code 2010 and a hint that fits the limit; urgent requests first, repeats last; requests of services without keys go to other servers.

--- a/briarspoke/codes.py
+++ b/briarspoke/codes.py
@@ -170,6 +170,13 @@
     503,
     "The bodies of requests take too much memory at this entry VM; not run.",
 )
+SERVER_LIMITED = register(
+    2010,
+    "server-limited",
+    Kind.LOAD,
+    503,
+    "The server takes fewer requests a second than it gets; not run.",
+)
 
 # 3xxx: the owner or this entry VM is unavailable, or the outcome is unknown.
 NO_OWNER = register(
--- a/briarspoke/entry/dispatch.py
+++ b/briarspoke/entry/dispatch.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
+import collections
 import heapq
 import itertools
-import logging
 import math
 import random
 
@@ -15,11 +15,6 @@
 from briarspoke.entry.budget import RetryBudget
 from briarspoke.entry.misdirection import MisdirectedOwners
 from briarspoke.keyspace.keymap import UNOWNED
-from briarspoke.platform import headers
-from briarspoke.platform.limits import decode_limit
-from briarspoke.platform.values import DecodeError
-
-log = logging.getLogger(__name__)
 
 # A request goes to another zone only if the expected wait in the own zone is longer by
 # this factor. Traffic between zones is billed by the byte, so each byte of the body
@@ -66,6 +61,11 @@
 # Retry hints are spread by this fraction to both sides, so that callers that were
 # refused together do not return together.
 RETRY_SPREAD = 0.3
+# Added to the rank of repeats at a server with a rate limit, so that they follow all
+# first tries.
+REPEAT_RANK = 1_000
+# Rank of a permit for which no request waits yet.
+SPARE_RANK = 2 * REPEAT_RANK
 # Pause of a server that answers that it is not responsible for a request, in a service
 # without keys.
 WRONG_SERVER_PAUSE_S = 1.0
@@ -156,44 +156,6 @@
                 min(MAX_PACING_PAUSE_S, PACING_FACTOR * (1 / share - 1) * excess_s)
             )
 
-    def record_limit(self, server, answer, sent_at):
-        """Records the rate limit that a server names in an answer.
-
-        :param answer: the :class:`briarspoke.entry.connections.Answer`.
-        :param sent_at: time at which the answered request was sent.
-        """
-        try:
-            per_s = decode_limit(answer.headers)
-        except DecodeError as error:
-            if server.limit.unusable_logged:
-                return
-            server.limit.unusable_logged = True
-            log.warning(
-                "servers: limit not usable id=%s service=%s error=%r",
-                server.record.server_id,
-                self.name,
-                str(error),
-            )
-            return
-        server.limit.unusable_logged = False
-        has_run = answer.get(headers.NOT_RUN) is None and answer.status != 421
-        if per_s is None and not has_run:
-            # Only the answer of a server that works as usual shows that it is not in
-            # need any more.
-            return
-        before = server.limit.per_s
-        if not server.limit.learn(per_s, sent_at):
-            return
-        log.info(
-            "servers: limit %s id=%s service=%s incarnation=%d per_s=%s before=%s",
-            "begins" if before is None else "ends" if per_s is None else "changes",
-            server.record.server_id,
-            self.name,
-            server.record.incarnation,
-            "-" if per_s is None else f"{per_s:g}",
-            "-" if before is None else f"{before:g}",
-        )
-
     def spend_retry(self, now):
         """Takes one retry from the budget; returns False if none is left."""
         if self.budget.spend(now, self._node.node_count):
@@ -219,6 +181,11 @@
         if not usable:
             self.wait_for_server(exchange, codes.NO_OWNER)
             return
+        unlimited = [s for s in usable if s.limit.per_s is None]
+        if not unlimited:
+            self._wait_for_permit(exchange, self._waiting, usable)
+            return
+        usable = unlimited
         latency_s = sum(s.latency_s for s in usable) / len(usable)
         capacity = min(
             self._service_limit(usable), sum(self.in_flight_limit(s) for s in usable)
@@ -250,29 +217,134 @@
         if self._has_capacity(server) and not server.waiting:
             self._send_to_owner(exchange, server, owner)
             return
+        if server.limit.per_s is not None:
+            self._wait_for_permit(exchange, server.waiting, [server])
+            return
         ahead = sum(
             1 for entry in server.waiting if entry[0] <= exchange.route.priority
         )
         wait_s = (ahead + 1) * server.latency_s / self.in_flight_limit(server)
         self._queue_or_refuse(exchange, server.waiting, wait_s, server.latency_s)
 
-    def _queue_or_refuse(self, exchange, waiting, wait_s, latency_s):
+    def _wait_for_permit(self, exchange, waiting, servers):
+        """Queues or refuses a request that only servers with a rate limit can take.
+
+        :param waiting: the queue.
+        :param servers: servers that can take the request.
+        """
+        rank = self._rank(exchange, servers[0])
+        ahead = sum(1 for entry in waiting if entry[0] <= rank)
+        latency_s = sum(server.latency_s for server in servers) / len(servers)
+        in_flight_limit = sum(self.in_flight_limit(server) for server in servers)
+        wait_s = self._expected_permit_s(servers, rank, ahead)
+        self._queue_or_refuse(
+            exchange,
+            waiting,
+            max(wait_s, ahead * latency_s / in_flight_limit),
+            latency_s,
+            code=codes.SERVER_LIMITED,
+            rank=rank,
+        )
+        for server in servers:
+            self._ask_for_permits(server)
+
+    def _rank(self, exchange, server):
+        priority = exchange.route.priority
+        is_repeat = exchange.attempts > 0 and server.limit.per_s is not None
+        return priority + REPEAT_RANK if is_repeat else priority
+
+    def _ask_for_permits(self, server):
+        if server.limit.per_s is None:
+            return
+        wanted_by_rank = collections.Counter(entry[0] for entry in server.waiting)
+        if self._waiting and not self.keyed:
+            limited = [s for s in self.servers.values() if s.limit.per_s is not None]
+        for rank, number, exchange in self._waiting:
+            if self.keyed:
+                asked = self._owner_server(exchange.request.key)
+            else:
+                # A permit of another server for the same request would be lost.
+                asked = limited[number % len(limited)]
+            if asked is server:
+                wanted_by_rank[rank] += 1
+        if server.wants_spare_permit:
+            wanted_by_rank[SPARE_RANK] = 1
+        self._node.rate_limits.ask(self.name, server, wanted_by_rank)
+
+    def permits_arrived(self, server):
+        """Sends the requests that have permits, and refuses those that get none."""
+        server.wants_spare_permit = False
+        self.on_request_ended(server)
+        if server.limit.per_s is None:
+            return
+        self._refuse_late(server.waiting, [server])
+        if not self.keyed:
+            usable = [s for s in self.servers.values() if self._is_usable(s)]
+            if all(s.limit.per_s is not None for s in usable):
+                self._refuse_late(self._waiting, usable)
+        self._ask_for_permits(server)
+
+    def _refuse_late(self, waiting, servers):
+        """Refuses the requests of a queue that would get a permit too late."""
+        now = self._node.now()
+        for ahead, entry in enumerate(sorted(waiting, key=lambda e: e[:2])):
+            exchange = entry[2]
+            if exchange.done:
+                continue
+            wait_s = self._expected_permit_s(servers, entry[0], ahead)
+            late_s = now + wait_s - exchange.give_up_at
+            if late_s > 0:
+                self.dequeue(exchange)
+                self._refuse_for(exchange, codes.SERVER_LIMITED, late_s)
+
+    def _expected_permit_s(self, servers, rank, ahead):
+        """Returns the expected wait until one of some servers has a permit.
+
+        :param rank: rank of the request.
+        :param ahead: requests that wait for the same servers before it.
+        """
+        ahead //= len(servers)
+        return min(
+            self._node.rate_limits.expected_wait_s(server, rank=rank, ahead=ahead)
+            for server in servers
+        )
+
+    def _refuse_for(self, exchange, code, late_s):
+        """Refuses a request whose queue is too long.
+
+        :param late_s: seconds by which its turn would come too late.
+        """
+        # By then, as many requests have left the queue as it has too many now.
+        exchange.refuse(code, _spread(max(self._node.RETRY_AFTER_LOAD_S, late_s)))
+
+    def _queue_or_refuse(
+        self,
+        exchange,
+        waiting,
+        wait_s,
+        latency_s,
+        *,
+        code=codes.DEADLINE_UNREACHABLE,
+        rank=None,
+    ):
         """Queues a request, or refuses it if it is expected to wait too long.
 
         :param waiting: the queue.
         :param wait_s: expected wait in the queue.
         :param latency_s: expected service time after the wait.
+        :param code: result code of a refusal.
+        :param rank: rank in the queue; None for the priority of the route.
         """
         now = self._node.now()
         objective_s = exchange.route.objective_s
         remaining_s = exchange.request.arrived_at + objective_s - now - latency_s
         max_wait_s = max(remaining_s, MIN_QUEUE_WAIT_FRACTION * objective_s)
         if wait_s > max_wait_s:
-            # By then, as many requests have left the queue as it has too many now.
-            retry_after_s = max(self._node.RETRY_AFTER_LOAD_S, wait_s - max_wait_s)
-            exchange.refuse(codes.DEADLINE_UNREACHABLE, _spread(retry_after_s))
+            self._refuse_for(exchange, code, wait_s - max_wait_s)
             return
-        self._enqueue(exchange, waiting, now + max_wait_s, codes.QUEUE_FULL)
+        if code is codes.DEADLINE_UNREACHABLE:
+            code = codes.QUEUE_FULL
+        self._enqueue(exchange, waiting, now + max_wait_s, code, rank)
 
     def wait_for_server(self, exchange, code):
         """Queues a request for which no server is available at present.
@@ -291,11 +363,13 @@
             return
         self._enqueue(exchange, self._waiting, wait_until, code)
 
-    def _enqueue(self, exchange, waiting, give_up_at, code):
+    def _enqueue(self, exchange, waiting, give_up_at, code, rank=None):
         exchange.queued_at = self._node.now()
         exchange.give_up_at = give_up_at
         exchange.refusal_code = code
-        entry = (exchange.route.priority, next(self._sequence_numbers), exchange)
+        if rank is None:
+            rank = exchange.route.priority
+        entry = (rank, next(self._sequence_numbers), exchange)
         if waiting is self._waiting:
             heapq.heappush(waiting, entry)
         else:
@@ -329,6 +403,9 @@
         return shares.service_limit(slots, self._node.node_count)
 
     def _has_capacity(self, server):
+        return self._has_slot(server) and self._node.rate_limits.has_permit(server)
+
+    def _has_slot(self, server):
         return server.in_flight < self.in_flight_limit(server) and (
             server.paused_until <= self._node.now()
         )
@@ -369,7 +446,11 @@
         best = None
         best_score = math.inf
         for server in usable:
-            if server in exchange.tried or not self._has_capacity(server):
+            if server in exchange.tried or not self._has_slot(server):
+                continue
+            if not self._node.rate_limits.has_permit(server):
+                # A later request can use it.
+                server.wants_spare_permit = True
                 continue
             score = server.expected_s(now) * (1 + server.in_flight)
             score *= 1 + LOSS_FACTOR * server.loss_rate
@@ -559,6 +640,7 @@
             server.close_idle(now)
             if server.waiting:
                 self.on_request_ended(server)
+            self._ask_for_permits(server)
         self.dispatch_waiting()
 
     def add_server(self, server):
--- a/briarspoke/entry/exchange.py
+++ b/briarspoke/entry/exchange.py
@@ -215,6 +215,7 @@
         server.in_flight += 1
         if server.limit.per_s is not None:
             self.node.metrics.count("limited_sends_total", self.dispatcher.name)
+            self.node.rate_limits.take_permit(server)
         request = self.request
         self.upstream_request = server.send(
             self._encode(server, now),
@@ -264,7 +265,9 @@
 
     def _process_answer(self, server, answer):
         if answer.status is not None and not self._is_by_other_server(server, answer):
-            self.dispatcher.record_limit(server, answer, self.sent_at)
+            self.node.rate_limits.record_answer(
+                self.dispatcher.name, server, answer, self.sent_at
+            )
         if answer.status is None:
             self._handle_failure(server, answer)
         elif answer.get(header_names.NOT_RUN) is not None or answer.status == 421:
--- a/briarspoke/entry/node.py
+++ b/briarspoke/entry/node.py
@@ -14,6 +14,7 @@
 from briarspoke.entry.dispatch import Dispatcher
 from briarspoke.entry.heldbytes import HeldBytes
 from briarspoke.entry.httpclient import HttpClient
+from briarspoke.entry.ratelimits import RateLimits
 from briarspoke.entry.registry import NodeRegistry
 from briarspoke.entry.relays import HEARTBEAT_INTERVAL_S, Relay, RelayFollower
 from briarspoke.entry.reports import REPORT_INTERVAL_S, Datagrams
@@ -92,10 +93,12 @@
         self.view.has_followers = lambda: bool(self.relay.links)
         self.relay_follower = RelayFollower(node=self)
         self.view.find_relay = self.relay_follower.wait_for_first_view
+        self.rate_limits = RateLimits(node=self)
         self.datagrams = Datagrams(
             on_load=self.control.add_load,
             on_owners=self._owners_announced,
             on_allowances=self._allowances_announced,
+            rate_limits=self.rate_limits,
         )
         self.view.observe(documents.CONFIGURATION_KEY, self._configuration_changed)
         self._discovery = ServerDiscovery(node=self)
@@ -334,6 +337,7 @@
         self.key_maps.expire(now)
         if self.routing_table is None:
             return
+        self.rate_limits.tick(now)
         for dispatcher in self._dispatchers_by_service.values():
             dispatcher.tick(now)
 
--- a/briarspoke/entry/reports.py
+++ b/briarspoke/entry/reports.py
@@ -1,4 +1,4 @@
-"""Datagrams between entry VMs: load reports to the controller, decisions from it."""
+"""Datagrams between entry VMs: reports to the controller, decisions from it."""
 
 from __future__ import annotations
 
@@ -7,8 +7,10 @@
 import cbor2
 from twisted.internet import protocol
 
+from briarspoke.entry.permits import PermitAnswer
 from briarspoke.keyspace.keymap import Owner
 from briarspoke.keyspace.load import LoadCounts
+from briarspoke.platform.limits import MAX_PER_S, MIN_PER_S
 
 log = logging.getLogger(__name__)
 
@@ -20,6 +22,11 @@
 KIND_OWNERS = 2
 KIND_LOAD = 3
 KIND_ALLOWANCES = 4
+KIND_LIMIT = 5
+KIND_PERMIT_REQUEST = 6
+KIND_PERMITS = 7
+# Requests or permits that one datagram counts at most.
+MAX_COUNT = 10_000
 
 
 class Datagrams(protocol.DatagramProtocol):
@@ -31,17 +38,19 @@
     :param on_load: called with (service, :class:`LoadCounts`).
     :param on_owners: called with (service, [(first, last, :class:`Owner`)]).
     :param on_allowances: called with (service, ``{key: fraction}``).
+    :param rate_limits: the :class:`briarspoke.entry.ratelimits.RateLimits`.
     """
 
-    def __init__(self, *, on_load, on_owners, on_allowances):
+    def __init__(self, *, on_load, on_owners, on_allowances, rate_limits):
         self._on_load = on_load
         self._on_owners = on_owners
         self._on_allowances = on_allowances
+        self._rate_limits = rate_limits
 
     def datagramReceived(self, data, address):
         try:
             kind, service, *rest = cbor2.loads(data)
-            handle, decoded = self._decode(kind, rest)
+            handle, decoded = self._decode(kind, rest, address)
         except (
             cbor2.CBORDecodeError,
             ValueError,
@@ -54,9 +63,9 @@
                 "keys: unreadable datagram from=%s error=%r", address[0], str(error)
             )
             return
-        handle(str(service), decoded)
+        handle(str(service), *decoded)
 
-    def _decode(self, kind, rest):
+    def _decode(self, kind, rest, address):
         if kind == KIND_LOAD:
             counts, latencies, rejections = rest
             load = LoadCounts(
@@ -67,11 +76,14 @@
                 },
                 rejections={str(s): int(count) for s, count in rejections.items()},
             )
-            return self._on_load, load
+            return self._on_load, (load,)
         if kind == KIND_ALLOWANCES:
-            return self._on_allowances, {
-                int(key): float(fraction) for key, fraction in rest[0].items()
-            }
+            fractions = {int(key): float(f) for key, f in rest[0].items()}
+            return self._on_allowances, (fractions,)
+        if kind in (KIND_LIMIT, KIND_PERMIT_REQUEST, KIND_PERMITS):
+            server_id, incarnation, *fields = rest
+            instance = (str(server_id), int(incarnation))
+            return self._decode_limit(kind, instance, fields, address)
         if kind != KIND_OWNERS:
             raise ValueError(f"unknown kind {kind!r}")
         changes = [
@@ -82,7 +94,83 @@
             )
             for first, last, s, i, fence in rest[0]
         ]
-        return self._on_owners, changes
+        return self._on_owners, (changes,)
+
+    def _decode_limit(self, kind, instance, fields, address):
+        if kind == KIND_LIMIT:
+            per_s, age_ms = fields
+            limit = None if per_s is None else _decode_limit_per_s(per_s)
+            return self._rate_limits.peer_limit, (
+                instance,
+                limit,
+                _decode_age_s(age_ms),
+            )
+        if kind == KIND_PERMIT_REQUEST:
+            number, per_s, age_ms, wanted = fields
+            return self._rate_limits.permits_requested, (
+                instance,
+                int(number),
+                _decode_limit_per_s(per_s),
+                _decode_age_s(age_ms),
+                _decode_counts(wanted),
+                address,
+            )
+        controller, number, serial, granted, saved, waiting = fields
+        answer = PermitAnswer(
+            number=int(number),
+            serial=int(serial),
+            granted=_decode_count(granted),
+            saved=min(MAX_COUNT, max(0.0, float(saved))),
+            waiting_by_rank=_decode_counts(waiting),
+        )
+        return self._rate_limits.permits_given, (instance, str(controller), answer)
+
+    def send_limit(self, service, instance, per_s, age_s, addresses):
+        """Tells other entry VMs the rate limit that a server has named.
+
+        :param instance: pair of server identifier and incarnation.
+        :param per_s: requests per second, or None without a limit.
+        :param age_s: seconds since the answered request was sent.
+        :param addresses: [(host, port)] of the entry VMs.
+        """
+        data = cbor2.dumps([KIND_LIMIT, service, *instance, per_s, _ms(age_s)])
+        for address in addresses:
+            self.transport.write(data, address)
+
+    def send_permit_request(
+        self, service, instance, number, per_s, age_s, wanted_by_rank, address
+    ):
+        """Asks the controller for permits to send requests to a server.
+
+        :param instance: pair of server identifier and incarnation.
+        :param number: number of the request for permits.
+        :param per_s: limit of the server.
+        :param age_s: seconds since the request was sent whose answer named it.
+        :param wanted_by_rank: ``{rank: requests}`` that wait at this entry VM.
+        :param address: (host, port) of the controller.
+        """
+        fields = [number, per_s, _ms(age_s), wanted_by_rank]
+        data = cbor2.dumps([KIND_PERMIT_REQUEST, service, *instance, *fields])
+        self.transport.write(data, address)
+
+    def send_permits(self, service, instance, controller, answer, address):
+        """Answers a request for permits.
+
+        :param instance: pair of server identifier and incarnation.
+        :param controller: name of this process.
+        :param answer: the :class:`briarspoke.entry.permits.PermitAnswer`.
+        :param address: (host, port) of the entry VM that has asked.
+        """
+        fields = [
+            controller,
+            answer.number,
+            answer.serial,
+            answer.granted,
+            round(answer.saved, 3),
+            answer.waiting_by_rank,
+        ]
+        data = cbor2.dumps([KIND_PERMITS, service, *instance, *fields])
+        self.transport.write(data, address)
 
     def send_load(self, service, counts, address):
         """Sends a load report to the controller, in several datagrams if it is large.
@@ -127,3 +215,24 @@
         data = cbor2.dumps([KIND_OWNERS, service, rows])
         for address in addresses:
             self.transport.write(data, address)
+
+
+def _ms(seconds):
+    return round(seconds * 1000)
+
+
+def _decode_limit_per_s(per_s):
+    return min(MAX_PER_S, max(MIN_PER_S, float(per_s)))
+
+
+def _decode_age_s(age_ms):
+    return max(0.0, age_ms / 1000)
+
+
+def _decode_count(count):
+    return min(MAX_COUNT, max(0, int(count)))
+
+
+def _decode_counts(count_by_rank):
+    counts = {int(rank): _decode_count(count) for rank, count in count_by_rank.items()}
+    return {rank: count for rank, count in counts.items() if count}
--- a/briarspoke/entry/requestlog.py
+++ b/briarspoke/entry/requestlog.py
@@ -5,6 +5,7 @@
 import logging
 
 from briarspoke.entry.logs import LogRateLimiter
+from briarspoke.entry.serverlimits import format_limit
 
 log = logging.getLogger(__name__)
 
@@ -43,7 +44,7 @@
         contact = node.view.last_contact
         log.info(
             "requests: %s id=%s code=%d route=%s service=%s key=%s attempts=%d "
-            "waited_ms=%d server=%s latency_ms=%d in_flight=%d queued=%d "
+            "waited_ms=%d server=%s latency_ms=%d in_flight=%d queued=%d limit=%s "
             "configuration=%d store_age_ms=%d nodes=%d left_out=%d",
             code.name,
             request.request_id.decode("latin-1"),
@@ -57,6 +58,7 @@
             server.latency_s * 1000 if server else 0,
             server.in_flight if server else 0,
             len(server.waiting) if server else 0,
+            format_limit(server.limit.per_s if server else None),
             node.configuration_version,
             -1 if contact is None else (node.now() - contact) * 1000,
             node.node_count,
--- a/briarspoke/entry/serverlimits.py
+++ b/briarspoke/entry/serverlimits.py
@@ -4,6 +4,10 @@
 
 import math
 
+# An entry VM tells others for how long it has known a limit, but not how long the
+# message was on its way. A message that relaxes a limit counts as older by this time.
+PEER_MARGIN_S = 0.3
+
 
 class ServerLimit:
     """What an entry VM knows about the rate limit of one lifetime of a server.
@@ -33,3 +37,23 @@
         self._as_of = as_of
         before, self.per_s = self.per_s, per_s
         return per_s != before
+
+    def learn_from_peer(self, per_s, age_s, now):
+        """Learns what another entry VM knows.
+
+        :param age_s: seconds since that VM sent the answered request.
+        :returns: whether the limit has changed.
+        """
+        as_of = now - age_s
+        if self.per_s is not None and (per_s is None or per_s > self.per_s):
+            as_of -= PEER_MARGIN_S
+        return self.learn(per_s, as_of)
+
+    def age_s(self, now):
+        """Returns the seconds since the request was sent whose answer is known."""
+        return now - self._as_of
+
+
+def format_limit(per_s):
+    """Returns a limit as text for log lines."""
+    return "-" if per_s is None else f"{per_s:g}"
--- a/briarspoke/entry/servers.py
+++ b/briarspoke/entry/servers.py
@@ -143,6 +143,10 @@
         self.warmed_up_at = clock() + record.warmup_s
         self.drain_until = None
         self.limit = ServerLimit()
+        # The :class:`briarspoke.entry.permits.PermitHolder` while a limit is known.
+        self.permits = None
+        # Whether a request went to another server for lack of a permit.
+        self.wants_spare_permit = False
         # Whether the registration is missing but may return after an outage of the
         # store.
         self.registration_missing = False
--- a/briarspoke/keyspace/granter.py
+++ b/briarspoke/keyspace/granter.py
@@ -176,6 +176,7 @@
                 renewal.in_flight = False
 
     async def _call_once(self, client, sent, owner, handover, renewal, connection):
+        self._node.rate_limits.count_call(self._service, owner.server_instance)
         answer = await grants.grant(
             client.http,
             server_id=owner.server_id,
--- a/briarspoke/keyspace/releases.py
+++ b/briarspoke/keyspace/releases.py
@@ -170,6 +170,7 @@
             answer ends the ownership.
         """
         fence = self._granter.issue_fence(client)
+        self._node.rate_limits.count_call(self._service, move.owner.server_instance)
         answer = await grants.release(
             client.http,
             server_id=move.owner.server_id,
--- a/briarspoke/metrics.py
+++ b/briarspoke/metrics.py
@@ -60,6 +60,10 @@
         "service",
         "Requests sent to servers while they named a rate limit, by service.",
     ),
+    "permits_total": (
+        "service",
+        "Permits that the controller gave for servers with a rate limit, by service.",
+    ),
     "store_calls_total": ("kind", "Calls to the platform's store, by kind."),
     "store_failures_total": ("kind", "Failed calls to the store, by kind."),
     "store_sent_bytes_total": ("kind", "Estimated bytes sent to the store, by kind."),
