Move keys away from servers that name a rate limit

A candidate with a limit counts as slow as the limit makes it, is never the target of a move for load, and gets keys at the start only if no server has none. Keys return by the usual balancing once the limit has ended.

TestKeysOfServerInNeed fails without it.

--- a/briarspoke/keyspace/placement.py
+++ b/briarspoke/keyspace/placement.py
@@ -36,14 +36,19 @@
 
     :param server_instance: the pair (server id, incarnation).
     :param latency_s: mean service time, including waits in the server.
+    :param limit_per_s: requests per second that the server takes, or None without a
+        limit. Such a server counts as slower, so that keys move away, and gets no more.
     :ivar load: requests per second, see :func:`assign_load`.
     """
 
-    __slots__ = ("latency_s", "load", "server_instance", "slots")
+    __slots__ = ("is_limited", "latency_s", "load", "server_instance", "slots")
 
-    def __init__(self, *, server_instance, slots, latency_s):
+    def __init__(self, *, server_instance, slots, latency_s, limit_per_s=None):
         self.server_instance = server_instance
         self.slots = slots
+        self.is_limited = limit_per_s is not None
+        if self.is_limited:
+            latency_s = max(latency_s, slots / limit_per_s)
         self.latency_s = latency_s
         self.load = 0.0
 
@@ -111,9 +116,12 @@
 
 
 def least_utilised(candidates, extra_load=0.0):
-    """Returns the candidate with the lowest utilisation after adding some load."""
+    """Returns the candidate with the lowest utilisation after adding some load.
+
+    Servers with a rate limit get keys only if there is no other.
+    """
     return min(
-        candidates,
+        [c for c in candidates if not c.is_limited] or candidates,
         key=lambda c: (
             (c.load + extra_load) * c.latency_s / c.slots,
             c.server_instance,
@@ -142,6 +150,7 @@
     for candidate in candidates:
         if (
             candidate.server_instance not in ranges_by_instance
+            and not candidate.is_limited
             and len(transfers) < MAX_TRANSFERS
         ):
             transfer = _initial_transfer(candidate, candidates, ranges_by_instance)
@@ -167,6 +176,8 @@
         if transfer is not None:
             return transfer
         target = least_utilised(candidates)
+        if target is source or target.is_limited:
+            continue
         # Moving this much load makes the utilisation of both servers equal.
         wanted = (source.utilisation - target.utilisation) / (
             source.latency_s / source.slots + target.latency_s / target.slots
@@ -234,6 +245,8 @@
     if owned_range is None or rate < HOT_LOAD_SHARE * source.load:
         return None
     target = least_utilised([c for c in candidates if c is not source], rate)
+    if target.is_limited:
+        return None
     utilisation_after = (target.load + rate) * target.latency_s / target.slots
     if utilisation_after > MAX_UTILISATION_RATIO * source.utilisation:
         return None
--- a/briarspoke/keyspace/range_manager.py
+++ b/briarspoke/keyspace/range_manager.py
@@ -184,6 +184,7 @@
             server_instance=record.server_instance,
             slots=record.slots,
             latency_s=known_s or server.latency_s,
+            limit_per_s=server.limit.per_s,
         )
 
     def _start_moves(self, records, now):
--- a/tests/test_limit_shares.py
+++ b/tests/test_limit_shares.py
@@ -139,3 +139,24 @@
         answered = len(deployment.answers)
         deployment.run(4.0)
         assert deployment.outcomes(answered)[200] >= 0.97 * 4.0 * 60.0
+
+
+class TestKeysOfServerInNeed:
+    def test_move_away_and_do_not_return(self):
+        deployment = limited([11], 2.0, vms=4, keyed=True, per_s=60.0)
+        deployment.run(6.0)
+        keys = deployment.owned_keys("s-11")
+        assert keys < 65_536 / 20
+        deployment.run(4.0)
+        assert deployment.owned_keys("s-11") <= keys
+        since = deployment.now()
+        deployment.name_limit(11, None)
+        deployment.run(5.0)
+        assert deployment.rate(11, since) <= 20.0
+
+    def test_stay_if_all_servers_are_in_need(self):
+        deployment = limited(SERVERS, 4.0, vms=4, keyed=True, per_s=60.0)
+        before = [deployment.owned_keys(f"s-{number}") for number in SERVERS]
+        deployment.run(5.0)
+        after = [deployment.owned_keys(f"s-{number}") for number in SERVERS]
+        assert after == before
