Send a repeat on a connection that has not carried its request

Callers were told "not run" for bookings that their owner ran: the owner had refused the first send and wrote that refusal again a moment later. The repeat went to the same owner, on the connection that had just become idle, with the same identifier; the late refusal then had the right identifier and was taken for the answer to the repeat.

A connection remembers the identifiers that it has carried, and takes none twice; it is closed after 1,000. Grants that give keys and releases use new connections already.

Open: `serve` knows no identifiers and reads whatever comes next on a kept connection.

--- a/briarspoke/entry/connections.py
+++ b/briarspoke/entry/connections.py
@@ -16,6 +16,8 @@
 # headers, trailers. A chunked body may have this many bytes and a share of its size.
 MAX_FRAMING_BYTES = 65_536
 FRAMING_BYTES_PER_BODY_BYTE = 8
+# Requests after which a connection is closed, since it remembers their identifiers.
+MAX_REQUESTS_PER_CONNECTION = 1_000
 # A connection is closed if sent data stays unacknowledged for this long.
 UNACKNOWLEDGED_DATA_TIMEOUT_MS = 4_000
 
@@ -71,6 +73,8 @@
         # has not announced it.
         self.keep_alive_s = None
         self._exchange_count = 0
+        # Hashes of the echo values of all requests so far.
+        self._carried = set()
         self._echo_name = None
         self._echo_value = None
         self._reset_parser()
@@ -95,6 +99,15 @@
         )
         self.handler.connection_made(self)
 
+    def has_carried(self, echo):
+        """Returns whether an earlier request had this echo header.
+
+        A second answer to that request would be taken for the answer to the next one.
+
+        :param echo: (header, value) that an answer must repeat.
+        """
+        return hash(echo) in self._carried
+
     def exchange(self, data, listener, *, is_head=False, echo=None):
         """Writes a whole request.
 
@@ -110,6 +123,10 @@
         self.listener = listener
         self._is_head = is_head
         self._echo_name, self._echo_value = echo or (None, None)
+        if echo:
+            self._carried.add(hash(echo))
+            if len(self._carried) >= MAX_REQUESTS_PER_CONNECTION:
+                self.reusable = False
         self._parser = httptools.HttpResponseParser(self)
         write_immediately(self.transport, data)
 
--- a/briarspoke/entry/servers.py
+++ b/briarspoke/entry/servers.py
@@ -239,7 +239,7 @@
         connection = None
         if echo is not None:
             connection = self._take_idle(
-                MAX_IDLE_S if idempotent else MAX_IDLE_NON_IDEMPOTENT_S
+                MAX_IDLE_S if idempotent else MAX_IDLE_NON_IDEMPOTENT_S, echo
             )
         if connection is not None:
             upstream_request.start(connection)
@@ -256,10 +256,10 @@
             )
         return upstream_request
 
-    def _take_idle(self, max_idle_s):
+    def _take_idle(self, max_idle_s, echo):
+        """Returns the idle connection that was in use last and may be used, or None."""
         now = self._clock()
-        while self._idle:
-            connection = self._idle[-1]
+        for connection in reversed(tuple(self._idle)):
             connection_max_idle_s = max_idle_s
             if connection.keep_alive_s is not None:
                 connection_max_idle_s = min(
@@ -267,8 +267,10 @@
                 )
             if now - connection.idle_since > connection_max_idle_s:
                 return None
-            self._idle.pop()
-            if connection.reusable:
+            if not connection.reusable:
+                self._idle.remove(connection)
+            elif not connection.has_carried(echo):
+                self._idle.remove(connection)
                 return connection
         return None
 
