Refuse requests that would be cut off at the end of a stop

Requests that came late in the grace time of a planned stop were sent to servers and cut with an unknown outcome at its end, bookings among them, which must not be repeated. A stop only looked at requests that were pending when it ended.

Once a stop has begun, a request is sent only if its answer is likely to come before the final answers are given: mean plus four mean deviations of earlier answers, of its route and of the server. Others are refused at once as not run (code 3007, shutting-down), also those that wait in a queue until it is too late.

--- a/briarspoke/entry/dispatch.py
+++ b/briarspoke/entry/dispatch.py
@@ -14,6 +14,7 @@
 from briarspoke.entry.allowances import Gates
 from briarspoke.entry.budget import RetryBudget
 from briarspoke.entry.misdirection import MisdirectedOwners
+from briarspoke.entry.servicetimes import ServiceTime
 from briarspoke.keyspace.keymap import UNOWNED
 
 # A request goes to another zone only if the expected wait in the own zone is longer by
@@ -87,6 +88,7 @@
             window_s=node.settings.retry_window_s,
         )
         self.gates = Gates()
+        self._service_times_by_route = {}
         self._misdirected_owners = MisdirectedOwners()
         self._node = node
         self._affinity = Affinity(node=node.settings.node)
@@ -140,6 +142,7 @@
         :param seconds: service time of the request.
         """
         weight = server.record_answer(seconds)
+        self._service_time(exchange.route).record(seconds)
         if not self.keyed:
             return
         server_id = server.record.server_id
@@ -163,9 +166,29 @@
         self._node.metrics.count("retries_denied_total", "budget")
         return False
 
+    def _service_time(self, route):
+        service_time = self._service_times_by_route.get(route.name)
+        if service_time is None:
+            service_time = ServiceTime(assumed_s=self.expected_latency_s())
+            self._service_times_by_route[route.name] = service_time
+        return service_time
+
+    def latest_start(self, exchange, server=None):
+        """Returns the time until which a request may be sent before the process stops.
+
+        :param server: the server that would get it, or None if that is not known.
+        """
+        due_at = self._node.answers_due_at
+        if exchange.expires_at <= due_at:
+            return math.inf
+        needed_s = self._service_time(exchange.route).upper_s
+        if server is not None:
+            needed_s = max(needed_s, server.service_time.upper_s)
+        return due_at - needed_s
+
     def dispatch(self, exchange):
         """Sends a request to a server, queues it, or refuses it."""
-        if exchange.done:
+        if exchange.done or exchange.refuse_if_too_late():
             return
         if self.keyed:
             self._dispatch_keyed(exchange)
@@ -364,6 +387,9 @@
         self._enqueue(exchange, self._waiting, wait_until, code)
 
     def _enqueue(self, exchange, waiting, give_up_at, code, rank=None):
+        latest_start = self.latest_start(exchange)
+        if latest_start < give_up_at:
+            give_up_at, code = latest_start, codes.SHUTTING_DOWN
         exchange.queued_at = self._node.now()
         exchange.give_up_at = give_up_at
         exchange.refusal_code = code
--- a/briarspoke/entry/exchange.py
+++ b/briarspoke/entry/exchange.py
@@ -200,8 +200,21 @@
             or self.node.now() >= self._avoid_owner_until
         )
 
+    def refuse_if_too_late(self, server=None):
+        """Refuses the request if its answer may come after the process has stopped.
+
+        :param server: the server that would get it, or None if that is not known.
+        :returns: whether it was refused.
+        """
+        if self.node.now() <= self.dispatcher.latest_start(self, server):
+            return False
+        self.refuse(codes.SHUTTING_DOWN, self.node.RETRY_AFTER_UNAVAILABLE_S)
+        return True
+
     def send(self, server):
         """Sends the request to a server that has capacity for it."""
+        if self.refuse_if_too_late(server):
+            return
         now = self.node.now()
         if not self.tried:
             self.node.metrics.observe(
--- a/briarspoke/entry/node.py
+++ b/briarspoke/entry/node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import os
 
 from twisted.internet import defer, task
@@ -74,6 +75,8 @@
         # Monotonic time at which the configuration came into force.
         self.configuration_since = None
         self.stopping = False
+        # Time by which all requests are answered because the process stops.
+        self.answers_due_at = math.inf
         self.key_maps = keymap.KeyMaps()
         self.key_load = KeyLoad()
         # Random name of this process, new with each start.
@@ -377,20 +380,20 @@
         """Shuts down: resigns as controller, deregisters, waits for pending requests.
 
         Callers are still accepted until the load balancer has removed this VM.
-        Requests that do not end within the grace time get a final answer.
+        Requests that are not likely to end within the grace time are refused, and
+        those that do not end get a final answer.
         """
         if self.stopping:
             return
-        stop_began_at = self.now()
         self.stopping = True
+        self.answers_due_at = self.now() + self.settings.grace_s - STOP_MARGIN_S
         log.info("entry: stops open_connections=%d", len(self.callers))
         self.spawn(self.control.stop())
         self.spawn(self.registry.leave())
         await self.sleep(min(BALANCER_REMOVAL_S, self.settings.grace_s / 2))
         for connection in list(self.callers):
             connection.close_if_idle()
-        finish_at = stop_began_at + self.settings.grace_s - STOP_MARGIN_S
-        while self.callers and self.now() < finish_at:
+        while self.callers and self.now() < self.answers_due_at:
             for connection in list(self.callers):
                 connection.close_if_idle()
             await self.sleep(TICK_INTERVAL_S)
--- a/briarspoke/entry/servers.py
+++ b/briarspoke/entry/servers.py
@@ -6,6 +6,7 @@
 
 from briarspoke.entry.connections import Answer, ConnectionFactory
 from briarspoke.entry.serverlimits import ServerLimit
+from briarspoke.entry.servicetimes import ServiceTime
 
 # Opening a connection takes one round trip, and longer on a saturated link. The timeout
 # is bounded so that a retry still fits into the latency objective if the server is
@@ -133,6 +134,7 @@
         # does not count.
         self.min_recent_latency_s = latency_s
         self._last_latency_s = latency_s
+        self.service_time = ServiceTime(assumed_s=latency_s)
         self.answer_count = 0
         self.failures = 0
         # Time of the first of the consecutive failures.
@@ -179,6 +181,7 @@
         self.failing_since = None
         self.paused_until = 0.0
         self.loss_rate -= LOSS_RATE_WEIGHT * self.loss_rate
+        self.service_time.record(seconds)
         weight = min(1.0, seconds / (FULL_WEIGHT_FRACTION * self.latency_s))
         latency_weight = max(
             LATENCY_WEIGHT, 1 / (self.answer_count + ASSUMED_ANSWERS + 1)
--- a/tests/limit_fakes.py
+++ b/tests/limit_fakes.py
@@ -23,7 +23,8 @@
 class AnsweringServers:
     """Accepts the connections of all entry VMs and answers each request in time.
 
-    :param work_s: seconds after which a request is answered.
+    :param work_s: seconds after which a request is answered, or a function that returns
+        them.
     :ivar arrivals_by_number: ``{server number: [time of a request's arrival]}``.
     :ivar limit_by_number: ``{server number: text of the limit that it names}``.
     """
@@ -32,7 +33,7 @@
         self.arrivals_by_number = {}
         self.limit_by_number = {}
         self._world = world
-        self._work_s = work_s
+        self._work_s = work_s if callable(work_s) else lambda: work_s
         self._connections = []
 
     def step(self):
@@ -48,7 +49,7 @@
                 self.arrivals_by_number.setdefault(number, []).append(now)
                 request_id = _REQUEST_ID.search(data)[1].decode()
                 self._world.reactor.callLater(
-                    self._work_s, self._reply, peer, number, request_id
+                    self._work_s(), self._reply, peer, number, request_id
                 )
             elif peer.socket.aborted:
                 self._connections.remove(connection)
