Let servers name rate limits in the soak and check them

The stand-in of a server can name a limit, the soak lets one server or a whole service do so beside all other faults, and counts what arrives from entry VMs that were told and not disturbed. Grants are left out: they may exceed a small limit.

--- a/briarspoke/soak/checks.py
+++ b/briarspoke/soak/checks.py
@@ -4,6 +4,8 @@
 
 import collections
 
+from briarspoke.soak.limits import LimitChecks
+
 REFUSALS = frozenset({408, 421, 429, 503})
 # Two servers may both hold a key for this long if a grant is delayed in transit.
 MAX_OVERLAP_S = 0.5
@@ -20,6 +22,7 @@
         self.violations = []
         self.answers_by_status = collections.Counter()
         self.runs_by_id = collections.Counter()
+        self.limits = LimitChecks(clock=clock, add_violation=self._add_violation)
         self._clock = clock
         self._refused_ids = set()
         self._at_most_once_ids = set()
@@ -50,6 +53,7 @@
         """Checks the answer to a request; its status is None if there was no answer."""
         self.answers_by_status[str(answer.status or answer.failure)] += 1
         if answer.status == 200:
+            self.limits.request_served(request_id)
             if answer.body != b"ran " + request_id:
                 self._add_violation(
                     "a caller gets the whole answer to its own request",
--- a/briarspoke/soak/deployment.py
+++ b/briarspoke/soak/deployment.py
@@ -103,6 +103,8 @@
         self.state = "ready"
         self.stand_in = None
         self.model = None
+        # Name of the current process, unique for each start.
+        self.process = ""
         self._deployment = deployment
         self._factory = StandInFactory(self._handle)
         self._listener = deployment.reactor.listenTCP(
@@ -132,17 +134,17 @@
         if self.stand_in is not None:
             self.stand_in.stopped = True
             self._factory.reset_connections()
+            self.end_limit()
         self.incarnation += 1
         self.sequence = 0
         self.state = "ready"
         server_id = self.server_id
+        checks = self._deployment.checks
+        self.process = f"{server_id} started as {self.incarnation}"
         self.model = ServerModel(
             server_id=server_id,
             clock=self._deployment.reactor.seconds,
-            on_grant=functools.partial(
-                self._deployment.checks.grant_accepted,
-                f"{server_id} started as {self.incarnation}",
-            ),
+            on_grant=functools.partial(checks.grant_accepted, self.process),
         )
         self.stand_in = PlatformServerStandIn(
             reactor=self._deployment.reactor,
@@ -150,13 +152,22 @@
             keyed=self.service == KEYED_SERVICE,
             work_s=WORK_S,
             slots=SLOTS,
-            on_run=lambda request_id, key: self._deployment.checks.request_ran(
-                server_id, request_id, key
-            ),
+            on_run=functools.partial(checks.request_ran, server_id),
+            on_arrival=functools.partial(checks.limits.request_arrived, self.process),
+            on_limit=functools.partial(checks.limits.limit_named, self.process),
         )
         # Half of the servers reject by a reset, which does not say that nothing ran.
         self.stand_in.resets_when_full = self.number % 2 == 1
 
+    def name_limit(self, per_s):
+        """Lets the current process name a limit in requests per second."""
+        self.stand_in.limit_per_s = per_s
+
+    def end_limit(self):
+        """Lets the current process name no limit any more."""
+        self.stand_in.limit_per_s = None
+        self._deployment.checks.limits.limit_ended(self.process)
+
     def register(self):
         """Writes the registration to the store."""
         self.sequence += 1
--- a/briarspoke/soak/faults.py
+++ b/briarspoke/soak/faults.py
@@ -20,6 +20,7 @@
 @fault
 def kill_node(run):
     node = run.choose(run.deployment.nodes)
+    run.checks.limits.disturbed(node.name)
     node.signal(signal.SIGKILL)
     return lambda: run.restart(node)
 
@@ -27,6 +28,7 @@
 @fault
 def stop_node(run):
     node = run.choose(run.deployment.nodes)
+    run.checks.limits.disturbed(node.name)
     node.signal(signal.SIGTERM)
     return lambda: run.restart(node)
 
@@ -34,15 +36,27 @@
 @fault
 def pause_node(run):
     node = run.choose(run.deployment.nodes)
+    run.checks.limits.disturbed(node.name)
     node.signal(signal.SIGSTOP)
-    return lambda: node.signal(signal.SIGCONT)
+
+    def end():
+        node.signal(signal.SIGCONT)
+        run.checks.limits.undisturbed(node.name)
+
+    return end
 
 
 @fault
 def cut_node_from_store(run):
-    proxy = run.choose(run.deployment.nodes).proxy
-    proxy.set_mode(run.choose(("silent", "reset", "one-way", "slow")))
-    return lambda: proxy.set_mode("open")
+    node = run.choose(run.deployment.nodes)
+    run.checks.limits.disturbed(node.name)
+    node.proxy.set_mode(run.choose(("silent", "reset", "one-way", "slow")))
+
+    def end():
+        node.proxy.set_mode("open")
+        run.checks.limits.undisturbed(node.name)
+
+    return end
 
 
 @fault
--- a/briarspoke/soak/run.py
+++ b/briarspoke/soak/run.py
@@ -24,6 +24,11 @@
 # Time after the last fault within which requests must be served again.
 RECOVERY_S = 20.0
 MIN_SERVED_FRACTION = 0.5
+# Rate limits that servers name, in requests per second, and the range of the times in
+# which they do and do not.
+LIMITS_PER_S = (0.5, 1.0, 2.0)
+LIMITED_S = (8.0, 14.0)
+UNLIMITED_S = (0.2, 3.0)
 MAX_ANSWER_S = 3.0
 MAX_ANSWER_BYTES = 1 << 20
 DEADLINE_MS = 2_000
@@ -101,6 +106,7 @@
         self.directory = tempfile.mkdtemp(prefix=f"soak-{seed}-")
         self.checks = Checks(clock=reactor.seconds)
         self.injected = []
+        self.limits_named = 0
         self._random = random.Random(seed)
         self._request_count = 0
         self._served_count = self._sent_count = 0
@@ -121,6 +127,7 @@
         """Restarts an entry VM process; kills it first if it is still running."""
         node.kill()
         node.start()
+        self.checks.limits.undisturbed(node.name)
 
     async def execute(self):
         """Executes the run and returns its report as a dict."""
@@ -130,7 +137,9 @@
         loops[0].start(1 / REQUESTS_PER_S)
         loops[1].start(CHECK_INTERVAL_S)
         try:
+            limits = defer.ensureDeferred(self._name_limits())
             await self._inject_faults()
+            await limits
             await self._sleep(RECOVERY_S)
             self._served_count = self._sent_count = 0
             await self._sleep(2 * MAX_ANSWER_S)
@@ -160,6 +169,25 @@
             await self._sleep(self._random.expovariate(1 / 1.5))
         await defer.DeferredList(pending)
 
+    async def _name_limits(self):
+        """Lets one server or all servers of a service name limits, again and again."""
+        end_at = self.reactor.seconds() + self.seconds
+        while self.reactor.seconds() < end_at:
+            server = self.choose(self.deployment.servers)
+            servers = [
+                s for s in self.deployment.servers if s.service == server.service
+            ]
+            if self.choose((True, False, False)):
+                servers = [server]
+            per_s = self.choose(LIMITS_PER_S)
+            self.limits_named += len(servers)
+            for server in servers:
+                server.name_limit(per_s)
+            await self._sleep(self._random.uniform(*LIMITED_S))
+            for server in servers:
+                server.end_limit()
+            await self._sleep(self._random.uniform(*UNLIMITED_S))
+
     def _check(self):
         self.checks.check_owners([s.model for s in self.deployment.servers if s.model])
 
@@ -177,6 +205,7 @@
             deadline_ms=DEADLINE_MS,
         )
         self.checks.request_sent(request_id, at_most_once=route_type != "safe")
+        self.checks.limits.request_sent(request_id, node.name)
         self._sent_count += 1
         self._idle_caller(node).send(
             data, lambda answer: self._request_answered(request_id, answer)
@@ -200,6 +229,7 @@
             "seed": self.seed,
             "seconds": self.seconds,
             "faults": len(self.injected),
+            "limits": self.limits_named,
             "requests": self._request_count,
             "answers": dict(self.checks.answers_by_status),
             "violations": self.checks.violations[:20],
--- a/briarspoke/standins/platform_http.py
+++ b/briarspoke/standins/platform_http.py
@@ -166,15 +166,32 @@
     :param slots: maximum number of requests that run at the same time.
     :param on_run: function that is called with the request id and the key, or None,
         when a request starts to run.
+    :param on_arrival: function that is called with the request id of each request that
+        arrives, or None.
+    :param on_limit: function that is called with the request id and the rate limit that
+        the answer names, or None.
     """
 
-    def __init__(self, *, reactor, model, keyed, work_s, slots, on_run):
+    def __init__(
+        self,
+        *,
+        reactor,
+        model,
+        keyed,
+        work_s,
+        slots,
+        on_run,
+        on_arrival=None,
+        on_limit=None,
+    ):
         self.running_count = 0
         self.stopped = False
         # Fraction of the requests that run without an answer.
         self.lost_answer_fraction = 0.0
         # Whether a request that finds the queue full gets a reset and no answer.
         self.resets_when_full = False
+        # Requests per second that answers name as the server's limit, or None.
+        self.limit_per_s = None
         # Whether the connection of a lost answer is aborted or stays open.
         self.resets_lost_answers = False
         self.random = random.Random(0)
@@ -184,6 +201,8 @@
         self._work_s = work_s
         self._slots = slots
         self._on_run = on_run
+        self._on_arrival = on_arrival
+        self._on_limit = on_limit
         self._queue = []
 
     def handle(self, exchange):
@@ -202,14 +221,15 @@
             exchange.respond(status, b"", pairs)
             return
         own_id = self._model.server_id.encode()
-        echo = _echo(exchange)
+        if self._on_arrival is not None:
+            self._on_arrival(exchange.headers.get(b"request-id"))
         if exchange.headers.get(b"target-instance", own_id) != own_id:
-            exchange.respond(421, b"", [*echo, (b"Instance-Id", own_id)])
+            self._respond(exchange, 421, [(b"Instance-Id", own_id)])
         elif len(self._queue) >= QUEUE_LENGTH_PER_SLOT * self._slots:
             if self.resets_when_full:
                 exchange.connection.transport.abortConnection()
             else:
-                exchange.respond(503, b"", [*echo, (b"Not-Executed", b"1")])
+                self._respond(exchange, 503, [(b"Not-Executed", b"1")])
         else:
             self._queue.append(exchange)
             self._start_queued()
@@ -221,8 +241,7 @@
                 continue
             key = int(exchange.headers[b"shard-key"]) if self._keyed else None
             if key is not None and not self._model.holds(key):
-                headers = [*_echo(exchange), (b"Not-Executed", b"1")]
-                exchange.respond(421, b"", headers)
+                self._respond(exchange, 421, [(b"Not-Executed", b"1")])
                 continue
             self.running_count += 1
             self._on_run(exchange.headers[b"request-id"], key)
@@ -239,7 +258,15 @@
         ):
             exchange.connection.transport.abortConnection()
         if not self.stopped and not loses_answer:
-            headers = [*_echo(exchange), (b"Response-Signature", b"s")]
-            exchange.respond(200, b"ran " + exchange.headers[b"request-id"], headers)
+            body = b"ran " + exchange.headers[b"request-id"]
+            self._respond(exchange, 200, [(b"Response-Signature", b"s")], body)
         if not self.stopped:
             self._start_queued()
+
+    def _respond(self, exchange, status, headers, body=b""):
+        headers = [*_echo(exchange), *headers]
+        if self.limit_per_s is not None:
+            headers.append((b"Server-Limit", b"%g" % self.limit_per_s))
+            if self._on_limit is not None:
+                self._on_limit(exchange.headers.get(b"request-id"), self.limit_per_s)
+        exchange.respond(status, body, headers)
