Refuse no request that was sent while others were refused

When permits show that queued requests would be too late, they are refused one after the other from a copy of the queue. Writing a refusal may break its connection, which ends that caller's other requests and lets waiting ones through; such a request was then refused as not run while it was at a server. Only requests that still wait are refused.

--- a/briarspoke/entry/dispatch.py
+++ b/briarspoke/entry/dispatch.py
@@ -312,7 +312,7 @@
         now = self._node.now()
         for ahead, entry in enumerate(sorted(waiting, key=lambda e: e[:2])):
             exchange = entry[2]
-            if exchange.done:
+            if exchange.done or exchange.queued_at is None:
                 continue
             wait_s = self._expected_permit_s(servers, entry[0], ahead)
             late_s = now + wait_s - exchange.give_up_at
--- a/tests/test_limit_shares.py
+++ b/tests/test_limit_shares.py
@@ -141,6 +141,39 @@
         assert deployment.outcomes(answered)[200] >= 0.97 * 4.0 * 60.0
 
 
+class StubExchange:
+    """A queued request whose refusal makes the VM send another one."""
+
+    attempts = 0
+    done = False
+    give_up_at = 0.0
+
+    def __init__(self, then=None):
+        self.queued_at = 1.0
+        self.refused = False
+        self._then = then
+
+    def refuse(self, code, retry_after_s):
+        self.refused = self.done = True
+        if self._then is not None:
+            self._then.queued_at = None
+
+
+class TestRequestThatWasSentMeanwhile:
+    def test_is_not_refused(self):
+        # Guards against "not run" for a request that the refusal of another one, whose
+        # connection breaks, has let through.
+        deployment = limited([11], 2.0, vms=1, keyed=True, per_s=20.0)
+        dispatcher = deployment.nodes[0].dispatcher("stock")
+        server = dispatcher.servers["s-11"]
+        sent = StubExchange()
+        refused = StubExchange(then=sent)
+        server.waiting.clear()
+        server.waiting.extend([(1, 1, refused), (1, 2, sent)])
+        dispatcher._refuse_late(server.waiting, [server])
+        assert refused.refused and not sent.refused
+
+
 class TestKeysOfServerInNeed:
     def test_move_away_and_do_not_return(self):
         deployment = limited([11], 2.0, vms=4, keyed=True, per_s=60.0)
