Let explain name the limits of a service's servers

A refusal with code 2010 of a service without keys names no server, and a limit may have begun long before, so explain showed no reason. Its context has now all earlier lines about limits of servers of the service. The test failed before.

--- a/briarspoke/entry/explanation.py
+++ b/briarspoke/entry/explanation.py
@@ -111,11 +111,14 @@
 def _is_relevant(line, request_lines):
     if line.prefix not in CONTEXT_PREFIXES:
         return False
-    if (
-        not request_lines[-1].second_of_day - CONTEXT_S
-        <= line.second_of_day
-        <= request_lines[-1].second_of_day
-    ):
+    age_s = request_lines[-1].second_of_day - line.second_of_day
+    if line.prefix == "servers" and line.event.startswith("limit"):
+        # A limit holds until a line says that it has ended.
+        is_of_service = line.fields.get("service") == request_lines[-1].fields.get(
+            "service"
+        )
+        return is_of_service and age_s >= 0
+    if not 0 <= age_s <= CONTEXT_S:
         return False
     if line.prefix == "keys":
         return _is_about_key(line, request_lines[-1])
--- a/tests/test_entry_logs.py
+++ b/tests/test_entry_logs.py
@@ -78,6 +78,24 @@
         assert [line.event for line in found.context] == ["in force", "move begins"]
         assert found.unreadable == 1
 
+    def test_limits_of_the_service_are_named_however_old_they_are(self):
+        # Guards against a refusal without its reason: a request of a service without
+        # keys waits for no certain server.
+        minute = "2026-12-04T09:0{}:00.000Z INFO {}"
+        fields = "incarnation=1 per_s=2 before=- source=peer nodes=4"
+        text = [
+            minute.format(1, f"servers: limit begins id=x service=s {fields}"),
+            minute.format(2, f"servers: limit begins id=y service=t {fields}"),
+            minute.format(
+                3,
+                "requests: server-limited id=r1 code=2010 service=s key=- server=- "
+                "limit=-",
+            ),
+            minute.format(4, f"servers: limit begins id=z service=s {fields}"),
+        ]
+        found = explanation.find("r1", {"log": text})
+        assert [line.fields["id"] for line in found.context] == ["x"]
+
     def test_unknown_request_has_no_lines(self):
         assert not explanation.find("r9", {"log": []}).lines
 
