--- a/briarspoke/codes.py
+++ b/briarspoke/codes.py
@@ -170,9 +170,9 @@
     503,
     "The bodies of requests take too much memory at this entry VM; not run.",
 )
-SERVER_LIMITED = register(
+SERVER_RATE_LIMIT = register(
     2010,
-    "server-limited",
+    "server-rate-limit",
     Kind.LOAD,
     503,
     "The server takes fewer requests a second than it gets; not run.",
--- a/briarspoke/entry/dispatch.py
+++ b/briarspoke/entry/dispatch.py
@@ -265,7 +265,7 @@
             waiting,
             max(wait_s, ahead * latency_s / in_flight_limit),
             latency_s,
-            code=codes.SERVER_LIMITED,
+            code=codes.SERVER_RATE_LIMIT,
             rank=rank,
         )
         for server in servers:
@@ -318,7 +318,7 @@
             late_s = now + wait_s - exchange.give_up_at
             if late_s > 0:
                 self.dequeue(exchange)
-                self._refuse_for(exchange, codes.SERVER_LIMITED, late_s)
+                self._refuse_for(exchange, codes.SERVER_RATE_LIMIT, late_s)
 
     def _expected_permit_s(self, servers, rank, ahead):
         """Returns the expected wait until one of some servers has a permit.
--- a/tests/test_entry_logs.py
+++ b/tests/test_entry_logs.py
@@ -88,7 +88,7 @@
             minute.format(2, f"servers: limit begins id=y service=t {fields}"),
             minute.format(
                 3,
-                "requests: server-limited id=r1 code=2010 service=s key=- server=- "
+                "requests: server-rate-limit id=r1 code=2010 service=s key=- server=- "
                 "limit=-",
             ),
             minute.format(4, f"servers: limit begins id=z service=s {fields}"),
--- a/tests/test_limit_shares.py
+++ b/tests/test_limit_shares.py
@@ -125,7 +125,7 @@
         deployment = limited(SERVERS, 2.0, vms=4, keyed=True, per_s=60.0)
         answered = len(deployment.answers)
         deployment.run(4.0)
-        refused = deployment.outcomes(answered)[codes.SERVER_LIMITED.number]
+        refused = deployment.outcomes(answered)[codes.SERVER_RATE_LIMIT.number]
         assert refused >= 0.7 * 4.0 * 60.0
         waits_s = []
         for data, wait_s in deployment.answers[answered:]:
