End no server's rate limit because of a spoiled answer

A success without the server's signature, or with an encoding, is not the server's answer; callers never get it. It still ended the server's limit, and all entry VMs were told, so that each could send what it had until the next answer named the limit again.

The answer now tells nothing about the limit. The test failed before: the limit was None after a spoiled answer.

--- a/briarspoke/entry/exchange.py
+++ b/briarspoke/entry/exchange.py
@@ -277,7 +277,7 @@
         self.dispatcher.on_request_ended(server)
 
     def _process_answer(self, server, answer):
-        if answer.status is not None and not self._is_by_other_server(server, answer):
+        if self._tells_limit(server, answer):
             self.node.rate_limits.record_answer(
                 self.dispatcher.name, server, answer, self.sent_at
             )
@@ -293,7 +293,7 @@
         self.node.metrics.observe(
             "server_seconds", self.dispatcher.name, now - self.sent_at
         )
-        if 200 <= answer.status < 300 and not self._is_intact(answer):
+        if _is_spoiled(answer):
             server.record_loss()
             self.node.metrics.count("attempts_total", "spoiled")
             self._retry_or_fail(server, codes.ANSWER_MALFORMED, "spoiled")
@@ -310,15 +310,12 @@
                 return
         self._end(answer)
 
-    def _is_by_other_server(self, server, answer):
+    def _tells_limit(self, server, answer):
+        """Returns whether an answer tells if the server has a rate limit."""
+        if answer.status is None or _is_spoiled(answer):
+            return False
         server_id = answer.get(header_names.SERVER_ID)
-        return server_id is not None and server_id != server.target
-
-    def _is_intact(self, answer):
-        return (
-            answer.get(header_names.SIGNATURE) is not None
-            and answer.get(b"content-encoding") is None
-        )
+        return server_id is None or server_id == server.target
 
     def _handle_not_run(self, server, answer):
         """Retries or ends a request that the server has not run."""
@@ -510,3 +507,11 @@
                 is_head=is_head,
             )
         return answers.server_answer(self.answer, close=close, is_head=is_head)
+
+
+def _is_spoiled(answer):
+    """Returns whether an answer claims success without being the server's own."""
+    return 200 <= answer.status < 300 and (
+        answer.get(header_names.SIGNATURE) is None
+        or answer.get(b"content-encoding") is not None
+    )
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -117,7 +117,10 @@
         early()
         assert limit_of(world) == 4.0
 
-    def test_rejection_without_limit_does_not_end_it(self, world):
+    @pytest.mark.parametrize(
+        "options", [{"status": 503, "extra": "Not-Executed: 1"}, {"status": 200}]
+    )
+    def test_rejection_or_spoiled_answer_does_not_end_it(self, world, options):
         callers = Callers(world)
         callers.send()("4")
         world.advance(1.0)
@@ -125,9 +128,7 @@
         caller.send(request(request_id="r9"))
         world.advance(0.1)
         server, _ = world.accept()
-        server.send(
-            answer(503, request_id="r9", extra="Not-Executed: 1", signature=None)
-        )
+        server.send(answer(request_id="r9", signature=None, **options))
         assert limit_of(world) == 4.0
 
     def test_limit_of_another_server_at_the_address_is_not_learned(self, world):
