Send no booking where a server has refused a request, in serve

A server that wrote a refusal twice had the second copy taken for the answer to the request that was next on the connection, mostly the repeat of the refused one: the caller of a booking was told that it had not run while the server ran it. Servers of serve echo no identifier, so the copy cannot be recognised.

A request that must not run twice no longer uses a connection on which the server has refused one. Lookups still do, since a wrong refusal of them does no harm, and so a new connection for each shed request is only needed for bookings.

Two tests expected a booking's repeat on the same connection; they now expect it on another one, and a test of its own holds what the first one guarded, that a lookup's repeat opens none.

--- a/briarspoke/http/pool.py
+++ b/briarspoke/http/pool.py
@@ -114,23 +114,16 @@
         :param waiter: object with ``connected(connection)``,
             ``attempt_failed(attempt)`` and ``done``.
         :param idempotent: False for a request that must not run twice. It does not
-            get a connection that the server may be closing.
+            get a connection that the server may be closing, or on which the server has
+            refused a request: a second copy of the refusal would be taken for the
+            answer, which says that the request has not run.
         """
-        while self._idle:
-            if not idempotent and not self._is_safe(self._idle[-1]):
-                if len(self.connections) + self._connecting >= self.maximum:
-                    self._drop(self._idle.popleft())
-                break
-            # The most recently used connection is the least likely to be closed.
-            connection = self._idle.pop()
-            if not connection.reusable:
-                continue
-            if is_idle(connection.transport):
-                waiter.connected(connection)
-                return
-            # Closed by the server, but the event loop has not reported it yet.
-            self._record_close(connection)
-            self._drop(connection)
+        connection = self._take_idle(idempotent=idempotent)
+        if connection is not None:
+            waiter.connected(connection)
+            return
+        if self._idle and len(self.connections) + self._connecting >= self.maximum:
+            self._drop(self._idle.popleft())
         if len(self.connections) + self._connecting >= self.maximum:
             waiter.attempt_failed(
                 Attempt(
@@ -140,13 +133,31 @@
                 )
             )
             return
-        self._waiters.append(waiter)
+        self._waiters.append((waiter, idempotent))
         self._connecting += 1
         self._reactor.connectTCP(
             self.host, self.port, self._factory, timeout=CONNECT_TIMEOUT_S
         )
 
+    def _take_idle(self, *, idempotent):
+        """Returns the idle connection that was used last and may be used, or None."""
+        # The most recently used connection is the least likely to be closed.
+        for connection in reversed(tuple(self._idle)):
+            if not connection.reusable:
+                self._idle.remove(connection)
+            elif idempotent or self._is_safe(connection):
+                self._idle.remove(connection)
+                if is_idle(connection.transport):
+                    return connection
+                # Closed by the server, but the event loop has not reported it yet.
+                self._record_close(connection)
+                self._drop(connection)
+        return None
+
     def _is_safe(self, connection):
+        """Returns whether a request that must not run twice may use a connection."""
+        if connection.has_refused:
+            return False
         now = self._clock()
         return self._idle_close_history.is_safe(now - connection.idle_since, now)
 
@@ -184,7 +195,8 @@
     def connect_failed(self, reason):
         self._connecting -= 1
         if self._waiters:
-            self._waiters.popleft().attempt_failed(
+            waiter, _ = self._waiters.popleft()
+            waiter.attempt_failed(
                 Attempt(
                     outcome=Outcome.NOT_RUN,
                     reason="connect-failed",
@@ -210,9 +222,12 @@
 
     def put_back(self, connection):
         """Gives a free connection to the next waiter, or keeps it as idle."""
-        while self._waiters:
-            waiter = self._waiters.popleft()
-            if not waiter.done:
+        for entry in tuple(self._waiters):
+            waiter, idempotent = entry
+            if waiter.done:
+                self._waiters.remove(entry)
+            elif idempotent or not connection.has_refused:
+                self._waiters.remove(entry)
                 waiter.connected(connection)
                 return
         connection.idle_since = self._clock()
--- a/briarspoke/http/proxied_request.py
+++ b/briarspoke/http/proxied_request.py
@@ -295,6 +295,7 @@
             self.router.owner_checks.server_answered(self.route.server)
             attempt = wire.parse_server_refusal(head)
             if attempt is not None:
+                self.connection.has_refused = True
                 self._discard_answer()
                 self.attempt_failed(attempt)
                 return
--- a/briarspoke/http/upstream.py
+++ b/briarspoke/http/upstream.py
@@ -82,10 +82,12 @@
     ``attempt_failed(attempt)``.
 
     :param pool: the :class:`briarspoke.http.pool.ConnectionPool`.
+    :ivar has_refused: whether the server has refused a request on this connection.
     """
 
     def __init__(self, pool):
         self.pool = pool
+        self.has_refused = False
         self.listener = None
         self.idle_since = 0.0
         self.reusable = True
