--- a/briarspoke/entry/dispatch.py
+++ b/briarspoke/entry/dispatch.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import collections
 import heapq
 import itertools
 import math
@@ -10,24 +9,14 @@
 
 from briarspoke import codes
 from briarspoke.entry import shares
-from briarspoke.entry.affinity import Affinity
 from briarspoke.entry.allowances import Gates
 from briarspoke.entry.budget import RetryBudget
 from briarspoke.entry.misdirection import MisdirectedOwners
+from briarspoke.entry.permitqueue import PermitQueue
+from briarspoke.entry.selection import ServerSelection
 from briarspoke.entry.servicetimes import ServiceTime
 from briarspoke.keyspace.keymap import UNOWNED
 
-# A request goes to another zone only if the expected wait in the own zone is longer by
-# this factor. Traffic between zones is billed by the byte, so each byte of the body
-# adds to the factor.
-CROSS_ZONE_FACTOR = 1.25
-CROSS_ZONE_FACTOR_PER_BYTE = 1 / 30_000
-# Factor on the expected wait at a server that this entry VM does not prefer. With 2.5,
-# a preferred server gets a second request in flight before another server gets one.
-NON_PREFERRED_FACTOR = 2.5
-# The expected wait at a server whose answers are all lost is multiplied by
-# 1 + LOSS_FACTOR.
-LOSS_FACTOR = 8.0
 # A request may wait in a queue for at least this fraction of the latency objective,
 # even if little or nothing of the objective remains.
 MIN_QUEUE_WAIT_FRACTION = 0.125
@@ -62,11 +51,6 @@
 # Retry hints are spread by this fraction to both sides, so that callers that were
 # refused together do not return together.
 RETRY_SPREAD = 0.3
-# Added to the rank of repeats at a server with a rate limit, so that they follow all
-# first tries.
-REPEAT_RANK = 1_000
-# Rank of a permit for which no request waits yet.
-SPARE_RANK = 2 * REPEAT_RANK
 # Pause of a server that answers that it is not responsible for a request, in a service
 # without keys.
 WRONG_SERVER_PAUSE_S = 1.0
@@ -91,8 +75,11 @@
         self._service_times_by_route = {}
         self._misdirected_owners = MisdirectedOwners()
         self._node = node
-        self._affinity = Affinity(node=node.settings.node)
-        self._waiting = []
+        self.selection = ServerSelection(node=node, dispatcher=self)
+        self.permit_queue = PermitQueue(node=node, dispatcher=self)
+        # Heap of (rank, sequence number, exchange). Requests that only the owner of
+        # their key can take wait in the queue of that server.
+        self.waiting = []
         self._sequence_numbers = itertools.count()
 
     @property
@@ -196,32 +183,33 @@
             self._dispatch_unkeyed(exchange)
 
     def _dispatch_unkeyed(self, exchange):
-        server = self._choose_server(exchange)
+        server = self.selection.choose(exchange)
         if server is not None:
             exchange.send(server)
             return
-        usable = [s for s in self.servers.values() if self._is_usable(s)]
+        usable = self.selection.usable()
         if not usable:
             self.wait_for_server(exchange, codes.NO_OWNER)
             return
         unlimited = [s for s in usable if s.limit.per_s is None]
         if not unlimited:
-            self._wait_for_permit(exchange, self._waiting, usable)
+            self.permit_queue.wait(exchange, self.waiting, usable)
             return
         usable = unlimited
         latency_s = sum(s.latency_s for s in usable) / len(usable)
         capacity = min(
-            self._service_limit(usable), sum(self.in_flight_limit(s) for s in usable)
+            self.selection.service_limit(usable),
+            sum(self.selection.in_flight_limit(s) for s in usable),
         )
-        ahead = sum(1 for entry in self._waiting if entry[0] <= exchange.route.priority)
-        self._queue_or_refuse(
-            exchange, self._waiting, (ahead + 1) * latency_s / capacity, latency_s
+        ahead = sum(1 for entry in self.waiting if entry[0] <= exchange.route.priority)
+        self.queue_or_refuse(
+            exchange, self.waiting, (ahead + 1) * latency_s / capacity, latency_s
         )
 
     def _dispatch_keyed(self, exchange):
         key = exchange.request.key
         owner = self._node.key_maps.owner(self.name, key)
-        server = self._owner_server(key)
+        server = self.owner_server(key)
         if server is None:
             is_moving = owner is not None and owner.server_id == UNOWNED
             self.wait_for_server(
@@ -237,102 +225,19 @@
         if server.is_failing and server.paused_until > now:
             self._refuse_unreachable(exchange, server)
             return
-        if self._has_capacity(server) and not server.waiting:
+        if self.selection.has_capacity(server) and not server.waiting:
             self._send_to_owner(exchange, server, owner)
             return
         if server.limit.per_s is not None:
-            self._wait_for_permit(exchange, server.waiting, [server])
+            self.permit_queue.wait(exchange, server.waiting, [server])
             return
         ahead = sum(
             1 for entry in server.waiting if entry[0] <= exchange.route.priority
         )
-        wait_s = (ahead + 1) * server.latency_s / self.in_flight_limit(server)
-        self._queue_or_refuse(exchange, server.waiting, wait_s, server.latency_s)
+        wait_s = (ahead + 1) * server.latency_s / self.selection.in_flight_limit(server)
+        self.queue_or_refuse(exchange, server.waiting, wait_s, server.latency_s)
 
-    def _wait_for_permit(self, exchange, waiting, servers):
-        """Queues or refuses a request that only servers with a rate limit can take.
-
-        :param waiting: the queue.
-        :param servers: servers that can take the request.
-        """
-        rank = self._rank(exchange, servers[0])
-        ahead = sum(1 for entry in waiting if entry[0] <= rank)
-        latency_s = sum(server.latency_s for server in servers) / len(servers)
-        in_flight_limit = sum(self.in_flight_limit(server) for server in servers)
-        wait_s = self._expected_permit_s(servers, rank, ahead)
-        self._queue_or_refuse(
-            exchange,
-            waiting,
-            max(wait_s, ahead * latency_s / in_flight_limit),
-            latency_s,
-            code=codes.SERVER_RATE_LIMIT,
-            rank=rank,
-        )
-        for server in servers:
-            self._ask_for_permits(server)
-
-    def _rank(self, exchange, server):
-        priority = exchange.route.priority
-        is_repeat = exchange.attempts > 0 and server.limit.per_s is not None
-        return priority + REPEAT_RANK if is_repeat else priority
-
-    def _ask_for_permits(self, server):
-        if server.limit.per_s is None:
-            return
-        wanted_by_rank = collections.Counter(entry[0] for entry in server.waiting)
-        if self._waiting and not self.keyed:
-            limited = [s for s in self.servers.values() if s.limit.per_s is not None]
-        for rank, number, exchange in self._waiting:
-            if self.keyed:
-                asked = self._owner_server(exchange.request.key)
-            else:
-                # A permit of another server for the same request would be lost.
-                asked = limited[number % len(limited)]
-            if asked is server:
-                wanted_by_rank[rank] += 1
-        if server.wants_spare_permit:
-            wanted_by_rank[SPARE_RANK] = 1
-        self._node.rate_limits.ask(self.name, server, wanted_by_rank)
-
-    def permits_arrived(self, server):
-        """Sends the requests that have permits, and refuses those that get none."""
-        server.wants_spare_permit = False
-        self.on_request_ended(server)
-        if server.limit.per_s is None:
-            return
-        self._refuse_late(server.waiting, [server])
-        if not self.keyed:
-            usable = [s for s in self.servers.values() if self._is_usable(s)]
-            if all(s.limit.per_s is not None for s in usable):
-                self._refuse_late(self._waiting, usable)
-        self._ask_for_permits(server)
-
-    def _refuse_late(self, waiting, servers):
-        """Refuses the requests of a queue that would get a permit too late."""
-        now = self._node.now()
-        for ahead, entry in enumerate(sorted(waiting, key=lambda e: e[:2])):
-            exchange = entry[2]
-            if exchange.done or exchange.queued_at is None:
-                continue
-            wait_s = self._expected_permit_s(servers, entry[0], ahead)
-            late_s = now + wait_s - exchange.give_up_at
-            if late_s > 0:
-                self.dequeue(exchange)
-                self._refuse_for(exchange, codes.SERVER_RATE_LIMIT, late_s)
-
-    def _expected_permit_s(self, servers, rank, ahead):
-        """Returns the expected wait until one of some servers has a permit.
-
-        :param rank: rank of the request.
-        :param ahead: requests that wait for the same servers before it.
-        """
-        ahead //= len(servers)
-        return min(
-            self._node.rate_limits.expected_wait_s(server, rank=rank, ahead=ahead)
-            for server in servers
-        )
-
-    def _refuse_for(self, exchange, code, late_s):
+    def refuse_for(self, exchange, code, late_s):
         """Refuses a request whose queue is too long.
 
         :param late_s: seconds by which its turn would come too late.
@@ -340,7 +245,7 @@
         # By then, as many requests have left the queue as it has too many now.
         exchange.refuse(code, _spread(max(self._node.RETRY_AFTER_LOAD_S, late_s)))
 
-    def _queue_or_refuse(
+    def queue_or_refuse(
         self,
         exchange,
         waiting,
@@ -363,7 +268,7 @@
         remaining_s = exchange.request.arrived_at + objective_s - now - latency_s
         max_wait_s = max(remaining_s, MIN_QUEUE_WAIT_FRACTION * objective_s)
         if wait_s > max_wait_s:
-            self._refuse_for(exchange, code, wait_s - max_wait_s)
+            self.refuse_for(exchange, code, wait_s - max_wait_s)
             return
         if code is codes.DEADLINE_UNREACHABLE:
             code = codes.QUEUE_FULL
@@ -384,7 +289,7 @@
         if now >= wait_until:
             exchange.refuse(code, self._node.RETRY_AFTER_UNAVAILABLE_S)
             return
-        self._enqueue(exchange, self._waiting, wait_until, code)
+        self._enqueue(exchange, self.waiting, wait_until, code)
 
     def _enqueue(self, exchange, waiting, give_up_at, code, rank=None):
         latest_start = self.latest_start(exchange)
@@ -396,7 +301,7 @@
         if rank is None:
             rank = exchange.route.priority
         entry = (rank, next(self._sequence_numbers), exchange)
-        if waiting is self._waiting:
+        if waiting is self.waiting:
             heapq.heappush(waiting, entry)
         else:
             waiting.append(entry)
@@ -405,131 +310,35 @@
     def dequeue(self, exchange):
         """Removes a request from the queue in which it waits."""
         exchange.queued_at = None
-        for waiting in (self._waiting, *(s.waiting for s in self.servers.values())):
+        for waiting in (self.waiting, *(s.waiting for s in self.servers.values())):
             for entry in waiting:
                 if entry[2] is exchange:
                     waiting.remove(entry)
-                    if waiting is self._waiting:
+                    if waiting is self.waiting:
                         heapq.heapify(waiting)
                     return
 
-    def in_flight_limit(self, server):
-        """Returns how many requests this entry VM may have in flight at a server."""
-        slots, vms = server.record.slots, self._node.node_count
-        if self.keyed:
-            keys_limited = self.gates.are_active(self._node.now())
-            return shares.owner_limit(slots, vms, keys_limited=keys_limited)
-        preferring_vms = None
-        if self._affinity.prefers(server.record.server_id):
-            preferring_vms = self._affinity.vms_per_server
-        return shares.server_limit(slots, vms, preferring_vms=preferring_vms)
-
-    def _service_limit(self, usable):
-        slots = sum(server.record.slots for server in usable)
-        return shares.service_limit(slots, self._node.node_count)
-
-    def _has_capacity(self, server):
-        return self._has_slot(server) and self._node.rate_limits.has_permit(server)
-
-    def _has_slot(self, server):
-        return server.in_flight < self.in_flight_limit(server) and (
-            server.paused_until <= self._node.now()
-        )
-
-    def _is_usable(self, server):
-        if server.replaced:
-            return False
-        if server.drain_until is None:
-            return (
-                not server.registration_missing
-                or self.keyed
-                or self._most_are_missing()
-            )
-        # A draining owner serves its keys until they have moved to another server.
-        return self.keyed and self._node.now() < server.drain_until
-
-    def _most_are_missing(self):
-        """Returns whether more than half of the servers have no registration.
-
-        In that case the store has probably had an outage and the servers still run. A
-        server that is missing while most are registered has left the service while
-        this entry VM was cut off from the store.
-        """
-        missing_count = sum(
-            server.registration_missing for server in self.servers.values()
-        )
-        return 2 * missing_count > len(self.servers)
-
-    def _choose_server(self, exchange):
-        now = self._node.now()
-        zone = self._node.settings.zone
-        body_bytes = len(exchange.request.body)
-        cross_zone_factor = CROSS_ZONE_FACTOR + body_bytes * CROSS_ZONE_FACTOR_PER_BYTE
-        usable = [s for s in self.servers.values() if self._is_usable(s)]
-        in_flight = sum(server.in_flight for server in usable)
-        if in_flight >= self._service_limit(usable):
-            return None
-        best = None
-        best_score = math.inf
-        for server in usable:
-            if server in exchange.tried or not self._has_slot(server):
-                continue
-            if not self._node.rate_limits.has_permit(server):
-                # A later request can use it.
-                server.wants_spare_permit = True
-                continue
-            score = server.expected_s(now) * (1 + server.in_flight)
-            score *= 1 + LOSS_FACTOR * server.loss_rate
-            if not self._affinity.prefers(server.record.server_id):
-                score *= self._non_preferred_factor()
-            if server.record.zone != zone:
-                score *= cross_zone_factor
-            if score < best_score:
-                best, best_score = server, score
-        return best
-
-    def _non_preferred_factor(self):
-        # In a zone with few entry VMs, each VM prefers all servers of the zone, so
-        # there is nothing to distinguish.
-        return (
-            NON_PREFERRED_FACTOR
-            if self._affinity.vms_per_server < self._zone_node_count()
-            else 1.0
-        )
-
-    def _zone_node_count(self):
-        return len(self._node.zone_nodes)
-
-    def _update_affinity(self):
-        zone = self._node.settings.zone
-        in_zone = sorted(
-            server.record.server_id
-            for server in self.servers.values()
-            if server.record.zone == zone and self._is_usable(server)
-        )
-        self._affinity.update(self._node.zone_nodes, tuple(in_zone))
-
-    def _owner_server(self, key):
+    def owner_server(self, key):
         owner = self._node.key_maps.owner(self.name, key)
         if owner is None:
             return None
         server = self.servers.get(owner.server_id)
         if server is None or server.record.incarnation != owner.incarnation:
             return None
-        return server if self._is_usable(server) else None
+        return server if self.selection.is_usable(server) else None
 
     def owner_of(self, exchange):
         """Returns the server that owns the key of a request, or None."""
         key = exchange.request.key
-        return self._owner_server(key) if self.keyed and key is not None else None
+        return self.owner_server(key) if self.keyed and key is not None else None
 
     def _owner_of_key(self, exchange):
         return self._node.key_maps.owner(self.name, exchange.request.key)
 
     def _ready_owner(self, exchange):
         key = exchange.request.key
-        server = self._owner_server(key)
-        if server is None or not self._has_capacity(server):
+        server = self.owner_server(key)
+        if server is None or not self.selection.has_capacity(server):
             return None
         owner = self._node.key_maps.owner(self.name, key)
         if not self._misdirected_owners.may_try(owner, self._node.now()):
@@ -602,12 +411,12 @@
 
     def on_request_ended(self, server):
         """Sends waiting requests after a request at a server has ended."""
-        while server.waiting and self._has_capacity(server):
+        while server.waiting and self.selection.has_capacity(server):
             exchange = self._pop_most_urgent(server.waiting)
             if exchange is not None:
                 exchange.queued_at = None
                 self._dispatch_again(exchange)
-        if self._waiting:
+        if self.waiting:
             self.dispatch_waiting()
 
     def _pop_most_urgent(self, waiting):
@@ -629,18 +438,18 @@
 
         Requests for which no server is available stay in the queue.
         """
-        if not self._waiting:
+        if not self.waiting:
             return
         blocked = []
-        while self._waiting:
-            entry = heapq.heappop(self._waiting)
+        while self.waiting:
+            entry = heapq.heappop(self.waiting)
             exchange = entry[2]
             if exchange.done or exchange.queued_at is None:
                 continue
             if self.keyed:
                 server = self._ready_owner(exchange)
             else:
-                server = self._choose_server(exchange)
+                server = self.selection.choose(exchange)
             if server is None:
                 blocked.append(entry)
                 if not self.keyed:
@@ -652,7 +461,7 @@
             else:
                 exchange.send(server)
         for entry in blocked:
-            heapq.heappush(self._waiting, entry)
+            heapq.heappush(self.waiting, entry)
 
     def tick(self, now):
         """Sends requests whose server's pause is over, and closes idle connections.
@@ -660,13 +469,13 @@
         The entry VM calls this method periodically.
         """
         if not self.keyed:
-            self._update_affinity()
+            self.selection.update_affinity()
         self._misdirected_owners.expire(now)
         for server in list(self.servers.values()):
             server.close_idle(now)
             if server.waiting:
                 self.on_request_ended(server)
-            self._ask_for_permits(server)
+            self.permit_queue.ask(server)
         self.dispatch_waiting()
 
     def add_server(self, server):
--- a/briarspoke/entry/ratelimits.py
+++ b/briarspoke/entry/ratelimits.py
@@ -99,7 +99,7 @@
         )
         if per_s is None:
             server.permits = None
-            self._node.dispatcher(service).permits_arrived(server)
+            self._node.dispatcher(service).permit_queue.arrived(server)
 
     def has_permit(self, server):
         """Returns whether a request may be sent to a server now."""
@@ -218,7 +218,7 @@
             return
         if self._holder(server).receive(answer, controller, self._node.now()):
             self._node.metrics.count("permits_total", service, by=answer.granted)
-            self._node.dispatcher(service).permits_arrived(server)
+            self._node.dispatcher(service).permit_queue.arrived(server)
 
     def count_call(self, service, instance):
         """Counts a call of the controller to a server towards the server's limit."""
--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -466,16 +466,16 @@
         # key is limited.
         dispatcher = world.node.dispatcher("stock")
         server = dispatcher.servers["s-11"]
-        before = dispatcher.in_flight_limit(server)
+        before = dispatcher.selection.in_flight_limit(server)
         self.limit(world, {7: 0.5})
-        assert dispatcher.in_flight_limit(server) == before > 2
+        assert dispatcher.selection.in_flight_limit(server) == before > 2
 
     def test_many_vms_may_have_two_requests_at_an_owner(self, many_vms):
         dispatcher = many_vms.node.dispatcher("stock")
         server = dispatcher.servers["s-11"]
-        assert dispatcher.in_flight_limit(server) == 1
+        assert dispatcher.selection.in_flight_limit(server) == 1
         self.limit(many_vms, {7: 0.5})
-        assert dispatcher.in_flight_limit(server) == 2
+        assert dispatcher.selection.in_flight_limit(server) == 2
 
     def test_other_vms_hear_of_the_limits(self, world):
         other = world.add_node("front-poa-2", 2)
--- a/tests/test_limit_shares.py
+++ b/tests/test_limit_shares.py
@@ -170,7 +170,7 @@
         refused = StubExchange(then=sent)
         server.waiting.clear()
         server.waiting.extend([(1, 1, refused), (1, 2, sent)])
-        dispatcher._refuse_late(server.waiting, [server])
+        dispatcher.permit_queue.refuse_late(server.waiting, [server])
         assert refused.refused and not sent.refused
 
 
