Ask for permits that no request waits for in turns

Each VM whose request went to another server asked the controller for a permit, up to 15 times a second for each server with a limit. That grows with the number of VMs and of servers in need: at 78 VMs and ten such servers it would be more than one VM can answer, which would leave all VMs to half the limit.

The VMs take turns now, together four for each request that the limit allows, and none is asked for when the request itself waits.

The test failed before, with 85 and 90 requests for permits for each request that the limits allow.

--- a/briarspoke/entry/permits.py
+++ b/briarspoke/entry/permits.py
@@ -26,6 +26,9 @@
 REPEAT_INTERVAL_S = 0.2
 # Time for which the answer of the controller tells how many others wait.
 KNOWN_FOR_S = 0.5
+# How often all entry VMs together ask for a permit for which no request waits, for each
+# request that the limit allows.
+SPARE_ASKS_PER_PERMIT = 4.0
 # Permits that the controller saves up, in seconds of the limit, and their least number.
 SAVED_S = 0.25
 MIN_SAVED = 1.0
@@ -77,6 +80,7 @@
         "_known",
         "_known_at",
         "_next_alone_at",
+        "_next_spare_at",
         "_numbers",
         "_outstanding",
         "_unanswered_since",
@@ -95,6 +99,8 @@
         self._unanswered_since = None
         # Time from which the VM may send its next request without a permit.
         self._next_alone_at = None
+        # Time from which the VM may ask for a permit without a waiting request.
+        self._next_spare_at = None
         self._wanted = {}
         # Requests that the controller believes to wait here.
         self._outstanding = 0
@@ -126,6 +132,23 @@
             self._unanswered_since = now
         return number
 
+    def take_spare_turn(self, now, per_s, vms):
+        """Returns whether to ask for a permit for which no request waits.
+
+        Turns are rarer with more entry VMs, so that the controller is not asked by all
+        of them at once.
+
+        :param per_s: limit of the server.
+        :param vms: number of entry VMs.
+        """
+        interval_s = vms / (SPARE_ASKS_PER_PERMIT * per_s)
+        if self._next_spare_at is None:
+            self._next_spare_at = now + interval_s * self._uniform()
+        if now < self._next_spare_at:
+            return False
+        self._next_spare_at = now + interval_s * (0.5 + self._uniform())
+        return True
+
     def receive(self, answer, controller, now):
         """Takes the permits of an answer.
 
--- a/briarspoke/entry/ratelimits.py
+++ b/briarspoke/entry/ratelimits.py
@@ -108,6 +108,16 @@
             self._node.now(), per_s, self._node.node_count
         )
 
+    def want_spare_permit(self, server):
+        """Notes that a request went elsewhere for lack of a permit.
+
+        A permit is asked for only if it is this entry VM's turn.
+        """
+        if self._holder(server).take_spare_turn(
+            self._node.now(), server.limit.per_s, self._node.node_count
+        ):
+            server.wants_spare_permit = True
+
     def take_permit(self, server):
         """Uses up a permit for a request that is sent now."""
         if server.limit.per_s is not None:
--- a/briarspoke/entry/selection.py
+++ b/briarspoke/entry/selection.py
@@ -103,12 +103,12 @@
             return None
         best = None
         best_score = math.inf
+        without_permit = []
         for server in usable:
             if server in exchange.tried or not self._has_slot(server):
                 continue
             if not self._node.rate_limits.has_permit(server):
-                # A later request can use it.
-                server.wants_spare_permit = True
+                without_permit.append(server)
                 continue
             score = server.expected_s(now) * (1 + server.in_flight)
             score *= 1 + LOSS_FACTOR * server.loss_rate
@@ -118,6 +118,10 @@
                 score *= cross_zone_factor
             if score < best_score:
                 best, best_score = server, score
+        if best is not None:
+            for server in without_permit:
+                # A later request can use it.
+                self._node.rate_limits.want_spare_permit(server)
         return best
 
     def _non_preferred_factor(self):
--- a/tests/test_limit_shares.py
+++ b/tests/test_limit_shares.py
@@ -11,6 +11,7 @@
 )
 
 from briarspoke import codes
+from briarspoke.entry.reports import Datagrams
 
 SERVERS = (11, 12, 13)
 
@@ -88,6 +89,23 @@
             assert deployment.outcomes(answered)[200] >= 0.97 * 2.0 * 60.0
 
 
+class TestControllerOfManyVms:
+    @pytest.mark.parametrize(("numbers", "most"), [((11,), 10), (SERVERS, 50)])
+    def test_is_not_asked_by_each_vm_for_each_request(self, monkeypatch, numbers, most):
+        asked = []
+        send = Datagrams.send_permit_request
+        monkeypatch.setattr(
+            Datagrams,
+            "send_permit_request",
+            lambda *args: (asked.append(args), send(*args)),
+        )
+        deployment = limited(numbers, 2.0, vms=24, keyed=False, per_s=120.0)
+        asked.clear()
+        deployment.run(4.0)
+        # For each request that the limits allow.
+        assert len(asked) / (len(numbers) * 2.0 * 4.0) <= most
+
+
 class TestControllerIsGone:
     @pytest.mark.parametrize("keyed", [True, False])
     def test_limit_holds_and_something_is_served(self, keyed):
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import random
+
+import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
@@ -18,6 +21,7 @@
     FALLBACK_FRACTION,
     MIN_SAVED,
     SAVED_S,
+    SPARE_ASKS_PER_PERMIT,
     VALIDITY_S,
     PermitAnswer,
     PermitHolder,
@@ -147,6 +151,22 @@
         assert answers["b"].waiting_by_rank == {}
 
 
+class TestPermitsForWhichNoRequestWaits:
+    @pytest.mark.parametrize("vms", [1, 24, 300])
+    @pytest.mark.parametrize("per_s", [0.5, 10.0])
+    def test_are_not_asked_for_by_all_vms_at_once(self, vms, per_s):
+        generator = random.Random(26)
+        holders = [PermitHolder(uniform=generator.random) for _ in range(vms)]
+        steps = 2_000
+        turns = sum(
+            holder.take_spare_turn(100.0 + step / 100, per_s, vms)
+            for step in range(steps)
+            for holder in holders
+        )
+        expected = SPARE_ASKS_PER_PERMIT * per_s * steps / 100
+        assert 0.7 * expected <= turns <= 1.2 * expected
+
+
 class TestGivenPermits:
     def request(self, issuer, vm, number, wanted, now, per_s=4.0):
         answers = issuer.request(INSTANCE, vm, number, wanted, per_s, now)
