--- a/briarspoke/entry/dispatch.py
+++ b/briarspoke/entry/dispatch.py
@@ -77,8 +77,8 @@
         self._node = node
         self.selection = ServerSelection(node=node, dispatcher=self)
         self.permit_queue = PermitQueue(node=node, dispatcher=self)
-        # Heap of (rank, sequence number, exchange). Requests that only the owner of
-        # their key can take wait in the queue of that server.
+        # Heap of (rank, sequence number, exchange): requests that wait for any server,
+        # or until their key has an owner. Others wait in the queue of the owner.
         self.waiting = []
         self._sequence_numbers = itertools.count()
 
