--- a/briarspoke/entry/node.py
+++ b/briarspoke/entry/node.py
@@ -21,6 +21,7 @@
 from briarspoke.entry.reports import REPORT_INTERVAL_S, Datagrams
 from briarspoke.entry.requestlog import RequestLog
 from briarspoke.entry.routes import DEFAULT_LIMITS
+from briarspoke.entry.timeofday import TimeOfDay
 from briarspoke.entry.timers import Timers
 from briarspoke.entry.view import StoreView
 from briarspoke.errors import BriarspokeError
@@ -107,6 +108,7 @@
         self._discovery = ServerDiscovery(node=self)
         self.view.observe(keymap.KEY_MAP_PREFIX, self._key_map_changed)
         self._loop_lag = gauges.LoopLag(period_s=TICK_INTERVAL_S)
+        self.time_of_day = TimeOfDay(clock=clock)
         gauges.register(self, self._loop_lag)
 
     def sleep(self, seconds):
@@ -336,6 +338,7 @@
     def _tick(self):
         now = self.now()
         self._loop_lag.record_call(now)
+        self.time_of_day.check()
         self._discovery.tick(now)
         self.key_maps.expire(now)
         if self.routing_table is None:
--- a/briarspoke/entry/view.py
+++ b/briarspoke/entry/view.py
@@ -24,6 +24,8 @@
 BATCH_DELAY_S = 0.4
 FIRST_RETRY_S = 0.1
 MAX_RETRY_S = 0.8
+# A longer time without a proof that the copy is current is logged when it ends.
+LATE_PROOF_S = WATCH_WAIT_S + 0.2
 
 
 class StoreView:
@@ -191,6 +193,13 @@
             self.reachable = True
             self.recovered_at = now
             log.info("store: reachable revision=%s", self.revision)
+        if self.last_contact is not None and now - self.last_contact > LATE_PROOF_S:
+            log.info(
+                "store: proof of being current age_ms=%d source=%s revision=%s",
+                round((now - self.last_contact) * 1e3),
+                "relay" if self.uses_relay else "store",
+                self.revision,
+            )
         self.last_contact = now
 
     def _contact_failed(self, error):
--- a/briarspoke/metrics.py
+++ b/briarspoke/metrics.py
@@ -112,6 +112,10 @@
     ),
     "controls": ("", "1 if this entry VM is the controller of key ownership, else 0."),
     "loop_lag_seconds": ("", "Largest delay of the event loop since the last scrape."),
+    "time_of_day_steps": (
+        "",
+        "Times that the time of day was set while the process ran.",
+    ),
     "log_lines_dropped": ("", "Log lines dropped because standard output was full."),
     "store_reachable": ("", "1 if the last call to the store got an answer, else 0."),
 }
