--- /dev/null
+++ b/tests/test_entry_staleness.py
@@ -0,0 +1,80 @@
+"""Tests of how old the copy of the store may be on a VM whose path to it is sound."""
+
+from __future__ import annotations
+
+import pytest
+from entry_fakes import STORE, RelayNetwork, World, configuration
+
+# A change has to be in force this long after the store has acknowledged it.
+IN_FORCE_S = 2.0
+# It binds VMs whose path to the store has been sound for this long.
+SOUND_S = 3.0
+
+
+@pytest.fixture
+def world():
+    world = World()
+    world.store.put("op/config", configuration(version=4))
+    world.node = world.add_node()
+    world.advance(2.0)
+    return world
+
+
+class TestLostWatch:
+    """Guards against a VM that uses an old configuration until a lost watch times out."""
+
+    @pytest.mark.parametrize("cut_s", [0.1, 0.3, 0.5, 0.7])
+    def test_watch_that_never_arrived(self, world, cut_s):
+        # The next watch follows a pause of 0.4 s after a change.
+        world.store.put("op/config", configuration(version=5))
+        world.advance(0.38)
+        world.node.faults(STORE).cut = True
+        world.advance(cut_s)
+        world.node.faults(STORE).cut = False
+        world.advance(SOUND_S - IN_FORCE_S)
+        world.store.put("op/config", configuration(version=9))
+        world.advance(IN_FORCE_S)
+        assert world.node.configuration_version == 9
+
+    def test_answer_that_was_lost(self, world):
+        world.advance(0.5)
+        world.store.put("op/other", b"1")
+        world.advance(0.5)
+        world.waiting.clear()
+        world.advance(SOUND_S - IN_FORCE_S)
+        world.store.put("op/config", configuration(version=9))
+        world.advance(IN_FORCE_S)
+        assert world.node.configuration_version == 9
+
+
+class TestRelayOutOfTouch:
+    """Guards against followers that take a relay for current which is not."""
+
+    @pytest.fixture
+    def zone(self, world):
+        """A zone of four VMs, of which the first is the relay."""
+        world.network = RelayNetwork(world)
+        for number in (2, 3, 4):
+            world.add_node(f"front-poa-{number}", number)
+        world.network.advance(8.0)
+        assert [node.view.uses_relay for node in world.nodes] == [False] + 3 * [True]
+        return world
+
+    @pytest.mark.parametrize("offset_s", [0.0, 0.3, 0.6, 0.9, 1.2])
+    def test_relay_that_is_cut_off_from_the_store(self, zone, offset_s):
+        zone.network.advance(offset_s)
+        zone.node.faults(STORE).cut = True
+        zone.store.put("op/config", configuration(version=9))
+        zone.network.advance(IN_FORCE_S)
+        assert [node.configuration_version for node in zone.nodes[1:]] == 3 * [9]
+
+    @pytest.mark.parametrize("offset_s", [0.0, 0.3, 0.6])
+    def test_relay_whose_watch_is_lost(self, zone, offset_s):
+        zone.network.advance(offset_s)
+        zone.waiting.clear()
+        zone.node.faults(STORE).cut = True
+        zone.network.advance(0.2)
+        zone.node.faults(STORE).cut = False
+        zone.store.put("op/config", configuration(version=9))
+        zone.network.advance(IN_FORCE_S)
+        assert [node.configuration_version for node in zone.nodes] == 4 * [9]
