--- a/briarspoke/commands/soak.py
+++ b/briarspoke/commands/soak.py
@@ -19,10 +19,12 @@
     import json
     import sys
 
-    from twisted.internet import defer, reactor
+    from twisted.internet import defer
 
+    from briarspoke import loop
     from briarspoke.soak.run import SoakRun, remove_logs
 
+    reactor = loop.install_epoll()
     print(f"soak: seed {seed}, {minutes} min of faults", file=sys.stderr)
     soak = SoakRun(reactor=reactor, seed=seed, seconds=minutes * 60)
     results = []
--- a/briarspoke/entry/process.py
+++ b/briarspoke/entry/process.py
@@ -19,13 +19,14 @@
     :returns: the exit status.
     :raises UserError: if the settings have problems.
     """
-    from briarspoke import clock
+    from briarspoke import clock, loop
     from briarspoke.entry import logs
     from briarspoke.entry import settings as settings_module
 
     settings = settings_module.load(path)
     logs.setup(settings.log_level)
-    from twisted.internet import defer, reactor, task
+    reactor = loop.install_epoll()
+    from twisted.internet import defer, task
 
     from briarspoke.entry.node import EntryNode
     from briarspoke.entry.reload import CHECK_INTERVAL_S, SettingsReload
--- a/briarspoke/loop.py
+++ b/briarspoke/loop.py
@@ -1,4 +1,4 @@
-"""Installs the event loop: Twisted's asyncio reactor on uvloop."""
+"""Installs an event loop whose timers do not follow the time of day."""
 
 from __future__ import annotations
 
@@ -6,6 +6,8 @@
 import sys
 import time
 
+from briarspoke import clock
+
 TIMER_RESOLUTION_S = 0.001
 
 
@@ -57,15 +59,43 @@
     return Reactor(event_loop)
 
 
-def install():
-    """Returns the reactor, which the first call installs."""
+def _make_uvloop_reactor():
+    import uvloop
+
+    event_loop = uvloop.new_event_loop()
+    asyncio.set_event_loop(event_loop)
+    return _make_reactor(event_loop)
+
+
+def _make_epoll_reactor():
+    from twisted.internet.epollreactor import EPollReactor
+
+    class Reactor(EPollReactor):
+        """Twisted's default reactor with timers on the monotonic clock."""
+
+        seconds = staticmethod(clock.monotonic)
+
+    return Reactor()
+
+
+def _install(make_reactor):
     if "twisted.internet.reactor" not in sys.modules:
-        import uvloop
         from twisted.internet.main import installReactor
 
-        event_loop = uvloop.new_event_loop()
-        asyncio.set_event_loop(event_loop)
-        installReactor(_make_reactor(event_loop))
+        installReactor(make_reactor())
     from twisted.internet import reactor
 
     return reactor
+
+
+def install():
+    """Returns Twisted's asyncio reactor on uvloop, which the first call installs."""
+    return _install(_make_uvloop_reactor)
+
+
+def install_epoll():
+    """Returns Twisted's epoll reactor, which the first call installs.
+
+    Entry VMs use it, since uvloop is not among the libraries that they install.
+    """
+    return _install(_make_epoll_reactor)
--- a/tests/test_entry_staleness.py
+++ b/tests/test_entry_staleness.py
@@ -21,7 +21,7 @@
 
 
 class TestLostWatch:
-    """Guards against a VM that uses an old configuration until a lost watch times out."""
+    """Guards against an old configuration that is used until a lost watch times out."""
 
     @pytest.mark.parametrize("cut_s", [0.1, 0.3, 0.5, 0.7])
     def test_watch_that_never_arrived(self, world, cut_s):
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -1,12 +1,30 @@
 from __future__ import annotations
 
+import ast
 import asyncio
 import time
+from pathlib import Path
 
 import pytest
 
 from briarspoke import loop
 
+PACKAGE = Path(loop.__file__).parent
+
+
+class TestImports:
+    def test_only_this_module_imports_the_reactor(self):
+        # Guards against Twisted's default reactor, whose timers follow the wall clock.
+        importing = {
+            file.relative_to(PACKAGE).as_posix()
+            for file in PACKAGE.rglob("*.py")
+            for node in ast.walk(ast.parse(file.read_text()))
+            if isinstance(node, ast.ImportFrom)
+            and node.module == "twisted.internet"
+            and any(name.name == "reactor" for name in node.names)
+        }
+        assert importing == {"loop.py"}
+
 
 class TestReactor:
     @pytest.fixture
