--- a/briarspoke/entry/node.py
+++ b/briarspoke/entry/node.py
@@ -94,7 +94,7 @@
         self.registry = NodeRegistry(node=self)
         self.control = Control(node=self)
         self.relay = Relay(view=self.view)
-        self.view.has_followers = lambda: bool(self.relay.links)
+        self.view.is_relay = lambda: bool(self.relay.links) or self.registry.is_relay()
         self.relay_follower = RelayFollower(node=self)
         self.view.find_relay = self.relay_follower.wait_for_first_view
         self.rate_limits = RateLimits(node=self)
--- a/briarspoke/entry/registry.py
+++ b/briarspoke/entry/registry.py
@@ -120,7 +120,8 @@
         """Prefix of the keys of all registrations."""
         return NODE_PREFIX
 
-    def _is_relay(self):
+    def is_relay(self):
+        """Returns whether this VM is the relay of its zone."""
         zone = self._node.settings.zone
         in_zone = sum(r.zone == zone for r in self._record_by_key.values())
         return in_zone >= MIN_NODES and self.relay_address() is None
@@ -152,7 +153,7 @@
 
         :returns: 1 for the relay of a zone, whose link and processor serve followers.
         """
-        if self._is_relay():
+        if self.is_relay():
             return 1.0
         own = self._node.settings.link_mbps
         wider = sum(r.link_mbps > own for r in self._record_by_key.values())
--- a/briarspoke/entry/view.py
+++ b/briarspoke/entry/view.py
@@ -9,23 +9,30 @@
 
 from briarspoke.entry.pauses import Pause
 from briarspoke.errors import BriarspokeError
-from briarspoke.platform.keyvalue import HistoryGoneError, StoreRestoredError
+from briarspoke.platform.keyvalue import (
+    HistoryGoneError,
+    StoreError,
+    StoreRestoredError,
+)
 
 log = logging.getLogger(__name__)
 
-# Longest wait of a watch. A dead connection is detected when the answer is still
-# missing ``WATCH_GRACE_S`` after this wait. A configuration has to be in force within
-# 2 s; the platform allows 3 s for a dead connection.
-WATCH_WAIT_S = 3.0
-# A relay also serves its followers, so it has to detect an outage sooner.
-RELAY_WATCH_WAIT_S = 0.8
+# A watch ends this long after the last proof that the copy is current. One that is
+# still unanswered ``WATCH_GRACE_S`` later is lost. A configuration has to be in force
+# 2 s after it was written, on VMs whose path to the store has been sound for 3 s.
+MAX_PROOF_INTERVAL_S = 1.6
+# Followers bound the age of their relay's proof, so a relay needs proofs more often.
+MAX_RELAY_PROOF_INTERVAL_S = 0.8
+MIN_WATCH_WAIT_S = 0.2
+# Wait of the watch that replaces a lost one, whose answer tells what it has missed.
+CATCH_UP_WAIT_S = 0.001
 # Pause after a watch that returned changes, so that the next one returns several at
 # once. New owners of keys are also announced directly; other changes may take 2 s.
 BATCH_DELAY_S = 0.4
 FIRST_RETRY_S = 0.1
 MAX_RETRY_S = 0.8
 # A longer time without a proof that the copy is current is logged when it ends.
-LATE_PROOF_S = WATCH_WAIT_S + 0.2
+LATE_PROOF_S = MAX_PROOF_INTERVAL_S + 0.2
 
 
 class StoreView:
@@ -43,6 +50,7 @@
         # Era of the store to which the revision belongs.
         self.era = 0
         self.reachable = False
+        # Time as of which the items were last known to be current.
         self.last_contact = None
         # Time of the first answer at the start or after the last outage.
         self.recovered_at = None
@@ -57,8 +65,8 @@
         # Whether changes come from a relay instead of the store.
         self.uses_relay = False
         self._relay_ended = None
-        # Returns whether followers get their changes from this view.
-        self.has_followers = lambda: False
+        # Returns whether followers get their changes from this view, or may soon.
+        self.is_relay = lambda: False
         # Coroutine function that runs before all items are read. It may connect to a
         # relay, which makes reading them unnecessary.
         self.find_relay = None
@@ -73,29 +81,37 @@
         """Adds an item that this process has written, before the watch returns it."""
         self._apply(item)
 
-    def switch_to_relay(self, changes):
+    def proof_age_s(self):
+        """Returns the seconds since the items were last known to be current."""
+        return self._clock() - self.last_contact
+
+    def switch_to_relay(self, changes, proof_age_s=0.0):
         """Replaces all items by those of a relay, which sends all further changes.
 
         :param changes: :class:`Changes` with all items of the relay.
+        :param proof_age_s: seconds since they were known to be current.
         """
         self.uses_relay = True
         self._relay_ended = defer.Deferred()
-        self._replace_all(changes)
+        self._replace_all(changes, proof_age_s)
         for listener in self.listeners:
             listener.view_abandoned()
 
-    def replace_from_relay(self, changes):
+    def replace_from_relay(self, changes, proof_age_s=0.0):
         """Replaces all items by those that the relay has read again.
 
         The relay may have had an outage of the store that this view knows nothing of,
         so registrations that are missing get the time to return, as after an outage.
         """
         self.recovered_at = self._clock()
-        self._replace_all(changes)
+        self._replace_all(changes, proof_age_s)
+
+    def apply_changes(self, changes, proof_age_s=0.0):
+        """Applies :class:`Changes` that came from the store or from a relay.
 
-    def apply_changes(self, changes):
-        """Applies :class:`Changes` that came from the store or from a relay."""
-        self._contact_succeeded()
+        :param proof_age_s: seconds since they were known to be complete.
+        """
+        self._contact_succeeded(proof_age_s)
         for item in changes.items:
             self._apply(item)
         self.revision = max(self.revision, changes.revision)
@@ -179,19 +195,44 @@
             for listener in self.listeners:
                 listener.view_replaced()
             return
-        wait_s = RELAY_WATCH_WAIT_S if self.has_followers() else WATCH_WAIT_S
-        changes = await self._client.watch(self.revision, wait_s, self.era)
+        changes = await self._watch()
         if self.uses_relay:
             return
         self.apply_changes(changes)
         if changes.items:
             await self._pause.wait(BATCH_DELAY_S)
 
-    def _contact_succeeded(self):
-        now = self._clock()
+    async def _watch(self):
+        """Waits for changes, and asks again at once if the watch is lost.
+
+        :returns: the :class:`Changes`, without items if the wait ended first.
+        """
+        interval_s = (
+            MAX_RELAY_PROOF_INTERVAL_S if self.is_relay() else MAX_PROOF_INTERVAL_S
+        )
+        wait_s = max(MIN_WATCH_WAIT_S, interval_s - self.proof_age_s())
+        try:
+            return await self._client.watch(self.revision, wait_s, self.era)
+        except (HistoryGoneError, StoreRestoredError):
+            raise
+        except StoreError as error:
+            if self.uses_relay:
+                raise
+            log.info(
+                "store: watch lost age_ms=%d error=%r",
+                round(self.proof_age_s() * 1e3),
+                str(error),
+            )
+        changes = await self._client.watch(self.revision, CATCH_UP_WAIT_S, self.era)
+        # Registrations may have expired if the store was away for a moment.
+        self.recovered_at = self._clock()
+        return changes
+
+    def _contact_succeeded(self, proof_age_s=0.0):
+        now = self._clock() - proof_age_s
         if not self.reachable:
             self.reachable = True
-            self.recovered_at = now
+            self.recovered_at = self._clock()
             log.info("store: reachable revision=%s", self.revision)
         if self.last_contact is not None and now - self.last_contact > LATE_PROOF_S:
             log.info(
@@ -208,8 +249,8 @@
         # The relay's heartbeats end, so its followers soon watch the store themselves.
         self.reachable = False
 
-    def _replace_all(self, changes):
-        self._contact_succeeded()
+    def _replace_all(self, changes, proof_age_s=0.0):
+        self._contact_succeeded(proof_age_s)
         if changes.era != self.era:
             # Registrations that the copy lacks get the time to return.
             self.recovered_at = self._clock()
