--- a/briarspoke/entry/node.py
+++ b/briarspoke/entry/node.py
@@ -8,7 +8,7 @@
 
 from twisted.internet import defer, task
 
-from briarspoke.entry import gauges, status
+from briarspoke.entry import gauges, relays, status
 from briarspoke.entry.callers import CallerFactory
 from briarspoke.entry.control import Control
 from briarspoke.entry.discovery import ServerDiscovery
@@ -303,7 +303,8 @@
             )
         )
         self._loop(self._tick, TICK_INTERVAL_S)
-        self._loop(self._check_relay, HEARTBEAT_INTERVAL_S)
+        self._loop(self._send_heartbeat, HEARTBEAT_INTERVAL_S)
+        self._loop(self.relay_follower.check, relays.CHECK_INTERVAL_S)
         self._loop(self._check_connections, CONNECTION_CHECK_INTERVAL_S)
         self._loop(self._report_load, REPORT_INTERVAL_S)
         self.spawn(self.view.run())
@@ -347,10 +348,9 @@
         for dispatcher in self._dispatchers_by_service.values():
             dispatcher.tick(now)
 
-    def _check_relay(self):
+    def _send_heartbeat(self):
         if self.view.reachable and not self.view.uses_relay:
             self.relay.send_heartbeat()
-        self.relay_follower.check()
 
     def _check_connections(self):
         now = self.now()
--- a/briarspoke/entry/relays.py
+++ b/briarspoke/entry/relays.py
@@ -15,7 +15,8 @@
 from twisted.internet import protocol
 from twisted.protocols import basic
 
-from briarspoke.platform.keyvalue import Changes, Item
+from briarspoke.entry.view import MAX_RELAY_PROOF_INTERVAL_S
+from briarspoke.platform.keyvalue import WATCH_GRACE_S, Changes, Item
 from briarspoke.platform.values import DecodeError
 
 log = logging.getLogger(__name__)
@@ -27,6 +28,11 @@
 # A follower that receives nothing for this long watches the store itself, since
 # changes have to be in force within 2 s.
 HEARTBEAT_TIMEOUT_S = 1.0
+# A follower whose relay last had a proof this long ago watches the store itself. The
+# relay notices a lost watch and asks again just before that.
+MAX_PROOF_AGE_S = MAX_RELAY_PROOF_INTERVAL_S + WATCH_GRACE_S + 0.1
+# Interval of a follower's checks of its relay.
+CHECK_INTERVAL_S = 0.2
 # A follower that lost its relay watches the store for at least this long.
 RECONNECT_DELAY_S = 3.0
 CONNECT_TIMEOUT_S = 0.5
@@ -40,24 +46,38 @@
 COMPRESSION_LEVEL = 1
 
 
-def _encode(changes, *, whole):
-    """Returns a frame with :class:`Changes`.
+class Frame:
+    """A message from a relay to a follower.
 
+    :param changes: the :class:`Changes`.
     :param whole: whether the items are the whole view and not only changes of it.
+    :param proof_age_s: seconds since the relay knew them to be complete.
     """
+
+    __slots__ = ("changes", "proof_age_s", "whole")
+
+    def __init__(self, *, changes, whole, proof_age_s=0.0):
+        self.changes = changes
+        self.whole = whole
+        self.proof_age_s = proof_age_s
+
+
+def _encode(frame):
+    """Returns a :class:`Frame` in bytes."""
+    changes = frame.changes
     rows = [[item.key, item.value, item.revision] for item in changes.items]
-    body = [rows, changes.revision, changes.era, whole]
+    proof_age_ms = round(frame.proof_age_s * 1e3)
+    body = [rows, changes.revision, changes.era, frame.whole, proof_age_ms]
     return zlib.compress(cbor2.dumps(body), COMPRESSION_LEVEL)
 
 
 def _decode(data):
-    """Decodes a frame.
+    """Decodes a :class:`Frame`; those of earlier versions have no age.
 
-    :returns: (:class:`Changes`, whether they are the whole view).
     :raises DecodeError: if it does not have the expected form.
     """
     try:
-        rows, revision, era, whole = cbor2.loads(zlib.decompress(data))
+        rows, revision, era, whole, *rest = cbor2.loads(zlib.decompress(data))
         era = int(era)
         items = [
             Item(
@@ -68,12 +88,17 @@
             )
             for key, value, item_revision in rows
         ]
-        return Changes(items=items, revision=int(revision), era=era), bool(whole)
+        return Frame(
+            changes=Changes(items=items, revision=int(revision), era=era),
+            whole=bool(whole),
+            proof_age_s=max(0, int(rest[0])) / 1e3 if rest else 0.0,
+        )
     except (
         zlib.error,
         cbor2.CBORDecodeError,
         ValueError,
         TypeError,
+        ArithmeticError,
         RecursionError,
     ) as error:
         raise DecodeError(str(error)) from error
@@ -120,7 +145,7 @@
             link.transport.loseConnection()
             return
         self.links.add(link)
-        link.sendString(_encode(self._whole_view(), whole=True))
+        link.sendString(self._encode_with_age(self._whole_view(), whole=True))
 
     def store_changed(self, changes):
         """Sends changes to the followers; empty ones act as a heartbeat."""
@@ -134,14 +159,18 @@
         view = self._view
         return Changes(items=view.items.values(), revision=view.revision, era=view.era)
 
+    def _encode_with_age(self, changes, *, whole):
+        age_s = self._view.proof_age_s()
+        return _encode(Frame(changes=changes, whole=whole, proof_age_s=age_s))
+
     def _send(self, changes, *, whole):
         if self.links:
-            data = _encode(changes, whole=whole)
+            data = self._encode_with_age(changes, whole=whole)
             for link in self.links:
                 link.sendString(data)
 
     def send_heartbeat(self):
-        """Tells the followers that the view is current.
+        """Tells the followers when the view was last known to be current.
 
         Sends nothing while the view has no revision, because all items are being read
         again after the store has dropped its history.
@@ -165,6 +194,11 @@
     def __init__(self, follower):
         self._follower = follower
 
+    @property
+    def is_receiving(self):
+        """Whether a part of a frame has arrived and the rest has not."""
+        return bool(self.recvd)
+
     def dataReceived(self, data):
         # Counts partial frames as activity, since a large frame on a slow link can take
         # longer than the heartbeat timeout.
@@ -209,12 +243,24 @@
         return self._link is not None
 
     def check(self):
-        """Connects to the relay, or disconnects from one whose heartbeats stopped."""
+        """Connects to the relay, or disconnects from one that is not current."""
         now = self._node.now()
         if self.connected:
+            view = self._node.view
             if now - self._last_data_at > HEARTBEAT_TIMEOUT_S:
                 log.warning("relays: silent host=%s", self._host)
                 self._disconnect()
+            elif (
+                view.uses_relay
+                and not self._link.is_receiving
+                and view.proof_age_s() > MAX_PROOF_AGE_S
+            ):
+                log.warning(
+                    "relays: not current host=%s age_ms=%d",
+                    self._host,
+                    round(view.proof_age_s() * 1e3),
+                )
+                self._disconnect()
             return
         if self._connecting or now < self._next_attempt_at:
             return
@@ -275,7 +321,7 @@
             # Twisted delivers the remaining frames of a chunk after the disconnect.
             return
         try:
-            changes, whole = _decode(data)
+            frame = _decode(data)
         except DecodeError as error:
             log.warning(
                 "relays: unreadable frame host=%s error=%r", self._host, str(error)
@@ -283,18 +329,19 @@
             self._disconnect()
             return
         view = self._node.view
-        if not self._is_current(changes, whole):
+        changes = frame.changes
+        if not self._is_current(changes, frame.whole):
             self._is_relay_behind = True
             self._disconnect()
         elif not view.uses_relay:
             log.info(
                 "relays: follows host=%s revision=%d", self._host, changes.revision
             )
-            view.switch_to_relay(changes)
-        elif whole:
-            view.replace_from_relay(changes)
+            view.switch_to_relay(changes, frame.proof_age_s)
+        elif frame.whole:
+            view.replace_from_relay(changes, frame.proof_age_s)
         else:
-            view.apply_changes(changes)
+            view.apply_changes(changes, frame.proof_age_s)
 
     def _is_current(self, changes, whole):
         """Returns whether a frame is not older than the view and can be applied."""
--- a/tests/test_entry_restored.py
+++ b/tests/test_entry_restored.py
@@ -15,7 +15,7 @@
 from twisted.internet import defer
 
 from briarspoke.entry.httpclient import HttpClient
-from briarspoke.entry.relays import _decode, _encode
+from briarspoke.entry.relays import Frame, _decode, _encode
 from briarspoke.platform.keyvalue import (
     Changes,
     ConditionFailedError,
@@ -231,7 +231,7 @@
 
 
 def decode_frames(data):
-    """Returns [(:class:`Changes`, whether they are a whole view)] of frames."""
+    """Returns the :class:`Frame` objects in the data of a relay."""
     frames = []
     while data:
         end = 4 + int.from_bytes(data[:4])
@@ -253,7 +253,7 @@
 
     def send(self, node, changes, *, whole):
         """Sends a frame to a follower in the name of its relay."""
-        frame = _encode(changes, whole=whole)
+        frame = _encode(Frame(changes=changes, whole=whole))
         follower = node.relay_follower
         follower._link.dataReceived(len(frame).to_bytes(4) + frame)
 
@@ -344,8 +344,8 @@
             link = node.relay_follower._link
             data = b"".join(data for to, data in network.frames if to is link)
             frames = decode_frames(data)
-            assert {changes.era for changes, _ in frames} == {2}
-            assert frames[0][1]
+            assert {frame.changes.era for frame in frames} == {2}
+            assert frames[0].whole
 
     def test_relay_with_an_old_view_takes_no_follower(self, zone):
         relay = zone.nodes[0]
--- a/tests/test_entry_staleness.py
+++ b/tests/test_entry_staleness.py
@@ -2,9 +2,16 @@
 
 from __future__ import annotations
 
+import zlib
+
+import cbor2
 import pytest
 from entry_fakes import STORE, RelayNetwork, World, configuration
 
+from briarspoke.entry.relays import Frame, _decode, _encode
+from briarspoke.platform.keyvalue import Changes
+from briarspoke.platform.values import DecodeError
+
 # A change has to be in force this long after the store has acknowledged it.
 IN_FORCE_S = 2.0
 # It binds VMs whose path to the store has been sound for this long.
@@ -78,3 +85,36 @@
         zone.store.put("op/config", configuration(version=9))
         zone.network.advance(IN_FORCE_S)
         assert [node.configuration_version for node in zone.nodes] == 4 * [9]
+
+    def test_relay_without_followers_watches_as_often_as_with_them(self, zone):
+        # Guards against followers that come back to a relay which believes itself in
+        # touch for as long as a VM without followers.
+        zone.node.relay.view_abandoned()
+        zone.network.advance(1.0)
+        assert not zone.node.relay.links
+        waits = []
+        call = zone.store.call
+        zone.store.call = lambda *args: waits.append(args[1]) or call(*args)
+        zone.network.advance(1.5)
+        assert any("wait_ms=8" in target or "wait_ms=7" in target for target in waits)
+
+
+class TestAgeInFrames:
+    """Guards against a follower that takes a relay's last proof for its own time."""
+
+    def changes(self):
+        return Changes(items=[], revision=7, era=1)
+
+    def test_age_is_sent(self):
+        frame = Frame(changes=self.changes(), whole=False, proof_age_s=1.25)
+        assert _decode(_encode(frame)).proof_age_s == 1.25
+
+    def test_frame_of_an_earlier_version_has_none(self):
+        data = zlib.compress(cbor2.dumps([[], 7, 1, False]))
+        assert _decode(data).proof_age_s == 0.0
+
+    @pytest.mark.parametrize("age", ["x", None, 1e999, 10**400, float("nan")])
+    def test_unreadable_age_is_refused(self, age):
+        data = zlib.compress(cbor2.dumps([[], 7, 1, False, age]))
+        with pytest.raises(DecodeError):
+            _decode(data)
--- a/tests/test_entry_view.py
+++ b/tests/test_entry_view.py
@@ -8,7 +8,7 @@
 from entry_fakes import STORE, ServerSocket, World, configuration, route
 from twisted.internet import defer
 
-from briarspoke.entry.relays import Relay, RelayFollower, _encode
+from briarspoke.entry.relays import Frame, Relay, RelayFollower, _encode
 from briarspoke.platform.keyvalue import Changes, Item
 
 
@@ -303,7 +303,7 @@
         changes = Changes(
             items=items, revision=other.view.revision + 1, era=other.view.era
         )
-        frame = _encode(changes, whole=True)
+        frame = _encode(Frame(changes=changes, whole=True))
         link.dataReceived(len(frame).to_bytes(4) + frame)
         assert "s-11" in other.dispatcher("stock").servers
         world.advance(2.5)
