--- a/briarspoke/codes.py
+++ b/briarspoke/codes.py
@@ -235,6 +235,13 @@
     503,
     "The entry VM has no configuration yet; the request was not run.",
 )
+ENDS_SERVERS = register(
+    3009,
+    "ends-servers",
+    Kind.UNAVAILABLE,
+    503,
+    "Servers ended each time while they ran this request; not run.",
+)
 OUTCOME_UNKNOWN = register(
     3101,
     "outcome-unknown",
--- a/briarspoke/entry/exchange.py
+++ b/briarspoke/entry/exchange.py
@@ -6,6 +6,7 @@
 
 from briarspoke import codes
 from briarspoke.entry import answers
+from briarspoke.entry.crashes import CRASH_FAILURES
 from briarspoke.http.upstream import HOP_BY_HOP
 from briarspoke.http.wire import connection_options
 from briarspoke.platform import headers as header_names
@@ -22,6 +23,8 @@
 MAX_MISDIRECTED_RETRIES = 3
 # Failures after which the server may be unreachable.
 UNREACHABLE_FAILURES = frozenset({"connect", "refused", "timeout"})
+# Longest time after which a caller whose request is held back is asked to come back.
+MAX_RETRY_AFTER_S = 30.0
 # Delay before a request is sent again to an owner that did not hold its key yet.
 SAME_OWNER_RETRY_DELAY_S = 0.08
 
@@ -50,6 +53,7 @@
         "closes_connection",
         "completed_at",
         "deadline_s",
+        "fingerprint",
         "headers",
         "held_bytes",
         "host",
@@ -73,6 +77,8 @@
         self.request_id = b""
         self.deadline_s = None
         self.key = None
+        # See :class:`briarspoke.entry.fingerprints.Fingerprints`; computed when needed.
+        self.fingerprint = None
         for name, value in headers:
             if name == b"host":
                 self.host = value.split(b":")[0].strip().lower()
@@ -177,6 +183,8 @@
         if self.dispatcher.keyed and (request.key is None or request.key > MAX_KEY):
             self.refuse(codes.MISSING_KEY)
             return
+        if self._refuse_if_held_back(sending=False):
+            return
         if self.dispatcher.admits(self):
             node.timers.add(self.expires_at, self)
             self.dispatcher.dispatch(self)
@@ -211,9 +219,21 @@
         self.refuse(codes.SHUTTING_DOWN, self.node.RETRY_AFTER_UNAVAILABLE_S)
         return True
 
+    def _refuse_if_held_back(self, *, sending):
+        """Refuses the request if servers end when they run it.
+
+        :param sending: whether it is about to be sent.
+        :returns: whether it was refused.
+        """
+        retry_after_s = self.node.crashes.refusal(self.request, sending=sending)
+        if retry_after_s is None:
+            return False
+        self.refuse(codes.ENDS_SERVERS, min(MAX_RETRY_AFTER_S, retry_after_s))
+        return True
+
     def send(self, server):
         """Sends the request to a server that has capacity for it."""
-        if self.refuse_if_too_late(server):
+        if self.refuse_if_too_late(server) or self._refuse_if_held_back(sending=True):
             return
         now = self.node.now()
         if not self.tried:
@@ -283,13 +303,20 @@
             )
         if answer.status is None:
             self._handle_failure(server, answer)
-        elif answer.get(header_names.NOT_RUN) is not None or answer.status == 421:
+            return
+        answering_id = answer.get(header_names.SERVER_ID)
+        if answering_id is None or answering_id == server.target:
+            self.node.crashes.server_answered(server, self.sent_at)
+        else:
+            self.node.crashes.server_replaced(server)
+        if answer.get(header_names.NOT_RUN) is not None or answer.status == 421:
             self._handle_not_run(server, answer)
         else:
             self._handle_server_answer(server, answer)
 
     def _handle_server_answer(self, server, answer):
         now = self.node.now()
+        self.node.crashes.run_ended(self.request)
         self.node.metrics.observe(
             "server_seconds", self.dispatcher.name, now - self.sent_at
         )
@@ -343,6 +370,9 @@
         self._end_not_run(codes.SERVER_SHED, self.node.RETRY_AFTER_LOAD_S)
 
     def _handle_failure(self, server, answer):
+        self.node.crashes.attempt_failed(
+            self.dispatcher.name, server, self.request, answer.failure
+        )
         self.node.metrics.count("attempts_total", answer.failure)
         if answer.failure in UNREACHABLE_FAILURES:
             server.record_unreachable()
@@ -361,11 +391,20 @@
     def _retry_or_fail(self, server, code, reason):
         self.node.request_log.log_attempt(self, server, reason)
         self.unknown_outcome_code = code
-        if self.route.idempotent and self._may_retry(reason):
+        if (
+            self.route.idempotent
+            and self._may_repeat(reason)
+            and self._may_retry(reason)
+        ):
             self.dispatcher.dispatch(self)
         else:
             self._end_unknown(code)
 
+    def _may_repeat(self, reason):
+        return reason not in CRASH_FAILURES or self.node.crashes.may_repeat(
+            self.request
+        )
+
     def _may_retry(self, reason):
         if self.done or self.attempts >= self.route.max_attempts:
             return False
--- a/briarspoke/entry/explanation.py
+++ b/briarspoke/entry/explanation.py
@@ -7,7 +7,9 @@
 # Lines that were written within this time before the request ended are its context.
 CONTEXT_S = 10.0
 # Prefixes of lines about the state of a process, as opposed to a single request.
-CONTEXT_PREFIXES = frozenset({"store", "configuration", "control", "keys", "servers"})
+CONTEXT_PREFIXES = frozenset(
+    {"store", "configuration", "control", "crashes", "keys", "servers"}
+)
 
 _LINE = re.compile(
     r"(\d{4}-\d\d-\d\dT(\d\d):(\d\d):(\d\d\.\d+)Z) (\w+) ([a-z]+): ([^=]*?)"
@@ -118,11 +120,15 @@
             "service"
         )
         return is_of_service and age_s >= 0
+    if line.prefix == "crashes" and "fingerprint" in line.fields:
+        # A request is held back until a line says that it was cleared.
+        fingerprints = {request.fields.get("fingerprint") for request in request_lines}
+        return line.fields["fingerprint"] in fingerprints and age_s >= 0
     if not 0 <= age_s <= CONTEXT_S:
         return False
     if line.prefix == "keys":
         return _is_about_key(line, request_lines[-1])
-    if line.prefix == "servers":
+    if line.prefix in ("crashes", "servers"):
         servers = {request.fields.get("server") for request in request_lines}
         return line.fields.get("id") in servers
     return line.source in {request.source for request in request_lines}
--- a/briarspoke/entry/gauges.py
+++ b/briarspoke/entry/gauges.py
@@ -66,5 +66,6 @@
     gauge("key_ranges_moving", node.control.moves_by_service)
     gauge("controls", lambda: int(node.control.is_leader))
     gauge("loop_lag_seconds", loop_lag.take)
+    gauge("requests_held_back", lambda: len(node.crashes.suspects.held_back()))
     gauge("time_of_day_steps", lambda: node.time_of_day.steps)
     gauge("log_lines_dropped", logs.dropped_lines)
--- a/briarspoke/entry/node.py
+++ b/briarspoke/entry/node.py
@@ -8,11 +8,13 @@
 
 from twisted.internet import defer, task
 
-from briarspoke.entry import gauges, relays, status
+from briarspoke.entry import crashes, gauges, relays, status
 from briarspoke.entry.callers import CallerFactory
 from briarspoke.entry.control import Control
+from briarspoke.entry.crashes import Crashes
 from briarspoke.entry.discovery import ServerDiscovery
 from briarspoke.entry.dispatch import Dispatcher
+from briarspoke.entry.fingerprints import Fingerprints
 from briarspoke.entry.heldbytes import HeldBytes
 from briarspoke.entry.httpclient import HttpClient
 from briarspoke.entry.ratelimits import RateLimits
@@ -98,10 +100,15 @@
         self.relay_follower = RelayFollower(node=self)
         self.view.find_relay = self.relay_follower.wait_for_first_view
         self.rate_limits = RateLimits(node=self)
+        self.fingerprints = Fingerprints(node=self)
+        self.crashes = Crashes(node=self)
+        self.crashes.settings_changed()
+        self.fingerprints.on_key_changed = self.crashes.key_changed
         self.datagrams = Datagrams(
             on_load=self.control.add_load,
             on_owners=self._owners_announced,
             on_allowances=self._allowances_announced,
+            on_suspect=self.crashes.reported,
             rate_limits=self.rate_limits,
         )
         self.view.observe(documents.CONFIGURATION_KEY, self._configuration_changed)
@@ -307,6 +314,7 @@
         self._loop(self.relay_follower.check, relays.CHECK_INTERVAL_S)
         self._loop(self._check_connections, CONNECTION_CHECK_INTERVAL_S)
         self._loop(self._report_load, REPORT_INTERVAL_S)
+        self._loop(self._check_crashes, crashes.CHECK_INTERVAL_S)
         self.spawn(self.view.run())
         self.spawn(self.registry.run())
         self.control.start()
@@ -372,8 +380,13 @@
                 service, counts, (controller.host, controller.port)
             )
 
+    def _check_crashes(self):
+        self.fingerprints.check()
+        self.crashes.check()
+
     def settings_changed(self):
         """Passes changed settings to the components that keep a copy of them."""
+        self.crashes.settings_changed()
         for dispatcher in self._dispatchers_by_service.values():
             dispatcher.budget.set_limits(
                 ratio=self.settings.retry_ratio, slack=self.settings.retry_slack
--- a/briarspoke/entry/registry.py
+++ b/briarspoke/entry/registry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import json
 import logging
 
@@ -159,6 +160,20 @@
         wider = sum(r.link_mbps > own for r in self._record_by_key.values())
         return wider / max(1, len(self._record_by_key))
 
+    def is_first_for(self, value):
+        """Returns whether this VM has the highest rendezvous hash of a value in bytes.
+
+        The registered entry VMs agree on one of them without a message.
+        """
+        own = self._node.settings.node
+        names = {key.removeprefix(NODE_PREFIX) for key in self._record_by_key}
+        return own == max(
+            names | {own},
+            key=lambda name: hashlib.blake2b(
+                value + name.encode(), digest_size=8
+            ).digest(),
+        )
+
     def addresses(self):
         """Returns [(host, port)] of all other entry VMs."""
         return [
--- a/briarspoke/entry/reload.py
+++ b/briarspoke/entry/reload.py
@@ -15,7 +15,15 @@
 # Other settings need a restart: open sockets, keys in the store or the current window
 # of the retry budget depend on them.
 CHANGEABLE = frozenset(
-    {"drain_s", "grace_s", "log_level", "max_hold_s", "retry_ratio", "retry_slack"}
+    {
+        "drain_s",
+        "grace_s",
+        "log_level",
+        "max_hold_s",
+        "never_held_back",
+        "retry_ratio",
+        "retry_slack",
+    }
 )
 
 
--- a/briarspoke/entry/reports.py
+++ b/briarspoke/entry/reports.py
@@ -7,7 +7,9 @@
 import cbor2
 from twisted.internet import protocol
 
+from briarspoke.entry.fingerprints import FINGERPRINT_BYTES
 from briarspoke.entry.permits import PermitAnswer
+from briarspoke.entry.suspects import MAX_CRASHES_PER_SUSPECT, SuspectReport
 from briarspoke.keyspace.keymap import Owner
 from briarspoke.keyspace.load import LoadCounts
 from briarspoke.platform.limits import MAX_PER_S, MIN_PER_S
@@ -25,6 +27,7 @@
 KIND_LIMIT = 5
 KIND_PERMIT_REQUEST = 6
 KIND_PERMITS = 7
+KIND_SUSPECT = 8
 # Requests or permits that one datagram counts at most.
 MAX_COUNT = 10_000
 
@@ -38,19 +41,26 @@
     :param on_load: called with (service, :class:`LoadCounts`).
     :param on_owners: called with (service, [(first, last, :class:`Owner`)]).
     :param on_allowances: called with (service, ``{key: fraction}``).
+    :param on_suspect: called with (:class:`SuspectReport`).
     :param rate_limits: the :class:`briarspoke.entry.ratelimits.RateLimits`.
     """
 
-    def __init__(self, *, on_load, on_owners, on_allowances, rate_limits):
+    def __init__(self, *, on_load, on_owners, on_allowances, on_suspect, rate_limits):
         self._on_load = on_load
         self._on_owners = on_owners
         self._on_allowances = on_allowances
+        self._on_suspect = on_suspect
         self._rate_limits = rate_limits
 
     def datagramReceived(self, data, address):
         try:
-            kind, service, *rest = cbor2.loads(data)
-            handle, decoded = self._decode(kind, rest, address)
+            kind, *rest = cbor2.loads(data)
+            if kind == KIND_SUSPECT:
+                handle, decoded = self._on_suspect, (_decode_suspect(rest),)
+            else:
+                service, *fields = rest
+                handle, decoded = self._decode(kind, fields, address)
+                decoded = (str(service), *decoded)
         except (
             cbor2.CBORDecodeError,
             ValueError,
@@ -63,7 +73,7 @@
                 "keys: unreadable datagram from=%s error=%r", address[0], str(error)
             )
             return
-        handle(str(service), *decoded)
+        handle(*decoded)
 
     def _decode(self, kind, rest, address):
         if kind == KIND_LOAD:
@@ -172,6 +182,33 @@
         data = cbor2.dumps([KIND_PERMITS, service, *instance, *fields])
         self.transport.write(data, address)
 
+    def send_suspect(self, report, addresses):
+        """Tells other entry VMs of a request that may end the servers that run it.
+
+        :param report: the :class:`SuspectReport`.
+        :param addresses: [(host, port)] of the entry VMs.
+        """
+        held_back_age_s = report.held_back_age_s
+        data = cbor2.dumps(
+            [
+                KIND_SUSPECT,
+                report.fingerprint,
+                [
+                    [server_id, incarnation, round(weight, 3)]
+                    for (server_id, incarnation), weight in (
+                        report.weight_by_instance.items()
+                    )
+                ],
+                _ms(report.age_s),
+                _ms(report.seen_age_s),
+                None if held_back_age_s is None else _ms(held_back_age_s),
+                report.trials,
+                report.cleared,
+            ]
+        )
+        for address in addresses:
+            self.transport.write(data, address)
+
     def send_load(self, service, counts, address):
         """Sends a load report to the controller, in several datagrams if it is large.
 
@@ -217,6 +254,30 @@
             self.transport.write(data, address)
 
 
+def _decode_suspect(fields):
+    fingerprint, crashes, age_ms, seen_age_ms, held_back_age_ms, trials, cleared = (
+        fields
+    )
+    if not isinstance(fingerprint, bytes) or len(fingerprint) != FINGERPRINT_BYTES:
+        raise ValueError("a fingerprint has another length")
+    if len(crashes) > MAX_CRASHES_PER_SUSPECT:
+        raise ValueError("a suspect has too many crashes")
+    return SuspectReport(
+        fingerprint=fingerprint,
+        weight_by_instance={
+            (str(server_id), int(incarnation)): min(1.0, max(0.0, float(weight)))
+            for server_id, incarnation, weight in crashes
+        },
+        age_s=_decode_age_s(age_ms),
+        seen_age_s=_decode_age_s(seen_age_ms),
+        held_back_age_s=(
+            None if held_back_age_ms is None else _decode_age_s(held_back_age_ms)
+        ),
+        trials=_decode_count(trials),
+        cleared=bool(cleared),
+    )
+
+
 def _ms(seconds):
     return round(seconds * 1000)
 
--- a/briarspoke/entry/settings.py
+++ b/briarspoke/entry/settings.py
@@ -38,6 +38,7 @@
         "max_hold_s",
         "memory_mb",
         "metrics_port",
+        "never_held_back",
         "node",
         "ready_listen",
         "retry_ratio",
@@ -133,6 +134,12 @@
         "retry_window_s": Duration(
             help="Length of the sliding window of the retry budget."
         ),
+        "never_held_back": schema.ListOf(
+            schema.Text(pattern="all|[0-9a-f]{32}"),
+            default=(),
+            help="Fingerprints of requests that are sent although servers ended while "
+            "they ran them, or ``all``.",
+        ),
         "log_level": schema.Choice(
             ("debug", "info", "warning", "error"),
             default="info",
--- a/briarspoke/metrics.py
+++ b/briarspoke/metrics.py
@@ -17,6 +17,10 @@
         "Results that briarspoke itself returned, by result code.",
     ),
     "retries_total": ("reason", "Attempts that were retried, by reason."),
+    "server_crashes_total": (
+        "service",
+        "Servers that ended while they ran requests of this entry VM, by service.",
+    ),
     "retries_denied_total": (
         "reason",
         "Failed attempts that were not retried, by reason.",
@@ -112,6 +116,10 @@
     ),
     "controls": ("", "1 if this entry VM is the controller of key ownership, else 0."),
     "loop_lag_seconds": ("", "Largest delay of the event loop since the last scrape."),
+    "requests_held_back": (
+        "",
+        "Different requests that are held back because servers ended under them.",
+    ),
     "time_of_day_steps": (
         "",
         "Times that the time of day was set while the process ran.",
--- a/tests/test_entry_faults.py
+++ b/tests/test_entry_faults.py
@@ -268,6 +268,7 @@
             on_load=receive,
             on_owners=receive,
             on_allowances=receive,
+            on_suspect=receive,
             rate_limits=SimpleNamespace(
                 peer_limit=receive, permits_requested=receive, permits_given=receive
             ),
--- a/tests/test_entry_logs.py
+++ b/tests/test_entry_logs.py
@@ -122,3 +122,18 @@
         assert handler.dropped > 0
         os.close(reader)
         os.close(writer)
+
+
+class TestHeldBackRequest:
+    """Guards against a refusal with code 3009 that ``explain`` does not explain."""
+
+    def test_lines_of_its_fingerprint_are_context(self):
+        lines = [
+            LINE.format(1, "crashes: held back fingerprint=ab servers=s-1,s-2"),
+            LINE.format(2, "crashes: held back fingerprint=cd servers=s-3,s-4"),
+            LINE.format(5, "requests: held back id=r1 fingerprint=ab servers=2"),
+            LINE.format(5, "requests: ends-servers id=r1 code=3009"),
+        ]
+        found = explanation.find("r1", {"vm": lines})
+        assert len(found.lines) == 2
+        assert [line.fields["fingerprint"] for line in found.context] == ["ab"]
