--- a/briarspoke/entry/crashes.py
+++ b/briarspoke/entry/crashes.py
@@ -7,6 +7,7 @@
 
 from twisted.internet import protocol
 
+from briarspoke.entry import logs
 from briarspoke.entry.logs import LogRateLimiter
 from briarspoke.entry.suspects import HELD_BACK_CRASHES, Suspects
 
@@ -168,7 +169,12 @@
         self._node.metrics.count("server_crashes_total", pending.service)
         log.info(
             "crashes: server ended id=%s service=%s incarnation=%d running=%d",
-            *(instance[0], pending.service, instance[1], len(pending.fingerprints)),
+            *(
+                instance[0],
+                logs.field(pending.service),
+                instance[1],
+                len(pending.fingerprints),
+            ),
         )
         for fingerprint in pending.fingerprints:
             suspect = self.suspects.by_fingerprint.get(fingerprint)
@@ -267,7 +273,7 @@
                 log.info(
                     "crashes: trial fingerprint=%s id=%s number=%d",
                     suspect.fingerprint.hex(),
-                    request.request_id.decode("latin-1"),
+                    logs.field(request.request_id.decode("latin-1")),
                     suspect.trials,
                 )
                 self._send(suspect, now)
@@ -288,7 +294,7 @@
             log.info(
                 "requests: held back id=%s fingerprint=%s servers=%d weight_percent=%d "
                 "left_out=%d",
-                request.request_id.decode("latin-1"),
+                logs.field(request.request_id.decode("latin-1")),
                 suspect.fingerprint.hex(),
                 len(suspect.weight_by_instance),
                 round(suspect.weight * 100),
--- a/briarspoke/entry/logs.py
+++ b/briarspoke/entry/logs.py
@@ -4,11 +4,37 @@
 
 import logging
 import os
+import re
 import time
 
 # Limit for lines about single requests; further lines are counted and left out.
 REQUEST_LINES_PER_S = 20
 REQUEST_LINES_BURST = 60
+# Longer values of a field are cut off.
+MAX_FIELD_LENGTH = 100
+
+# Control characters, separators of lines and unpaired surrogates, each of which could
+# end a line or change how it is shown.
+_UNSAFE = re.compile("[\x00-\x1f\x7f-\x9f\u2028\u2029\ud800-\udfff]")
+_PLAIN_FIELD = re.compile(r"[\w.:/+@,*-]+")
+
+
+def _escape(match):
+    return match[0].encode("unicode_escape", "surrogatepass").decode("ascii")
+
+
+def field(text):
+    """Returns text of others as the value of a field, quoted if it is not one word."""
+    if len(text) > MAX_FIELD_LENGTH:
+        text = text[:MAX_FIELD_LENGTH] + "..."
+    return text if _PLAIN_FIELD.fullmatch(text) else repr(text)
+
+
+class OneLineFormatter(logging.Formatter):
+    """Escapes what could end a line of the message; tracebacks stay as they are."""
+
+    def formatMessage(self, record):
+        return _UNSAFE.sub(_escape, super().formatMessage(record))
 
 
 class OutputHandler(logging.Handler):
@@ -26,10 +52,12 @@
     def emit(self, record):
         """Writes one line, or counts it as dropped."""
         try:
-            os.write(self._descriptor, self.format(record).encode() + b"\n")
+            line = self.format(record).encode(errors="backslashreplace")
+            os.write(self._descriptor, line + b"\n")
         except BlockingIOError:
             self.dropped += 1
-        except OSError:
+        except Exception:
+            # An error here must not reach the code that logs.
             self.handleError(record)
 
 
@@ -79,7 +107,7 @@
     :returns: the :class:`OutputHandler`.
     """
     handler = OutputHandler(1)
-    formatter = logging.Formatter(
+    formatter = OneLineFormatter(
         "%(asctime)s.%(msecs)03dZ %(levelname)s %(message)s", "%Y-%m-%dT%H:%M:%S"
     )
     formatter.converter = time.gmtime
--- a/briarspoke/entry/registry.py
+++ b/briarspoke/entry/registry.py
@@ -6,6 +6,7 @@
 import json
 import logging
 
+from briarspoke.entry import logs
 from briarspoke.entry.pauses import Pause
 from briarspoke.entry.relays import MIN_NODES
 from briarspoke.errors import BriarspokeError
@@ -84,7 +85,9 @@
                 )
             except (ValueError, TypeError, KeyError) as error:
                 log.warning(
-                    "registry: unreadable entry key=%s error=%r", key, str(error)
+                    "registry: unreadable entry key=%s error=%r",
+                    logs.field(key),
+                    str(error),
                 )
                 return
         own_zone = self._node.settings.zone
--- a/briarspoke/entry/requestlog.py
+++ b/briarspoke/entry/requestlog.py
@@ -4,6 +4,7 @@
 
 import logging
 
+from briarspoke.entry import logs
 from briarspoke.entry.logs import LogRateLimiter
 from briarspoke.entry.serverlimits import format_limit
 
@@ -47,10 +48,10 @@
             "waited_ms=%d server=%s latency_ms=%d in_flight=%d queued=%d limit=%s "
             "configuration=%d store_age_ms=%d nodes=%d left_out=%d",
             code.name,
-            request.request_id.decode("latin-1"),
+            logs.field(request.request_id.decode("latin-1")),
             code.number,
-            exchange.route.name if exchange.route else "-",
-            exchange.dispatcher.name if exchange.dispatcher else "-",
+            logs.field(exchange.route.name) if exchange.route else "-",
+            logs.field(exchange.dispatcher.name) if exchange.dispatcher else "-",
             request.key if request.key is not None else "-",
             exchange.attempts,
             (node.now() - request.arrived_at) * 1000,
@@ -71,7 +72,7 @@
             log.info(
                 "requests: attempt failed id=%s server=%s reason=%s after_ms=%d "
                 "in_flight=%d attempts=%d left_out=%d",
-                exchange.request.request_id.decode("latin-1"),
+                logs.field(exchange.request.request_id.decode("latin-1")),
                 server.record.server_id,
                 reason,
                 (self._node.now() - exchange.sent_at) * 1000,
--- a/briarspoke/entry/view.py
+++ b/briarspoke/entry/view.py
@@ -7,6 +7,7 @@
 
 from twisted.internet import defer
 
+from briarspoke.entry import logs
 from briarspoke.entry.pauses import Pause
 from briarspoke.errors import BriarspokeError
 from briarspoke.platform.keyvalue import (
@@ -288,4 +289,4 @@
                 try:
                     observer(key, item)
                 except Exception:
-                    log.exception("store: cannot use the item key=%s", key)
+                    log.exception("store: cannot use the item key=%s", logs.field(key))
