--- a/briarspoke/metrics.py
+++ b/briarspoke/metrics.py
@@ -152,6 +152,15 @@
 BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 1.5, 2.5, 5.0, 10.0)
 
 
+def _label_value(value):
+    """Returns the value of a label, escaped for the text format.
+
+    aioprometheus writes it as it is.
+    """
+    text = str(value).encode(errors="backslashreplace").decode()
+    return text.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
+
+
 class Distribution:
     """Durations counted by bucket, with the attributes that aioprometheus renders."""
 
@@ -240,18 +249,20 @@
             collector = self._collector(name, help_text, Counter)
             labels = dict(self._labels)
             if label_name:
-                labels[label_name] = str(label)
+                labels[label_name] = _label_value(label)
             collector.set(labels, value)
         for (name, label), distribution in self._distributions.items():
             label_name, help_text = HISTOGRAMS[name]
             collector = self._collector(name, help_text, Histogram)
-            collector.set_value({**self._labels, label_name: str(label)}, distribution)
+            collector.set_value(
+                {**self._labels, label_name: _label_value(label)}, distribution
+            )
         for name, read in self._gauges.items():
             label_name, help_text = GAUGES[name]
             collector = self._collector(name, help_text, Gauge)
             values = read() if label_name else {None: read()}
             for label, value in values.items():
-                gauge_label = {} if label is None else {label_name: str(label)}
+                gauge_label = {} if label is None else {label_name: _label_value(label)}
                 collector.set({**self._labels, **gauge_label}, value)
         content, _ = render(self.registry, ["text/plain"])
         return content
--- a/tests/test_entry_odd_entries.py
+++ b/tests/test_entry_odd_entries.py
@@ -9,6 +9,7 @@
 from entry_fakes import World, configuration
 
 from briarspoke.entry import explanation, logs
+from briarspoke.metrics import Metrics
 
 ODD_NAMES = [
     "\ud800",
@@ -79,3 +80,17 @@
         except ValueError:
             log.exception("store: unexpected error")
         assert len(lines()) > 3
+
+
+class TestMetricsPage:
+    @pytest.mark.parametrize("name", ODD_NAMES)
+    def test_odd_label_does_not_break_it(self, name):
+        # Guards against a page that fails for good, or shows forged metrics.
+        metrics = Metrics(node_id="n")
+        metrics.count("server_crashes_total", name)
+        (line,) = [
+            line
+            for line in metrics.render().decode().split("\n")
+            if line.startswith("briarspoke_server_crashes_total")
+        ]
+        assert line.endswith('"} 1')
