--- a/briarspoke/entry/control.py
+++ b/briarspoke/entry/control.py
@@ -69,7 +69,7 @@
 
         :param counts: the :class:`briarspoke.keyspace.load.LoadCounts`.
         """
-        if self.is_leader:
+        if self.is_leader and self._node.knows_service(service):
             self.load_estimate(service).add(counts, self._node.now())
 
     def load_estimate(self, service):
--- a/briarspoke/entry/discovery.py
+++ b/briarspoke/entry/discovery.py
@@ -4,7 +4,7 @@
 
 import logging
 
-from briarspoke.entry import registrations
+from briarspoke.entry import logs, registrations
 from briarspoke.entry.registrations import Registrations
 from briarspoke.entry.servers import Server
 from briarspoke.errors import BriarspokeError
@@ -17,6 +17,8 @@
 REREGISTRATION_TIMEOUT_S = 2.0
 # A draining server gets its last request this long before its drain time ends.
 DRAIN_MARGIN_S = 0.5
+# Reason for which a registration is not used, beside those of ``registrations``.
+UNKNOWN_SERVICE = "unknown-service"
 
 
 class ServerDiscovery:
@@ -28,6 +30,8 @@
     def __init__(self, *, node):
         self._node = node
         self._registrations = Registrations()
+        # {server id: (record, revision)} of servers whose service is not configured.
+        self._unknown_by_id = {}
         node.view.observe(documents.SERVER_PREFIX, self._server_changed)
 
     def tick(self, now):
@@ -45,7 +49,9 @@
         try:
             record = documents.decode_server(key, item.value)
         except BriarspokeError as error:
-            log.warning("servers: entry not usable key=%s error=%r", key, str(error))
+            log.warning(
+                "servers: entry not usable key=%s error=%r", logs.field(key), str(error)
+            )
             self._registration_removed(server_id)
             return
         now = self._node.now()
@@ -79,6 +85,11 @@
         for dispatcher in node.dispatchers():
             if dispatcher.name != record.service:
                 dispatcher.remove_server(record.server_id)
+        self._unknown_by_id.pop(record.server_id, None)
+        if not node.knows_service(record.service):
+            self._unknown_by_id[record.server_id] = (record, revision)
+            self._log_not_used(record, revision, UNKNOWN_SERVICE)
+            return
         dispatcher = node.dispatcher(record.service)
         server = dispatcher.servers.get(record.server_id)
         is_same_process = (
@@ -106,8 +117,8 @@
             " sequence=%d revision=%d",
             "draining" if record.draining else "ready",
             record.server_id,
-            record.service,
-            record.zone,
+            logs.field(record.service),
+            logs.field(record.zone),
             record.host,
             record.port,
             record.incarnation,
@@ -115,27 +126,42 @@
             revision,
         )
 
+    def configuration_changed(self):
+        """Uses the servers of services that the configuration names for the first time.
+
+        Other services get no dispatcher, since anyone who writes registrations could
+        name any number of them.
+        """
+        for record, revision in list(self._unknown_by_id.values()):
+            if self._node.knows_service(record.service):
+                self._use(record, revision)
+
     def _set_aside(self, change):
         """Logs a registration that is not used, and removes its server if necessary."""
         record = change.registration.record
         if change.reason == registrations.ADDRESS_IN_USE:
             for dispatcher in self._node.dispatchers():
                 dispatcher.remove_server(record.server_id)
-        self._node.metrics.count("registrations_not_used_total", change.reason)
+            self._unknown_by_id.pop(record.server_id, None)
+        self._log_not_used(record, change.registration.revision, change.reason)
+
+    def _log_not_used(self, record, revision, reason):
+        self._node.metrics.count("registrations_not_used_total", reason)
         log.info(
             "servers: not used id=%s service=%s address=%s:%d incarnation=%d"
             " sequence=%d revision=%d reason=%s",
             record.server_id,
-            record.service,
+            logs.field(record.service),
             record.host,
             record.port,
             record.incarnation,
             record.sequence,
-            change.registration.revision,
-            change.reason,
+            revision,
+            reason,
         )
 
     def _remove_gone(self, server_id):
+        self._unknown_by_id.pop(server_id, None)
         for dispatcher in self._node.dispatchers():
             if server_id in dispatcher.servers:
                 log.info("servers: gone id=%s service=%s", server_id, dispatcher.name)
--- a/briarspoke/entry/node.py
+++ b/briarspoke/entry/node.py
@@ -8,7 +8,7 @@
 
 from twisted.internet import defer, task
 
-from briarspoke.entry import crashes, gauges, relays, status
+from briarspoke.entry import crashes, gauges, logs, relays, status
 from briarspoke.entry.callers import CallerFactory
 from briarspoke.entry.control import Control
 from briarspoke.entry.crashes import Crashes
@@ -180,6 +180,17 @@
             self._dispatchers_by_service[service] = dispatcher
         return dispatcher
 
+    def knows_service(self, service):
+        """Returns whether a configuration has named a service since the start."""
+        return service in self._dispatchers_by_service or (
+            self.routing_table is not None and service in self.routing_table.services
+        )
+
+    def _dispatch_waiting(self, service):
+        # Messages of others do not create a dispatcher.
+        if service in self._dispatchers_by_service:
+            self._dispatchers_by_service[service].dispatch_waiting()
+
     def dispatchers(self):
         """Returns the :class:`Dispatcher` of each service that is known."""
         return list(self._dispatchers_by_service.values())
@@ -209,6 +220,7 @@
         self.routing_table = table
         self.configuration_since = self.now()
         log.info("configuration: in force version=%d before=%d", table.version, old)
+        self._discovery.configuration_changed()
         for service in table.services:
             self.dispatcher(service).dispatch_waiting()
 
@@ -222,7 +234,7 @@
             "servers: replaced id=%s service=%s found=%s",
             record.server_id,
             record.service,
-            answering_id.decode("latin-1") if answering_id else "-",
+            logs.field(answering_id.decode("latin-1")) if answering_id else "-",
         )
         self.wake_control()
 
@@ -236,7 +248,7 @@
         except keymap.KeyMapError as error:
             log.error("keys: map not usable service=%s error=%r", service, str(error))
             return
-        self.dispatcher(service).dispatch_waiting()
+        self._dispatch_waiting(service)
 
     def announce_owners(self, service, changes):
         """Announces new owners of key ranges to all entry VMs, including this one.
@@ -248,7 +260,7 @@
 
     def _owners_announced(self, service, changes):
         if self.key_maps.announce(service, changes, self.now()):
-            self.dispatcher(service).dispatch_waiting()
+            self._dispatch_waiting(service)
 
     def announce_allowances(self, service, fraction_by_key):
         """Tells all entry VMs which fractions of the requests for keys to admit.
@@ -260,7 +272,8 @@
         self._allowances_announced(service, fraction_by_key)
 
     def _allowances_announced(self, service, fraction_by_key):
-        self.dispatcher(service).gates.update(fraction_by_key, self.now())
+        if self.knows_service(service):
+            self.dispatcher(service).gates.update(fraction_by_key, self.now())
 
     async def write_key_map(self, service, key_map, term):
         """Writes a key map, provided that this VM is still the controller.
--- a/briarspoke/entry/ratelimits.py
+++ b/briarspoke/entry/ratelimits.py
@@ -267,6 +267,8 @@
         return self._issuer
 
     def _server(self, service, instance):
+        if not self._node.knows_service(service):
+            return None
         server = self._node.dispatcher(service).servers.get(instance[0])
         if server is None or server.record.server_instance != instance:
             return None
--- a/briarspoke/platform/documents.py
+++ b/briarspoke/platform/documents.py
@@ -19,6 +19,10 @@
 MAX_PORT = 65_535
 # More slots than any server has; guards calculations against absurd numbers.
 MAX_SLOTS = 100_000
+# Identifiers of servers are sent in a header.
+_SERVER_ID = re.compile(r"[\x21-\x7e]{1,200}")
+# Larger numbers than any clock or counter has.
+MAX_NUMBER = 1 << 53
 _STATES = frozenset({"ready", "draining"})
 # Whether a request on a route of this type may run twice.
 _IDEMPOTENT_BY_TYPE = {"safe": True, "unsafe": False, "upload": False}
@@ -138,6 +142,9 @@
     :returns: a :class:`briarspoke.entry.servers.ServerRecord`.
     :raises DecodeError: if the registration is invalid.
     """
+    server_id = key.removeprefix(SERVER_PREFIX)
+    if not _SERVER_ID.fullmatch(server_id):
+        raise DecodeError("the identifier has characters that no header may have")
     body = _decode_object(data)
     host, port = _decode_address(require_field(body, "address", str))
     state = require_field(body, "state", str)
@@ -148,11 +155,13 @@
         incarnation = require_field(body, "born", int)
     if body.get("seq") is not None:
         sequence = require_field(body, "seq", int)
+    if max(abs(incarnation), abs(sequence)) > MAX_NUMBER:
+        raise DecodeError("born or seq is out of range")
     slots = require_field(body, "slots", int)
     if slots > MAX_SLOTS:
         raise DecodeError("slots is out of range")
     return ServerRecord(
-        server_id=key.removeprefix(SERVER_PREFIX),
+        server_id=server_id,
         service=require_field(body, "service", str),
         host=host,
         port=port,
--- a/tests/test_entry_odd_entries.py
+++ b/tests/test_entry_odd_entries.py
@@ -6,10 +6,12 @@
 import os
 
 import pytest
-from entry_fakes import World, configuration
+from entry_fakes import World, configuration, registration, request, route
 
 from briarspoke.entry import explanation, logs
 from briarspoke.metrics import Metrics
+from briarspoke.platform import documents
+from briarspoke.platform.values import DecodeError
 
 ODD_NAMES = [
     "\ud800",
@@ -94,3 +96,63 @@
             if line.startswith("briarspoke_server_crashes_total")
         ]
         assert line.endswith('"} 1')
+
+
+class TestRegistrations:
+    @pytest.mark.parametrize("name", ODD_NAMES)
+    def test_service_that_is_not_configured_leaves_no_trace(self, world, name):
+        # Guards against dispatchers and labels without end.
+        services = {dispatcher.name for dispatcher in world.node.dispatchers()}
+        world.store.put("servers/s-99", registration(name, 99))
+        world.advance(2.0)
+        assert {d.name for d in world.node.dispatchers()} == services
+        assert name.encode(errors="backslashreplace") not in world.node.metrics.render()
+
+    def test_server_is_used_once_its_service_is_configured(self, world):
+        # Guards against a server that registers before its service is configured and
+        # is never used.
+        world.store.put("servers/s-31", registration("catalog", 31))
+        world.advance(1.0)
+        routes = {"read": route("catalog", prefix="/read/")}
+        services = {"catalog": {"health_path": "/h", "max_conns": 110}}
+        world.store.put(
+            "op/config", configuration(version=9, routes=routes, services=services)
+        )
+        world.advance(1.0)
+        world.caller(world.node).send(request(path="/read/1", key=None))
+        _, address = world.accept()
+        assert address == ("10.0.9.31", 80)
+
+    def test_server_that_is_gone_is_not_used_later(self, world):
+        world.store.put("servers/s-31", registration("catalog", 31))
+        world.advance(1.0)
+        world.store.delete("servers/s-31")
+        world.advance(3.0)
+        services = {"catalog": {"health_path": "/h", "max_conns": 110}}
+        routes = {"read": route("catalog", prefix="/read/")}
+        world.store.put(
+            "op/config", configuration(version=9, routes=routes, services=services)
+        )
+        world.advance(1.0)
+        assert not world.node.dispatcher("catalog").servers
+
+    @pytest.mark.parametrize("server_id", ["a\r\nB: c", "a b", "\ud800", "\xe9", ""])
+    def test_identifier_that_no_header_may_have(self, server_id):
+        with pytest.raises(DecodeError):
+            documents.decode_server(f"servers/{server_id}", registration("stock", 9))
+
+    @pytest.mark.parametrize("field", ["born", "seq"])
+    def test_number_out_of_range(self, field):
+        # Guards against an entry that no later one of the server can replace.
+        entry = registration("stock", 9, **{field: 10**400})
+        with pytest.raises(DecodeError):
+            documents.decode_server("servers/s-9", entry)
+
+
+class TestMessages:
+    def test_datagrams_create_no_dispatcher(self, world):
+        services = {dispatcher.name for dispatcher in world.node.dispatchers()}
+        world.node._allowances_announced("odd", {7: 0.5})
+        world.node._owners_announced("odd", [])
+        world.node.rate_limits.peer_limit("odd", ("s-1", 1), 2.0, 0.0)
+        assert {d.name for d in world.node.dispatchers()} == services
