--- a/briarspoke/platform/headers.py
+++ b/briarspoke/platform/headers.py
@@ -15,6 +15,10 @@
 SERVER_ID = b"instance-id"
 # Requests per second that the server takes from all entry VMs together.
 RATE_LIMIT = b"server-limit"
+# Present with the value 1 in all answers of a server that is leaving.
+LEAVING = b"server-leaving"
+# In an answer 503: seconds for which the server wants nothing from this entry VM.
+RETRY_AFTER = b"retry-after"
 # Key of a request to a keyed service.
 KEY = b"shard-key"
 # Token with which the next owner of a key range needs no warm-up.
