--- a/briarspoke/codes.py
+++ b/briarspoke/codes.py
@@ -178,6 +178,14 @@
     "The server takes fewer requests a second than it gets; not run.",
 )
 
+SERVER_PAUSED = register(
+    2011,
+    "server-paused",
+    Kind.LOAD,
+    503,
+    "The servers have asked for a pause that ends too late; not run.",
+)
+
 # 3xxx: the owner or this entry VM is unavailable, or the outcome is unknown.
 NO_OWNER = register(
     3001,
--- a/briarspoke/entry/discovery.py
+++ b/briarspoke/entry/discovery.py
@@ -5,6 +5,7 @@
 import logging
 
 from briarspoke.entry import logs, registrations
+from briarspoke.entry.intake import STORE
 from briarspoke.entry.registrations import Registrations
 from briarspoke.entry.servers import Server
 from briarspoke.errors import BriarspokeError
@@ -15,8 +16,6 @@
 # Servers whose registration expired during an outage of the store have this long to
 # register again after the store is reachable.
 REREGISTRATION_TIMEOUT_S = 2.0
-# A draining server gets its last request this long before its drain time ends.
-DRAIN_MARGIN_S = 0.5
 # Reason for which a registration is not used, beside those of ``registrations``.
 UNKNOWN_SERVICE = "unknown-service"
 
@@ -109,9 +108,10 @@
         server.record = record
         server.registration_missing = server.replaced = False
         if not record.draining:
-            server.drain_until = None
-        elif server.drain_until is None:
-            server.drain_until = node.now() + node.settings.drain_s - DRAIN_MARGIN_S
+            server.intake.withdraw()
+            record.draining = server.intake.is_leaving
+        elif server.intake.leave(STORE, node.notices.drain_until()):
+            node.metrics.count("intake_closed_total", STORE)
         log.info(
             "servers: %s id=%s service=%s zone=%s address=%s:%d incarnation=%d"
             " sequence=%d revision=%d",
--- a/briarspoke/entry/dispatch.py
+++ b/briarspoke/entry/dispatch.py
@@ -189,7 +189,12 @@
             return
         usable = self.selection.usable()
         if not usable:
-            self.wait_for_server(exchange, codes.NO_OWNER)
+            pause_ends_at = self.selection.pause_ends_at()
+            if pause_ends_at is None:
+                self.wait_for_server(exchange, codes.NO_OWNER)
+            else:
+                latency_s = self.expected_latency_s()
+                self._wait_for_pause(exchange, self.waiting, pause_ends_at, latency_s)
             return
         unlimited = [s for s in usable if s.limit.per_s is None]
         if not unlimited:
@@ -222,9 +227,14 @@
         ):
             self.wait_for_server(exchange, codes.PARTITION_MOVING)
             return
-        if server.is_failing and server.paused_until > now:
+        if server.is_failing and server.intake.own_until > now:
             self._refuse_unreachable(exchange, server)
             return
+        if server.intake.asked_until > now:
+            self._wait_for_pause(
+                exchange, server.waiting, server.intake.asked_until, server.latency_s
+            )
+            return
         if self.selection.has_capacity(server) and not server.waiting:
             self._send_to_owner(exchange, server, owner)
             return
@@ -245,6 +255,33 @@
         # By then, as many requests have left the queue as it has too many now.
         exchange.refuse(code, _spread(max(self._node.RETRY_AFTER_LOAD_S, late_s)))
 
+    def _wait_for_pause(self, exchange, waiting, pause_ends_at, latency_s):
+        """Queues a request until servers end a pause, or refuses it at once.
+
+        :param waiting: the queue.
+        :param latency_s: expected service time after the pause.
+        """
+        now = self._node.now()
+        max_wait_s = self._max_wait_s(exchange, latency_s)
+        if now + max_wait_s > pause_ends_at:
+            self._enqueue(exchange, waiting, now + max_wait_s, codes.SERVER_PAUSED)
+            return
+        # Callers return one after the other, and none before the end.
+        pause_s = max(self._node.RETRY_AFTER_LOAD_S, pause_ends_at - now)
+        exchange.refuse(
+            codes.SERVER_PAUSED, pause_s * random.uniform(1, 1 + 2 * RETRY_SPREAD)
+        )
+
+    def _max_wait_s(self, exchange, latency_s):
+        """Returns how long a request may wait in a queue.
+
+        :param latency_s: expected service time after the wait.
+        """
+        objective_s = exchange.route.objective_s
+        arrived_at = exchange.request.arrived_at
+        remaining_s = arrived_at + objective_s - self._node.now() - latency_s
+        return max(remaining_s, MIN_QUEUE_WAIT_FRACTION * objective_s)
+
     def queue_or_refuse(
         self,
         exchange,
@@ -264,9 +301,7 @@
         :param rank: rank in the queue; None for the priority of the route.
         """
         now = self._node.now()
-        objective_s = exchange.route.objective_s
-        remaining_s = exchange.request.arrived_at + objective_s - now - latency_s
-        max_wait_s = max(remaining_s, MIN_QUEUE_WAIT_FRACTION * objective_s)
+        max_wait_s = self._max_wait_s(exchange, latency_s)
         if wait_s > max_wait_s:
             self.refuse_for(exchange, code, wait_s - max_wait_s)
             return
@@ -377,6 +412,13 @@
         elif self._is_congested(server):
             server.pause(SHED_PAUSE_S)
 
+    def on_pause_asked(self, server):
+        """Sends the requests that wait for a server elsewhere, or refuses them."""
+        self._redispatch_waiting(server)
+        if self.waiting and not self.keyed and not self.selection.usable():
+            waiting, self.waiting[:] = sorted(self.waiting, key=_order), []
+            self._redispatch(waiting)
+
     def on_reset(self, server):
         """Counts a reset as a rejection if the server is overloaded.
 
@@ -473,6 +515,7 @@
         self._misdirected_owners.expire(now)
         for server in list(self.servers.values()):
             server.close_idle(now)
+            self._node.notices.check(self.name, server, now)
             if server.waiting:
                 self.on_request_ended(server)
             self.permit_queue.ask(server)
@@ -495,11 +538,19 @@
 
     def _redispatch_waiting(self, server):
         waiting, server.waiting = list(server.waiting), type(server.waiting)()
-        for _, _, exchange in sorted(waiting, key=lambda entry: entry[:2]):
-            if not exchange.done:
+        self._redispatch(sorted(waiting, key=_order))
+
+    def _redispatch(self, entries):
+        for _, _, exchange in entries:
+            if not exchange.done and exchange.queued_at is not None:
                 exchange.queued_at = None
                 self.dispatch(exchange)
 
 
+def _order(entry):
+    # Exchanges have no order.
+    return entry[:2]
+
+
 def _spread(seconds):
     return seconds * random.uniform(1 - RETRY_SPREAD, 1 + RETRY_SPREAD)
--- a/briarspoke/entry/exchange.py
+++ b/briarspoke/entry/exchange.py
@@ -7,6 +7,7 @@
 from briarspoke import codes
 from briarspoke.entry import answers
 from briarspoke.entry.crashes import CRASH_FAILURES
+from briarspoke.entry.servers import WITHDRAWN
 from briarspoke.http.upstream import HOP_BY_HOP
 from briarspoke.http.wire import connection_options
 from briarspoke.platform import headers as header_names
@@ -307,6 +308,7 @@
         answering_id = answer.get(header_names.SERVER_ID)
         if answering_id is None or answering_id == server.target:
             self.node.crashes.server_answered(server, self.sent_at)
+            self.node.notices.record_answer(self.dispatcher.name, server, answer)
         else:
             self.node.crashes.server_replaced(server)
         if answer.get(header_names.NOT_RUN) is not None or answer.status == 421:
@@ -370,6 +372,11 @@
         self._end_not_run(codes.SERVER_SHED, self.node.RETRY_AFTER_LOAD_S)
 
     def _handle_failure(self, server, answer):
+        if answer.failure == WITHDRAWN:
+            self.attempts -= 1
+            self.tried = self.tried[:-1]
+            self.dispatcher.dispatch(self)
+            return
         self.node.crashes.attempt_failed(
             self.dispatcher.name, server, self.request, answer.failure
         )
--- a/briarspoke/entry/explanation.py
+++ b/briarspoke/entry/explanation.py
@@ -114,8 +114,10 @@
     if line.prefix not in CONTEXT_PREFIXES:
         return False
     age_s = request_lines[-1].second_of_day - line.second_of_day
-    if line.prefix == "servers" and line.event.startswith("limit"):
-        # A limit holds until a line says that it has ended.
+    if line.prefix == "servers" and line.event.startswith(
+        ("limit", "pause", "leaving")
+    ):
+        # These hold until a line says that they have ended.
         is_of_service = line.fields.get("service") == request_lines[-1].fields.get(
             "service"
         )
--- a/briarspoke/entry/node.py
+++ b/briarspoke/entry/node.py
@@ -17,6 +17,7 @@
 from briarspoke.entry.fingerprints import Fingerprints
 from briarspoke.entry.heldbytes import HeldBytes
 from briarspoke.entry.httpclient import HttpClient
+from briarspoke.entry.notices import Notices
 from briarspoke.entry.ratelimits import RateLimits
 from briarspoke.entry.registry import NodeRegistry
 from briarspoke.entry.relays import HEARTBEAT_INTERVAL_S, Relay, RelayFollower
@@ -100,6 +101,7 @@
         self.relay_follower = RelayFollower(node=self)
         self.view.find_relay = self.relay_follower.wait_for_first_view
         self.rate_limits = RateLimits(node=self)
+        self.notices = Notices(node=self)
         self.fingerprints = Fingerprints(node=self)
         self.crashes = Crashes(node=self)
         self.crashes.settings_changed()
@@ -109,6 +111,7 @@
             on_owners=self._owners_announced,
             on_allowances=self._allowances_announced,
             on_suspect=self.crashes.reported,
+            on_leaving=self.notices.peer_leaving,
             rate_limits=self.rate_limits,
         )
         self.view.observe(documents.CONFIGURATION_KEY, self._configuration_changed)
--- a/briarspoke/entry/permitqueue.py
+++ b/briarspoke/entry/permitqueue.py
@@ -86,7 +86,7 @@
         self.refuse_late(server.waiting, [server])
         if not self._dispatcher.keyed:
             usable = self._dispatcher.selection.usable()
-            if all(s.limit.per_s is not None for s in usable):
+            if usable and all(s.limit.per_s is not None for s in usable):
                 self.refuse_late(self._dispatcher.waiting, usable)
         self.ask(server)
 
--- a/briarspoke/entry/reports.py
+++ b/briarspoke/entry/reports.py
@@ -28,6 +28,7 @@
 KIND_PERMIT_REQUEST = 6
 KIND_PERMITS = 7
 KIND_SUSPECT = 8
+KIND_LEAVING = 9
 # Requests or permits that one datagram counts at most.
 MAX_COUNT = 10_000
 
@@ -42,14 +43,25 @@
     :param on_owners: called with (service, [(first, last, :class:`Owner`)]).
     :param on_allowances: called with (service, ``{key: fraction}``).
     :param on_suspect: called with (:class:`SuspectReport`).
+    :param on_leaving: called with (service, pair of server identifier and incarnation).
     :param rate_limits: the :class:`briarspoke.entry.ratelimits.RateLimits`.
     """
 
-    def __init__(self, *, on_load, on_owners, on_allowances, on_suspect, rate_limits):
+    def __init__(
+        self,
+        *,
+        on_load,
+        on_owners,
+        on_allowances,
+        on_suspect,
+        on_leaving,
+        rate_limits,
+    ):
         self._on_load = on_load
         self._on_owners = on_owners
         self._on_allowances = on_allowances
         self._on_suspect = on_suspect
+        self._on_leaving = on_leaving
         self._rate_limits = rate_limits
 
     def datagramReceived(self, data, address):
@@ -94,6 +106,9 @@
             server_id, incarnation, *fields = rest
             instance = (str(server_id), int(incarnation))
             return self._decode_limit(kind, instance, fields, address)
+        if kind == KIND_LEAVING:
+            server_id, incarnation = rest
+            return self._on_leaving, ((str(server_id), int(incarnation)),)
         if kind != KIND_OWNERS:
             raise ValueError(f"unknown kind {kind!r}")
         changes = [
@@ -182,6 +197,16 @@
         data = cbor2.dumps([KIND_PERMITS, service, *instance, *fields])
         self.transport.write(data, address)
 
+    def send_leaving(self, service, instance, addresses):
+        """Tells other entry VMs that a server has said in an answer that it leaves.
+
+        :param instance: pair of server identifier and incarnation.
+        :param addresses: [(host, port)] of the entry VMs.
+        """
+        data = cbor2.dumps([KIND_LEAVING, service, *instance])
+        for address in addresses:
+            self.transport.write(data, address)
+
     def send_suspect(self, report, addresses):
         """Tells other entry VMs of a request that may end the servers that run it.
 
--- a/briarspoke/entry/selection.py
+++ b/briarspoke/entry/selection.py
@@ -56,7 +56,7 @@
 
     def _has_slot(self, server):
         return server.in_flight < self.in_flight_limit(server) and (
-            server.paused_until <= self._node.now()
+            server.intake.paused_until <= self._node.now()
         )
 
     def usable(self):
@@ -65,16 +65,41 @@
 
     def is_usable(self, server):
         """Returns whether requests may be sent to a server."""
-        if server.replaced:
+        if server.replaced or self._is_asked_to_pause(server):
             return False
-        if server.drain_until is None:
+        return self._is_usable_after_pause(server)
+
+    def _is_asked_to_pause(self, server):
+        # Requests wait for the owner of their key; others go elsewhere.
+        return (
+            not self._dispatcher.keyed and server.intake.asked_until > self._node.now()
+        )
+
+    def pause_ends_at(self):
+        """Returns when the first server ends the pause that it has asked for.
+
+        :returns: None if no server would be usable then.
+        """
+        return min(
+            (
+                server.intake.asked_until
+                for server in self._dispatcher.servers.values()
+                if self._is_asked_to_pause(server)
+                and not server.replaced
+                and self._is_usable_after_pause(server)
+            ),
+            default=None,
+        )
+
+    def _is_usable_after_pause(self, server):
+        if not server.intake.is_leaving:
             return (
                 not server.registration_missing
                 or self._dispatcher.keyed
                 or self._most_are_missing()
             )
         # A draining owner serves its keys until they have moved to another server.
-        return self._dispatcher.keyed and self._node.now() < server.drain_until
+        return self._dispatcher.keyed and self._node.now() < server.intake.drain_until
 
     def _most_are_missing(self):
         """Returns whether more than half of the servers have no registration.
--- a/briarspoke/entry/servers.py
+++ b/briarspoke/entry/servers.py
@@ -5,6 +5,7 @@
 import collections
 
 from briarspoke.entry.connections import Answer, ConnectionFactory
+from briarspoke.entry.intake import Intake
 from briarspoke.entry.serverlimits import ServerLimit
 from briarspoke.entry.servicetimes import ServiceTime
 
@@ -38,6 +39,8 @@
 MAX_PAUSE_S = 2.0
 # Number of consecutive failures after which a server is paused.
 FAILURES_TO_PAUSE = 2
+# Failure of a request that was taken back before it was sent.
+WITHDRAWN = "withdrawn"
 
 
 class ServerRecord:
@@ -141,9 +144,8 @@
         self.failing_since = None
         # Moving average of the fraction of attempts without a usable answer.
         self.loss_rate = 0.0
-        self.paused_until = 0.0
+        self.intake = Intake()
         self.warmed_up_at = clock() + record.warmup_s
-        self.drain_until = None
         self.limit = ServerLimit()
         # The :class:`briarspoke.entry.permits.PermitHolder` while a limit is known.
         self.permits = None
@@ -179,7 +181,7 @@
         """
         self.failures = 0
         self.failing_since = None
-        self.paused_until = 0.0
+        self.intake.end_pause()
         self.loss_rate -= LOSS_RATE_WEIGHT * self.loss_rate
         self.service_time.record(seconds)
         weight = min(1.0, seconds / (FULL_WEIGHT_FRACTION * self.latency_s))
@@ -207,7 +209,7 @@
         excess_failures = self.failures - FAILURES_TO_PAUSE
         if excess_failures >= 0:
             pause_s = min(MAX_PAUSE_S, INITIAL_PAUSE_S * (1 << min(excess_failures, 8)))
-            self.paused_until = self._clock() + pause_s
+            self.intake.own_until = self._clock() + pause_s
 
     @property
     def is_failing(self):
@@ -223,7 +225,7 @@
 
     def pause(self, seconds):
         """Sends no requests to the server for a number of seconds."""
-        self.paused_until = max(self.paused_until, self._clock() + seconds)
+        self.intake.pause(self._clock() + seconds)
 
     def send(self, data, listener, *, idempotent, objective_s, echo, is_head):
         """Sends a whole request on an idle or a new connection.
@@ -302,6 +304,15 @@
             if not upstream_request.abandoned:
                 upstream_request.listener(Answer(failure=failure, sent=False))
 
+    def withdraw_unsent(self):
+        """Takes back the requests that wait for a new connection."""
+        unsent = list(self._awaiting_connection)
+        self._awaiting_connection.clear()
+        for upstream_request in unsent:
+            if not upstream_request.abandoned:
+                upstream_request.abandoned = True
+                upstream_request.listener(Answer(failure=WITHDRAWN, sent=False))
+
     def exchange_ended(self, connection):
         """Keeps a connection for the next request, or closes it."""
         if connection.reusable:
--- a/briarspoke/metrics.py
+++ b/briarspoke/metrics.py
@@ -21,6 +21,10 @@
         "service",
         "Servers that ended while they ran requests of this entry VM, by service.",
     ),
+    "intake_closed_total": (
+        "source",
+        "Servers that take nothing new, by who said so: store, answer, peer, asked.",
+    ),
     "retries_denied_total": (
         "reason",
         "Failed attempts that were not retried, by reason.",
--- a/tests/estate_fakes.py
+++ b/tests/estate_fakes.py
@@ -26,6 +26,8 @@
         self.reply = lambda request_id: answer(request_id=request_id)
         # Times at which requests arrived.
         self.arrivals = []
+        # (time, peer, identifier) of the answers that are due.
+        self.running = []
 
 
 class Estate:
@@ -54,6 +56,8 @@
         self.crashes = []
         # Answers to the requests that were sent, by identifier.
         self.answers = {}
+        # Seconds that servers take for each request.
+        self.service_s = 0.0
         self._callers = []
         self._sent = 0
         self.advance(3.0)
@@ -80,6 +84,7 @@
             for server in self.by_address.values():
                 for peer in list(server.peers):
                     self._serve(server, peer)
+                self._answer(server)
             for request_id, caller in list(self._callers):
                 data = caller.take()
                 if data:
@@ -107,12 +112,19 @@
             return
         request_id = re.search(rb"(?i)request-id: (\S+)", data)[1].decode()
         server.arrivals.append(self.now())
-        peer.send(server.reply(request_id))
+        server.running.append((self.now() + self.service_s, peer, request_id))
+
+    def _answer(self, server):
+        while server.running and server.running[0][0] <= self.now():
+            _, peer, request_id = server.running.pop(0)
+            if peer in server.peers and not peer.socket.aborted:
+                peer.send(server.reply(request_id))
 
     def crash(self, server):
         self.crashes.append(self.now())
         server.down_until = self.now() + DOWN_S
         peers, server.peers = server.peers, []
+        server.running = []
         for peer in peers:
             peer.close()
 
--- a/tests/test_entry_faults.py
+++ b/tests/test_entry_faults.py
@@ -269,6 +269,7 @@
             on_owners=receive,
             on_allowances=receive,
             on_suspect=receive,
+            on_leaving=receive,
             rate_limits=SimpleNamespace(
                 peer_limit=receive, permits_requested=receive, permits_given=receive
             ),
--- a/tests/test_entry_registrations.py
+++ b/tests/test_entry_registrations.py
@@ -117,11 +117,11 @@
         draining = registration("stock", 11, born=20, seq=7, state="draining")
         world.store.put("servers/s-11", draining)
         world.advance(0.5)
-        drain_until = servers(world)["s-11"].drain_until
+        drain_until = servers(world)["s-11"].intake.drain_until
         assert drain_until is not None
         world.store.put("servers/s-11", registration("stock", 11, born=20, seq=6))
         world.advance(0.5)
-        assert servers(world)["s-11"].drain_until == drain_until
+        assert servers(world)["s-11"].intake.drain_until == drain_until
 
     def test_late_record_of_an_earlier_life_is_out_of_date(self, world):
         server = servers(world)["s-11"]
--- a/tests/test_server_intake.py
+++ b/tests/test_server_intake.py
@@ -114,7 +114,8 @@
 
     def test_next_process_is_used(self):
         # Guards against a server that stays unused after its restart.
-        estate = Estate(nodes=2)
+        estate = Estate(nodes=2, servers=3)
+        estate.service_s = 0.08
         server = estate.by_address["10.0.9.1"]
         server.reply = lambda request_id: answer(request_id=request_id, extra=LEAVING)
         for number in range(20):
@@ -191,6 +192,7 @@
 
     def test_one_of_three_servers(self):
         estate = Estate(nodes=1, servers=3)
+        estate.service_s = 0.08
         server = estate.by_address["10.0.9.1"]
         asked, ids = self.play(estate, [server])
         assert self.arrivals_in_pause(server, asked, 3) <= MAX_ARRIVALS_IN_PAUSE
