--- a/briarspoke/soak/checks.py
+++ b/briarspoke/soak/checks.py
@@ -4,6 +4,7 @@
 
 import collections
 
+from briarspoke.soak.intake import IntakeChecks
 from briarspoke.soak.limits import LimitChecks
 
 REFUSALS = frozenset({408, 421, 429, 503})
@@ -23,6 +24,7 @@
         self.answers_by_status = collections.Counter()
         self.runs_by_id = collections.Counter()
         self.limits = LimitChecks(clock=clock, add_violation=self._add_violation)
+        self.intake = IntakeChecks(clock=clock, add_violation=self._add_violation)
         self._clock = clock
         self._refused_ids = set()
         self._at_most_once_ids = set()
@@ -41,6 +43,21 @@
         if at_most_once:
             self._at_most_once_ids.add(request_id)
 
+    def request_arrived(self, process, request_id):
+        """Records that a request arrives at a process of a server."""
+        self.limits.request_arrived(process, request_id)
+        self.intake.request_arrived(process, request_id)
+
+    def disturbed(self, node):
+        """Records that an entry VM is restarted, paused or cut off."""
+        self.limits.disturbed(node)
+        self.intake.disturbed(node)
+
+    def undisturbed(self, node):
+        """Records that a disturbance of an entry VM has ended."""
+        self.limits.undisturbed(node)
+        self.intake.undisturbed(node)
+
     def request_ran(self, server_id, request_id, key):
         """Records that a server starts to run a request."""
         self.runs_by_id[request_id] += 1
@@ -54,6 +71,7 @@
         self.answers_by_status[str(answer.status or answer.failure)] += 1
         if answer.status == 200:
             self.limits.request_served(request_id)
+            self.intake.request_served(request_id)
             if answer.body != b"ran " + request_id:
                 self._add_violation(
                     "a caller gets the whole answer to its own request",
--- a/briarspoke/soak/deployment.py
+++ b/briarspoke/soak/deployment.py
@@ -153,8 +153,10 @@
             work_s=WORK_S,
             slots=SLOTS,
             on_run=functools.partial(checks.request_ran, server_id),
-            on_arrival=functools.partial(checks.limits.request_arrived, self.process),
+            on_arrival=functools.partial(checks.request_arrived, self.process),
             on_limit=functools.partial(checks.limits.limit_named, self.process),
+            on_leaving=functools.partial(checks.intake.leaving_said, self.process),
+            on_pause=functools.partial(checks.intake.pause_asked, self.process),
         )
         # Half of the servers reject by a reset, which does not say that nothing ran.
         self.stand_in.resets_when_full = self.number % 2 == 1
--- a/briarspoke/soak/faults.py
+++ b/briarspoke/soak/faults.py
@@ -20,7 +20,7 @@
 @fault
 def kill_node(run):
     node = run.choose(run.deployment.nodes)
-    run.checks.limits.disturbed(node.name)
+    run.checks.disturbed(node.name)
     node.signal(signal.SIGKILL)
     return lambda: run.restart(node)
 
@@ -28,7 +28,7 @@
 @fault
 def stop_node(run):
     node = run.choose(run.deployment.nodes)
-    run.checks.limits.disturbed(node.name)
+    run.checks.disturbed(node.name)
     node.signal(signal.SIGTERM)
     return lambda: run.restart(node)
 
@@ -36,12 +36,12 @@
 @fault
 def pause_node(run):
     node = run.choose(run.deployment.nodes)
-    run.checks.limits.disturbed(node.name)
+    run.checks.disturbed(node.name)
     node.signal(signal.SIGSTOP)
 
     def end():
         node.signal(signal.SIGCONT)
-        run.checks.limits.undisturbed(node.name)
+        run.checks.undisturbed(node.name)
 
     return end
 
@@ -49,12 +49,12 @@
 @fault
 def cut_node_from_store(run):
     node = run.choose(run.deployment.nodes)
-    run.checks.limits.disturbed(node.name)
+    run.checks.disturbed(node.name)
     node.proxy.set_mode(run.choose(("silent", "reset", "one-way", "slow")))
 
     def end():
         node.proxy.set_mode("open")
-        run.checks.limits.undisturbed(node.name)
+        run.checks.undisturbed(node.name)
 
     return end
 
@@ -136,6 +136,26 @@
     return server.restart
 
 
+@fault
+def leave_in_answers(run):
+    # The registration stays ready.
+    server = run.choose(run.deployment.servers)
+    server.stand_in.leaving = True
+    return server.restart
+
+
+@fault
+def pause_server(run):
+    server = run.choose(run.deployment.servers)
+    stand_in = server.stand_in
+    stand_in.pause_s = run.choose((0.8, 1.5, 3.0))
+
+    def end():
+        stand_in.pause_s = None
+
+    return end
+
+
 @fault
 def lapse_server(run):
     server = run.choose(run.deployment.servers)
--- a/briarspoke/soak/run.py
+++ b/briarspoke/soak/run.py
@@ -127,7 +127,7 @@
         """Restarts an entry VM process; kills it first if it is still running."""
         node.kill()
         node.start()
-        self.checks.limits.undisturbed(node.name)
+        self.checks.undisturbed(node.name)
 
     async def execute(self):
         """Executes the run and returns its report as a dict."""
@@ -206,6 +206,7 @@
         )
         self.checks.request_sent(request_id, at_most_once=route_type != "safe")
         self.checks.limits.request_sent(request_id, node.name)
+        self.checks.intake.request_sent(request_id, node.name)
         self._sent_count += 1
         self._idle_caller(node).send(
             data, lambda answer: self._request_answered(request_id, answer)
--- a/briarspoke/standins/platform_http.py
+++ b/briarspoke/standins/platform_http.py
@@ -170,6 +170,10 @@
         arrives, or None.
     :param on_limit: function that is called with the request id and the rate limit that
         the answer names, or None.
+    :param on_leaving: function that is called with the request id of each answer that
+        says that the server leaves, or None.
+    :param on_pause: function that is called with the request id and the seconds of each
+        rejection that asks for a pause, or None.
     """
 
     def __init__(
@@ -183,6 +187,8 @@
         on_run,
         on_arrival=None,
         on_limit=None,
+        on_leaving=None,
+        on_pause=None,
     ):
         self.running_count = 0
         self.stopped = False
@@ -192,6 +198,10 @@
         self.resets_when_full = False
         # Requests per second that answers name as the server's limit, or None.
         self.limit_per_s = None
+        # Whether all answers say that the server leaves.
+        self.leaving = False
+        # Seconds for which rejections ask for a pause; None if nothing is rejected.
+        self.pause_s = None
         # Whether the connection of a lost answer is aborted or stays open.
         self.resets_lost_answers = False
         self.random = random.Random(0)
@@ -203,6 +213,8 @@
         self._on_run = on_run
         self._on_arrival = on_arrival
         self._on_limit = on_limit
+        self._on_leaving = on_leaving
+        self._on_pause = on_pause
         self._queue = []
 
     def handle(self, exchange):
@@ -225,6 +237,11 @@
             self._on_arrival(exchange.headers.get(b"request-id"))
         if exchange.headers.get(b"target-instance", own_id) != own_id:
             self._respond(exchange, 421, [(b"Instance-Id", own_id)])
+        elif self.pause_s is not None:
+            if self._on_pause is not None:
+                self._on_pause(exchange.headers.get(b"request-id"), self.pause_s)
+            headers = [(b"Not-Executed", b"1"), (b"Retry-After", b"%g" % self.pause_s)]
+            self._respond(exchange, 503, headers)
         elif len(self._queue) >= QUEUE_LENGTH_PER_SLOT * self._slots:
             if self.resets_when_full:
                 exchange.connection.transport.abortConnection()
@@ -269,4 +286,8 @@
             headers.append((b"Server-Limit", b"%g" % self.limit_per_s))
             if self._on_limit is not None:
                 self._on_limit(exchange.headers.get(b"request-id"), self.limit_per_s)
+        if self.leaving:
+            headers.append((b"Server-Leaving", b"1"))
+            if self._on_leaving is not None:
+                self._on_leaving(exchange.headers.get(b"request-id"))
         exchange.respond(status, body, headers)
--- a/tests/test_soak_parts.py
+++ b/tests/test_soak_parts.py
@@ -5,6 +5,7 @@
 from entry_fakes import ServerSocket
 from twisted.internet.testing import MemoryReactorClock
 
+from briarspoke.soak.intake import IntakeChecks
 from briarspoke.soak.limits import LimitChecks
 from briarspoke.soak.run import Caller
 
@@ -99,3 +100,55 @@
         for _ in range(20):
             self.send("a")
         assert not self.violations
+
+
+class TestServerThatTakesNothingNew:
+    """Guards against a soak that misses requests to a leaving or paused server."""
+
+    def start(self):
+        self.now = 100.0
+        self.violations = []
+        self.checks = IntakeChecks(
+            clock=lambda: self.now,
+            add_violation=lambda *violation: self.violations.append(violation),
+        )
+
+    def test_request_after_the_time_to_drain(self):
+        self.start()
+        request_id = b"first"
+        self.checks.request_sent(request_id, "a")
+        self.checks.leaving_said("s", request_id)
+        self.checks.request_served(request_id)
+        for at, node, violations in [
+            (101.9, "a", 0),
+            (102.1, "b", 0),
+            (102.1, "a", 1),
+        ]:
+            self.now = at
+            request_id = b"%s-%d" % (node.encode(), round(at * 10))
+            self.checks.request_sent(request_id, node)
+            self.checks.request_arrived("s", request_id)
+            assert len(self.violations) == violations
+
+    def test_third_request_in_a_pause(self):
+        self.start()
+        self.checks.request_sent(b"first", "a")
+        self.checks.pause_asked("s", b"first", 3.0)
+        for number, violations in enumerate([0, 0, 1]):
+            self.now = 101.0 + number / 10
+            request_id = b"r%d" % number
+            self.checks.request_sent(request_id, "a")
+            self.checks.request_arrived("s", request_id)
+            assert len(self.violations) == violations
+
+    def test_restarted_vm_is_excused(self):
+        self.start()
+        self.checks.request_sent(b"first", "a")
+        self.checks.leaving_said("s", b"first")
+        self.checks.request_served(b"first")
+        self.checks.disturbed("a")
+        self.checks.undisturbed("a")
+        self.now += 10.0
+        self.checks.request_sent(b"later", "a")
+        self.checks.request_arrived("s", b"later")
+        assert not self.violations
