--- a/briarspoke/entry/crashes.py
+++ b/briarspoke/entry/crashes.py
@@ -242,7 +242,7 @@
     def may_repeat(self, request):
         """Returns whether a request whose server may have ended may be sent again."""
         fingerprint = self._fingerprint(request)
-        if fingerprint.hex() in self.suspects.exempt:
+        if self.suspects.is_exempt(fingerprint):
             return True
         suspect = self.suspects.by_fingerprint.get(fingerprint)
         if suspect is not None and suspect.weight_by_instance:
--- a/briarspoke/entry/suspects.py
+++ b/briarspoke/entry/suspects.py
@@ -19,6 +19,8 @@
 # Limit per caller, so that one cannot displace the suspects of all others.
 MAX_SUSPECTS_PER_CALLER = 32
 MAX_CRASHES_PER_SUSPECT = 8
+# Takes the place of a fingerprint in the list of exempt ones and stands for all.
+EXEMPT_ALL = "all"
 
 
 class Suspect:
@@ -193,12 +195,16 @@
         suspect.clear(now)
         return suspect
 
+    def is_exempt(self, fingerprint):
+        """Returns whether an operator never wants a request held back."""
+        return not self.exempt.isdisjoint((fingerprint.hex(), EXEMPT_ALL))
+
     def find_held_back(self, fingerprint, now):
         """Returns the suspect if a request is held back, and None otherwise."""
         suspect = self.by_fingerprint.get(fingerprint)
         if suspect is None or not suspect.is_held_back:
             return None
-        if not self.exempt.isdisjoint((fingerprint.hex(), "all")):
+        if self.is_exempt(fingerprint):
             return None
         suspect.seen_at = now
         return suspect
--- a/tests/test_entry_deadly.py
+++ b/tests/test_entry_deadly.py
@@ -104,6 +104,23 @@
         assert re.search(rb"(?i)\r\nretry-after: ", estate.answers[ids[-1]])
 
 
+class TestNeverHeldBack:
+    """Guards against a suspicion that an operator cannot lift without a restart."""
+
+    @pytest.mark.parametrize("names_all", [False, True])
+    def test_request_is_sent_again(self, names_all):
+        estate = Estate(nodes=1)
+        (node,) = estate.nodes
+        estate.repeat("/read/deadly", 4.0)
+        crashes = len(estate.crashes)
+        (suspect,) = node.crashes.suspects.held_back()
+        exempt = "all" if names_all else suspect.fingerprint.hex()
+        node.settings.never_held_back = [exempt]
+        node.settings_changed()
+        estate.repeat("/read/deadly", 1.0)
+        assert len(estate.crashes) > crashes
+
+
 class TestInnocentRequests:
     """Guards against requests that are held back for what others have done."""
 
