--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,9 +1,8 @@
-"""Servers reject large uploads before they have read them, and read on later."""
+"""An entry VM is stopped while clients send requests one behind the other."""
 
 from __future__ import annotations
 
 import asyncio
-import collections
 import pathlib
 import random
 import signal
@@ -12,209 +11,110 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 
-from standins import case, http11
+from standins import case
 from standins.backend import Backend
 from standins.clients import Balancer, Client
-from standins.deployment import route
+from standins.deployment import GRACE_S, route
 
-MEMORY_MB = 300
-BODY_BYTES = 48 << 20
-UPLOADERS, ORDERERS = 3, 12
-DEADLINE_S, ORDER_DEADLINE_S = 2.5, 1.5
-WORK_S = 0.11
-SERVERS, SLOTS = 8, 6
-WINDOW_BYTES = 65_536
-WARM_UP_S, LENGTH_S = 3.0, 25.0
-# The largest dose of ``garble`` with ``early`` of the site file.
-FAULTY_SHARE, EARLY_SHARE, FAULTY_S = 0.7, 0.4, 6.0
-READ_ON_AFTER_S = 1.0
-MEMORY_CHECK_S = 0.01
-RESTART_DELAY_S = 0.5
+WORK_S = 0.09
+DEADLINE_S = 2.0
+TIMEOUT_S = 1.0
+CLIENTS = 40
+PAUSE_S = 0.25
+WARM_UP_S = 6.0
+# A client comes back after the time that a refusal names, up to a third of its time.
+MAX_RETRY_AFTER_S = DEADLINE_S / 3
 
 
-class EarlyBackend(Backend):
-    """A server that may reject a large request before it has read it."""
-
-    rejects_early = False
-    draw = random.Random()
-
-    async def _read(self, reader, writer):
-        while (found := await http11.read_head(reader)) is not None:
-            start, headers = found
-            if (
-                self.rejects_early
-                and int(headers.get("content-length", "0")) >= BODY_BYTES
-                and self.draw.random() < EARLY_SHARE
-            ):
-                fields = {"Not-Executed": "1", "Request-Id": headers["request-id"]}
-                writer.write(self._encode(503, fields))
-                await writer.drain()
-                await asyncio.sleep(READ_ON_AFTER_S)
-                await http11.read_body(reader, headers)
-                continue
-            body = await http11.read_body(reader, headers)
-            return http11.Message(start=start, headers=headers, body=body)
-        return None
-
-
-class Memory:
-    """Ends a process that exceeds its memory, and starts it again, as the platform."""
-
-    def __init__(self, deployment, record):
-        self.peak_mb_by_name = collections.defaultdict(int)
-        self.kills = []
-        self._deployment = deployment
-        self._record = record
-
-    async def watch(self, vm):
-        """Checks one process until the task is cancelled."""
-        while True:
-            used_mb = _resident_mb(vm.process.pid)
-            peak_mb = max(self.peak_mb_by_name[vm.name], used_mb)
-            self.peak_mb_by_name[vm.name] = peak_mb
-            if used_mb > MEMORY_MB:
-                self._record.add(f"{vm.name} has {used_mb} MB and is killed")
-                self.kills.append((vm, time.monotonic()))
-                vm.send_signal(signal.SIGKILL)
-                vm.process.wait()
-                await asyncio.sleep(RESTART_DELAY_S)
-                vm.start()
-            await asyncio.sleep(MEMORY_CHECK_S)
-
-
-def _resident_mb(pid):
-    try:
-        text = pathlib.Path(f"/proc/{pid}/status").read_text()
-    except OSError:
-        return 0
-    for line in text.splitlines():
-        if line.startswith("VmRSS:"):
-            return int(line.split()[1]) >> 10
-    return 0
-
-
-async def use(client, until, draw, path, body, deadline_s):
-    """Sends one request after the other on a kept connection."""
+async def use(client, until, draw):
+    """Sends a lookup of a busy service with one of another behind it, repeatedly."""
     while time.monotonic() < until:
-        try:
-            [attempt] = await client.send(
-                [f"{path}{draw.randrange(1000)}"],
-                deadline_s=deadline_s,
-                method="POST",
-                body=body,
-            )
-        except OSError:
-            client.close()
-            await asyncio.sleep(0.2)
-            continue
-        pause_s = 0.2
-        if attempt.answer is not None:
-            asked = float(attempt.answer.headers.get("retry-after", 0))
-            pause_s = max(pause_s, min(asked, deadline_s / 3))
+        number = draw.randrange(1000)
+        sent = await client.send(
+            [f"/tabela/{number}", f"/vistoria/{number}"], deadline_s=DEADLINE_S
+        )
+        pause_s = PAUSE_S
+        for attempt in sent:
+            if attempt.answer is not None:
+                asked = float(attempt.answer.headers.get("retry-after", 0))
+                pause_s = max(pause_s, min(asked, MAX_RETRY_AFTER_S))
         await asyncio.sleep(pause_s * draw.uniform(0.8, 1.2))
     client.close()
 
 
 async def check(deployment, record, trouble):
     runs, attempts = [], []
-    draw = random.Random(33)
 
     def backends(store):
+        counts = {"tabela": 1, "vistoria": 3}
         return [
-            EarlyBackend(
+            Backend(
                 store=store,
                 server_id=f"i-{service}-{number}",
                 service=service,
                 runs=runs,
-                work_s=lambda _: WORK_S,
-                slots=SLOTS,
-                window_bytes=WINDOW_BYTES,
+                work_s=lambda request: WORK_S,
             )
-            for service in ("vistoria", "sinal")
-            for number in range(SERVERS)
+            for service, count in counts.items()
+            for number in range(count)
         ]
 
     await deployment.start(
         routes={
-            "uploads": route(
-                "vistoria",
-                "/surveys/",
-                route_type="upload",
-                timeout="2500ms",
-                target_latency="800ms",
-            ),
-            "deposits": route(
-                "sinal", "/deposits/", route_type="unsafe", target_latency="250ms"
-            ),
+            service: route(service, f"/{service}/", route_type="safe")
+            for service in ("tabela", "vistoria")
         },
-        services={"vistoria": False, "sinal": False},
+        services={"tabela": False, "vistoria": False},
         backends=backends,
         vms={"front-a-1": "a", "front-a-2": "a"},
-        memory_mb=MEMORY_MB,
     )
     balancer = Balancer(deployment.vms)
-    memory = Memory(deployment, record)
-    watches = [asyncio.create_task(memory.watch(vm)) for vm in deployment.vms]
-    until = time.monotonic() + LENGTH_S
-    users = []
-    for number in range(UPLOADERS + ORDERERS):
-        is_uploader = number < UPLOADERS
-        client = Client(name=f"c{number}", balancer=balancer, attempts=attempts)
-        users.append(
-            asyncio.create_task(
-                use(
-                    client,
-                    until,
-                    draw,
-                    "/surveys/" if is_uploader else "/deposits/",
-                    b"x" * (BODY_BYTES if is_uploader else 300),
-                    DEADLINE_S if is_uploader else ORDER_DEADLINE_S,
-                )
+    draw = random.Random(33)
+    until = time.monotonic() + WARM_UP_S + GRACE_S + 2.0
+    users = [
+        asyncio.create_task(
+            use(
+                Client(name=f"c{number}", balancer=balancer, attempts=attempts),
+                until,
+                draw,
             )
         )
+        for number in range(CLIENTS)
+    ]
     await asyncio.sleep(WARM_UP_S)
-    while trouble and time.monotonic() < until - FAULTY_S:
-        surveys = [b for b in deployment.backends if "vistoria" in b.server_id]
-        faulty = draw.sample(surveys, round(FAULTY_SHARE * SERVERS))
-        for backend in faulty:
-            backend.rejects_early = True
-        await asyncio.sleep(FAULTY_S)
-        for backend in faulty:
-            backend.rejects_early = False
-        await asyncio.sleep(1.0)
+    stopped = deployment.vms[0]
+    signal_at = time.monotonic()
+    if trouble:
+        record.add(f"SIGTERM to {stopped.name}")
+        stopped.send_signal(signal.SIGTERM)
     await asyncio.gather(*users)
     balancer.stop()
-    for watch in watches:
-        watch.cancel()
-    return judge(record, attempts, runs, memory)
-
-
-def judge(record, attempts, runs, memory):
-    """Returns whether a process was killed because of its memory."""
-    counts = collections.Counter(
-        (
-            "upload" if attempt.deadline_s == DEADLINE_S else "order",
-            attempt.answer.status if attempt.answer else None,
-        )
-        for attempt in attempts
-    )
-    record.add(f"attempts by kind and status: {dict(counts)}, runs: {len(runs)}")
-    record.add(f"peak memory in MB: {dict(memory.peak_mb_by_name)}")
-    run_ids = {run.request_id for run in runs}
-    for vm, killed_at in memory.kills:
-        cut = [
-            attempt
-            for attempt in attempts
-            if attempt.vm is vm
-            and attempt.answer is None
-            and attempt.sent_at <= killed_at <= attempt.ended_at + 0.5
-        ]
-        ran = sum(attempt.request_id in run_ids for attempt in cut)
-        record.add(
-            f"FAULT {vm.name} was killed over {MEMORY_MB} MB; {len(cut)} requests "
-            f"ended without an answer, {ran} of them were at a server"
-        )
-    return bool(memory.kills)
+    return judge(record, attempts, runs, stopped, signal_at)
+
+
+def judge(record, attempts, runs, stopped, signal_at):
+    """Returns whether a request that a server got has lost its answer."""
+    run_by_id = {run.request_id: run for run in runs}
+    statuses = {}
+    lost = []
+    for attempt in attempts:
+        status = attempt.answer.status if attempt.answer else None
+        statuses[status] = statuses.get(status, 0) + 1
+        record.add(attempt.describe())
+        if (
+            attempt.answer is None
+            and attempt.request_id in run_by_id
+            and attempt.vm is stopped
+            and signal_at <= attempt.ended_at <= signal_at + GRACE_S + 1.0
+            and attempt.ended_at - attempt.sent_at < min(DEADLINE_S, TIMEOUT_S)
+        ):
+            lost.append(attempt)
+    record.add(f"attempts by status: {statuses}")
+    for attempt in lost:
+        run = run_by_id[attempt.request_id]
+        end = "did not end" if run.ended_at is None else "ended well"
+        record.add(f"LOST {attempt.describe()}; its run at {run.server_id} {end}")
+    return bool(lost)
 
 
 case.main(__file__, check)
