Keep the heir of moving keys as a condition until the map is written (OWNER)

Cause: a newer process at an owner's address may hold the range by renewals that were meant for the former one, so only it may get the range. That was kept as the move's wish for a next owner. If the map could not be written until the process was no candidate any more, the range went to the least utilised server without a release or a wait.

Change: a move keeps the heir as a condition. It is checked with each write of the map; if the heir cannot get the range, the move starts again with the heir as the owner. Grants are logged for a server at an address, so that those to the former process count. An answer to a release of a former owner is ignored.

Why it works: the range becomes free only by a release, an expiry or a 421 that covers all processes at the address.

--- a/briarspoke/keyspace/granter.py
+++ b/briarspoke/keyspace/granter.py
@@ -4,7 +4,12 @@
 
 import logging
 
-from briarspoke.keyspace.grantlog import MAX_TRANSIT_S, expiry_time, transit_s
+from briarspoke.keyspace.grantlog import (
+    MAX_TRANSIT_S,
+    GrantLog,
+    expiry_time,
+    transit_s,
+)
 from briarspoke.keyspace.moves import GrantClient, Renewal
 from briarspoke.keyspace.ranges import subtract_ranges
 from briarspoke.platform import grants
@@ -44,6 +49,7 @@
         self._on_answer = on_answer
         self._on_other_server = on_other_server
         self._clients_by_instance = {}
+        self._logs_by_server = {}
         self._renewals = {}
         self._store_lost = False
 
@@ -52,14 +58,18 @@
         client = self._clients_by_instance.get(record.server_instance)
         if client is None:
             http = self._node.http_client(record.host, record.port)
-            client = GrantClient(
-                record=record,
-                http=http,
-                transit_s=transit_s(self._node.settings.link_mbps),
-            )
+            client = GrantClient(record=record, http=http, log=self._log(record))
             self._clients_by_instance[record.server_instance] = client
         return client
 
+    def _log(self, record):
+        server = (record.server_id, record.host, record.port)
+        log_of_server = self._logs_by_server.get(server)
+        if log_of_server is None:
+            log_of_server = GrantLog(transit_s=transit_s(self._node.settings.link_mbps))
+            self._logs_by_server[server] = log_of_server
+        return log_of_server
+
     def known_client(self, server_instance):
         """Returns the :class:`GrantClient` of a server instance, or None if unknown."""
         return self._clients_by_instance.get(server_instance)
@@ -153,7 +163,13 @@
         if hold_s > HOLD_S:
             arrived_at = now + grants.GRANT_TIMEOUT_S + MAX_TRANSIT_S
             self._leadership.record_long_grant(expiry_time(arrived_at, hold_s))
-        return client.log.add(first=first, last=last, fence=fence, hold_s=hold_s)
+        return client.log.add(
+            first=first,
+            last=last,
+            fence=fence,
+            incarnation=client.record.incarnation,
+            hold_s=hold_s,
+        )
 
     def issue_fence(self, client):
         """Issues the token for a call that opens a new connection to a server.
--- a/briarspoke/keyspace/grantlog.py
+++ b/briarspoke/keyspace/grantlog.py
@@ -35,6 +35,8 @@
     """One grant call.
 
     :ivar fence: fencing token of the call.
+    :ivar incarnation: process of the server to which the call was sent. A later one may
+        have received it.
     :ivar answered: None while the call is pending, then whether it was answered.
     :ivar accepted: whether the server has accepted the grant.
     :ivar expires_at: when the grant has certainly expired; None while the call is
@@ -49,13 +51,15 @@
         "fence",
         "first",
         "hold_s",
+        "incarnation",
         "last",
     )
 
-    def __init__(self, *, first, last, fence, hold_s, transit_s):
+    def __init__(self, *, first, last, fence, incarnation, hold_s, transit_s):
         self.first = first
         self.last = last
         self.fence = fence
+        self.incarnation = incarnation
         self.expires_at = None
         self.answered = None
         self.accepted = False
@@ -78,7 +82,10 @@
 
 
 class GrantLog:
-    """Grant calls to one server whose grants may be valid.
+    """Grant calls to one server at one address whose grants may be valid.
+
+    A call that was sent to one process of the server may reach the next one, so the log
+    has the calls to all of them.
 
     :param transit_s: time for which a call that was given up can still arrive.
     """
@@ -89,12 +96,13 @@
         self._sent = []
         self._transit_s = transit_s
 
-    def add(self, *, first, last, fence, hold_s):
+    def add(self, *, first, last, fence, incarnation, hold_s):
         """Records a call before it is sent and returns its :class:`SentGrant`."""
         sent = SentGrant(
             first=first,
             last=last,
             fence=fence,
+            incarnation=incarnation,
             hold_s=hold_s,
             transit_s=self._transit_s,
         )
@@ -124,9 +132,12 @@
         overlapping = self._overlapping(sent.first, sent.last, now)
         return any(s.fence > sent.fence for s in overlapping)
 
-    def was_accepted(self, first, last, now):
-        """Returns whether the server has accepted a grant that covers all the keys."""
+    def was_accepted(self, first, last, incarnation, now):
+        """Returns whether a process has accepted a grant that covers all the keys."""
         return any(
-            s.accepted and s.first <= first and s.last >= last
+            s.accepted
+            and s.incarnation == incarnation
+            and s.first <= first
+            and s.last >= last
             for s in self._overlapping(first, last, now)
         )
--- a/briarspoke/keyspace/moves.py
+++ b/briarspoke/keyspace/moves.py
@@ -5,7 +5,7 @@
 import enum
 import math
 
-from briarspoke.keyspace.grantlog import GrantLog
+from briarspoke.keyspace.keymap import Owner
 
 
 class MoveState(enum.Enum):
@@ -14,7 +14,7 @@
     AWAITING_CALLS = "waits for calls under way"
     RELEASING = "waits for the owner to release it"
     EXPIRING = "waits for the last grant to lapse"
-    READY = "has no owner"
+    READY = "has no owner, or may be held by its heir only"
 
 
 class MoveEnd(enum.Enum):
@@ -37,6 +37,8 @@
     :ivar handover: token from the release, passed on to the next owner, or None.
     :ivar release_sent_at: time of the last release call; minus infinity before it.
     :ivar end: the :class:`MoveEnd` once the range has no owner.
+    :ivar heir: server instance of a newer process at the owner's address, which may
+        hold the range and is the only server that may get it, or None.
     """
 
     __slots__ = (
@@ -44,6 +46,7 @@
         "first",
         "grants_expire_at",
         "handover",
+        "heir",
         "last",
         "owner",
         "reason",
@@ -58,19 +61,40 @@
         self.owner = owner
         self.to = to
         self.reason = reason
+        self.heir = None
+        self._restart()
+
+    def _restart(self):
         self.state = MoveState.AWAITING_CALLS
         self.grants_expire_at = None
         self.handover = None
         self.release_sent_at = -math.inf
         self.end = None
 
-    def finish(self, end):
+    @property
+    def next_owner(self):
+        """Server instance of the next owner, or None for the least utilised server."""
+        return self.heir or self.to
+
+    def finish(self, end, *, heir=None):
         """Records that the range has no owner and why.
 
         :param end: the :class:`MoveEnd`.
+        :param heir: the only server instance that may get the range, or None.
         """
         self.state = MoveState.READY
         self.end = end
+        self.heir = heir
+
+    def move_from_heir(self, fence):
+        """Starts again with the heir as the owner, since it cannot get the range.
+
+        :param fence: fencing token of the range in the key map.
+        """
+        server_id, incarnation = self.heir
+        self.owner = Owner(server_id=server_id, incarnation=incarnation, fence=fence)
+        self.heir = None
+        self._restart()
 
 
 class Renewal:
@@ -88,16 +112,17 @@
 
     :param record: the :class:`briarspoke.entry.servers.ServerRecord`.
     :param http: HTTP client for the address of the server.
-    :param transit_s: time for which a call that was given up can still arrive.
+    :param log: the :class:`briarspoke.keyspace.grantlog.GrantLog` of all processes of
+        the server at its address.
     :ivar reachable: whether the last grant call was answered.
     :ivar fence: the token of the first call on the newest connection.
     """
 
     __slots__ = ("fence", "http", "log", "reachable", "record")
 
-    def __init__(self, *, record, http, transit_s):
+    def __init__(self, *, record, http, log):
         self.record = record
         self.http = http
-        self.log = GrantLog(transit_s=transit_s)
+        self.log = log
         self.reachable = True
         self.fence = 0
--- a/briarspoke/keyspace/range_manager.py
+++ b/briarspoke/keyspace/range_manager.py
@@ -221,7 +221,7 @@
             self._map,
             candidates,
             estimate.rate_by_bucket,
-            [(move.first, move.last, move.to) for move in self.moves],
+            [(move.first, move.last, move.next_owner) for move in self.moves],
             urgent=any(move.state is not MoveState.EXPIRING for move in self.moves),
         )
         for transfer in transfers[:free_moves]:
@@ -318,10 +318,13 @@
         placement.assign_load(self._map, candidates, estimate.rate_by_bucket)
         by_instance = {candidate.server_instance: candidate for candidate in candidates}
         total_load = sum(estimate.rate_by_bucket.values())
+        ready = self._without_lost_heirs(ready, by_instance)
+        if not ready:
+            return
         fence = self._tokens.issue_for_map()
         changes = []
         for move in ready:
-            candidate = by_instance.get(move.to)
+            candidate = by_instance.get(move.next_owner)
             if candidate is None:
                 candidate = placement.least_utilised(candidates)
             load = _load_of_range(estimate.rate_by_bucket, move.first, move.last)
@@ -350,6 +353,21 @@
             changes.append((move.first, move.last, owner))
         self._write(self._map.with_owner(changes), ready, "moves", changes)
 
+    def _without_lost_heirs(self, ready, candidates_by_instance):
+        """Returns the moves that can end now; others start again at their heirs.
+
+        An heir that is no candidate any more, for example because it drains by now, may
+        still hold the range.
+        """
+        lost = [
+            move
+            for move in ready
+            if move.heir is not None and move.heir not in candidates_by_instance
+        ]
+        for move in lost:
+            move.move_from_heir(self._map.owner(move.first).fence)
+        return [move for move in ready if move not in lost]
+
     def _write(self, key_map, moves, reason, changes=()):
         if self._writing:
             return
--- a/briarspoke/keyspace/releases.py
+++ b/briarspoke/keyspace/releases.py
@@ -54,8 +54,7 @@
         now = self._node.now()
         if move.state is MoveState.READY:
             return
-        if self._has_new_process(move, records):
-            move.finish(MoveEnd.OWNER_ENDED)
+        if self._finish_with_new_process(move, records):
             return
         client = self._owner_client(move.owner, key_map)
         if move.state is MoveState.AWAITING_CALLS:
@@ -75,33 +74,35 @@
         ):
             self._send_release(move, client, now)
 
-    def _has_new_process(self, move, records):
-        """Returns whether a newer process of the owner's server may get the range now.
+    def _finish_with_new_process(self, move, records):
+        """Finishes a move if a newer process of its owner's server is registered.
 
-        A new process of the same server at its address may have accepted grants, so
-        until they expire the range can be moved to that process only, which then
-        becomes the next owner.
+        A newer process at the same address may have accepted grants that were meant for
+        the owner. It becomes the heir of the range, unless it drains: then it is asked
+        to release the range.
 
         A registration of another server at the owner's address does not count: it may
         be a late write of a server that has ended.
+
+        :returns: whether the move was finished.
         """
         owner = move.owner
+        record = next(
+            (r for r in records.values() if r.server_id == owner.server_id), None
+        )
+        if record is None or record.incarnation <= owner.incarnation:
+            return False
         client = self._granter.known_client(owner.server_instance)
-        for record in records.values():
-            if record.server_id != owner.server_id:
-                continue
-            if record.incarnation <= owner.incarnation:
-                return False
-            if client is not None and (record.host, record.port) != (
-                client.record.host,
-                client.record.port,
-            ):
-                return True
-            if record.draining:
-                return False
-            move.to = record.server_instance
+        if client is not None and (record.host, record.port) != (
+            client.record.host,
+            client.record.port,
+        ):
+            move.finish(MoveEnd.OWNER_ENDED)
             return True
-        return False
+        if record.draining:
+            return False
+        move.finish(MoveEnd.OWNER_ENDED, heir=record.server_instance)
+        return True
 
     def _owner_client(self, owner, key_map):
         """Returns the client of an owner, or None if its address is unknown.
@@ -146,7 +147,7 @@
             return True
         # A predecessor may renew until the owner has seen a token of this term.
         return now < self.previous_grants_expire_at and not client.log.was_accepted(
-            move.first, move.last, now
+            move.first, move.last, move.owner.incarnation, now
         )
 
     def _release(self, move, client, now, *, is_registered):
@@ -169,11 +170,12 @@
         :param is_final: whether no grant can arrive after the release, so that its
             answer ends the ownership.
         """
+        owner = move.owner
         fence = self._granter.issue_fence(client)
-        self._node.rate_limits.count_call(self._service, move.owner.server_instance)
+        self._node.rate_limits.count_call(self._service, owner.server_instance)
         answer = await grants.release(
             client.http,
-            server_id=move.owner.server_id,
+            server_id=owner.server_id,
             first=move.first,
             last=move.last,
             fence=fence,
@@ -182,8 +184,8 @@
             "grants_total", "released" if answer.accepted else "release-failed"
         )
         now = self._node.now()
-        if move.state is MoveState.READY:
-            # The last grant expired before the release was answered.
+        if move.state is MoveState.READY or move.owner is not owner:
+            # The last grant expired, or the owner ended, before the answer.
             return
         if answer.by_other_server:
             # No server has the grants that were sent to the owner.
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -131,6 +131,8 @@
         self.cut = False
         # Calls are executed, but their answers are lost.
         self.answers_lost = False
+        # The same for writes to the store only.
+        self.write_answers_lost = False
         # Additional delay in seconds until a call arrives.
         self.late_s = 0.0
         # Time that calls wait in the queue of a network link before they arrive.
@@ -174,7 +176,9 @@
             return done
         arrived = self._world.reactor.seconds() + self._faults.transit_s
         delay_s = LATENCY_S + self._faults.transit_s + self._faults.late_s
-        answered = not self._faults.answers_lost
+        answered = not self._faults.answers_lost and not (
+            self._faults.write_answers_lost and path.endswith("kv-txn")
+        )
 
         def arrive():
             peer = self._world.peer(self._address)
--- a/tests/test_keyspace_machine.py
+++ b/tests/test_keyspace_machine.py
@@ -14,8 +14,8 @@
 from briarspoke.keyspace import keymap
 
 
-class OwnershipMachine(RuleBasedStateMachine):
-    """No key ever has two owners, whichever parts are cut off, lost or restarted."""
+class OwnershipState(RuleBasedStateMachine):
+    """Servers and entry VMs of a keyed service, and what must hold at any time."""
 
     def __init__(self):
         super().__init__()
@@ -49,6 +49,47 @@
             self.world.advance(0.25, 0.05)
             self.check()
 
+    @rule(number=st.sampled_from(SERVERS), state=st.sampled_from(("ready", "draining")))
+    def register(self, number, state):
+        process = self.world.servers[address(number)]
+        self.sequence += 1
+        value = registration(
+            "stock", number, state=state, born=process.born, seq=self.sequence
+        )
+        self.world.store.put(f"servers/{process.server_id}", value)
+
+    @rule(number=st.sampled_from(SERVERS))
+    def entry_lapses(self, number):
+        process = self.world.servers[address(number)]
+        self.world.store.delete(f"servers/{process.server_id}")
+
+    @rule(number=st.sampled_from(SERVERS), registers=st.booleans())
+    def restart(self, number, registers):
+        self.born += 1
+        self.start(number, self.world.servers[address(number)].server_id)
+        if registers:
+            self.register(number, "ready")
+
+    @invariant()
+    def tokens_are_new(self):
+        assert not self.violations, self.violations[0]
+
+    @invariant()
+    def check(self):
+        for key in KEYS:
+            found = holders(self.world, key)
+            assert len(found) <= 1, (key, found)
+
+    @invariant()
+    def tokens_grow(self):
+        maps = [node.key_maps.by_service.get("stock") for node in self.world.nodes]
+        for key_map in maps:
+            assert key_map is None or isinstance(key_map, keymap.KeyMap)
+
+
+class OwnershipMachine(OwnershipState):
+    """No key ever has two owners, whichever parts are cut off, lost or restarted."""
+
     @rule(
         node=st.integers(0, 2), number=st.sampled_from((0, *SERVERS)), cut=st.booleans()
     )
@@ -67,6 +108,10 @@
         faults.answers_lost = lost
         faults.late_s = late_s if lost else 0.0
 
+    @rule(node=st.integers(0, 2), lost=st.booleans())
+    def lose_answers_to_writes(self, node, lost):
+        self.world.nodes[node].faults(STORE).write_answers_lost = lost
+
     @rule(down=st.booleans())
     def store_outage(self, down):
         self.world.store_down = down
@@ -87,27 +132,6 @@
     def restore_store(self):
         restore(self.world, self.copy)
 
-    @rule(number=st.sampled_from(SERVERS), state=st.sampled_from(("ready", "draining")))
-    def register(self, number, state):
-        process = self.world.servers[address(number)]
-        self.sequence += 1
-        value = registration(
-            "stock", number, state=state, born=process.born, seq=self.sequence
-        )
-        self.world.store.put(f"servers/{process.server_id}", value)
-
-    @rule(number=st.sampled_from(SERVERS))
-    def entry_lapses(self, number):
-        process = self.world.servers[address(number)]
-        self.world.store.delete(f"servers/{process.server_id}")
-
-    @rule(number=st.sampled_from(SERVERS), registers=st.booleans())
-    def restart(self, number, registers):
-        self.born += 1
-        self.start(number, self.world.servers[address(number)].server_id)
-        if registers:
-            self.register(number, "ready")
-
     @rule(
         number=st.sampled_from(SERVERS), registers=st.booleans(), lapses=st.booleans()
     )
@@ -124,25 +148,60 @@
         late = registration(service, number, born=0)
         self.world.store.put(f"servers/s-{number}-late", late)
 
-    @invariant()
-    def tokens_are_new(self):
-        assert not self.violations, self.violations[0]
 
-    @invariant()
-    def check(self):
-        for key in KEYS:
-            found = holders(self.world, key)
-            assert len(found) <= 1, (key, found)
+OwnershipMachine.TestCase.settings = stateful_settings()
+TestOwnership = OwnershipMachine.TestCase
 
-    @invariant()
-    def tokens_grow(self):
-        maps = [node.key_maps.by_service.get("stock") for node in self.world.nodes]
-        for key_map in maps:
-            assert key_map is None or isinstance(key_map, keymap.KeyMap)
 
+class RestartMachine(OwnershipState):
+    """No key ever has two owners while servers start again, drain and end, and calls to
+    them and writes to the store get no answers.
+    """
 
-OwnershipMachine.TestCase.settings = stateful_settings()
-TestOwnership = OwnershipMachine.TestCase
+    @rule(lost=st.booleans())
+    def lose_answers_to_writes(self, lost):
+        for node in self.world.nodes:
+            node.faults(STORE).write_answers_lost = lost
+
+    @rule(
+        number=st.sampled_from(SERVERS),
+        lost=st.booleans(),
+        late_s=st.sampled_from((0.0, 1.0, 4.0)),
+    )
+    def lose_answers_to_grants(self, number, lost, late_s):
+        for node in self.world.nodes:
+            faults = node.faults(address(number))
+            faults.answers_lost = lost
+            faults.late_s = late_s if lost else 0.0
+
+    @rule(
+        number=st.sampled_from(SERVERS),
+        unregistered_s=st.sampled_from((0.25, 1.5)),
+        ready_s=st.sampled_from((0.25, 0.75)),
+        last_state=st.sampled_from(("ready", "draining", None)),
+    )
+    def restart_while_writes_are_lost(
+        self, number, unregistered_s, ready_s, last_state
+    ):
+        self.restart(number, registers=False)
+        self.time_passes(unregistered_s)
+        self.lose_answers_to_writes(True)
+        self.register(number, "ready")
+        self.time_passes(ready_s)
+        if last_state is None:
+            self.entry_lapses(number)
+        else:
+            self.register(number, last_state)
+        self.lose_answers_to_writes(False)
+
+    @rule(number=st.sampled_from(SERVERS), cut=st.booleans())
+    def cut_off(self, number, cut):
+        for node in self.world.nodes:
+            node.faults(address(number)).cut = cut
+
+
+RestartMachine.TestCase.settings = stateful_settings()
+TestRestarts = RestartMachine.TestCase
 
 
 class TestLateLongGrant:
--- a/tests/test_keyspace_parts.py
+++ b/tests/test_keyspace_parts.py
@@ -163,7 +163,7 @@
     def test_unanswered_calls_stay_uncertain_until_they_expire(self):
         # Guards against moving a range whose grant may still be applied.
         log = GrantLog()
-        sent = log.add(first=0, last=9, fence=1, hold_s=4.0)
+        sent = log.add(first=0, last=9, fence=1, incarnation=1, hold_s=4.0)
         assert log.is_pending(5, 5, 1.0)
         sent.settle(0.6, answered=False)
         assert log.is_uncertain(5, 5, 1.0)
@@ -175,16 +175,16 @@
     def test_refusal_of_a_call_that_a_later_one_overtook(self):
         # Guards against a controller that takes its own later call for another's.
         log = GrantLog()
-        first = log.add(first=0, last=9, fence=1, hold_s=4.0)
+        first = log.add(first=0, last=9, fence=1, incarnation=1, hold_s=4.0)
         assert not log.was_overtaken(first, 0.0)
-        log.add(first=5, last=5, fence=2, hold_s=4.0)
+        log.add(first=5, last=5, fence=2, incarnation=1, hold_s=4.0)
         assert log.was_overtaken(first, 0.0)
 
     def test_hold_starts_at_the_latest_possible_arrival(self):
         # Guards against a key that moves while a grant is valid that arrived just
         # before its call timed out.
         log = GrantLog()
-        sent = log.add(first=0, last=9, fence=1, hold_s=4.0)
+        sent = log.add(first=0, last=9, fence=1, incarnation=1, hold_s=4.0)
         sent.settle(100.6, answered=False)
         assert log.expires_at(5, 5, 101.0) >= 100.6 + 4.0 * 1.02
 
@@ -196,10 +196,10 @@
 
     def test_call_without_effect_is_ignored(self):
         log = GrantLog()
-        sent = log.add(first=0, last=9, fence=1, hold_s=4.0)
+        sent = log.add(first=0, last=9, fence=1, incarnation=1, hold_s=4.0)
         sent.discard(0.1)
         assert log.expires_at(5, 5, 0.2) == 0.2
-        assert not log.was_accepted(5, 5, 0.2)
+        assert not log.was_accepted(5, 5, 1, 0.2)
 
 
 class TestRebalance:
