--- a/briarspoke/entry/callers.py
+++ b/briarspoke/entry/callers.py
@@ -11,6 +11,7 @@
 from briarspoke.entry import answers
 from briarspoke.entry.exchange import Exchange, Request
 from briarspoke.http.transports import write_immediately
+from briarspoke.platform import headers as header_names
 
 # Requests of one connection that are processed concurrently.
 MAX_PIPELINED = 16
@@ -37,7 +38,7 @@
         self._request_started_at = None
         self._paused = False
         # Whether all further input is ignored; earlier requests may be pending.
-        self._input_rejected = False
+        self._input_ended = False
         self._reset_message()
         self._parser = httptools.HttpRequestParser(self)
 
@@ -62,7 +63,7 @@
             self.exchanges.popleft().caller_gone()
 
     def dataReceived(self, data):
-        if self.closing or self._input_rejected:
+        if self.closing or self._input_ended:
             return
         self.data_at = self.node.now()
         if self._request_started_at is None:
@@ -108,6 +109,10 @@
 
     def on_headers_complete(self):
         self._in_body = True
+        if self.node.intake_ended and self._has_body():
+            self._refuse_if_too_late()
+            if self._input_ended:
+                raise ValueError("the request comes too late")
         for name, value in self._headers:
             if name == b"content-length" and (
                 len(value) > 18 or int(value) > self.node.limits.body_bytes
@@ -117,6 +122,14 @@
             if name == b"expect" and not self.exchanges:
                 write_immediately(self.transport, b"HTTP/1.1 100 Continue\r\n\r\n")
 
+    def _has_body(self):
+        """Returns whether the head of the arriving request announces a body."""
+        return any(
+            name == b"transfer-encoding"
+            or (name == b"content-length" and value != b"0")
+            for name, value in self._headers
+        )
+
     def on_body(self, data):
         self._body_bytes += len(data)
         if self._body_bytes > self.node.limits.body_bytes:
@@ -137,28 +150,33 @@
 
     def on_message_complete(self):
         self._in_body = False
-        arrived_at = self._request_started_at
-        self._request_started_at = None
         body = self._body[0] if len(self._body) == 1 else b"".join(self._body)
-        request = Request(
-            method=self._parser.get_method(),
-            target=self._target,
-            headers=self._headers,
-            body=body,
-            arrived_at=arrived_at,
-            completed_at=self.node.now(),
-        )
+        request = self._request(body)
+        self._request_started_at = None
         self._reset_message()
         request.held_bytes = self.node.held_requests.complete(self)
         if not self._parser.should_keep_alive():
             request.closes_connection = True
         exchange = Exchange(node=self.node, connection=self, request=request)
         self.exchanges.append(exchange)
+        if self.node.intake_ended:
+            self._end_input()
         if len(self.exchanges) >= MAX_PIPELINED and not self._paused:
             self._paused = True
             self.transport.pauseProducing()
         exchange.start()
 
+    def _request(self, body):
+        """Returns the :class:`Request` of the head that has arrived and a body."""
+        return Request(
+            method=self._parser.get_method(),
+            target=self._target,
+            headers=self._headers,
+            body=body,
+            arrived_at=self._request_started_at,
+            completed_at=self.node.now(),
+        )
+
     def answer_ready(self):
         """Writes all answers that are ready and next in order."""
         while self.exchanges and self.exchanges[0].answer is not None:
@@ -188,21 +206,52 @@
         self.transport.loseWriteConnection()
         self.lingers_until = self.node.now() + LINGER_S
 
+    def _end_input(self):
+        """Ignores all further input.
+
+        The connection is closed after the answer to the last request that was read, so
+        that the caller knows that those behind it were not read.
+        """
+        self._input_ended = True
+        self._body = []
+        self.node.held_requests.release(self)
+        if self.exchanges:
+            self.exchanges[-1].request.closes_connection = True
+
+    def end_intake(self):
+        """Reads no further request, because the process stops.
+
+        A request that is arriving with none before it is read to its end, unless it
+        would be refused then.
+        """
+        if self._input_ended or self.closing:
+            return
+        if self.exchanges:
+            self._end_input()
+        elif self._request_started_at is None:
+            self._close_idle()
+        elif self._in_body:
+            self._refuse_if_too_late()
+
+    def _refuse_if_too_late(self):
+        """Refuses the arriving request if its answer may come after the stop."""
+        if not self.exchanges and self.node.may_outlast_stop(self._request(b"")):
+            self._reject(codes.SHUTTING_DOWN, self.node.RETRY_AFTER_UNAVAILABLE_S)
+
     def _reject(self, code, retry_after_s=None):
         """Rejects input, after the answers to earlier requests."""
         if self.closing:
             return
-        self._input_rejected = True
+        self._end_input()
         if self.exchanges:
-            # The connection is closed after the answer to the last valid request.
-            self.exchanges[-1].request.closes_connection = True
             return
         self.node.request_log.log_result(code, None)
+        request_id = dict(self._headers).get(header_names.REQUEST_ID, b"")
         write_immediately(
             self.transport,
             answers.result_answer(
                 code,
-                request_id=b"",
+                request_id=request_id,
                 run="no",
                 retry_after_s=retry_after_s,
                 close=True,
@@ -235,14 +284,11 @@
         Answers are sent in order. Without this, one slow request would hold back the
         ready answers behind it, and they would be lost when the process ends.
         """
+        if not self.exchanges and self._request_started_at is not None:
+            self._reject(codes.SHUTTING_DOWN, self.node.RETRY_AFTER_UNAVAILABLE_S)
         for exchange in list(self.exchanges):
             exchange.end_for_shutdown()
 
-    def close_if_idle(self):
-        """Closes the connection if no request on it is pending or arriving."""
-        if not self.exchanges and self._request_started_at is None and not self.closing:
-            self._close_idle()
-
     def _close_idle(self):
         # No answer is in transit. A request that the caller sends at the same moment is
         # reset immediately after a full close. After a half close it would stay unread
--- a/briarspoke/entry/exchange.py
+++ b/briarspoke/entry/exchange.py
@@ -96,6 +96,18 @@
         """Path of the target, without the query."""
         return self.target.partition(b"?")[0]
 
+    def expires_at(self, route):
+        """Returns the time at which the caller's or the route's time limit ends.
+
+        :param route: the :class:`briarspoke.entry.routes.Route`.
+        """
+        wait_s = self.deadline_s or DEFAULT_DEADLINE_S
+        if self.deadline_s is not None:
+            wait_s -= DEADLINE_MARGIN_S
+        if route.timeout_s is not None:
+            wait_s = min(wait_s, route.timeout_s)
+        return self.arrived_at + wait_s
+
 
 class Exchange:
     """Sends a request to a server, retries it if allowed, and answers the caller.
@@ -171,12 +183,7 @@
             return
         self.route = route
         self.dispatcher = node.dispatcher(route.next_service())
-        wait_s = request.deadline_s or DEFAULT_DEADLINE_S
-        if request.deadline_s is not None:
-            wait_s -= DEADLINE_MARGIN_S
-        if route.timeout_s is not None:
-            wait_s = min(wait_s, route.timeout_s)
-        self.expires_at = request.arrived_at + wait_s
+        self.expires_at = request.expires_at(route)
         self.dispatcher.count_request(self)
         node.metrics.observe(
             "receive_seconds", route.priority, request.completed_at - request.arrived_at
--- a/briarspoke/entry/node.py
+++ b/briarspoke/entry/node.py
@@ -79,7 +79,9 @@
         # Monotonic time at which the configuration came into force.
         self.configuration_since = None
         self.stopping = False
-        # Time by which all requests are answered because the process stops.
+        # Times from which on no further request is read from kept connections, and by
+        # which all requests are answered, because the process stops.
+        self.intake_ends_at = math.inf
         self.answers_due_at = math.inf
         self.key_maps = keymap.KeyMaps()
         self.key_load = KeyLoad()
@@ -335,6 +337,21 @@
         self.spawn(self.registry.run())
         self.control.start()
 
+    @property
+    def intake_ended(self):
+        """Whether the process stops and reads nothing new from kept connections."""
+        return self.now() >= self.intake_ends_at
+
+    def may_outlast_stop(self, request):
+        """Returns whether the time limit of a request ends after the process.
+
+        :param request: the :class:`briarspoke.entry.exchange.Request`.
+        """
+        if self.routing_table is None:
+            return False
+        route = self.routing_table.find(request.host, request.path)
+        return route is not None and request.expires_at(route) > self.answers_due_at
+
     def _listen(self, factory, address):
         self._ports.append(
             self.reactor.listenTCP(
@@ -411,23 +428,28 @@
     async def stop(self):
         """Shuts down: resigns as controller, deregisters, waits for pending requests.
 
-        Callers are still accepted until the load balancer has removed this VM.
-        Requests that are not likely to end within the grace time are refused, and
-        those that do not end get a final answer.
+        Callers are still accepted until the load balancer has removed this VM. Until
+        then, requests that are not likely to end within the grace time are refused, and
+        those that do not end get a final answer. After that, nothing more is read from
+        kept connections; of what still comes, only requests whose time limit ends
+        within the grace time are sent to servers.
         """
         if self.stopping:
             return
         self.stopping = True
-        self.answers_due_at = self.now() + self.settings.grace_s - STOP_MARGIN_S
+        now = self.now()
+        grace_s = self.settings.grace_s
+        self.intake_ends_at = now + min(BALANCER_REMOVAL_S, grace_s / 2)
+        self.answers_due_at = now + grace_s - STOP_MARGIN_S
         log.info("entry: stops open_connections=%d", len(self.callers))
         self.spawn(self.control.stop())
         self.spawn(self.registry.leave())
-        await self.sleep(min(BALANCER_REMOVAL_S, self.settings.grace_s / 2))
-        for connection in list(self.callers):
-            connection.close_if_idle()
-        while self.callers and self.now() < self.answers_due_at:
+        await self.sleep(self.intake_ends_at - now)
+        while True:
             for connection in list(self.callers):
-                connection.close_if_idle()
+                connection.end_intake()
+            if not self.callers or self.now() >= self.answers_due_at:
+                break
             await self.sleep(TICK_INTERVAL_S)
         unfinished = list(self.callers)
         for connection in unfinished:
--- a/tests/limit_fakes.py
+++ b/tests/limit_fakes.py
@@ -34,7 +34,7 @@
         self.arrivals_by_number = {}
         self.limit_by_number = {}
         self._world = world
-        self._work_s = work_s if callable(work_s) else lambda: work_s
+        self.work_s = work_s if callable(work_s) else lambda: work_s
         self._connections = []
 
     def step(self):
@@ -50,7 +50,7 @@
                 self.arrivals_by_number.setdefault(number, []).append(now)
                 request_id = _REQUEST_ID.search(data)[1].decode()
                 self._world.reactor.callLater(
-                    self._work_s(), self._reply, peer, number, request_id
+                    self.work_s(), self._reply, peer, number, request_id
                 )
             elif peer.socket.aborted:
                 self._connections.remove(connection)
