--- a/briarspoke/entry/callers.py
+++ b/briarspoke/entry/callers.py
@@ -37,7 +37,8 @@
         self.data_at = node.now()
         self._request_started_at = None
         self._paused = False
-        # Whether all further input is ignored; earlier requests may be pending.
+        # Whether the closing of the connection has been decided, so that no request
+        # begins any more; earlier ones may be pending.
         self._input_ended = False
         self._reset_message()
         self._parser = httptools.HttpRequestParser(self)
@@ -57,13 +58,13 @@
 
     def connectionLost(self, reason):
         self.node.callers.discard(self)
-        self.node.held_requests.release(self)
+        self._end_input()
         self.closing = True
         while self.exchanges:
             self.exchanges.popleft().caller_gone()
 
     def dataReceived(self, data):
-        if self.closing or self._input_ended:
+        if self._input_ended:
             return
         self.data_at = self.node.now()
         if self._request_started_at is None:
@@ -72,7 +73,7 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserCallbackError:
-            # The callback has already answered the request.
+            # The callback has ended the input.
             return
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._reject(codes.MALFORMED_REQUEST)
@@ -93,6 +94,9 @@
         )
 
     def on_message_begin(self):
+        if self._input_ended:
+            # An answer to a request in the same data has closed the connection.
+            raise ValueError("the connection is being closed")
         self._reset_message()
         if self._request_started_at is None:
             self._request_started_at = self.node.now()
@@ -155,11 +159,9 @@
         self._request_started_at = None
         self._reset_message()
         request.held_bytes = self.node.held_requests.complete(self)
-        if not self._parser.should_keep_alive():
-            request.closes_connection = True
         exchange = Exchange(node=self.node, connection=self, request=request)
         self.exchanges.append(exchange)
-        if self.node.intake_ended:
+        if self.node.intake_ended or not self._parser.should_keep_alive():
             self._end_input()
         if len(self.exchanges) >= MAX_PIPELINED and not self._paused:
             self._paused = True
@@ -194,10 +196,9 @@
             self.transport.resumeProducing()
 
     def _close(self):
-        """Closes the connection after its last answer, and drops later requests."""
+        """Closes the connection after its last answer."""
+        self._end_input()
         self.closing = True
-        while self.exchanges:
-            self.exchanges.popleft().caller_gone()
         if self._paused:
             self._paused = False
             self.transport.resumeProducing()
@@ -207,10 +208,10 @@
         self.lingers_until = self.node.now() + LINGER_S
 
     def _end_input(self):
-        """Ignores all further input.
+        """Lets no further request begin, since the connection is going to be closed.
 
-        The connection is closed after the answer to the last request that was read, so
-        that the caller knows that those behind it were not read.
+        It is closed after the answer to the last request that was read, so that the
+        caller knows that those behind it were not read.
         """
         self._input_ended = True
         self._body = []
@@ -224,7 +225,7 @@
         A request that is arriving with none before it is read to its end, unless it
         would be refused then.
         """
-        if self._input_ended or self.closing:
+        if self._input_ended:
             return
         if self.exchanges:
             self._end_input()
@@ -293,6 +294,7 @@
         # No answer is in transit. A request that the caller sends at the same moment is
         # reset immediately after a full close. After a half close it would stay unread
         # until the connection ends.
+        self._end_input()
         self.closing = True
         self.transport.loseConnection()
 
--- a/tests/http_fakes.py
+++ b/tests/http_fakes.py
@@ -27,6 +27,10 @@
     producerPaused = False
     write_ended = False
 
+    def write(self, data):
+        if not self.write_ended:
+            super().write(data)
+
     def writeSomeData(self, data):
         self.write(bytes(data))
         return len(data)
