--- a/briarspoke/entry/callers.py
+++ b/briarspoke/entry/callers.py
@@ -9,6 +9,7 @@
 
 from briarspoke import codes
 from briarspoke.entry import answers
+from briarspoke.entry.arriving import ArrivingBody, header_bytes
 from briarspoke.entry.exchange import Exchange, Request
 from briarspoke.http.transports import write_immediately
 from briarspoke.platform import headers as header_names
@@ -46,7 +47,8 @@
     def _reset_message(self):
         self._target = b""
         self._headers = []
-        self._body = []
+        self._held_head_bytes = 0
+        self._body = ArrivingBody()
         self._head_bytes = 0
         self._body_bytes = 0
         self._received_bytes = 0
@@ -78,8 +80,18 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._reject(codes.MALFORMED_REQUEST)
             return
-        if self._request_started_at is not None and self._is_framing_too_large():
+        if self._request_started_at is None or self._input_ended:
+            return
+        if self._is_framing_too_large():
             self._reject(codes.HEAD_TOO_LARGE)
+            return
+        largest = self.node.held_requests.update(self, self._held_bytes)
+        if largest is not None:
+            largest.give_up()
+
+    @property
+    def _held_bytes(self):
+        return self._held_head_bytes + self._body.held_bytes
 
     def _is_framing_too_large(self):
         """Returns whether a request has far more bytes than its body explains.
@@ -110,6 +122,7 @@
             self._reject(codes.HEAD_TOO_LARGE)
             raise ValueError("the request headers are too large")
         self._headers.append((name.lower(), value))
+        self._held_head_bytes += header_bytes(name, value)
 
     def on_headers_complete(self):
         self._in_body = True
@@ -140,25 +153,18 @@
             self._reject(codes.BODY_TOO_LARGE)
             raise ValueError("the body is too large")
         self._body.append(data)
-        largest = self.node.held_requests.add(self, len(data))
-        if largest is not None:
-            largest.give_up_body()
-        if largest is self:
-            raise ValueError("the bodies of requests exceed the memory limit")
 
-    def give_up_body(self):
-        """Rejects the request whose body is arriving, since it takes much memory."""
-        self._body = []
-        self.node.held_requests.release(self)
+    def give_up(self):
+        """Rejects the request that is arriving, since it takes much memory."""
         self._reject(codes.MEMORY_LIMIT, self.node.RETRY_AFTER_UNAVAILABLE_S)
 
     def on_message_complete(self):
         self._in_body = False
-        body = self._body[0] if len(self._body) == 1 else b"".join(self._body)
-        request = self._request(body)
+        request = self._request(self._body.data())
+        self.node.held_requests.update(self, self._held_bytes)
+        request.held_bytes = self.node.held_requests.complete(self)
         self._request_started_at = None
         self._reset_message()
-        request.held_bytes = self.node.held_requests.complete(self)
         exchange = Exchange(node=self.node, connection=self, request=request)
         self.exchanges.append(exchange)
         if self.node.intake_ended or not self._parser.should_keep_alive():
@@ -214,7 +220,7 @@
         caller knows that those behind it were not read.
         """
         self._input_ended = True
-        self._body = []
+        self._body = ArrivingBody()
         self.node.held_requests.release(self)
         if self.exchanges:
             self.exchanges[-1].request.closes_connection = True
--- a/briarspoke/entry/connections.py
+++ b/briarspoke/entry/connections.py
@@ -8,6 +8,7 @@
 import httptools
 from twisted.internet import error, protocol
 
+from briarspoke.entry.arriving import ArrivingBody, header_bytes
 from briarspoke.http.transports import write_immediately
 
 # httptools limits the size of neither headers nor bodies.
@@ -82,7 +83,8 @@
     def _reset_parser(self):
         self._parser = None
         self._headers = []
-        self._body = []
+        self._head_bytes = 0
+        self._body = ArrivingBody()
         self._received_bytes = 0
         self._body_bytes = 0
         self._is_head = False
@@ -134,10 +136,14 @@
         """Closes the connection; the listener is not called any more."""
         self.listener = None
         self.reusable = False
-        self._body = []
-        self._held_answers.release(self)
+        self._release_message()
         self.transport.abortConnection()
 
+    def _release_message(self):
+        self._headers = []
+        self._body = ArrivingBody()
+        self._held_answers.release(self)
+
     def dataReceived(self, data):
         if self.listener is None:
             # Bytes outside an exchange could be mistaken for the next answer.
@@ -156,6 +162,14 @@
                 self._finish()
         elif self._is_framing_too_large():
             self._fail("malformed")
+        else:
+            self._count_memory()
+
+    def _count_memory(self):
+        count = self._head_bytes + self._body.held_bytes
+        largest = self._held_answers.update(self, count)
+        if largest is not None:
+            largest.give_up()
 
     def _is_framing_too_large(self):
         """Returns whether the answer has far more bytes than its body explains.
@@ -173,13 +187,15 @@
             self.reusable = False
             return
         self._headers = []
-        self._body = []
+        self._head_bytes = 0
+        self._body = ArrivingBody()
         self._skipping = False
 
     def on_header(self, name, value):
         if self._complete:
             return
         self._headers.append((name.lower(), value))
+        self._head_bytes += header_bytes(name, value)
 
     def on_headers_complete(self):
         status = self._parser.get_status_code()
@@ -215,14 +231,8 @@
         self._body_bytes += len(data)
         if self._body_bytes > MAX_ANSWER_BYTES:
             raise ValueError("the answer is too large")
-        if self._skipping:
-            return
-        self._body.append(data)
-        largest = self._held_answers.add(self, len(data))
-        if largest is self:
-            raise ValueError("the answers in progress exceed the memory limit")
-        if largest is not None:
-            largest.give_up()
+        if not self._skipping:
+            self._body.append(data)
 
     def on_message_complete(self):
         if self._parser.get_status_code() >= 200 and not self._skipping:
@@ -233,14 +243,13 @@
         answer = Answer(
             status=self._parser.get_status_code(),
             headers=self._headers,
-            body=self._body[0] if len(self._body) == 1 else b"".join(self._body),
+            body=self._body.data(),
         )
         if self.transport.dataBuffer or self.transport._tempDataBuffer:
             # The server answered before the whole request was sent.
             self.reusable = False
         self._parser = None
-        self._body = []
-        self._held_answers.release(self)
+        self._release_message()
         self.handler.exchange_ended(self)
         listener(answer)
 
@@ -251,8 +260,7 @@
     def _fail(self, failure):
         listener, self.listener = self.listener, None
         self.reusable = False
-        self._body = []
-        self._held_answers.release(self)
+        self._release_message()
         self.transport.abortConnection()
         if listener is not None:
             listener(Answer(failure=failure))
--- a/briarspoke/entry/heldbytes.py
+++ b/briarspoke/entry/heldbytes.py
@@ -1,16 +1,16 @@
-"""Limits the memory of bodies that are arriving."""
+"""Limits the memory of messages that are arriving."""
 
 from __future__ import annotations
 
 
 class HeldBytes:
-    """Counts the bytes of bodies that are held in memory, up to a limit.
+    """Counts the memory of messages that are held, up to a limit.
 
     Peers in trouble may send without end on many connections. Beyond the limit, the
-    body that has grown largest is given up, so that bodies of the usual size are not
-    affected.
+    message that has grown largest is given up, so that messages of the usual size are
+    not affected.
 
-    :param limit_bytes: limit on the bytes of all bodies together.
+    :param limit_bytes: limit on the memory of all messages together.
     """
 
     __slots__ = ("_bytes_by_holder", "limit_bytes", "total_bytes")
@@ -18,33 +18,35 @@
     def __init__(self, *, limit_bytes):
         self.limit_bytes = limit_bytes
         self.total_bytes = 0
-        # Only of arriving bodies; complete ones are not given up any more.
+        # Only of arriving messages; complete ones are not given up any more.
         self._bytes_by_holder = {}
 
-    def add(self, holder, count):
-        """Counts bytes of an arriving body.
+    def update(self, holder, count):
+        """Sets the memory of the message that arrives at a holder.
 
-        :param holder: connection on which the body arrives.
-        :returns: the holder whose body has to be given up, or None.
+        :param holder: connection on which the message arrives.
+        :param count: bytes of memory, not of the message: see
+            :mod:`briarspoke.entry.arriving`.
+        :returns: the holder whose message has to be given up, or None.
         """
         held = self._bytes_by_holder
-        held[holder] = held.get(holder, 0) + count
-        self.total_bytes += count
+        self.total_bytes += count - held.get(holder, 0)
+        held[holder] = count
         if self.total_bytes <= self.limit_bytes:
             return None
         return max(held, key=held.get)
 
     def release(self, holder):
-        """Stops counting the arriving body of a holder."""
+        """Stops counting the arriving message of a holder."""
         self.total_bytes -= self._bytes_by_holder.pop(holder, 0)
 
     def complete(self, holder):
-        """Keeps counting the body of a holder, which has arrived completely.
+        """Keeps counting the message of a holder, which has arrived completely.
 
         :returns: its bytes, for :meth:`release_complete`.
         """
         return self._bytes_by_holder.pop(holder, 0)
 
     def release_complete(self, count):
-        """Stops counting a complete body."""
+        """Stops counting a complete message."""
         self.total_bytes -= count
--- a/briarspoke/entry/relays.py
+++ b/briarspoke/entry/relays.py
@@ -107,8 +107,6 @@
 class FollowerLink(basic.Int32StringReceiver):
     """The relay's side of the connection to a follower."""
 
-    MAX_LENGTH = MAX_FRAME_BYTES
-
     def __init__(self, relay):
         self._relay = relay
 
@@ -118,8 +116,8 @@
     def connectionLost(self, reason):
         self._relay.links.discard(self)
 
-    def stringReceived(self, string):
-        """Ignores the frame; followers send none."""
+    def dataReceived(self, data):
+        """Drops the data; followers send none."""
 
 
 class Relay(protocol.ServerFactory):
--- a/briarspoke/entry/status.py
+++ b/briarspoke/entry/status.py
@@ -5,6 +5,16 @@
 from twisted.web import resource, server
 
 
+class PageRequest(server.Request):
+    """A request whose body is dropped, since no page reads one."""
+
+    def gotLength(self, length):
+        super().gotLength(0)
+
+    def handleContentChunk(self, data):
+        pass
+
+
 class Page(resource.Resource):
     """A plain-text page with a callback for its content.
 
@@ -38,7 +48,7 @@
         parent.putChild(directory, child)
         parent = child
     parent.putChild(name, Page(read))
-    page_site = server.Site(root)
+    page_site = server.Site(root, requestFactory=PageRequest)
     page_site.noisy = False
     # The load balancer's readiness checks would fill the log.
     page_site.log = lambda request: None
