--- a/briarspoke/entry/callers.py
+++ b/briarspoke/entry/callers.py
@@ -9,7 +9,7 @@
 
 from briarspoke import codes
 from briarspoke.entry import answers
-from briarspoke.entry.arriving import ArrivingBody, header_bytes
+from briarspoke.entry.arriving import ArrivingBody, Body, header_bytes
 from briarspoke.entry.exchange import Exchange, Request
 from briarspoke.http.transports import write_immediately
 from briarspoke.platform import headers as header_names
@@ -160,7 +160,7 @@
 
     def on_message_complete(self):
         self._in_body = False
-        request = self._request(self._body.data())
+        request = self._request(self._body.body())
         self.node.held_requests.update(self, self._held_bytes)
         request.held_bytes = self.node.held_requests.complete(self)
         self._request_started_at = None
@@ -242,7 +242,7 @@
 
     def _refuse_if_too_late(self):
         """Refuses the arriving request if its answer may come after the stop."""
-        if not self.exchanges and self.node.may_outlast_stop(self._request(b"")):
+        if not self.exchanges and self.node.may_outlast_stop(self._request(Body())):
             self._reject(codes.SHUTTING_DOWN, self.node.RETRY_AFTER_UNAVAILABLE_S)
 
     def _reject(self, code, retry_after_s=None):
--- a/briarspoke/entry/connections.py
+++ b/briarspoke/entry/connections.py
@@ -8,8 +8,8 @@
 import httptools
 from twisted.internet import error, protocol
 
-from briarspoke.entry.arriving import ArrivingBody, header_bytes
-from briarspoke.http.transports import write_immediately
+from briarspoke.entry.arriving import ArrivingBody, Body, header_bytes
+from briarspoke.entry.sending import write_request
 
 # httptools limits the size of neither headers nor bodies.
 MAX_ANSWER_BYTES = 64 << 20
@@ -22,6 +22,8 @@
 # A connection is closed if sent data stays unacknowledged for this long.
 UNACKNOWLEDGED_DATA_TIMEOUT_MS = 4_000
 
+NO_BODY = Body()
+
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)", re.IGNORECASE)
 
 
@@ -74,6 +76,8 @@
         # has not announced it.
         self.keep_alive_s = None
         self._exchange_count = 0
+        # Writes the body of the request while it is large and not sent, or None.
+        self._body_producer = None
         # Hashes of the echo values of all requests so far.
         self._carried = set()
         self._echo_name = None
@@ -110,10 +114,11 @@
         """
         return hash(echo) in self._carried
 
-    def exchange(self, data, listener, *, is_head=False, echo=None):
+    def exchange(self, head, listener, *, body=NO_BODY, is_head=False, echo=None):
         """Writes a whole request.
 
-        :param data: the request as bytes.
+        :param head: the head as bytes.
+        :param body: the :class:`briarspoke.entry.arriving.Body`.
         :param listener: called once with the :class:`Answer`.
         :param is_head: whether the method is HEAD.
         :param echo: (header, value) that the answer must repeat. An answer with another
@@ -130,7 +135,24 @@
             if len(self._carried) >= MAX_REQUESTS_PER_CONNECTION:
                 self.reusable = False
         self._parser = httptools.HttpResponseParser(self)
-        write_immediately(self.transport, data)
+        self._body_producer = write_request(self.transport, head, body)
+
+    @property
+    def _is_request_sent(self):
+        if self._body_producer is not None and not self._body_producer.is_finished:
+            return False
+        return not (self.transport.dataBuffer or self.transport._tempDataBuffer)
+
+    def close(self):
+        """Closes the connection after an answer.
+
+        What is left of the request is dropped: the server has answered without it, and
+        it would be held until the server has read it.
+        """
+        if self._is_request_sent:
+            self.transport.loseConnection()
+        else:
+            self.transport.abortConnection()
 
     def abandon(self):
         """Closes the connection; the listener is not called any more."""
@@ -243,9 +265,9 @@
         answer = Answer(
             status=self._parser.get_status_code(),
             headers=self._headers,
-            body=self._body.data(),
+            body=self._body.body().join(),
         )
-        if self.transport.dataBuffer or self.transport._tempDataBuffer:
+        if not self._is_request_sent:
             # The server answered before the whole request was sent.
             self.reusable = False
         self._parser = None
--- a/briarspoke/entry/exchange.py
+++ b/briarspoke/entry/exchange.py
@@ -6,6 +6,7 @@
 
 from briarspoke import codes
 from briarspoke.entry import answers
+from briarspoke.entry.arriving import Body
 from briarspoke.entry.crashes import CRASH_FAILURES
 from briarspoke.entry.servers import WITHDRAWN
 from briarspoke.http.upstream import HOP_BY_HOP
@@ -43,7 +44,7 @@
     :param method: HTTP method in bytes.
     :param target: path and query in bytes.
     :param headers: list of (name in lower case, value) in bytes.
-    :param body: the body as bytes.
+    :param body: the :class:`briarspoke.entry.arriving.Body`.
     :param arrived_at: monotonic seconds of its first byte.
     :param completed_at: monotonic seconds of its last byte.
     """
@@ -259,8 +260,9 @@
             self.node.rate_limits.take_permit(server)
         request = self.request
         self.upstream_request = server.send(
-            self._encode(server, now),
+            self._encode_head(server, now),
             self._handle_answer,
+            body=request.body,
             idempotent=self.route.idempotent,
             objective_s=self.route.objective_s,
             echo=(header_names.REQUEST_ID, request.request_id)
@@ -269,7 +271,7 @@
             is_head=request.method == b"HEAD",
         )
 
-    def _encode(self, server, now):
+    def _encode_head(self, server, now):
         request = self.request
         if self._encoded_head is None:
             options = connection_options(request.headers)
@@ -281,13 +283,12 @@
                 parts.append(b"content-length: %d" % len(request.body))
             self._encoded_head = b"\r\n".join(parts)
         remaining_ms = max(1, int((self.expires_at - now) * 1000))
-        return b"%b\r\n%b: %d\r\n%b: %b\r\n\r\n%b" % (
+        return b"%b\r\n%b: %d\r\n%b: %b\r\n\r\n" % (
             self._encoded_head,
             header_names.DEADLINE_MS,
             remaining_ms,
             header_names.TARGET_SERVER,
             server.target,
-            request.body,
         )
 
     def _handle_answer(self, answer):
@@ -540,7 +541,7 @@
 
     def _release_body(self):
         # The timer keeps a reference to the exchange until the deadline.
-        self.request.body = b""
+        self.request.body = Body()
         self.node.held_requests.release_complete(self.request.held_bytes)
 
     def encode(self, *, close):
--- a/briarspoke/entry/fingerprints.py
+++ b/briarspoke/entry/fingerprints.py
@@ -94,8 +94,9 @@
                 _update(caller, name)
                 _update(caller, value)
         content = self._hash(CONTENT_BYTES)
-        for part in (request.method, request.target, request.body):
-            _update(content, part)
+        _update(content, request.method)
+        _update(content, request.target)
+        _update(content, *request.body.blocks)
         return caller.digest() + content.digest()
 
     def _hash(self, size):
@@ -107,7 +108,8 @@
     return fingerprint[:CALLER_BYTES]
 
 
-def _update(digest, part):
+def _update(digest, *part):
     # The length separates the parts.
-    digest.update(b"%d:" % len(part))
-    digest.update(part)
+    digest.update(b"%d:" % sum(len(block) for block in part))
+    for block in part:
+        digest.update(block)
--- a/briarspoke/entry/httpclient.py
+++ b/briarspoke/entry/httpclient.py
@@ -98,7 +98,7 @@
             connection.idle_since = self._clock()
             self._idle.append(connection)
         else:
-            connection.transport.loseConnection()
+            connection.close()
 
     def connection_lost(self, connection):
         """Removes a closed connection from the idle ones."""
--- a/briarspoke/entry/servers.py
+++ b/briarspoke/entry/servers.py
@@ -227,10 +227,11 @@
         """Sends no requests to the server for a number of seconds."""
         self.intake.pause(self._clock() + seconds)
 
-    def send(self, data, listener, *, idempotent, objective_s, echo, is_head):
+    def send(self, head, listener, *, body, idempotent, objective_s, echo, is_head):
         """Sends a whole request on an idle or a new connection.
 
-        :param data: the request as bytes.
+        :param head: the head as bytes.
+        :param body: the :class:`briarspoke.entry.arriving.Body`.
         :param listener: called with the :class:`Answer`.
         :param idempotent: whether the request may run twice.
         :param objective_s: latency objective in seconds.
@@ -240,7 +241,9 @@
         :param is_head: whether the method is HEAD.
         :returns: an :class:`UpstreamRequest` that can be abandoned.
         """
-        upstream_request = UpstreamRequest(data, listener, echo=echo, is_head=is_head)
+        upstream_request = UpstreamRequest(
+            head, listener, body=body, echo=echo, is_head=is_head
+        )
         connection = None
         if echo is not None:
             connection = self._take_idle(
@@ -318,7 +321,7 @@
         if connection.reusable:
             self._keep_idle(connection)
         else:
-            connection.transport.loseConnection()
+            connection.close()
 
     def _keep_idle(self, connection):
         connection.idle_since = self._clock()
@@ -333,25 +336,28 @@
 class UpstreamRequest:
     """One attempt to send a request to a server.
 
-    :param data: the request as bytes.
+    :param head: the head as bytes.
     :param listener: called with the :class:`Answer`.
+    :param body: the :class:`briarspoke.entry.arriving.Body`.
     """
 
     __slots__ = (
+        "_body",
         "_connection",
-        "_data",
         "_echo",
+        "_head",
         "_is_head",
         "abandoned",
         "listener",
         "written",
     )
 
-    def __init__(self, data, listener, *, echo, is_head):
+    def __init__(self, head, listener, *, body, echo, is_head):
         self.listener = listener
         self.abandoned = False
         self.written = False
-        self._data = data
+        self._head = head
+        self._body = body
         self._echo = echo
         self._is_head = is_head
         self._connection = None
@@ -360,11 +366,18 @@
         """Writes the request to a connection."""
         self.written = True
         self._connection = connection
-        data, self._data = self._data, None
-        connection.exchange(data, self.listener, is_head=self._is_head, echo=self._echo)
+        body, self._body = self._body, None
+        connection.exchange(
+            self._head,
+            self.listener,
+            body=body,
+            is_head=self._is_head,
+            echo=self._echo,
+        )
 
     def abandon(self):
         """Closes the connection; servers then cancel the request."""
         self.abandoned = True
+        self._body = None
         if self._connection is not None and self._connection.listener is not None:
             self._connection.abandon()
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -333,6 +333,11 @@
         host, port, factory, _, _ = self.reactor.tcpClients.pop(0)
         return Peer(factory.buildProtocol(None)), (host, port)
 
+    def accept_stalled(self):
+        """Accepts the oldest connection attempt at a peer that reads nothing."""
+        _, _, factory, _, _ = self.reactor.tcpClients.pop(0)
+        return Peer(factory.buildProtocol(None), stalled=True)
+
     def refuse(self):
         """Refuses the oldest connection attempt."""
         _, _, factory, _, _ = self.reactor.tcpClients.pop(0)
@@ -342,9 +347,10 @@
 class Peer:
     """The remote side of a connection to an entry VM's protocol."""
 
-    def __init__(self, protocol):
+    def __init__(self, protocol, *, stalled=False):
         self.protocol = protocol
         self.socket = ServerSocket()
+        self.socket.stalled = stalled
         protocol.makeConnection(self.socket)
 
     def send(self, data):
--- a/tests/http_fakes.py
+++ b/tests/http_fakes.py
@@ -26,6 +26,13 @@
     connected = True
     producerPaused = False
     write_ended = False
+    # Whether the peer reads nothing, so that a producer of data has to wait.
+    stalled = False
+
+    def registerProducer(self, producer, streaming):
+        super().registerProducer(producer, streaming)
+        while self.producer is not None and not self.stalled:
+            producer.resumeProducing()
 
     def write(self, data):
         if not self.write_ended:
--- a/tests/test_entry_endless.py
+++ b/tests/test_entry_endless.py
@@ -14,6 +14,7 @@
 from twisted.internet.testing import StringTransport
 
 from briarspoke.entry import status
+from briarspoke.entry.arriving import BLOCK_BYTES, ArrivingBody
 from briarspoke.entry.heldbytes import HeldBytes
 
 MB = 1 << 20
@@ -227,6 +228,26 @@
         assert status_of(caller.take()) == 408
 
 
+class TestArrivingBody:
+    @pytest.mark.parametrize("size", [1, 2, 1000, 40_000, 70_000])
+    def test_pieces_of_any_size_become_blocks(self, size):
+        arriving, expected = ArrivingBody(), b""
+        for number in range(max(3, 300_000 // size)):
+            piece = bytes([number % 256]) * size
+            arriving.append(piece)
+            expected += piece
+        body = arriving.body()
+        assert body.join() == expected
+        assert len(body) == len(expected)
+        assert len(body.blocks) <= 2 + 2 * len(expected) // BLOCK_BYTES
+        assert arriving.held_bytes <= 1.3 * len(expected) + 200
+
+    def test_one_piece_is_not_copied(self):
+        arriving, piece = ArrivingBody(), b"x" * 1000
+        arriving.append(piece)
+        assert arriving.body().join() is piece
+
+
 class TestHeldBytes:
     def test_the_largest_body_is_given_up(self):
         held = HeldBytes(limit_bytes=100)
@@ -286,3 +307,41 @@
         # A quarter of the memory for requests is the largest share; the rest is for
         # data that is being parsed.
         assert int(run.stdout) < 0.4 * self.MEMORY_MB * MB
+
+
+class TestCopiesOfALargeBody:
+    """Guards against a copy of a body for each server to which it was sent: servers
+    that reject uploads early and read on slowly took a VM over its memory.
+    """
+
+    BODY_BYTES = 900_000
+
+    def upload(self, world):
+        caller = world.caller(world.node)
+        data = request(**{**ORDER, "body": b"xy" * (self.BODY_BYTES // 2)})
+        for begin in range(0, len(data), 9_999):
+            caller.send(data[begin : begin + 9_999])
+        return caller
+
+    def test_little_of_it_waits_at_a_server_that_reads_nothing(self, world):
+        self.upload(world)
+        server = world.accept_stalled()
+        assert len(server.take()) < 2 * BLOCK_BYTES
+
+    def test_nothing_waits_after_an_early_rejection(self, world):
+        caller = self.upload(world)
+        server = world.accept_stalled()
+        server.send(answer(503, extra="Not-Executed: 1"))
+        assert server.socket.aborted
+        world.advance(1.5)
+        assert status_of(caller.take()) == 503
+
+    def test_the_whole_body_arrives(self, world):
+        caller = self.upload(world)
+        server, _ = world.accept()
+        head, _, body = server.take().partition(b"\r\n\r\n")
+        assert b"content-length: %d" % self.BODY_BYTES in head.lower()
+        assert body == b"xy" * (self.BODY_BYTES // 2)
+        server.send(answer())
+        assert status_of(caller.take()) == 200
+        assert not server.socket.aborted
