--- a/briarspoke/entry/connections.py
+++ b/briarspoke/entry/connections.py
@@ -24,6 +24,8 @@
 
 NO_BODY = Body()
 
+# Begin of an answer; inside the head of another one, it shows that the other broke off.
+_STATUS_LINE = re.compile(rb"HTTP/1\.[01] \d{3}")
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)", re.IGNORECASE)
 
 
@@ -87,6 +89,7 @@
     def _reset_parser(self):
         self._parser = None
         self._headers = []
+        self._reason = b""
         self._head_bytes = 0
         self._body = ArrivingBody()
         self._received_bytes = 0
@@ -209,10 +212,15 @@
             self.reusable = False
             return
         self._headers = []
+        self._reason = b""
         self._head_bytes = 0
         self._body = ArrivingBody()
         self._skipping = False
 
+    def on_status(self, reason):
+        if not self._complete:
+            self._reason += reason
+
     def on_header(self, name, value):
         if self._complete:
             return
@@ -221,7 +229,11 @@
 
     def on_headers_complete(self):
         status = self._parser.get_status_code()
-        if self._complete or status < 200:
+        if self._complete:
+            return
+        if self._exchange_count > 1 and self._has_second_status_line():
+            raise ValueError("an extra answer broke off in its head")
+        if status < 200:
             return
         framed = self._is_head or status in (204, 304)
         for name, value in self._headers:
@@ -247,6 +259,17 @@
         if self._is_head and not self._skipping:
             self._complete = True
 
+    def _has_second_status_line(self):
+        """Returns whether the head of the answer continues with another answer.
+
+        A late extra answer that breaks off before its identifier would lend its status
+        to the next answer. Where it breaks off elsewhere, the parser reports an error.
+        """
+        return any(
+            _STATUS_LINE.search(text)
+            for text in (self._reason, *(value for _, value in self._headers))
+        )
+
     def on_body(self, data):
         if self._complete:
             return
--- a/tests/test_entry_second_answers.py
+++ b/tests/test_entry_second_answers.py
@@ -94,3 +94,33 @@
             server.send(answer(request_id=f"r{number}"))
             assert caller.take().startswith(b"HTTP/1.1 200")
         assert number == 1_000 and not world.reactor.tcpClients
+
+
+class TestExtraAnswerThatBreaksOff:
+    """Guards against a late extra answer that breaks off and lends its status to the
+    next answer: a booking that has run was answered with 503, or sent again.
+    """
+
+    @pytest.mark.parametrize("status", [200, 429, 503])
+    def test_its_status_is_not_that_of_the_next_answer(self, world, status):
+        extra = answer(status, request_id="r1", extra="Not-Executed: 1")
+        caller, server = world.caller(world.node), None
+        for cut in range(1, len(extra) + 1):
+            first, second = f"r{cut}-1", f"r{cut}-2"
+            caller.send(request(**{**BOOKING, "request_id": first}))
+            server = world.accept()[0] if world.reactor.tcpClients else server
+            server.take()
+            server.send(answer(request_id=first))
+            assert caller.take().startswith(b"HTTP/1.1 200")
+            caller.send(request(**{**BOOKING, "request_id": second}))
+            assert server.take()
+            server.send(extra[:cut] + answer(request_id=second, body=b"booked"))
+            if not server.socket.aborted:
+                world.advance(1.1)
+            got = caller.take()
+            assert not server.take()
+            assert got.startswith((b"HTTP/1.1 200", b"HTTP/1.1 502", b"HTTP/1.1 504"))
+            if got.startswith(b"HTTP/1.1 200"):
+                assert got.endswith(b"booked")
+            if not server.socket.aborted:
+                server.close()
