Give up calls to the store after a silence, not while their answer arrives (CONFIG)

Cause: the timeout of a watch bounded the whole call.

Change: watches and reads are given up after 0.6 s without a byte and 5 s after their timeout at the latest. Other calls keep their timeout. The error says how many bytes had come.

--- a/briarspoke/entry/connections.py
+++ b/briarspoke/entry/connections.py
@@ -37,16 +37,27 @@
     :param failure: ``connect``, ``refused``, ``closed``, ``reset``, ``malformed``
         or ``timeout``; empty for an answer.
     :param sent: whether any of the request was written.
+    :param received_bytes: bytes that had arrived when the call failed.
     """
 
-    __slots__ = ("body", "failure", "headers", "sent", "status")
-
-    def __init__(self, *, status=None, headers=(), body=b"", failure="", sent=True):
+    __slots__ = ("body", "failure", "headers", "received_bytes", "sent", "status")
+
+    def __init__(
+        self,
+        *,
+        status=None,
+        headers=(),
+        body=b"",
+        failure="",
+        sent=True,
+        received_bytes=0,
+    ):
         self.status = status
         self.headers = headers
         self.body = body
         self.failure = failure
         self.sent = sent
+        self.received_bytes = received_bytes
 
     def get(self, name):
         """Returns the first value of a header, or None.
@@ -66,6 +77,7 @@
         ``connection_lost(connection)`` and ``exchange_ended(connection)``.
     :param held_answers: the :class:`briarspoke.entry.heldbytes.HeldBytes` of all
         answers that arrive at the process.
+    :ivar received_bytes: bytes that have arrived since the request was written.
     """
 
     def __init__(self, handler, held_answers):
@@ -92,7 +104,7 @@
         self._reason = b""
         self._head_bytes = 0
         self._body = ArrivingBody()
-        self._received_bytes = 0
+        self.received_bytes = 0
         self._body_bytes = 0
         self._is_head = False
         self._until_close = False
@@ -174,7 +186,7 @@
             # Bytes outside an exchange could be mistaken for the next answer.
             self.abandon()
             return
-        self._received_bytes += len(data)
+        self.received_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -202,7 +214,7 @@
         The parser keeps an unfinished header line, and skips chunk extensions and
         interim answers, without any limit.
         """
-        framing_bytes = self._received_bytes - self._body_bytes
+        framing_bytes = self.received_bytes - self._body_bytes
         return framing_bytes > (
             MAX_FRAMING_BYTES + FRAMING_BYTES_PER_BODY_BYTE * self._body_bytes
         )
--- a/briarspoke/platform/keyvalue.py
+++ b/briarspoke/platform/keyvalue.py
@@ -30,6 +30,9 @@
 # The store answers a watch at the end of its wait. If no answer has come this long
 # after the wait, the connection is dead.
 WATCH_GRACE_S = 0.6
+# Items may be larger than a narrow link carries within a timeout, and a call that is
+# repeated begins them again.
+MAX_ARRIVAL_S = 5.0
 # Statuses that tell something of the store's items or leases.
 STATUSES_OF_STATE = (200, 404, 410, 412)
 
@@ -177,14 +180,24 @@
         for watch in list(self._watches):
             watch.cancel()
 
-    async def _call(self, kind, method, path, body=None, timeout_s=CALL_TIMEOUT_S):
+    async def _call(
+        self,
+        kind,
+        method,
+        path,
+        body=None,
+        timeout_s=CALL_TIMEOUT_S,
+        arrival_s=0.0,
+    ):
         """Makes a call and returns the JSON value of its answer.
 
         The answer is of the era that is known when the call returns.
         """
         data = b"" if body is None else json.dumps(body).encode()
         sent_at = self._clock()
-        pending = self._http.call(method, path, data, timeout_s=timeout_s)
+        pending = self._http.call(
+            method, path, data, timeout_s=timeout_s, arrival_s=arrival_s
+        )
         if kind == "watch":
             self._watches.add(pending)
         try:
@@ -197,7 +210,12 @@
         outcome = str(answer.status) if answer.status else answer.failure
         self._count(kind, outcome, self._clock() - sent_at)
         if answer.status is None:
-            raise StoreError(f"{kind}: {answer.failure}", outcome_unknown=answer.sent)
+            detail = (
+                f" after {answer.received_bytes} bytes" if answer.received_bytes else ""
+            )
+            raise StoreError(
+                f"{kind}: {answer.failure}{detail}", outcome_unknown=answer.sent
+            )
         era = _decode_era(answer)
         if era is not None:
             self.learn_era(era)
@@ -249,7 +267,13 @@
             path = "/briarspoke/kv-range?prefix=" + quote(prefix, safe="")
             if after:
                 path += "&after=" + quote(after, safe="")
-            body = await self._call("range", b"GET", path, timeout_s=READ_TIMEOUT_S)
+            body = await self._call(
+                "range",
+                b"GET",
+                path,
+                timeout_s=READ_TIMEOUT_S,
+                arrival_s=MAX_ARRIVAL_S,
+            )
             if revision is None:
                 revision = require_field(body, "store_revision", int)
                 era = self.era
@@ -282,7 +306,13 @@
         """
         self._require_era(era, "watch")
         path = f"/briarspoke/kv-watch?prefix=&after={after}&wait_ms={int(wait_s * 1e3)}"
-        body = await self._call("watch", b"GET", path, timeout_s=wait_s + WATCH_GRACE_S)
+        body = await self._call(
+            "watch",
+            b"GET",
+            path,
+            timeout_s=wait_s + WATCH_GRACE_S,
+            arrival_s=MAX_ARRIVAL_S,
+        )
         self._require_era(era, "watch")
         return Changes(
             items=[
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -163,6 +163,7 @@
         headers=(),
         connection=None,
         new_connection=False,
+        arrival_s=0.0,
     ):
         done = defer.Deferred()
         later = self._world.reactor.callLater
