--- a/tests/http_fakes.py
+++ b/tests/http_fakes.py
@@ -31,7 +31,8 @@
 
     def registerProducer(self, producer, streaming):
         super().registerProducer(producer, streaming)
-        while self.producer is not None and not self.stalled:
+        # A pull producer is asked for more whenever the socket has sent everything.
+        while not streaming and self.producer is not None and not self.stalled:
             producer.resumeProducing()
 
     def write(self, data):
