--- a/briarspoke/entry/httpclient.py
+++ b/briarspoke/entry/httpclient.py
@@ -11,10 +11,6 @@
 MAX_IDLE_S = 4.0
 
 
-# A call whose answer arrives is given up after a silence of this length.
-MAX_SILENCE_S = 0.6
-
-
 class HttpClient:
     """Makes HTTP calls to one address on persistent connections.
 
@@ -43,7 +39,6 @@
         headers=(),
         connection=None,
         new_connection=False,
-        arrival_s=0.0,
     ):
         """Makes one call.
 
@@ -53,8 +48,6 @@
         :param connection: a connection that :meth:`take_idle` has returned, or None.
         :param new_connection: whether the call must not use a kept connection, on which
             a late second answer to an earlier call could be taken for its own.
-        :param arrival_s: time beyond the timeout for an answer that is arriving, in
-            seconds.
         :returns: a Deferred that fires with an :class:`Answer`, and with an error only
             if it is cancelled; the connection is then closed.
         """
@@ -71,11 +64,7 @@
         if connection is None and not new_connection:
             connection = self.take_idle()
         return _Call(
-            client=self,
-            connection=connection,
-            data=data,
-            timeout_s=timeout_s,
-            arrival_s=arrival_s,
+            client=self, connection=connection, data=data, timeout_s=timeout_s
         ).deferred
 
     def take_idle(self):
@@ -120,22 +109,10 @@
 class _Call:
     """A call in progress and its timeout."""
 
-    __slots__ = (
-        "_arrival_s",
-        "_client",
-        "_connection",
-        "_connector",
-        "_data",
-        "_received_bytes",
-        "_timer",
-        "deferred",
-    )
-
-    def __init__(self, *, client, connection, data, timeout_s, arrival_s):
+    __slots__ = ("_client", "_connection", "_connector", "_data", "_timer", "deferred")
+
+    def __init__(self, *, client, connection, data, timeout_s):
         self.deferred = defer.Deferred(self._cancelled)
-        self._arrival_s = arrival_s
-        # Bytes of the answer at the last look at the timeout.
-        self._received_bytes = 0
         self._client = client
         self._data = data
         self._connector = None
@@ -172,22 +149,7 @@
         deferred.errback(defer.CancelledError())
         self._give_up()
 
-    def _is_arriving(self):
-        """Returns whether more of the answer has arrived since the last look."""
-        if self._connection is None:
-            return False
-        before, self._received_bytes = (
-            self._received_bytes,
-            self._connection.received_bytes,
-        )
-        return self._received_bytes > before
-
     def _timed_out(self):
-        if self._arrival_s > 0 and self._is_arriving():
-            wait_s = min(MAX_SILENCE_S, self._arrival_s)
-            self._arrival_s -= wait_s
-            self._timer = self._client.call_later(wait_s, self._timed_out)
-            return
         sent = self._connection is not None
         received_bytes = self._connection.received_bytes if sent else 0
         self._give_up()
--- a/briarspoke/platform/keyvalue.py
+++ b/briarspoke/platform/keyvalue.py
@@ -30,10 +30,6 @@
 # The store answers a watch at the end of its wait. If no answer has come this long
 # after the wait, the connection is dead.
 WATCH_GRACE_S = 0.6
-# Items may be larger than a narrow link carries within a timeout, and a call that is
-# repeated begins them again.
-# Out of force until docs/incidents/issue-36-config.md is settled.
-MAX_ARRIVAL_S = 0.0
 # Statuses that tell something of the store's items or leases.
 STATUSES_OF_STATE = (200, 404, 410, 412)
 
@@ -181,24 +177,14 @@
         for watch in list(self._watches):
             watch.cancel()
 
-    async def _call(
-        self,
-        kind,
-        method,
-        path,
-        body=None,
-        timeout_s=CALL_TIMEOUT_S,
-        arrival_s=0.0,
-    ):
+    async def _call(self, kind, method, path, body=None, timeout_s=CALL_TIMEOUT_S):
         """Makes a call and returns the JSON value of its answer.
 
         The answer is of the era that is known when the call returns.
         """
         data = b"" if body is None else json.dumps(body).encode()
         sent_at = self._clock()
-        pending = self._http.call(
-            method, path, data, timeout_s=timeout_s, arrival_s=arrival_s
-        )
+        pending = self._http.call(method, path, data, timeout_s=timeout_s)
         if kind == "watch":
             self._watches.add(pending)
         try:
@@ -268,13 +254,7 @@
             path = "/briarspoke/kv-range?prefix=" + quote(prefix, safe="")
             if after:
                 path += "&after=" + quote(after, safe="")
-            body = await self._call(
-                "range",
-                b"GET",
-                path,
-                timeout_s=READ_TIMEOUT_S,
-                arrival_s=MAX_ARRIVAL_S,
-            )
+            body = await self._call("range", b"GET", path, timeout_s=READ_TIMEOUT_S)
             if revision is None:
                 revision = require_field(body, "store_revision", int)
                 era = self.era
@@ -307,13 +287,7 @@
         """
         self._require_era(era, "watch")
         path = f"/briarspoke/kv-watch?prefix=&after={after}&wait_ms={int(wait_s * 1e3)}"
-        body = await self._call(
-            "watch",
-            b"GET",
-            path,
-            timeout_s=wait_s + WATCH_GRACE_S,
-            arrival_s=MAX_ARRIVAL_S,
-        )
+        body = await self._call("watch", b"GET", path, timeout_s=wait_s + WATCH_GRACE_S)
         self._require_era(era, "watch")
         return Changes(
             items=[
