--- a/briarspoke/entry/callers.py
+++ b/briarspoke/entry/callers.py
@@ -126,7 +126,7 @@
 
     def on_headers_complete(self):
         self._in_body = True
-        if self.node.intake_ended and self._has_body():
+        if self.node.reading_ended and self._has_body():
             self._refuse_if_too_late()
             if self._input_ended:
                 raise ValueError("the request comes too late")
@@ -167,7 +167,7 @@
         self._reset_message()
         exchange = Exchange(node=self.node, connection=self, request=request)
         self.exchanges.append(exchange)
-        if self.node.intake_ended or not self._parser.should_keep_alive():
+        if self.node.reading_ended or not self._parser.should_keep_alive():
             self._end_input()
         if len(self.exchanges) >= MAX_PIPELINED and not self._paused:
             self._paused = True
@@ -225,7 +225,7 @@
         if self.exchanges:
             self.exchanges[-1].request.closes_connection = True
 
-    def end_intake(self):
+    def stop_reading(self):
         """Reads no further request, because the process stops.
 
         A request that is arriving with none before it is read to its end, unless it
--- a/briarspoke/entry/dispatch.py
+++ b/briarspoke/entry/dispatch.py
@@ -168,7 +168,7 @@
         due_at = self._node.answers_due_at
         if exchange.expires_at <= due_at:
             return math.inf
-        if exchange.request.completed_at > self._node.intake_ends_at:
+        if exchange.request.completed_at > self._node.reading_ends_at:
             return -math.inf
         needed_s = self._service_time(exchange.route).upper_s
         if server is not None:
--- a/briarspoke/entry/node.py
+++ b/briarspoke/entry/node.py
@@ -81,7 +81,7 @@
         self.stopping = False
         # Times from which on no further request is read from kept connections, and by
         # which all requests are answered, because the process stops.
-        self.intake_ends_at = math.inf
+        self.reading_ends_at = math.inf
         self.answers_due_at = math.inf
         self.key_maps = keymap.KeyMaps()
         self.key_load = KeyLoad()
@@ -338,9 +338,9 @@
         self.control.start()
 
     @property
-    def intake_ended(self):
+    def reading_ended(self):
         """Whether the process stops and reads nothing new from kept connections."""
-        return self.now() >= self.intake_ends_at
+        return self.now() >= self.reading_ends_at
 
     def may_outlast_stop(self, request):
         """Returns whether the time limit of a request ends after the process.
@@ -439,15 +439,15 @@
         self.stopping = True
         now = self.now()
         grace_s = self.settings.grace_s
-        self.intake_ends_at = now + min(BALANCER_REMOVAL_S, grace_s / 2)
+        self.reading_ends_at = now + min(BALANCER_REMOVAL_S, grace_s / 2)
         self.answers_due_at = now + grace_s - STOP_MARGIN_S
         log.info("entry: stops open_connections=%d", len(self.callers))
         self.spawn(self.control.stop())
         self.spawn(self.registry.leave())
-        await self.sleep(self.intake_ends_at - now)
+        await self.sleep(self.reading_ends_at - now)
         while True:
             for connection in list(self.callers):
-                connection.end_intake()
+                connection.stop_reading()
             if not self.callers or self.now() >= self.answers_due_at:
                 break
             await self.sleep(TICK_INTERVAL_S)
--- a/tests/test_entry_closing.py
+++ b/tests/test_entry_closing.py
@@ -103,7 +103,7 @@
         assert servers.received == ["first"]
         self.check_not_sent(world, caller)
 
-    def test_end_of_the_intake(self, world):
+    def test_end_of_reading_during_a_stop(self, world):
         caller = world.caller(world.node)
         caller.send(request(request_id="first", **LOOKUP))
         defer.ensureDeferred(world.node.stop())
