Read a caller only while it reads its answers

Seen: a caller that sends requests and reads nothing made an entry VM with 300 MB take 847 MB (loopback play on: eight connections, answers of 30 kB, 20 s). One client ends the requests of all others.

Cause: answers were written to the transport whatever waited there, no limit counted them, and reading was paused for pending requests only, after the whole segment had been parsed.

Change: answers are written while less than 64 KiB wait, requests begin only then, and input is parsed in pieces of 8 KiB. What waits for callers counts to a share of the memory; beyond it the connection with the most is reset, and one that takes nothing for the idle timeout. A connection that lingers after its last answer is reset 1 s after the answer has been taken, no more 1 s after it was written.

--- a/briarspoke/entry/callers.py
+++ b/briarspoke/entry/callers.py
@@ -10,12 +10,16 @@
 from briarspoke import codes
 from briarspoke.entry import answers
 from briarspoke.entry.arriving import ArrivingBody, Body, header_bytes
+from briarspoke.entry.calleroutput import CallerOutput
 from briarspoke.entry.exchange import Exchange, Request
 from briarspoke.http.transports import write_immediately
 from briarspoke.platform import headers as header_names
 
-# Requests of one connection that are processed concurrently.
+# Requests of one connection that are processed concurrently, and a few more: as many as
+# one piece of input has.
 MAX_PIPELINED = 16
+# Input is parsed in pieces of this size, since the parser cannot stop within one.
+PARSED_BYTES = 8192
 # A request may have this many bytes of chunk headers for each byte of its body.
 FRAMING_BYTES_PER_BODY_BYTE = 8
 # Time for which a connection that is closed for writing is still read.
@@ -37,7 +41,11 @@
         # Time of the last data from the caller.
         self.data_at = node.now()
         self._request_started_at = None
+        # Input that waits until answers have been given.
+        self._unparsed = b""
+        self._parsing = False
         self._paused = False
+        self._output = None
         # Whether the closing of the connection has been decided, so that no request
         # begins any more; earlier ones may be pending.
         self._input_ended = False
@@ -56,12 +64,18 @@
 
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
+        self._output = CallerOutput(
+            transport=self.transport,
+            held_output=self.node.held_output,
+            on_drained=self.answer_ready,
+        )
         self.node.callers.add(self)
 
     def connectionLost(self, reason):
         self.node.callers.discard(self)
         self._end_input()
         self.closing = True
+        self._output.release()
         while self.exchanges:
             self.exchanges.popleft().caller_gone()
 
@@ -69,6 +83,45 @@
         if self._input_ended:
             return
         self.data_at = self.node.now()
+        self._unparsed += data
+        self._parse()
+
+    @property
+    def _may_begin(self):
+        """Whether further requests may begin."""
+        return len(self.exchanges) < MAX_PIPELINED and not self._output.is_blocked
+
+    def _parse(self):
+        """Parses the input until enough requests are pending; reads more if not."""
+        if self._parsing:
+            # An answer was given while the input is being parsed.
+            return
+        self._parsing = True
+        data, position = self._unparsed, 0
+        try:
+            while position < len(data) and not self._input_ended and self._may_begin:
+                piece = data[position : position + PARSED_BYTES]
+                position += len(piece)
+                self._feed(piece)
+        finally:
+            self._parsing = False
+            self._unparsed = b"" if self._input_ended else data[position:]
+        self._pause_or_resume()
+
+    def _pause_or_resume(self):
+        """Reads from the socket only while requests may begin.
+
+        A connection that is going to be closed is read, so that its end is noticed.
+        """
+        may_read = self._input_ended or self._may_begin
+        if may_read and self._paused:
+            self._paused = False
+            self.transport.resumeProducing()
+        elif not may_read and not self._paused:
+            self._paused = True
+            self.transport.pauseProducing()
+
+    def _feed(self, data):
         if self._request_started_at is None:
             self._request_started_at = self.node.now()
         self._received_bytes += len(data)
@@ -169,9 +222,6 @@
         self.exchanges.append(exchange)
         if self.node.reading_ended or not self._parser.should_keep_alive():
             self._end_input()
-        if len(self.exchanges) >= MAX_PIPELINED and not self._paused:
-            self._paused = True
-            self.transport.pauseProducing()
         exchange.start()
 
     def _request(self, body):
@@ -186,28 +236,30 @@
         )
 
     def answer_ready(self):
-        """Writes all answers that are ready and next in order."""
-        while self.exchanges and self.exchanges[0].answer is not None:
+        """Writes the answers that are ready and next in order, as the caller reads."""
+        while (
+            self.exchanges
+            and self.exchanges[0].answer is not None
+            and not self._output.is_blocked
+        ):
             exchange = self.exchanges.popleft()
             closes_connection = exchange.request.closes_connection or (
                 self.node.stopping and not self.exchanges
             )
-            write_immediately(self.transport, exchange.encode(close=closes_connection))
+            self._output.write(exchange.encode(close=closes_connection))
             self.idle_since = self.node.now()
             if closes_connection:
                 self._close()
-                return
-        if self._paused and len(self.exchanges) < MAX_PIPELINED:
-            self._paused = False
-            self.transport.resumeProducing()
+                break
+        self._output.count(sum(exchange.answer_bytes for exchange in self.exchanges))
+        self._parse()
 
     def _close(self):
         """Closes the connection after its last answer."""
         self._end_input()
         self.closing = True
-        if self._paused:
-            self._paused = False
-            self.transport.resumeProducing()
+        self._pause_or_resume()
+        self._output.end()
         # Closing a socket with unread data resets the connection, and the caller might
         # lose the answer in transit.
         self.transport.loseWriteConnection()
@@ -220,6 +272,7 @@
         caller knows that those behind it were not read.
         """
         self._input_ended = True
+        self._unparsed = b""
         self._body = ArrivingBody()
         self.node.held_requests.release(self)
         if self.exchanges:
@@ -254,27 +307,34 @@
             return
         self.node.request_log.log_result(code, None)
         request_id = dict(self._headers).get(header_names.REQUEST_ID, b"")
-        write_immediately(
-            self.transport,
+        self._output.write(
             answers.result_answer(
                 code,
                 request_id=request_id,
                 run="no",
                 retry_after_s=retry_after_s,
                 close=True,
-            ),
+            )
         )
         self._close()
 
     def check_timeouts(self, now, limits):
-        """Closes the connection if its linger, header or idle timeout has expired.
+        """Closes the connection if one of its timeouts has expired.
+
+        The timeouts of input do not run while this VM reads nothing.
 
         :param now: monotonic seconds.
         :param limits: the :class:`briarspoke.entry.routes.CallerLimits`.
         """
-        if self.lingers_until is not None:
-            if now > self.lingers_until:
+        if self._output.is_stalled(now, limits.idle_timeout_s):
+            self.transport.abortConnection()
+        elif self.lingers_until is not None:
+            if self._output.unsent_bytes:
+                self.lingers_until = now + LINGER_S
+            elif now > self.lingers_until:
                 self.transport.abortConnection()
+        elif self._paused:
+            return
         elif self._request_started_at is not None:
             head_late = now - self._request_started_at > limits.head_timeout_s
             body_stalled = now - self.data_at > limits.idle_timeout_s
@@ -302,6 +362,7 @@
         # until the connection ends.
         self._end_input()
         self.closing = True
+        self._output.end()
         self.transport.loseConnection()
 
 
--- a/briarspoke/entry/exchange.py
+++ b/briarspoke/entry/exchange.py
@@ -544,6 +544,13 @@
         self.request.body = Body()
         self.node.held_requests.release_complete(self.request.held_bytes)
 
+    @property
+    def answer_bytes(self):
+        """Bytes of the server's answer while it waits for its turn."""
+        if self.answer is None or isinstance(self.answer, tuple):
+            return 0
+        return len(self.answer.body)
+
     def encode(self, *, close):
         """Returns the answer as bytes.
 
--- a/briarspoke/entry/node.py
+++ b/briarspoke/entry/node.py
@@ -45,9 +45,10 @@
 # Time to send these final answers before the process ends.
 FLUSH_S = 0.3
 LISTEN_BACKLOG = 512
-# Shares of the VM's memory for bodies of answers that arrive, and for bodies of
-# requests until they are answered.
+# Shares of the VM's memory for answers that arrive, for answers that wait for their
+# callers, and for requests until they are answered.
 ANSWERS_SHARE = 0.1
+OUTPUT_SHARE = 0.1
 REQUESTS_SHARE = 0.25
 
 
@@ -74,6 +75,7 @@
         self.callers = set()
         memory_bytes = settings.memory_mb << 20
         self.held_answers = HeldBytes(limit_bytes=int(ANSWERS_SHARE * memory_bytes))
+        self.held_output = HeldBytes(limit_bytes=int(OUTPUT_SHARE * memory_bytes))
         self.held_requests = HeldBytes(limit_bytes=int(REQUESTS_SHARE * memory_bytes))
         self.routing_table = None
         # Monotonic time at which the configuration came into force.
--- a/tests/http_fakes.py
+++ b/tests/http_fakes.py
@@ -26,8 +26,11 @@
     connected = True
     producerPaused = False
     write_ended = False
-    # Whether the peer reads nothing, so that a producer of data has to wait.
+    # Whether the peer reads nothing, so that what is written waits.
     stalled = False
+    offset = 0
+    _tempDataLen = 0
+    bufferSize = 65_536
 
     def registerProducer(self, producer, streaming):
         super().registerProducer(producer, streaming)
@@ -36,10 +39,23 @@
             producer.resumeProducing()
 
     def write(self, data):
-        if not self.write_ended:
-            super().write(data)
+        if self.write_ended:
+            return
+        super().write(data)
+        if self.stalled:
+            self._tempDataLen += len(data)
+            if self.streaming and self._tempDataLen > self.bufferSize:
+                self.producer.pauseProducing()
+
+    def drain(self):
+        """Lets the peer read all that waits."""
+        self._tempDataLen = 0
+        if self.producer is not None and self.streaming:
+            self.producer.resumeProducing()
 
     def writeSomeData(self, data):
+        if self.stalled:
+            return 0
         self.write(bytes(data))
         return len(data)
 
--- /dev/null
+++ b/tests/test_entry_slow_callers.py
@@ -0,0 +1,120 @@
+"""Callers that read their answers slowly or not at all."""
+
+from __future__ import annotations
+
+import pytest
+from entry_fakes import World, answer, configuration, request, route
+from test_entry_closing import Servers, close_after
+
+LOOKUP = {"key": None, "deadline": 9000}
+ANSWER_BYTES = 30_000
+# Requests that may begin on one connection: 16, and those of one piece of input.
+MOST_BEGUN = 16 + 8192 // 90
+
+
+class AnsweringServers(Servers):
+    """Answers each request at once with a large body."""
+
+    def answer_all(self):
+        self.step()
+        while self._pending:
+            peer, request_id = self._pending.pop(0)
+            if not peer.socket.aborted:
+                peer.send(answer(request_id=request_id, body=b"x" * ANSWER_BYTES))
+                self.step()
+
+
+@pytest.fixture
+def world():
+    world = World()
+    routes = {"lookup": route("stock", timeout="9000ms")}
+    services = {"stock": {"health_path": "/h", "max_conns": 110}}
+    world.store.put("op/config", configuration(routes=routes, services=services))
+    for number in (11, 12):
+        world.add_server("stock", number, slots=40)
+    world.node = world.add_node()
+    world.advance(1.0)
+    world.answering = AnsweringServers(world)
+    return world
+
+
+def pipeline(world, caller, first, count):
+    """Sends requests one behind the other, and lets servers answer them."""
+    for number in range(first, first + count):
+        caller.send(request(request_id=f"r{number}", **LOOKUP))
+        world.answering.answer_all()
+
+
+class TestCallerThatReadsNothing:
+    """Guards against a process that ends because a caller sends requests and does not
+    read the answers: each answer was kept for it.
+    """
+
+    def test_its_requests_wait(self, world):
+        caller = world.caller(world.node)
+        caller.socket.stalled = True
+        pipeline(world, caller, 0, 300)
+        assert len(world.answering.received) <= MOST_BEGUN
+        assert caller.socket.paused
+        most_bytes = (MOST_BEGUN + 1) * ANSWER_BYTES
+        assert world.node.held_output.total_bytes <= most_bytes
+
+    def test_they_are_served_once_it_reads(self, world):
+        caller = world.caller(world.node)
+        caller.socket.stalled = True
+        pipeline(world, caller, 0, 40)
+        caller.socket.stalled = False
+        got = b""
+        for _ in range(60):
+            caller.socket.drain()
+            world.answering.answer_all()
+            got += caller.take()
+        ids = [line for line in got.split(b"\r\n") if line.startswith(b"request-id: ")]
+        assert ids == [b"request-id: r%d" % number for number in range(40)]
+        assert not caller.socket.paused
+        assert world.node.held_output.total_bytes == 0
+
+    def test_many_of_them_stay_within_the_limit(self, world):
+        held = world.node.held_output
+        held.limit_bytes = 1_000_000
+        callers = [world.caller(world.node) for _ in range(20)]
+        for caller in callers:
+            caller.socket.stalled = True
+            pipeline(world, caller, 0, 20)
+        assert held.total_bytes <= held.limit_bytes
+        assert any(caller.socket.aborted for caller in callers)
+
+    def test_it_is_reset_after_the_idle_timeout(self, world):
+        caller = world.caller(world.node)
+        caller.socket.stalled = True
+        pipeline(world, caller, 0, 20)
+        world.advance(14.0, 0.1)
+        assert not caller.socket.aborted
+        world.advance(2.0, 0.1)
+        assert caller.socket.aborted
+
+    def test_one_segment_with_many_requests(self, world):
+        caller = world.caller(world.node)
+        data = b"".join(request(request_id=f"r{n}", **LOOKUP) for n in range(400))
+        caller.send(data)
+        world.answering.step()
+        assert len(world.answering.received) <= MOST_BEGUN
+
+
+class TestSlowReaderOfTheLastAnswer:
+    """Guards against a connection that is reset one second after its last answer, while
+    its caller still reads it.
+    """
+
+    def test_it_is_read_to_its_end(self, world):
+        caller = world.caller(world.node)
+        caller.socket.stalled = True
+        caller.send(close_after(request(request_id="r1", **LOOKUP)))
+        world.answering.answer_all()
+        for _ in range(5):
+            world.advance(1.0, 0.1)
+            caller.socket._tempDataLen -= 2000
+        assert not caller.socket.aborted
+        caller.socket.drain()
+        world.advance(2.0, 0.1)
+        assert caller.socket.aborted
