Bound the framing of a message to an eighth of its body

Cause: a message could have 8 bytes of framing for each of its body, so a body in chunks of two bytes was parsed up to the limit of its memory, ten thousand calls for 64 KiB.

Change: framing may have an eighth of the body, beside 64 KiB for answers and twice max_header_bytes for requests, and counts as memory, since the parser keeps an unfinished line.

Tests: the two cases small-chunks failed before (not closed after 264,600 bytes).

--- a/briarspoke/entry/arriving.py
+++ b/briarspoke/entry/arriving.py
@@ -6,6 +6,9 @@
 
 # Memory of one header besides its bytes: a tuple, two objects and a place in a list.
 HEADER_OVERHEAD_BYTES = 200
+# Bytes of chunk headers that a body may have for each of its own, beside a fixed
+# number: each chunk costs the event loop time, however small it is.
+MAX_FRAMING_SHARE = 1 / 8
 # Smaller pieces of a body are joined to blocks of this size.
 BLOCK_BYTES = 64 << 10
 
--- a/briarspoke/entry/callers.py
+++ b/briarspoke/entry/callers.py
@@ -9,7 +9,12 @@
 
 from briarspoke import codes
 from briarspoke.entry import answers
-from briarspoke.entry.arriving import ArrivingBody, Body, header_bytes
+from briarspoke.entry.arriving import (
+    MAX_FRAMING_SHARE,
+    ArrivingBody,
+    Body,
+    header_bytes,
+)
 from briarspoke.entry.calleroutput import CallerOutput
 from briarspoke.entry.exchange import Exchange, Request
 from briarspoke.http.transports import write_immediately
@@ -20,8 +25,6 @@
 MAX_PIPELINED = 16
 # Input is parsed in pieces of this size, since the parser cannot stop within one.
 PARSED_BYTES = 8192
-# A request may have this many bytes of chunk headers for each byte of its body.
-FRAMING_BYTES_PER_BODY_BYTE = 8
 # Time for which a connection that is closed for writing is still read.
 LINGER_S = 1.0
 
@@ -144,7 +147,12 @@
 
     @property
     def _held_bytes(self):
-        return self._held_head_bytes + self._body.held_bytes
+        return self._held_head_bytes + self._framing_bytes + self._body.held_bytes
+
+    @property
+    def _framing_bytes(self):
+        # A message is counted from the piece of input after the one that it begins in.
+        return max(0, self._received_bytes - self._body_bytes)
 
     def _is_framing_too_large(self):
         """Returns whether a request has far more bytes than its body explains.
@@ -152,11 +160,10 @@
         The parser keeps an unfinished header line, and skips chunk extensions, without
         any limit.
         """
-        framing_bytes = self._received_bytes - self._body_bytes
-        return framing_bytes > (
-            2 * self.node.limits.head_bytes
-            + FRAMING_BYTES_PER_BODY_BYTE * self._body_bytes
+        most_bytes = (
+            2 * self.node.limits.head_bytes + MAX_FRAMING_SHARE * self._body_bytes
         )
+        return self._framing_bytes > most_bytes
 
     def on_message_begin(self):
         if self._input_ended:
--- a/briarspoke/entry/connections.py
+++ b/briarspoke/entry/connections.py
@@ -8,7 +8,12 @@
 import httptools
 from twisted.internet import error, protocol
 
-from briarspoke.entry.arriving import ArrivingBody, Body, header_bytes
+from briarspoke.entry.arriving import (
+    MAX_FRAMING_SHARE,
+    ArrivingBody,
+    Body,
+    header_bytes,
+)
 from briarspoke.entry.sending import write_request
 
 # httptools limits the size of neither headers nor bodies.
@@ -16,7 +21,6 @@
 # Limit on the bytes of an answer that are not its body: head, interim answers, chunk
 # headers, trailers. A chunked body may have this many bytes and a share of its size.
 MAX_FRAMING_BYTES = 65_536
-FRAMING_BYTES_PER_BODY_BYTE = 8
 # Requests after which a connection is closed, since it remembers their identifiers.
 MAX_REQUESTS_PER_CONNECTION = 1_000
 # A connection is closed if sent data stays unacknowledged for this long.
@@ -203,7 +207,7 @@
             self._count_memory()
 
     def _count_memory(self):
-        count = self._head_bytes + self._body.held_bytes
+        count = self._head_bytes + self._framing_bytes + self._body.held_bytes
         largest = self._held_answers.update(self, count)
         if largest is not None:
             largest.give_up()
@@ -214,10 +218,12 @@
         The parser keeps an unfinished header line, and skips chunk extensions and
         interim answers, without any limit.
         """
-        framing_bytes = self.received_bytes - self._body_bytes
-        return framing_bytes > (
-            MAX_FRAMING_BYTES + FRAMING_BYTES_PER_BODY_BYTE * self._body_bytes
-        )
+        most_bytes = MAX_FRAMING_BYTES + MAX_FRAMING_SHARE * self._body_bytes
+        return self._framing_bytes > most_bytes
+
+    @property
+    def _framing_bytes(self):
+        return self.received_bytes - self._body_bytes
 
     def on_message_begin(self):
         if self._complete:
--- a/tests/test_entry_endless.py
+++ b/tests/test_entry_endless.py
@@ -60,12 +60,25 @@
                 b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: ",
                 b"x" * 4096,
             ),
+            (
+                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                b"2\r\nxx\r\n" * 600,
+            ),
             (
                 b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
                 b"X: y\r\n" * 1000,
             ),
         ],
-        ids=["reason", "line", "lines", "interim", "extension", "trailer", "trailers"],
+        ids=[
+            "reason",
+            "line",
+            "lines",
+            "interim",
+            "extension",
+            "trailer",
+            "small-chunks",
+            "trailers",
+        ],
     )
     def test_head_without_end_is_cut_off(self, world, begin, rest):
         # Guards against a process that fills its memory with what is no answer.
@@ -152,8 +165,12 @@
                 b"POST /order/1 HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: ",
                 b"x" * 4096,
             ),
+            (
+                b"POST /order/1 HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n",
+                b"2\r\nxx\r\n" * 600,
+            ),
         ],
-        ids=["garbage", "target", "header", "extension", "trailer"],
+        ids=["garbage", "target", "header", "extension", "trailer", "small-chunks"],
     )
     def test_head_without_end_is_cut_off(self, world, begin, rest):
         caller = world.caller(world.node)
