--- a/briarspoke/entry/routes.py
+++ b/briarspoke/entry/routes.py
@@ -38,15 +38,36 @@
     :param health_path: path of the servers' health check.
     :param max_connections: connections that one server accepts from all callers.
     :param keyed: whether the service has keys, each owned by a single server.
+    :param cold_per_s: requests per second that a cold server tolerates from all entry
+        VMs together, or None without a bound.
+    :param warmup_s: seconds for which a server is cold.
     """
 
-    __slots__ = ("health_path", "keyed", "max_connections", "name")
+    __slots__ = (
+        "cold_per_s",
+        "health_path",
+        "keyed",
+        "max_connections",
+        "name",
+        "warmup_s",
+    )
 
-    def __init__(self, *, name, health_path, max_connections, keyed):
+    def __init__(
+        self,
+        *,
+        name,
+        health_path,
+        max_connections,
+        keyed,
+        cold_per_s=None,
+        warmup_s=0.0,
+    ):
         self.name = name
         self.health_path = health_path
         self.max_connections = max_connections
         self.keyed = keyed
+        self.cold_per_s = cold_per_s
+        self.warmup_s = warmup_s
 
 
 class Share:
--- a/briarspoke/entry/settings.py
+++ b/briarspoke/entry/settings.py
@@ -29,8 +29,12 @@
 
     __slots__ = (
         "caller_listen",
+        "cold_ratio",
+        "cold_slack",
         "drain_s",
+        "evacuation_s",
         "grace_s",
+        "hedge_share",
         "internal_port",
         "ip",
         "link_mbps",
@@ -134,6 +138,29 @@
         "retry_window_s": Duration(
             help="Length of the sliding window of the retry budget."
         ),
+        "evacuation_s": Duration(
+            default=None,
+            help="Time after which servers of an evacuated zone get no requests; the "
+            "drain time if absent.",
+        ),
+        "cold_ratio": schema.Number(
+            minimum=1,
+            default=1,
+            help="Requests that a cold server may get in one second, per request of "
+            "the rate that its service tolerates.",
+        ),
+        "cold_slack": schema.Integer(
+            minimum=0,
+            default=0,
+            help="Requests that a cold server may get in one second in addition.",
+        ),
+        "hedge_share": schema.Number(
+            minimum=0,
+            maximum=0.2,
+            default=0,
+            help="Second copies of slow requests that may be repeated, per request "
+            "of a service; 0 sends none.",
+        ),
         "never_held_back": schema.ListOf(
             schema.Text(pattern="all|[0-9a-f]{32}"),
             default=(),
--- a/briarspoke/platform/documents.py
+++ b/briarspoke/platform/documents.py
@@ -13,6 +13,8 @@
 
 CONFIGURATION_KEY = "op/config"
 SERVER_PREFIX = "servers/"
+# An item below this prefix asks that the servers of the named zone get no requests.
+EVACUATION_PREFIX = "op/evacuate/"
 
 _VERSION = re.compile(r"r(\d+)")
 _ADDRESS = re.compile(r"([0-9.]{7,15}):(\d{1,5})")
@@ -68,11 +70,17 @@
 def _decode_service(name, body):
     health_path = require_field(body, "health_path", str)
     keyed = bool(body.get("sharded", False))
+    cold_per_s = 0.0
+    if body.get("warmup_per_s") is not None:
+        cold_per_s = require_field(body, "warmup_per_s", (int, float))
+    warmup = body.get("warmup")
     return Service(
         name=name,
         health_path=health_path,
         max_connections=require_field(body, "max_conns", int),
         keyed=keyed,
+        cold_per_s=cold_per_s if 0 < cold_per_s < math.inf else None,
+        warmup_s=0.0 if warmup is None else parse_duration_s(warmup),
     )
 
 
--- a/briarspoke/platform/headers.py
+++ b/briarspoke/platform/headers.py
@@ -19,6 +19,11 @@
 LEAVING = b"server-leaving"
 # In an answer 503: seconds for which the server wants nothing from this entry VM.
 RETRY_AFTER = b"retry-after"
+# Requests that run and wait at the server, its slots, and how long work takes now in
+# percent of the usual time, as one list.
+SERVER_LOAD = b"server-load"
+# In answers to health checks: milliseconds for which the server is still cold.
+WARMUP_MS = b"warmup-ms"
 # Key of a request to a keyed service.
 KEY = b"shard-key"
 # Token with which the next owner of a key range needs no warm-up.
