Keep connections to the store that open after their call has ended (CONFIG)

Packets of a new connection wait behind those of callers, longer than the 0.5 s after which each attempt was given up and the next one began at the end of the queue. Ruled out: the relay (its other followers had the version 0.3 s after its ack) and the store (stable since 5.3 s).

A call still fails after 0.5 s, so that a lost path is noticed as before, but the attempt goes on for 3 s, serves the next call, and is kept when it opens between calls. The attempt to reach a relay has 2 s; the follower watches the store meanwhile.

--- a/briarspoke/entry/httpclient.py
+++ b/briarspoke/entry/httpclient.py
@@ -7,6 +7,10 @@
 from briarspoke.entry.connections import Answer, ConnectionFactory
 
 CONNECT_TIMEOUT_S = 0.5
+# Time for which a client that keeps late connections goes on with a connection attempt
+# whose call has ended. The packets of a new connection wait behind those of callers,
+# on a full link of 5 Mbit/s for 1 to 2 s, so a shorter attempt would never succeed.
+LATE_CONNECT_TIMEOUT_S = 3.0
 # Idle connections are not reused after this time, since the peer may close them.
 MAX_IDLE_S = 4.0
 
@@ -18,16 +22,21 @@
     :param clock: function that returns monotonic seconds.
     :param held_answers: the :class:`briarspoke.entry.heldbytes.HeldBytes` of all
         answers that arrive at the process.
+    :param keep_late: whether a connection that opens after its call has ended is kept
+        for the next call.
     """
 
-    def __init__(self, *, reactor, clock, host, port, held_answers):
+    def __init__(self, *, reactor, clock, host, port, held_answers, keep_late=False):
         self.host = host
         self.port = port
+        self.keep_late = keep_late
         self._reactor = reactor
         self._clock = clock
         self._held_answers = held_answers
         self._host_header = f"{host}:{port}".encode()
         self._idle = []
+        # The connection attempt whose call has ended, or None.
+        self._late_attempt = None
 
     def call(
         self,
@@ -79,11 +88,35 @@
         return None
 
     def connect(self, call):
-        """Opens a connection for a call and returns Twisted's connector."""
-        factory = ConnectionFactory(call, call.connect_failed, self._held_answers)
-        return self._reactor.connectTCP(
-            self.host, self.port, factory, timeout=CONNECT_TIMEOUT_S
-        )
+        """Opens a connection for a call, or gives it the attempt of an earlier call.
+
+        :returns: the :class:`_ConnectionAttempt`.
+        """
+        attempt, self._late_attempt = self._late_attempt, None
+        if attempt is None:
+            attempt = _ConnectionAttempt(client=self)
+            timeout_s = LATE_CONNECT_TIMEOUT_S if self.keep_late else CONNECT_TIMEOUT_S
+            attempt.connector = self._reactor.connectTCP(
+                self.host,
+                self.port,
+                ConnectionFactory(attempt, attempt.failed, self._held_answers),
+                timeout=timeout_s,
+            )
+        attempt.call = call
+        return attempt
+
+    def call_ended(self, attempt):
+        """Goes on with the connection attempt of a call that has ended, or stops it."""
+        attempt.call = None
+        if self.keep_late and self._late_attempt is None:
+            self._late_attempt = attempt
+        else:
+            attempt.connector.disconnect()
+
+    def attempt_ended(self, attempt):
+        """Forgets a connection attempt that has succeeded or failed."""
+        if self._late_attempt is attempt:
+            self._late_attempt = None
 
     def call_later(self, delay_s, function, *args):
         """Calls a function after a delay in seconds."""
@@ -106,46 +139,94 @@
             self._idle.remove(connection)
 
 
-class _Call:
-    """A call in progress and its timeout."""
+class _ConnectionAttempt:
+    """A connection that is being opened, and the call that waits for it.
+
+    :ivar call: the :class:`_Call`, or None after it has ended.
+    :ivar connector: Twisted's connector.
+    """
+
+    __slots__ = ("_client", "call", "connector")
+
+    def __init__(self, *, client):
+        self._client = client
+        self.call = None
+        self.connector = None
+
+    def connection_made(self, connection):
+        self._client.attempt_ended(self)
+        connection.handler = self._client
+        if self.call is not None:
+            self.call.connection_made(connection)
+        elif self._client.keep_late:
+            self._client.exchange_ended(connection)
+        else:
+            connection.abandon()
+
+    def connection_lost(self, connection):
+        """Does nothing, since the client is the handler by then."""
+
+    def failed(self, failure):
+        self._client.attempt_ended(self)
+        if self.call is not None:
+            self.call.connect_failed(failure)
 
-    __slots__ = ("_client", "_connection", "_connector", "_data", "_timer", "deferred")
+
+class _Call:
+    """A call in progress and its timeouts."""
+
+    __slots__ = (
+        "_attempt",
+        "_client",
+        "_connect_timer",
+        "_connection",
+        "_data",
+        "_timer",
+        "deferred",
+    )
 
     def __init__(self, *, client, connection, data, timeout_s):
         self.deferred = defer.Deferred(self._cancelled)
         self._client = client
         self._data = data
-        self._connector = None
+        self._attempt = None
         self._connection = connection
+        self._connect_timer = None
         self._timer = client.call_later(timeout_s, self._timed_out)
-        if self._connection is None:
-            self._connector = client.connect(self)
-        else:
-            self._connection.exchange(data, self._finish)
+        if connection is not None:
+            connection.exchange(data, self._finish)
+            return
+        if client.keep_late and timeout_s > CONNECT_TIMEOUT_S:
+            self._connect_timer = client.call_later(
+                CONNECT_TIMEOUT_S, self._connect_timed_out
+            )
+        self._attempt = client.connect(self)
 
     def connection_made(self, connection):
         if self.deferred.called:
             connection.abandon()
             return
-        connection.handler = self._client
+        self._cancel_connect_timer()
         self._connection = connection
         connection.exchange(self._data, self._finish)
 
-    def connection_lost(self, connection):
-        """Does nothing, since the client is the handler by then."""
-
     def connect_failed(self, failure):
         if not self.deferred.called:
             self._finish(Answer(failure=failure, sent=False))
 
+    def _connect_timed_out(self):
+        self._give_up()
+        self.connect_failed("connect")
+
     def _give_up(self):
         if self._connection is not None:
             self._connection.abandon()
         else:
-            self._connector.disconnect()
+            self._client.call_ended(self._attempt)
 
     def _cancelled(self, deferred):
         self._timer.cancel()
+        self._cancel_connect_timer()
         deferred.errback(defer.CancelledError())
         self._give_up()
 
@@ -158,7 +239,12 @@
                 Answer(failure="timeout", sent=sent, received_bytes=received_bytes)
             )
 
+    def _cancel_connect_timer(self):
+        if self._connect_timer is not None and self._connect_timer.active():
+            self._connect_timer.cancel()
+
     def _finish(self, answer):
+        self._cancel_connect_timer()
         if self._timer.active():
             self._timer.cancel()
         if not self.deferred.called:
--- a/briarspoke/entry/node.py
+++ b/briarspoke/entry/node.py
@@ -93,7 +93,9 @@
         self.request_log = RequestLog(node=self)
         self._ports = []
         self._loops = []
-        store = self.http_client(settings.store.host, settings.store.port)
+        store = self.http_client(
+            settings.store.host, settings.store.port, keep_late=True
+        )
         self.store = KeyValueClient(
             http=store, count=self._count_store_call, clock=clock
         )
@@ -141,14 +143,19 @@
         )
         return deferred
 
-    def http_client(self, host, port):
-        """Returns an HTTP client for calls to the store or to a server."""
+    def http_client(self, host, port, *, keep_late=False):
+        """Returns an HTTP client for calls to the store or to a server.
+
+        :param keep_late: whether a connection that opens after its call has ended is
+            kept for the next call.
+        """
         return HttpClient(
             reactor=self.reactor,
             clock=self.now,
             host=host,
             port=port,
             held_answers=self.held_answers,
+            keep_late=keep_late,
         )
 
     def _count_store_call(self, kind, outcome, seconds):
--- a/briarspoke/entry/relays.py
+++ b/briarspoke/entry/relays.py
@@ -35,7 +35,9 @@
 CHECK_INTERVAL_S = 0.2
 # A follower that lost its relay watches the store for at least this long.
 RECONNECT_DELAY_S = 3.0
-CONNECT_TIMEOUT_S = 0.5
+# The packets of a new connection wait behind those of callers, on a full link of
+# 5 Mbit/s for 1 to 2 s. The follower watches the store meanwhile.
+CONNECT_TIMEOUT_S = 2.0
 # A VM that starts tries to reach its relay for this long before it reads all items
 # from the store. That takes seconds on a slow link; the relay sends them compressed.
 FIRST_VIEW_TIMEOUT_S = 0.7
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -221,7 +221,7 @@
     def faults(self, address):
         return self.faults_by_address.setdefault(address, Faults())
 
-    def http_client(self, host, port):
+    def http_client(self, host, port, *, keep_late=False):
         return FakeHttp(self.world, self.faults((host, port)), host, port)
 
 
