Allow more requests in flight at owners of keys that report free slots

With 34 VMs the equal share of an owner is one request, so a request waited for another one of its own VM although the owner used a quarter of its slots. A VM may now have up to three requests at an owner whose Server-Load, not older than 1 s, shows free slots. A rejection, a lost or overdue answer, waiting requests or a slow server close it for 2 s. Requests for the same key keep to the equal share, since a key that becomes hot reaches all VMs before any of them can know.

--- a/briarspoke/entry/dispatch.py
+++ b/briarspoke/entry/dispatch.py
@@ -8,7 +8,7 @@
 import random
 
 from briarspoke import codes
-from briarspoke.entry import shares
+from briarspoke.entry import room, shares
 from briarspoke.entry.allowances import Gates
 from briarspoke.entry.budget import RetryBudget
 from briarspoke.entry.misdirection import MisdirectedOwners
@@ -237,7 +237,7 @@
                 exchange, server.waiting, server.intake.asked_until, server.latency_s
             )
             return
-        if self.selection.has_capacity(server) and not server.waiting:
+        if self.selection.has_capacity(server, key) and not self._next_ready(server):
             self._send_to_owner(exchange, server, owner)
             return
         if server.limit.per_s is not None:
@@ -375,7 +375,7 @@
     def _ready_owner(self, exchange):
         key = exchange.request.key
         server = self.owner_server(key)
-        if server is None or not self.selection.has_capacity(server):
+        if server is None or not self.selection.has_capacity(server, key):
             return None
         owner = self._node.key_maps.owner(self.name, key)
         if not self._misdirected_owners.may_try(owner, self._node.now()):
@@ -410,6 +410,7 @@
             # The owner is the only server for its keys, so a retry has to wait until
             # one of its slots is likely to be free.
             self._node.key_load.rejected(self.name, server.record.server_id)
+            server.room.close(room.REJECTED, self._node.now())
             server.pause(random.uniform(*FULL_OWNER_PAUSE) * server.latency_s)
         elif self._is_congested(server):
             server.pause(SHED_PAUSE_S)
@@ -455,19 +456,31 @@
 
     def on_request_ended(self, server):
         """Sends waiting requests after a request at a server has ended."""
-        while server.waiting and self.selection.has_capacity(server):
-            exchange = self._pop_most_urgent(server.waiting)
-            if exchange is not None:
+        while (entry := self._next_ready(server)) is not None:
+            server.waiting.remove(entry)
+            exchange = entry[2]
+            if not exchange.done:
                 exchange.queued_at = None
                 self._dispatch_again(exchange)
         if self.waiting:
             self.dispatch_waiting()
 
-    def _pop_most_urgent(self, waiting):
-        entry = min(waiting)
-        waiting.remove(entry)
-        exchange = entry[2]
-        return None if exchange.done else exchange
+    def _next_ready(self, server):
+        """Returns the most urgent request that a server has capacity for, or None.
+
+        :returns: an entry of the server's queue.
+        """
+        if not server.waiting or not self.selection.has_capacity(server):
+            return None
+        return min(
+            (
+                entry
+                for entry in server.waiting
+                if self.selection.has_capacity(server, entry[2].request.key)
+            ),
+            key=_order,
+            default=None,
+        )
 
     def _dispatch_again(self, exchange):
         if self.keyed:
--- a/briarspoke/entry/exchange.py
+++ b/briarspoke/entry/exchange.py
@@ -5,7 +5,7 @@
 import logging
 
 from briarspoke import codes
-from briarspoke.entry import answers
+from briarspoke.entry import answers, serverload
 from briarspoke.entry.arriving import Body
 from briarspoke.entry.crashes import CRASH_FAILURES
 from briarspoke.entry.servers import WITHDRAWN
@@ -254,7 +254,7 @@
         self.sent_at = now
         self.tried = (*self.tried, server)
         self.attempts += 1
-        server.in_flight += 1
+        server.request_sent(self)
         if server.limit.per_s is not None:
             self.node.metrics.count("limited_sends_total", self.dispatcher.name)
             self.node.rate_limits.take_permit(server)
@@ -294,7 +294,7 @@
     def _handle_answer(self, answer):
         server, self.server = self.server, None
         self.upstream_request = None
-        server.in_flight -= 1
+        server.request_ended(self)
         try:
             self._process_answer(server, answer)
         except Exception:
@@ -317,6 +317,7 @@
         if answering_id is None or answering_id == server.target:
             self.node.crashes.server_answered(server, self.sent_at)
             self.node.notices.record_answer(self.dispatcher.name, server, answer)
+            serverload.record_answer(self.node, self.dispatcher.name, server, answer)
         else:
             self.node.crashes.server_replaced(server)
         if answer.get(header_names.NOT_RUN) is not None or answer.status == 421:
@@ -505,7 +506,7 @@
         server, self.server = self.server, None
         self.upstream_request.abandon()
         self.upstream_request = None
-        server.in_flight -= 1
+        server.request_ended(self)
 
     def caller_gone(self):
         """Ends the request without an answer, since the caller has disconnected."""
--- a/briarspoke/entry/gauges.py
+++ b/briarspoke/entry/gauges.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from briarspoke.entry import logs
+from briarspoke.entry import logs, room
 
 
 class LoopLag:
@@ -44,6 +44,16 @@
     }
 
 
+def _owner_limits(node):
+    counts = dict.fromkeys(room.REASONS, 0)
+    if node.routing_table is not None:
+        for dispatcher in node.dispatchers():
+            if dispatcher.keyed:
+                for server in dispatcher.servers.values():
+                    counts[dispatcher.selection.owner_limits.limit(server)[1]] += 1
+    return counts
+
+
 def register(node, loop_lag):
     """Registers the gauges of an entry VM with its metrics.
 
@@ -61,6 +71,7 @@
     gauge("store_age_seconds", lambda: _age(node.now(), view.last_contact))
     gauge("servers_known", lambda: sum(1 for _ in node.all_records()))
     gauge("servers_limited", lambda: _limited_servers(node))
+    gauge("owner_limits", lambda: _owner_limits(node))
     gauge("connections_open", lambda: len(node.callers))
     gauge("key_ranges", lambda: {name: len(m.starts) for name, m in maps.items()})
     gauge("key_ranges_moving", node.control.moves_by_service)
--- a/briarspoke/entry/selection.py
+++ b/briarspoke/entry/selection.py
@@ -6,6 +6,7 @@
 
 from briarspoke.entry import shares
 from briarspoke.entry.affinity import Affinity
+from briarspoke.entry.room import OwnerLimits
 
 # A request goes to another zone only if the expected wait in the own zone is longer by
 # this factor. Traffic between zones is billed by the byte, so each byte of the body
@@ -27,19 +28,19 @@
     :param dispatcher: the :class:`briarspoke.entry.dispatch.Dispatcher` of the service.
     """
 
-    __slots__ = ("_affinity", "_dispatcher", "_node")
+    __slots__ = ("_affinity", "_dispatcher", "_node", "owner_limits")
 
     def __init__(self, *, node, dispatcher):
         self._node = node
         self._dispatcher = dispatcher
         self._affinity = Affinity(node=node.settings.node)
+        self.owner_limits = OwnerLimits(node=node, dispatcher=dispatcher)
 
     def in_flight_limit(self, server):
         """Returns how many requests this entry VM may have in flight at a server."""
-        slots, vms = server.record.slots, self._node.node_count
         if self._dispatcher.keyed:
-            keys_limited = self._dispatcher.gates.are_active(self._node.now())
-            return shares.owner_limit(slots, vms, keys_limited=keys_limited)
+            return self.owner_limits.limit(server)[0]
+        slots, vms = server.record.slots, self._node.node_count
         preferring_vms = None
         if self._affinity.prefers(server.record.server_id):
             preferring_vms = self._affinity.vms_per_server
@@ -50,14 +51,19 @@
         slots = sum(server.record.slots for server in usable)
         return shares.service_limit(slots, self._node.node_count)
 
-    def has_capacity(self, server):
-        """Returns whether this entry VM may send a request to a server now."""
-        return self._has_slot(server) and self._node.rate_limits.has_permit(server)
+    def has_capacity(self, server, key=None):
+        """Returns whether this entry VM may send a request to a server now.
 
-    def _has_slot(self, server):
-        return server.in_flight < self.in_flight_limit(server) and (
-            server.intake.paused_until <= self._node.now()
-        )
+        :param key: key of the request, or None for any.
+        """
+        return self._has_slot(server, key) and self._node.rate_limits.has_permit(server)
+
+    def _has_slot(self, server, key=None):
+        if server.intake.paused_until > self._node.now():
+            return False
+        if self._dispatcher.keyed:
+            return self.owner_limits.has_slot(server, key)
+        return server.in_flight < self.in_flight_limit(server)
 
     def usable(self):
         """Returns the servers that requests may be sent to."""
--- a/briarspoke/entry/servers.py
+++ b/briarspoke/entry/servers.py
@@ -4,9 +4,11 @@
 
 import collections
 
+from briarspoke.entry import room
 from briarspoke.entry.connections import Answer, ConnectionFactory
 from briarspoke.entry.intake import Intake
 from briarspoke.entry.serverlimits import ServerLimit
+from briarspoke.entry.serverload import ServerLoad
 from briarspoke.entry.servicetimes import ServiceTime
 
 # Opening a connection takes one round trip, and longer on a saturated link. The timeout
@@ -147,6 +149,8 @@
         self.intake = Intake()
         self.warmed_up_at = clock() + record.warmup_s
         self.limit = ServerLimit()
+        self.load = ServerLoad()
+        self.room = room.ServerRoom()
         # The :class:`briarspoke.entry.permits.PermitHolder` while a limit is known.
         self.permits = None
         # Whether a request went to another server for lack of a permit.
@@ -194,11 +198,24 @@
         self.answer_count += 1
         self.min_recent_latency_s = min(seconds, self._last_latency_s)
         self._last_latency_s = seconds
+        self.room.time_measured(seconds, self._clock())
         return weight
 
+    def request_sent(self, exchange):
+        """Counts a request of this VM that is sent."""
+        self.in_flight += 1
+        self.load.request_sent()
+        self.room.request_sent(exchange)
+
+    def request_ended(self, exchange):
+        """Counts a request of this VM that is answered, lost or given up."""
+        self.in_flight -= 1
+        self.room.request_ended(exchange, self, self._clock())
+
     def record_loss(self):
         """Records an attempt whose answer was lost or unusable."""
         self.loss_rate += LOSS_RATE_WEIGHT * (1.0 - self.loss_rate)
+        self.room.close(room.LOST, self._clock())
 
     def record_unreachable(self):
         """Records an unreachable server; pauses it after consecutive failures."""
--- a/briarspoke/entry/shares.py
+++ b/briarspoke/entry/shares.py
@@ -35,6 +35,11 @@
     return slots * REQUESTS_PER_SLOT / vms
 
 
+def is_scarce(slots, vms):
+    """Returns whether an equal share of a server is less than two requests."""
+    return equal_share(slots, vms) < 2
+
+
 def owner_limit(slots, vms, *, keys_limited):
     """Returns the most requests in flight at an owner of keys.
 
--- a/briarspoke/metrics.py
+++ b/briarspoke/metrics.py
@@ -68,6 +68,10 @@
         "service",
         "Requests sent to servers while they named a rate limit, by service.",
     ),
+    "loads_not_usable_total": (
+        "service",
+        "Answers whose report of the server's load cannot be read, by service.",
+    ),
     "permits_total": (
         "service",
         "Permits that the controller gave for servers with a rate limit, by service.",
@@ -112,6 +116,11 @@
     ),
     "servers_known": ("", "Servers that this entry VM may use."),
     "servers_limited": ("service", "Servers that name a rate limit, by service."),
+    "owner_limits": (
+        "reason",
+        "Owners of keys by the reason for this VM's limit on requests in flight; free: "
+        "the limit is more than the equal share.",
+    ),
     "connections_open": ("", "Open connections from callers."),
     "key_ranges": ("service", "Key ranges of the key map, by service."),
     "key_ranges_moving": (
