Choose servers by the load that they report

A VM sees few of the requests at a server, so its own requests in flight say little about when a request would be done. The choice now uses the requests and the speed that the server has reported within the last second, weighted by age; servers that report nothing are ordered as before.

--- a/briarspoke/entry/selection.py
+++ b/briarspoke/entry/selection.py
@@ -7,6 +7,7 @@
 from briarspoke.entry import shares
 from briarspoke.entry.affinity import Affinity
 from briarspoke.entry.room import OwnerLimits
+from briarspoke.entry.serverload import expected_done_s
 
 # A request goes to another zone only if the expected wait in the own zone is longer by
 # this factor. Traffic between zones is billed by the byte, so each byte of the body
@@ -141,7 +142,7 @@
             if not self._node.rate_limits.has_permit(server):
                 without_permit.append(server)
                 continue
-            score = server.expected_s(now) * (1 + server.in_flight)
+            score = expected_done_s(server, now)
             score *= 1 + LOSS_FACTOR * server.loss_rate
             if not self._affinity.prefers(server.record.server_id):
                 score *= self._non_preferred_factor()
