Divide capacity among VMs by demand

The equal share of a server is rounded up to one request with many VMs, and a VM with many callers gets as much as one with few. The test that feeds any bytes to the datagram port passes the two new functions.

--- a/briarspoke/entry/control.py
+++ b/briarspoke/entry/control.py
@@ -76,6 +76,17 @@
         """Returns the :class:`LoadEstimate` of a service, creating it if needed."""
         return self._estimates_by_service.setdefault(service, LoadEstimate())
 
+    def full_owners(self, service, planned_after):
+        """Returns the identifiers of owners without free capacity.
+
+        :param planned_after: time since which they must have been determined.
+        :returns: a frozenset, or None if they are not known.
+        """
+        range_manager = self._range_managers_by_service.get(service)
+        if range_manager is None or range_manager.full_owners_at < planned_after:
+            return None
+        return range_manager.full_owners
+
     def moves_by_service(self):
         """Returns ``{service: number of ranges that are moving}``.
 
--- a/briarspoke/entry/dispatch.py
+++ b/briarspoke/entry/dispatch.py
@@ -71,6 +71,8 @@
             slack=node.settings.retry_slack,
             window_s=node.settings.retry_window_s,
         )
+        # Requests since the start.
+        self.arrived = 0
         self.gates = Gates()
         self._service_times_by_route = {}
         self._misdirected_owners = MisdirectedOwners()
@@ -91,6 +93,7 @@
     def count_request(self, exchange):
         """Counts a caller's request for the retry budget and the load per key."""
         self.budget.count_request(self._node.now())
+        self.arrived += 1
         key = exchange.request.key
         if key is not None and self.keyed:
             self._node.key_load.count(self.name, key)
@@ -527,6 +530,7 @@
         """
         if not self.keyed:
             self.selection.update_affinity()
+            self.selection.update_share()
         self._misdirected_owners.expire(now)
         for server in list(self.servers.values()):
             server.close_idle(now)
--- a/briarspoke/entry/gauges.py
+++ b/briarspoke/entry/gauges.py
@@ -31,6 +31,10 @@
         return largest_s
 
 
+def _none_to_nan(value):
+    return float("nan") if value is None else value
+
+
 def _age(now, since):
     # NaN and not 0 if the event has never happened.
     return float("nan") if since is None else now - since
@@ -54,6 +58,14 @@
     return counts
 
 
+def _capacity_shares(node):
+    return {
+        dispatcher.name: dispatcher.selection.share
+        for dispatcher in node.dispatchers()
+        if node.routing_table is not None and not dispatcher.keyed
+    }
+
+
 def register(node, loop_lag):
     """Registers the gauges of an entry VM with its metrics.
 
@@ -72,6 +84,9 @@
     gauge("servers_known", lambda: sum(1 for _ in node.all_records()))
     gauge("servers_limited", lambda: _limited_servers(node))
     gauge("owner_limits", lambda: _owner_limits(node))
+    news = node.division.news
+    gauge("room_news_age_seconds", lambda: _none_to_nan(news.age_s(node.now())))
+    gauge("capacity_shares", lambda: _capacity_shares(node))
     gauge("connections_open", lambda: len(node.callers))
     gauge("key_ranges", lambda: {name: len(m.starts) for name, m in maps.items()})
     gauge("key_ranges_moving", node.control.moves_by_service)
--- a/briarspoke/entry/node.py
+++ b/briarspoke/entry/node.py
@@ -14,6 +14,7 @@
 from briarspoke.entry.crashes import Crashes
 from briarspoke.entry.discovery import ServerDiscovery
 from briarspoke.entry.dispatch import Dispatcher
+from briarspoke.entry.division import INTERVAL_S, Division
 from briarspoke.entry.fingerprints import Fingerprints
 from briarspoke.entry.heldbytes import HeldBytes
 from briarspoke.entry.httpclient import HttpClient
@@ -110,12 +111,15 @@
         self.crashes = Crashes(node=self)
         self.crashes.settings_changed()
         self.fingerprints.on_key_changed = self.crashes.key_changed
+        self.division = Division(node=self)
         self.datagrams = Datagrams(
             on_load=self.control.add_load,
             on_owners=self._owners_announced,
             on_allowances=self._allowances_announced,
             on_suspect=self.crashes.reported,
             on_leaving=self.notices.peer_leaving,
+            on_shares=self.division.shares_received,
+            on_demand=self.division.demand_reported,
             rate_limits=self.rate_limits,
         )
         self.view.observe(documents.CONFIGURATION_KEY, self._configuration_changed)
@@ -334,6 +338,7 @@
         self._loop(self.relay_follower.check, relays.CHECK_INTERVAL_S)
         self._loop(self._check_connections, CONNECTION_CHECK_INTERVAL_S)
         self._loop(self._report_load, REPORT_INTERVAL_S)
+        self._loop(self.division.tick, INTERVAL_S)
         self._loop(self._check_crashes, crashes.CHECK_INTERVAL_S)
         self.spawn(self.view.run())
         self.spawn(self.registry.run())
--- a/briarspoke/entry/reports.py
+++ b/briarspoke/entry/reports.py
@@ -9,6 +9,7 @@
 
 from briarspoke.entry.fingerprints import FINGERPRINT_BYTES
 from briarspoke.entry.permits import PermitAnswer
+from briarspoke.entry.sharenews import News, ServiceNews
 from briarspoke.entry.suspects import MAX_CRASHES_PER_SUSPECT, SuspectReport
 from briarspoke.keyspace.keymap import Owner
 from briarspoke.keyspace.load import LoadCounts
@@ -29,6 +30,8 @@
 KIND_PERMITS = 7
 KIND_SUSPECT = 8
 KIND_LEAVING = 9
+KIND_SHARES = 10
+KIND_DEMAND = 11
 # Requests or permits that one datagram counts at most.
 MAX_COUNT = 10_000
 
@@ -44,6 +47,8 @@
     :param on_allowances: called with (service, ``{key: fraction}``).
     :param on_suspect: called with (:class:`SuspectReport`).
     :param on_leaving: called with (service, pair of server identifier and incarnation).
+    :param on_shares: called with (:class:`briarspoke.entry.sharenews.News`).
+    :param on_demand: called with (node, process, number, ``{service: requests}``).
     :param rate_limits: the :class:`briarspoke.entry.ratelimits.RateLimits`.
     """
 
@@ -55,6 +60,8 @@
         on_allowances,
         on_suspect,
         on_leaving,
+        on_shares,
+        on_demand,
         rate_limits,
     ):
         self._on_load = on_load
@@ -62,6 +69,8 @@
         self._on_allowances = on_allowances
         self._on_suspect = on_suspect
         self._on_leaving = on_leaving
+        self._on_shares = on_shares
+        self._on_demand = on_demand
         self._rate_limits = rate_limits
 
     def datagramReceived(self, data, address):
@@ -69,6 +78,10 @@
             kind, *rest = cbor2.loads(data)
             if kind == KIND_SUSPECT:
                 handle, decoded = self._on_suspect, (_decode_suspect(rest),)
+            elif kind == KIND_SHARES:
+                handle, decoded = self._on_shares, (_decode_shares(rest),)
+            elif kind == KIND_DEMAND:
+                handle, decoded = self._on_demand, _decode_demand(rest)
             else:
                 service, *fields = rest
                 handle, decoded = self._decode(kind, fields, address)
@@ -253,6 +266,30 @@
             )
             latencies, rejections = {}, {}
 
+    def send_demand(self, node, process, number, count_by_service, address):
+        """Reports to the controller how many requests have arrived.
+
+        :param node: name of this entry VM.
+        :param process: random name of this process.
+        :param number: number of the report, rising.
+        :param count_by_service: ``{service: requests since the process started}``.
+        :param address: (host, port) of the controller.
+        """
+        data = cbor2.dumps([KIND_DEMAND, node, process, number, count_by_service])
+        self.transport.write(data, address)
+
+    def send_shares(self, news, addresses):
+        """Tells other entry VMs their shares and which owners have no room.
+
+        :param news: the :class:`briarspoke.entry.sharenews.News`.
+        :param addresses: [(host, port)] of the entry VMs.
+        """
+        by_service = {name: n.encode() for name, n in news.by_service.items()}
+        fields = [news.controller, news.number, _ms(news.sent_at), news.vms, by_service]
+        data = cbor2.dumps([KIND_SHARES, *fields])
+        for address in addresses:
+            self.transport.write(data, address)
+
     def send_allowances(self, service, fraction_by_key, addresses):
         """Tells other entry VMs which fractions of the requests for keys to admit.
 
@@ -279,6 +316,23 @@
             self.transport.write(data, address)
 
 
+def _decode_shares(fields):
+    controller, number, sent_ms, vms, by_service = fields
+    return News(
+        controller=str(controller),
+        number=int(number),
+        sent_at=int(sent_ms) / 1000,
+        vms=max(1, int(vms)),
+        by_service={str(s): ServiceNews.decode(n) for s, n in by_service.items()},
+    )
+
+
+def _decode_demand(fields):
+    node, process, number, count_by_service = fields
+    counts = {str(s): max(0, int(count)) for s, count in count_by_service.items()}
+    return str(node), str(process), int(number), counts
+
+
 def _decode_suspect(fields):
     fingerprint, crashes, age_ms, seen_age_ms, held_back_age_ms, trials, cleared = (
         fields
--- a/briarspoke/entry/room.py
+++ b/briarspoke/entry/room.py
@@ -160,7 +160,12 @@
         free_slots = server.load.free_slots(now, slots)
         if free_slots is not None:
             return FREE if free_slots > 0 else FULL
-        return NO_NEWS
+        has_room = node.division.news.has_room(
+            self._dispatcher.name, server.record.server_id, now
+        )
+        if has_room is None:
+            return NO_NEWS
+        return FREE if has_room else FULL
 
     def has_slot(self, server, key=None):
         """Returns whether a request may be sent to an owner.
--- a/briarspoke/entry/selection.py
+++ b/briarspoke/entry/selection.py
@@ -29,12 +29,14 @@
     :param dispatcher: the :class:`briarspoke.entry.dispatch.Dispatcher` of the service.
     """
 
-    __slots__ = ("_affinity", "_dispatcher", "_node", "owner_limits")
+    __slots__ = ("_affinity", "_dispatcher", "_node", "owner_limits", "share")
 
     def __init__(self, *, node, dispatcher):
         self._node = node
         self._dispatcher = dispatcher
         self._affinity = Affinity(node=node.settings.node)
+        # This VM's share relative to the equal one.
+        self.share = 1.0
         self.owner_limits = OwnerLimits(node=node, dispatcher=dispatcher)
 
     def in_flight_limit(self, server):
@@ -45,12 +47,14 @@
         preferring_vms = None
         if self._affinity.prefers(server.record.server_id):
             preferring_vms = self._affinity.vms_per_server
-        return shares.server_limit(slots, vms, preferring_vms=preferring_vms)
+        return shares.server_limit(
+            slots, vms, preferring_vms=preferring_vms, share=self.share
+        )
 
     def service_limit(self, usable):
         """Returns how many requests this entry VM may have in flight at all servers."""
         slots = sum(server.record.slots for server in usable)
-        return shares.service_limit(slots, self._node.node_count)
+        return shares.service_limit(slots, self._node.node_count, share=self.share)
 
     def has_capacity(self, server, key=None):
         """Returns whether this entry VM may send a request to a server now.
@@ -165,6 +169,13 @@
             else 1.0
         )
 
+    def update_share(self):
+        """Determines again which share of the service this entry VM has."""
+        node = self._node
+        self.share = node.division.news.share(
+            self._dispatcher.name, node.node_count, node.now()
+        )
+
     def update_affinity(self):
         """Determines again which servers of the zone this entry VM prefers."""
         zone = self._node.settings.zone
--- a/briarspoke/entry/shares.py
+++ b/briarspoke/entry/shares.py
@@ -51,22 +51,24 @@
     return max(1, math.ceil(limit))
 
 
-def server_limit(slots, vms, *, preferring_vms=None):
+def server_limit(slots, vms, *, preferring_vms=None, share=1.0):
     """Returns the most requests in flight at a server of a service without keys.
 
     :param preferring_vms: number of VMs that prefer the server, this one among them, or
         None if this VM does not prefer it.
+    :param share: this VM's share relative to the equal one.
     """
-    limit = equal_share(slots, vms)
+    limit = equal_share(slots, vms) * max(1.0, share)
     if preferring_vms is not None:
         limit = max(limit, slots * REQUESTS_PER_SLOT_IN_ZONE / preferring_vms)
     return max(1, math.ceil(limit))
 
 
-def service_limit(slots, vms):
+def service_limit(slots, vms, *, share=1.0):
     """Returns the most requests in flight at all servers of a service without keys.
 
     :param slots: slots of all usable servers together.
+    :param share: this VM's share relative to the equal one.
     """
-    limit = SERVICE_SHARE_FACTOR * equal_share(slots, vms)
+    limit = SERVICE_SHARE_FACTOR * equal_share(slots, vms) * share
     return max(MIN_SERVICE_REQUESTS, math.ceil(limit))
--- a/briarspoke/keyspace/load.py
+++ b/briarspoke/keyspace/load.py
@@ -154,6 +154,10 @@
         for server_id, count in counts.rejections.items():
             self._recent(server_id).rejections += count
 
+    def age_s(self, now):
+        """Returns the seconds since the first report, 0 before it."""
+        return 0.0 if self._started_at is None else now - self._started_at
+
     def _averaging_s(self, now):
         age_s = now - self._started_at
         return min(AVERAGING_S, max(MIN_AVERAGING_S, age_s))
--- a/briarspoke/keyspace/range_manager.py
+++ b/briarspoke/keyspace/range_manager.py
@@ -5,7 +5,7 @@
 import logging
 
 from briarspoke.errors import BriarspokeError, invariant
-from briarspoke.keyspace import placement
+from briarspoke.keyspace import demand, placement
 from briarspoke.keyspace.allowance import Allowances
 from briarspoke.keyspace.confirmation import OwnerConfirmation
 from briarspoke.keyspace.granter import Granter
@@ -49,6 +49,8 @@
     :param former: the manager of the service in the term that this process had when the
         store was restored, or None.
     :ivar granter: the :class:`briarspoke.keyspace.granter.Granter` of the term.
+    :ivar full_owners: identifiers of the servers that have no free capacity, or None
+        while that is not known; determined at ``full_owners_at``.
     :ivar moves: the :class:`briarspoke.keyspace.moves.Move` objects in progress.
     """
 
@@ -73,6 +75,8 @@
             self._former_granter = former.granter
         self._confirmation = None
         self._announcements = []
+        self.full_owners = None
+        self.full_owners_at = 0.0
         self._allowances = Allowances()
         self._fraction_by_key = {}
         self._plan_allowances_at = 0.0
@@ -244,11 +248,14 @@
             }
             for candidate in candidates
         }
+        recent_by_server = estimate.take_recent_answers()
+        self.full_owners = demand.full_owners(
+            records, candidates, recent_by_server, estimate.age_s(now)
+        )
+        self.full_owners_at = now
         before, self._fraction_by_key = (
             self._fraction_by_key,
-            self._allowances.plan(
-                candidates, rates_by_instance, estimate.take_recent_answers()
-            ),
+            self._allowances.plan(candidates, rates_by_instance, recent_by_server),
         )
         if not before and not self._fraction_by_key:
             return
--- a/briarspoke/metrics.py
+++ b/briarspoke/metrics.py
@@ -121,6 +121,14 @@
         "Owners of keys by the reason for this VM's limit on requests in flight; free: "
         "the limit is more than the equal share.",
     ),
+    "room_news_age_seconds": (
+        "",
+        "Seconds since the controller's last message about shares and owners' room.",
+    ),
+    "capacity_shares": (
+        "service",
+        "Share of a service without keys relative to the equal share, by service.",
+    ),
     "connections_open": ("", "Open connections from callers."),
     "key_ranges": ("service", "Key ranges of the key map, by service."),
     "key_ranges_moving": (
--- a/tests/test_entry_faults.py
+++ b/tests/test_entry_faults.py
@@ -285,6 +285,8 @@
             on_allowances=receive,
             on_suspect=receive,
             on_leaving=receive,
+            on_shares=receive,
+            on_demand=receive,
             rate_limits=SimpleNamespace(
                 peer_limit=receive, permits_requested=receive, permits_given=receive
             ),
