--- a/briarspoke/entry/selection.py
+++ b/briarspoke/entry/selection.py
@@ -6,6 +6,8 @@
 
 from briarspoke.entry import shares
 from briarspoke.entry.affinity import Affinity
+from briarspoke.entry.room import OwnerLimits
+from briarspoke.entry.serverload import expected_done_s
 
 # A request goes to another zone only if the expected wait in the own zone is longer by
 # this factor. Traffic between zones is billed by the byte, so each byte of the body
@@ -27,37 +29,46 @@
     :param dispatcher: the :class:`briarspoke.entry.dispatch.Dispatcher` of the service.
     """
 
-    __slots__ = ("_affinity", "_dispatcher", "_node")
+    __slots__ = ("_affinity", "_dispatcher", "_node", "owner_limits", "share")
 
     def __init__(self, *, node, dispatcher):
         self._node = node
         self._dispatcher = dispatcher
         self._affinity = Affinity(node=node.settings.node)
+        # This VM's share relative to the equal one.
+        self.share = 1.0
+        self.owner_limits = OwnerLimits(node=node, dispatcher=dispatcher)
 
     def in_flight_limit(self, server):
         """Returns how many requests this entry VM may have in flight at a server."""
-        slots, vms = server.record.slots, self._node.node_count
         if self._dispatcher.keyed:
-            keys_limited = self._dispatcher.gates.are_active(self._node.now())
-            return shares.owner_limit(slots, vms, keys_limited=keys_limited)
+            return self.owner_limits.limit(server)[0]
+        slots, vms = server.record.slots, self._node.node_count
         preferring_vms = None
         if self._affinity.prefers(server.record.server_id):
             preferring_vms = self._affinity.vms_per_server
-        return shares.server_limit(slots, vms, preferring_vms=preferring_vms)
+        return shares.server_limit(
+            slots, vms, preferring_vms=preferring_vms, share=self.share
+        )
 
     def service_limit(self, usable):
         """Returns how many requests this entry VM may have in flight at all servers."""
         slots = sum(server.record.slots for server in usable)
-        return shares.service_limit(slots, self._node.node_count)
+        return shares.service_limit(slots, self._node.node_count, share=self.share)
 
-    def has_capacity(self, server):
-        """Returns whether this entry VM may send a request to a server now."""
-        return self._has_slot(server) and self._node.rate_limits.has_permit(server)
+    def has_capacity(self, server, key=None):
+        """Returns whether this entry VM may send a request to a server now.
 
-    def _has_slot(self, server):
-        return server.in_flight < self.in_flight_limit(server) and (
-            server.intake.paused_until <= self._node.now()
-        )
+        :param key: key of the request, or None for any.
+        """
+        return self._has_slot(server, key) and self._node.rate_limits.has_permit(server)
+
+    def _has_slot(self, server, key=None):
+        if server.intake.paused_until > self._node.now():
+            return False
+        if self._dispatcher.keyed:
+            return self.owner_limits.has_slot(server, key)
+        return server.in_flight < self.in_flight_limit(server)
 
     def usable(self):
         """Returns the servers that requests may be sent to."""
@@ -135,7 +146,7 @@
             if not self._node.rate_limits.has_permit(server):
                 without_permit.append(server)
                 continue
-            score = server.expected_s(now) * (1 + server.in_flight)
+            score = expected_done_s(server, now)
             score *= 1 + LOSS_FACTOR * server.loss_rate
             if not self._affinity.prefers(server.record.server_id):
                 score *= self._non_preferred_factor()
@@ -158,6 +169,13 @@
             else 1.0
         )
 
+    def update_share(self):
+        """Determines again which share of the service this entry VM has."""
+        node = self._node
+        self.share = node.division.news.share(
+            self._dispatcher.name, node.node_count, node.now()
+        )
+
     def update_affinity(self):
         """Determines again which servers of the zone this entry VM prefers."""
         zone = self._node.settings.zone
