--- a/briarspoke/entry/connections.py
+++ b/briarspoke/entry/connections.py
@@ -26,6 +26,13 @@
 # A connection is closed if sent data stays unacknowledged for this long.
 UNACKNOWLEDGED_DATA_TIMEOUT_MS = 4_000
 
+# HTTP defines no status outside these bounds.
+MIN_STATUS = 100
+MAX_STATUS = 599
+# No request asks for another protocol, so an answer that switches to one is malformed.
+SWITCHING_PROTOCOLS = 101
+MIN_FINAL_STATUS = 200
+
 NO_BODY = Body()
 
 # Begin of an answer; inside the head of another one, it shows that the other broke off.
@@ -104,6 +111,8 @@
 
     def _reset_parser(self):
         self._parser = None
+        # Status of the answer; the parser has that of the bytes behind it, if any.
+        self._status = None
         self._headers = []
         self._reason = b""
         self._head_bytes = 0
@@ -251,8 +260,11 @@
             return
         if self._exchange_count > 1 and self._has_second_status_line():
             raise ValueError("an extra answer broke off in its head")
-        if status < 200:
+        if not MIN_STATUS <= status <= MAX_STATUS or status == SWITCHING_PROTOCOLS:
+            raise ValueError(f"status {status} is no answer to a request")
+        if status < MIN_FINAL_STATUS:
             return
+        self._status = status
         framed = self._is_head or status in (204, 304)
         for name, value in self._headers:
             if name == b"content-length":
@@ -298,13 +310,14 @@
             self._body.append(data)
 
     def on_message_complete(self):
-        if self._parser.get_status_code() >= 200 and not self._skipping:
-            self._complete = True
+        if self._parser.get_status_code() < MIN_FINAL_STATUS or self._skipping:
+            return
+        self._complete = True
 
     def _finish(self):
         listener, self.listener = self.listener, None
         answer = Answer(
-            status=self._parser.get_status_code(),
+            status=self._status,
             headers=self._headers,
             body=self._body.body().join(),
         )
@@ -334,12 +347,26 @@
         if self.listener is None:
             return
         closed = reason.check(error.ConnectionDone) is not None
-        if closed and self._until_close and not self._skipping:
+        if (
+            closed
+            and self._until_close
+            and not self._skipping
+            and not self._is_success_too_early()
+        ):
             self._complete = True
             self._finish()
         else:
             self._fail("closed" if closed else "reset")
 
+    def _is_success_too_early(self):
+        """Returns whether a success ends before the whole request was sent.
+
+        Only the end of the connection delimits such an answer. If the peer has closed
+        with data of the request unread, the reset can be reported as an orderly end:
+        a failed write takes the socket's error, and the next read finds only an end.
+        """
+        return MIN_FINAL_STATUS <= self._status < 300 and not self._is_request_sent
+
 
 class ConnectionFactory(protocol.ClientFactory):
     """Opens one connection.
--- a/briarspoke/entry/sending.py
+++ b/briarspoke/entry/sending.py
@@ -24,11 +24,13 @@
     def __init__(self, *, transport, body):
         self._transport = transport
         self._blocks = collections.deque(body.blocks)
+        # Whether the connection ended before the transport had the whole body.
+        self._is_cut_short = False
 
     @property
     def is_finished(self):
         """Whether the transport has the whole body."""
-        return not self._blocks
+        return not self._blocks and not self._is_cut_short
 
     def resumeProducing(self):
         self._transport.write(bytes(self._blocks.popleft()))
@@ -36,6 +38,7 @@
             self._transport.unregisterProducer()
 
     def stopProducing(self):
+        self._is_cut_short = bool(self._blocks)
         self._blocks.clear()
 
 
--- a/tests/http_fakes.py
+++ b/tests/http_fakes.py
@@ -44,12 +44,14 @@
         super().write(data)
         if self.stalled:
             self._tempDataLen += len(data)
+            self._tempDataBuffer = (*self._tempDataBuffer, data)
             if self.streaming and self._tempDataLen > self.bufferSize:
                 self.producer.pauseProducing()
 
     def drain(self):
         """Lets the peer read all that waits."""
         self._tempDataLen = 0
+        self._tempDataBuffer = ()
         if self.producer is not None and self.streaming:
             self.producer.resumeProducing()
 
