Refuse requests of which no byte was sent as not run (REFUSED)

A request on a kept connection that the server had closed, or on a new one that was closed at once, ended with 502 or 504 although the system had taken no byte of it. The socket is now polled before it is used, and a connection that is lost before any byte was taken, or takes none until the deadline, counts as unsent: the request goes to another connection or is refused as not run. An error of the program while an unsent attempt is processed no longer claims an unknown outcome.

A server's own 408, 429 or 503 to a retry was passed on after an attempt that may have run, and promised too much; the unknown outcome of the earlier attempt now wins.

Refusals at the deadline have a Retry-After where the caller has time left for it: the timeout of the route can end long before the caller's deadline.

--- a/briarspoke/entry/connections.py
+++ b/briarspoke/entry/connections.py
@@ -47,7 +47,7 @@
     :param headers: list of (name in lower case, value) in bytes.
     :param failure: ``connect``, ``refused``, ``closed``, ``reset``, ``malformed``
         or ``timeout``; empty for an answer.
-    :param sent: whether any of the request was written.
+    :param sent: whether the system has taken any byte of the request.
     :param received_bytes: bytes that had arrived when the call failed.
     """
 
@@ -103,6 +103,8 @@
         self._exchange_count = 0
         # Writes the body of the request while it is large and not sent, or None.
         self._body_producer = None
+        # Bytes of the request that were given to the transport at first.
+        self._first_bytes = 0
         # Hashes of the echo values of all requests so far.
         self._carried = set()
         self._echo_name = None
@@ -164,6 +166,24 @@
                 self.reusable = False
         self._parser = httptools.HttpResponseParser(self)
         self._body_producer = write_request(self.transport, head, body)
+        self._first_bytes = len(head)
+        if self._body_producer is None:
+            self._first_bytes += len(body)
+
+    @property
+    def is_any_sent(self):
+        """Whether the system has taken any byte of the request.
+
+        A request of which it has taken none has reached no server.
+        """
+        given_bytes = self._first_bytes
+        if self._body_producer is not None:
+            given_bytes += self._body_producer.given_bytes
+        transport = self.transport
+        unsent_bytes = (
+            len(transport.dataBuffer) - transport.offset + transport._tempDataLen
+        )
+        return self.received_bytes > 0 or unsent_bytes < given_bytes
 
     @property
     def _is_request_sent(self):
@@ -338,8 +358,13 @@
         self.reusable = False
         self._release_message()
         self.transport.abortConnection()
-        if listener is not None:
-            listener(Answer(failure=failure))
+        if listener is None:
+            return
+        sent = self.is_any_sent
+        if not sent and self._exchange_count == 1:
+            # The peer has closed the connection as soon as it was open.
+            failure = "connect"
+        listener(Answer(failure=failure, sent=sent))
 
     def connectionLost(self, reason):
         self.reusable = False
--- a/briarspoke/entry/exchange.py
+++ b/briarspoke/entry/exchange.py
@@ -23,6 +23,10 @@
 # Retries after a server answered that it is not responsible for the key, for example
 # while the key changes owner. They do not count as attempts.
 MAX_MISDIRECTED_RETRIES = 3
+# Statuses that promise that a request has not run.
+PROMISING_STATUSES = frozenset({408, 421, 429, 503})
+# Callers wait for a Retry-After at most for this fraction of the time they have left.
+MAX_RETRY_AFTER_FRACTION = 1 / 3
 # Failures after which the server may be unreachable.
 UNREACHABLE_FAILURES = frozenset({"connect", "refused", "timeout"})
 # Longest time after which a caller whose request is held back is asked to come back.
@@ -302,7 +306,12 @@
             # known about the request.
             log.exception("requests: cannot process an answer")
             self.node.metrics.count("internal_errors_total", "answer")
-            self._end_unknown(codes.OUTCOME_UNKNOWN)
+            if answer.sent or self.server is not None:
+                self._end_unknown(codes.OUTCOME_UNKNOWN)
+            else:
+                self._end_not_run(
+                    codes.OWNER_UNREACHABLE, self.node.RETRY_AFTER_UNAVAILABLE_S
+                )
         self.dispatcher.on_request_ended(server)
 
     def _process_answer(self, server, answer):
@@ -345,6 +354,10 @@
                 self.unknown_outcome_code = codes.OUTCOME_UNKNOWN
                 self.dispatcher.dispatch(self)
                 return
+        if answer.status in PROMISING_STATUSES and self.unknown_outcome_code:
+            # The refusal of a retry does not say whether an earlier attempt has run.
+            self._end_unknown(self.unknown_outcome_code)
+            return
         self._end(answer)
 
     def _tells_limit(self, server, answer):
@@ -380,7 +393,9 @@
         self._end_not_run(codes.SERVER_SHED, self.node.RETRY_AFTER_LOAD_S)
 
     def _handle_failure(self, server, answer):
-        if answer.failure == WITHDRAWN:
+        if answer.failure == WITHDRAWN or _is_unsent(answer):
+            if answer.failure != WITHDRAWN:
+                self.node.metrics.count("attempts_total", "unsent")
             self.attempts -= 1
             self.tried = self.tried[:-1]
             self.dispatcher.dispatch(self)
@@ -462,24 +477,42 @@
             if now < min(self.give_up_at, self.expires_at):
                 return min(self.give_up_at, self.expires_at)
             self.dispatcher.dequeue(self)
-            self._end_not_run(self.refusal_code, self.node.RETRY_AFTER_LOAD_S)
+            retry_after_s = self.node.RETRY_AFTER_LOAD_S
+            if now >= self.expires_at:
+                retry_after_s = self._useful_retry_after_s(retry_after_s)
+            self._end_not_run(self.refusal_code, retry_after_s)
             return None
         if now < self.expires_at:
             return self.expires_at
         self._timed_out()
         return None
 
+    def _useful_retry_after_s(self, seconds):
+        """Returns a Retry-After at the deadline, or None if no time is left for it.
+
+        The route's timeout can end long before the caller's own deadline.
+        """
+        deadline_s = self.request.deadline_s or DEFAULT_DEADLINE_S
+        left_s = self.request.arrived_at + deadline_s - self.node.now()
+        return seconds if seconds <= MAX_RETRY_AFTER_FRACTION * left_s else None
+
     def _timed_out(self):
         server = self.server
         if server is None:
-            self._end_not_run(codes.DEADLINE_IN_QUEUE, None)
+            self._end_not_run(
+                codes.DEADLINE_IN_QUEUE,
+                self._useful_retry_after_s(self.node.RETRY_AFTER_LOAD_S),
+            )
             return
         self.node.metrics.count("attempts_total", "timeout")
         written = self.upstream_request.written
         self._abandon_attempt()
         server.record_unreachable()
         if not written:
-            self._end_not_run(codes.OWNER_UNREACHABLE, None)
+            self._end_not_run(
+                codes.OWNER_UNREACHABLE,
+                self._useful_retry_after_s(self.node.RETRY_AFTER_UNAVAILABLE_S),
+            )
         else:
             self.node.request_log.log_attempt(self, server, "timeout")
             self._end_unknown(codes.ANSWER_TIMEOUT)
@@ -570,6 +603,14 @@
         return answers.server_answer(self.answer, close=close, is_head=is_head)
 
 
+def _is_unsent(answer):
+    """Returns whether a kept connection was lost before any of a request was sent.
+
+    This says nothing about the request or about new connections to the server.
+    """
+    return answer.failure in CRASH_FAILURES and not answer.sent
+
+
 def _is_spoiled(answer):
     """Returns whether an answer claims success without being the server's own."""
     return 200 <= answer.status < 300 and (
--- a/briarspoke/entry/sending.py
+++ b/briarspoke/entry/sending.py
@@ -26,6 +26,8 @@
         self._blocks = collections.deque(body.blocks)
         # Whether the connection ended before the transport had the whole body.
         self._is_cut_short = False
+        # Bytes that the transport has been given.
+        self.given_bytes = 0
 
     @property
     def is_finished(self):
@@ -33,7 +35,9 @@
         return not self._blocks and not self._is_cut_short
 
     def resumeProducing(self):
-        self._transport.write(bytes(self._blocks.popleft()))
+        block = bytes(self._blocks.popleft())
+        self.given_bytes += len(block)
+        self._transport.write(block)
         if self.is_finished:
             self._transport.unregisterProducer()
 
--- a/briarspoke/entry/servers.py
+++ b/briarspoke/entry/servers.py
@@ -8,6 +8,7 @@
 from briarspoke.entry.intake import Intake
 from briarspoke.entry.serverlimits import ServerLimit
 from briarspoke.entry.servicetimes import ServiceTime
+from briarspoke.http.probe import is_idle
 
 # Opening a connection takes one round trip, and longer on a saturated link. The timeout
 # is bounded so that a retry still fits into the latency objective if the server is
@@ -277,6 +278,10 @@
                 return None
             if not connection.reusable:
                 self._idle.remove(connection)
+            elif not is_idle(connection.transport):
+                # Closed by the server, which the event loop has not reported yet.
+                self._idle.remove(connection)
+                connection.abandon()
             elif not connection.has_carried(echo):
                 self._idle.remove(connection)
                 return connection
@@ -294,6 +299,11 @@
 
     def connection_made(self, connection):
         """Sends the next unsent request, or keeps the new connection idle."""
+        if not is_idle(connection.transport):
+            # A server that closes connections as soon as they are open takes none.
+            connection.abandon()
+            self._connect_failed("connect")
+            return
         while self._awaiting_connection:
             upstream_request = self._awaiting_connection.popleft()
             if not upstream_request.abandoned:
@@ -349,22 +359,24 @@
         "_is_head",
         "abandoned",
         "listener",
-        "written",
     )
 
     def __init__(self, head, listener, *, body, echo, is_head):
         self.listener = listener
         self.abandoned = False
-        self.written = False
         self._head = head
         self._body = body
         self._echo = echo
         self._is_head = is_head
         self._connection = None
 
+    @property
+    def written(self):
+        """Whether any byte of the request may have reached the server."""
+        return self._connection is not None and self._connection.is_any_sent
+
     def start(self, connection):
         """Writes the request to a connection."""
-        self.written = True
         self._connection = connection
         body, self._body = self._body, None
         connection.exchange(
