--- a/briarspoke/entry/connections.py
+++ b/briarspoke/entry/connections.py
@@ -26,6 +26,13 @@
 # A connection is closed if sent data stays unacknowledged for this long.
 UNACKNOWLEDGED_DATA_TIMEOUT_MS = 4_000
 
+# HTTP defines no status outside these bounds.
+MIN_STATUS = 100
+MAX_STATUS = 599
+# No request asks for another protocol, so an answer that switches to one is malformed.
+SWITCHING_PROTOCOLS = 101
+MIN_FINAL_STATUS = 200
+
 NO_BODY = Body()
 
 # Begin of an answer; inside the head of another one, it shows that the other broke off.
@@ -40,7 +47,7 @@
     :param headers: list of (name in lower case, value) in bytes.
     :param failure: ``connect``, ``refused``, ``closed``, ``reset``, ``malformed``
         or ``timeout``; empty for an answer.
-    :param sent: whether any of the request was written.
+    :param sent: whether the system has taken any byte of the request.
     :param received_bytes: bytes that had arrived when the call failed.
     """
 
@@ -96,6 +103,8 @@
         self._exchange_count = 0
         # Writes the body of the request while it is large and not sent, or None.
         self._body_producer = None
+        # Bytes of the request that were given to the transport at first.
+        self._first_bytes = 0
         # Hashes of the echo values of all requests so far.
         self._carried = set()
         self._echo_name = None
@@ -104,6 +113,8 @@
 
     def _reset_parser(self):
         self._parser = None
+        # Status of the answer; the parser has that of the bytes behind it, if any.
+        self._status = None
         self._headers = []
         self._reason = b""
         self._head_bytes = 0
@@ -155,6 +166,24 @@
                 self.reusable = False
         self._parser = httptools.HttpResponseParser(self)
         self._body_producer = write_request(self.transport, head, body)
+        self._first_bytes = len(head)
+        if self._body_producer is None:
+            self._first_bytes += len(body)
+
+    @property
+    def is_any_sent(self):
+        """Whether the system has taken any byte of the request.
+
+        A request of which it has taken none has reached no server.
+        """
+        given_bytes = self._first_bytes
+        if self._body_producer is not None:
+            given_bytes += self._body_producer.given_bytes
+        transport = self.transport
+        unsent_bytes = (
+            len(transport.dataBuffer) - transport.offset + transport._tempDataLen
+        )
+        return self.received_bytes > 0 or unsent_bytes < given_bytes
 
     @property
     def _is_request_sent(self):
@@ -251,8 +280,11 @@
             return
         if self._exchange_count > 1 and self._has_second_status_line():
             raise ValueError("an extra answer broke off in its head")
-        if status < 200:
+        if not MIN_STATUS <= status <= MAX_STATUS or status == SWITCHING_PROTOCOLS:
+            raise ValueError(f"status {status} is no answer to a request")
+        if status < MIN_FINAL_STATUS:
             return
+        self._status = status
         framed = self._is_head or status in (204, 304)
         for name, value in self._headers:
             if name == b"content-length":
@@ -298,13 +330,14 @@
             self._body.append(data)
 
     def on_message_complete(self):
-        if self._parser.get_status_code() >= 200 and not self._skipping:
-            self._complete = True
+        if self._parser.get_status_code() < MIN_FINAL_STATUS or self._skipping:
+            return
+        self._complete = True
 
     def _finish(self):
         listener, self.listener = self.listener, None
         answer = Answer(
-            status=self._parser.get_status_code(),
+            status=self._status,
             headers=self._headers,
             body=self._body.body().join(),
         )
@@ -325,8 +358,13 @@
         self.reusable = False
         self._release_message()
         self.transport.abortConnection()
-        if listener is not None:
-            listener(Answer(failure=failure))
+        if listener is None:
+            return
+        sent = self.is_any_sent
+        if not sent and self._exchange_count == 1:
+            # The peer has closed the connection as soon as it was open.
+            failure = "connect"
+        listener(Answer(failure=failure, sent=sent))
 
     def connectionLost(self, reason):
         self.reusable = False
@@ -334,12 +372,26 @@
         if self.listener is None:
             return
         closed = reason.check(error.ConnectionDone) is not None
-        if closed and self._until_close and not self._skipping:
+        if (
+            closed
+            and self._until_close
+            and not self._skipping
+            and not self._is_success_too_early()
+        ):
             self._complete = True
             self._finish()
         else:
             self._fail("closed" if closed else "reset")
 
+    def _is_success_too_early(self):
+        """Returns whether a success ends before the whole request was sent.
+
+        Only the end of the connection delimits such an answer. If the peer has closed
+        with data of the request unread, the reset can be reported as an orderly end:
+        a failed write takes the socket's error, and the next read finds only an end.
+        """
+        return MIN_FINAL_STATUS <= self._status < 300 and not self._is_request_sent
+
 
 class ConnectionFactory(protocol.ClientFactory):
     """Opens one connection.
