Close the servers of evacuated zones, and bound arrivals at leaving servers

An item op/evacuate/ZONE asked for nothing so far. Leaving servers got their last request by the time at which a VM learned of it, with a fixed margin, so that one arrived after the bound. The bound now runs from the earliest time at which the store can have acknowledged the change, and each request is checked against the time that it takes to arrive when it is sent and when a new connection is ready.

--- a/briarspoke/codes.py
+++ b/briarspoke/codes.py
@@ -250,6 +250,13 @@
     503,
     "Servers ended each time while they ran this request; not run.",
 )
+ZONE_EVACUATED = register(
+    3010,
+    "zone-evacuated",
+    Kind.UNAVAILABLE,
+    503,
+    "All servers of the service are in evacuated zones; the request was not run.",
+)
 OUTCOME_UNKNOWN = register(
     3101,
     "outcome-unknown",
--- a/briarspoke/entry/callers.py
+++ b/briarspoke/entry/callers.py
@@ -253,7 +253,9 @@
             closes_connection = exchange.request.closes_connection or (
                 self.node.stopping and not self.exchanges
             )
-            self._output.write(exchange.encode(close=closes_connection))
+            data = exchange.encode(close=closes_connection)
+            self._output.write(data)
+            self.node.link.record_write(len(data))
             self.idle_since = self.node.now()
             if closes_connection:
                 self._close()
--- a/briarspoke/entry/discovery.py
+++ b/briarspoke/entry/discovery.py
@@ -104,14 +104,16 @@
                 clock=node.now,
                 held_answers=node.held_answers,
             )
-            dispatcher.add_server(server)
         server.record = record
         server.registration_missing = server.replaced = False
         if not record.draining:
             server.intake.withdraw()
             record.draining = server.intake.is_leaving
-        elif server.intake.leave(STORE, node.notices.drain_until()):
-            node.metrics.count("intake_closed_total", STORE)
+        else:
+            node.notices.leave(record.service, server, STORE, node.view.changes_since)
+        if not is_same_process:
+            # Last, since requests that wait are sent to it at once.
+            dispatcher.add_server(server)
         log.info(
             "servers: %s id=%s service=%s zone=%s address=%s:%d incarnation=%d"
             " sequence=%d revision=%d",
--- a/briarspoke/entry/dispatch.py
+++ b/briarspoke/entry/dispatch.py
@@ -193,7 +193,7 @@
         if not usable:
             pause_ends_at = self.selection.pause_ends_at()
             if pause_ends_at is None:
-                self.wait_for_server(exchange, codes.NO_OWNER)
+                self._wait_for_usable(exchange, codes.NO_OWNER)
             else:
                 latency_s = self.expected_latency_s()
                 self._wait_for_pause(exchange, self.waiting, pause_ends_at, latency_s)
@@ -218,11 +218,16 @@
         owner = self._node.key_maps.owner(self.name, key)
         server = self.owner_server(key)
         if server is None:
-            is_moving = owner is not None and owner.server_id == UNOWNED
-            self.wait_for_server(
+            is_moving = owner is not None and (
+                owner.server_id == UNOWNED or self._is_closing(owner)
+            )
+            self._wait_for_usable(
                 exchange, codes.PARTITION_MOVING if is_moving else codes.NO_OWNER
             )
             return
+        if not self._can_arrive(exchange, server):
+            self._wait_for_usable(exchange, codes.PARTITION_MOVING)
+            return
         now = self._node.now()
         if not (
             exchange.may_send_to(owner) and self._misdirected_owners.may_try(owner, now)
@@ -249,6 +254,26 @@
         wait_s = (ahead + 1) * server.latency_s / self.selection.in_flight_limit(server)
         self.queue_or_refuse(exchange, server.waiting, wait_s, server.latency_s)
 
+    def _can_arrive(self, exchange, server):
+        """Returns whether a request arrives at a server before requests must end."""
+        selection = self.selection
+        # Computing its size is not needed for most servers.
+        return selection.bound_at(server) == math.inf or selection.can_arrive(
+            server, exchange.request.size_bytes
+        )
+
+    def _is_closing(self, owner):
+        """Returns whether an owner leaves, or its zone is evacuated."""
+        server = self.servers.get(owner.server_id)
+        return server is not None and self.selection.bound_at(server) < math.inf
+
+    def _wait_for_usable(self, exchange, code):
+        """Queues a request, or refuses it if no server can become usable soon."""
+        if self._node.evacuations.leaves_no_server(self):
+            self._node.evacuations.refuse(exchange)
+        else:
+            self.wait_for_server(exchange, code)
+
     def refuse_for(self, exchange, code, late_s):
         """Refuses a request whose queue is too long.
 
@@ -380,6 +405,8 @@
         owner = self._node.key_maps.owner(self.name, key)
         if not self._misdirected_owners.may_try(owner, self._node.now()):
             return None
+        if not self._can_arrive(exchange, server):
+            return None
         return server if exchange.may_send_to(owner) else None
 
     def _send_to_owner(self, exchange, server, owner):
@@ -518,6 +545,8 @@
         for server in list(self.servers.values()):
             server.close_idle(now)
             self._node.notices.check(self.name, server, now)
+            if server.waiting and not self.selection.can_arrive(server):
+                self._redispatch_waiting(server)
             if server.waiting:
                 self.on_request_ended(server)
             self.permit_queue.ask(server)
@@ -528,6 +557,7 @@
         old = self.servers.get(server.record.server_id)
         self.servers[server.record.server_id] = server
         if old is not None:
+            old.withdraw_unsent()
             self._redispatch_waiting(old)
         self.dispatch_waiting()
 
@@ -536,6 +566,7 @@
         server = self.servers.pop(server_id, None)
         if server is not None:
             server.close()
+            server.withdraw_unsent()
             self._redispatch_waiting(server)
 
     def _redispatch_waiting(self, server):
--- a/briarspoke/entry/exchange.py
+++ b/briarspoke/entry/exchange.py
@@ -27,6 +27,8 @@
 UNREACHABLE_FAILURES = frozenset({"connect", "refused", "timeout"})
 # Longest time after which a caller whose request is held back is asked to come back.
 MAX_RETRY_AFTER_S = 30.0
+# Bytes of the request line and of the headers that this VM adds, without the target.
+ADDED_HEAD_BYTES = 150
 # Delay before a request is sent again to an owner that did not hold its key yet.
 SAME_OWNER_RETRY_DELAY_S = 0.08
 
@@ -92,6 +94,12 @@
             elif name == header_names.KEY and value.isdigit() and len(value) < 6:
                 self.key = int(value)
 
+    @property
+    def size_bytes(self):
+        """Size of the request as it is sent to a server, in bytes."""
+        head = sum(len(name) + len(value) + 4 for name, value in self.headers)
+        return ADDED_HEAD_BYTES + len(self.target) + head + len(self.body)
+
     @property
     def path(self):
         """Path of the target, without the query."""
@@ -269,7 +277,19 @@
             if request.request_id
             else None,
             is_head=request.method == b"HEAD",
+            may_write=self._may_write,
         )
+        if self.upstream_request.written:
+            self.node.link.record_write(request.size_bytes)
+
+    def _may_write(self):
+        """Returns whether the request is written to a connection that is ready."""
+        size_bytes = self.request.size_bytes
+        selection = self.dispatcher.selection
+        if not selection.can_arrive(self.server, size_bytes, connects=False):
+            return False
+        self.node.link.record_write(size_bytes)
+        return True
 
     def _encode_head(self, server, now):
         request = self.request
--- a/briarspoke/entry/intake.py
+++ b/briarspoke/entry/intake.py
@@ -17,7 +17,8 @@
     A server that leaves gets none; an owner of keys gets those for its keys until the
     time to drain ends. A pause ends by itself. All times are monotonic seconds.
 
-    :ivar drain_until: time from which a leaving server gets no requests, or None.
+    :ivar drain_until: time by which the last request must have arrived at a leaving
+        server, or None.
     :ivar leaving_source: how this VM knows that the server leaves, or None.
     :ivar asked_until: end of the pause that the server has asked for.
     :ivar own_until: end of the pause that this VM makes, such as after failures.
@@ -63,7 +64,7 @@
     def leave(self, source, until):
         """Notes that the server leaves.
 
-        :param until: time from which it gets no requests at all.
+        :param until: time by which the last request must have arrived.
         :returns: whether this was not known.
         """
         is_new = self.leaving_source is None
--- a/briarspoke/entry/node.py
+++ b/briarspoke/entry/node.py
@@ -9,11 +9,13 @@
 from twisted.internet import defer, task
 
 from briarspoke.entry import crashes, gauges, logs, relays, status
+from briarspoke.entry.arrival import OwnLink
 from briarspoke.entry.callers import CallerFactory
 from briarspoke.entry.control import Control
 from briarspoke.entry.crashes import Crashes
 from briarspoke.entry.discovery import ServerDiscovery
 from briarspoke.entry.dispatch import Dispatcher
+from briarspoke.entry.evacuations import Evacuations
 from briarspoke.entry.fingerprints import Fingerprints
 from briarspoke.entry.heldbytes import HeldBytes
 from briarspoke.entry.httpclient import HttpClient
@@ -70,6 +72,7 @@
         self.settings = settings
         self.now = clock
         self.metrics = Metrics(node_id=settings.node)
+        self.link = OwnLink(mbps=settings.link_mbps, clock=clock)
         self.timers = Timers(reactor=reactor, clock=clock)
         # Open connections of callers.
         self.callers = set()
@@ -100,12 +103,15 @@
         self.view = StoreView(client=self.store, sleep=self.sleep, clock=clock)
         self.registry = NodeRegistry(node=self)
         self.control = Control(node=self)
-        self.relay = Relay(view=self.view)
+        self.relay = Relay(
+            view=self.view, clock=clock, record_write=self.link.record_write
+        )
         self.view.is_relay = lambda: bool(self.relay.links) or self.registry.is_relay()
         self.relay_follower = RelayFollower(node=self)
         self.view.find_relay = self.relay_follower.wait_for_first_view
         self.rate_limits = RateLimits(node=self)
         self.notices = Notices(node=self)
+        self.evacuations = Evacuations(node=self)
         self.fingerprints = Fingerprints(node=self)
         self.crashes = Crashes(node=self)
         self.crashes.settings_changed()
@@ -388,6 +394,7 @@
         if self.routing_table is None:
             return
         self.rate_limits.tick(now)
+        self.evacuations.tick(now)
         for dispatcher in self._dispatchers_by_service.values():
             dispatcher.tick(now)
 
--- a/briarspoke/entry/notices.py
+++ b/briarspoke/entry/notices.py
@@ -10,8 +10,6 @@
 
 log = logging.getLogger(__name__)
 
-# A leaving server gets its last request this long before its time to drain ends.
-DRAIN_MARGIN_S = 0.5
 # Other entry VMs are told again after this time while answers still say it.
 TELL_INTERVAL_S = 0.5
 REJECTED_STATUS = 503
@@ -28,9 +26,13 @@
     def __init__(self, *, node):
         self._node = node
 
-    def drain_until(self):
-        """Returns the time at which a server that leaves now gets its last request."""
-        return self._node.now() + self._node.settings.drain_s - DRAIN_MARGIN_S
+    def drain_until(self, learned_at):
+        """Returns the time by which the last request must have arrived at a server.
+
+        :param learned_at: earliest time at which the store can have acknowledged that
+            the server leaves, or the time at which this VM learned it otherwise.
+        """
+        return learned_at + self._node.settings.drain_s
 
     def record_answer(self, service, server, answer):
         """Notes what a server says in an answer.
@@ -48,7 +50,7 @@
         now = self._node.now()
         state = server.intake
         known_by = state.leaving_source
-        self._leave(service, server, intake.ANSWER, self.drain_until())
+        self._leave(service, server, intake.ANSWER, now)
         is_told = known_by in (intake.PEER, intake.STORE) or (
             state.told_at is not None and now - state.told_at < TELL_INTERVAL_S
         )
@@ -67,14 +69,13 @@
             return
         server = self._node.dispatcher(service).servers.get(instance[0])
         if server is not None and server.record.server_instance == instance:
-            self._leave(service, server, intake.PEER, self.drain_until())
+            self._leave(service, server, intake.PEER, self._node.now())
 
-    def _leave(self, service, server, source, until):
-        if not server.intake.leave(source, until):
+    def _leave(self, service, server, source, learned_at):
+        if not self.leave(service, server, source, learned_at):
             return
         # The controller moves the keys of servers whose record says so.
         server.record.draining = True
-        self._node.metrics.count("intake_closed_total", source)
         log.info(
             "servers: leaving id=%s service=%s incarnation=%d source=%s",
             server.record.server_id,
@@ -84,6 +85,22 @@
         )
         self._node.wake_control()
 
+    def leave(self, service, server, source, learned_at):
+        """Closes a server that leaves, and takes back what waits to be sent to it.
+
+        :param source: how it is known, see :mod:`briarspoke.entry.intake`.
+        :param learned_at: see :meth:`drain_until`.
+        :returns: whether this was not known.
+        """
+        if not server.intake.leave(source, self.drain_until(learned_at)):
+            return False
+        self._node.metrics.count("intake_closed_total", source)
+        dispatcher = self._node.dispatcher(service)
+        if not dispatcher.selection.can_arrive(server):
+            server.withdraw_unsent()
+            dispatcher.on_pause_asked(server)
+        return True
+
     def _record_pause(self, service, server, answer):
         state = server.intake
         try:
--- a/briarspoke/entry/relays.py
+++ b/briarspoke/entry/relays.py
@@ -52,27 +52,41 @@
     :param changes: the :class:`Changes`.
     :param whole: whether the items are the whole view and not only changes of it.
     :param proof_age_s: seconds since the relay knew them to be complete.
+    :param complete_age_s: seconds since they were complete for certain; None for
+        ``proof_age_s``.
+    :param sent_at: time of the relay's clock in seconds, or None if unknown.
     """
 
-    __slots__ = ("changes", "proof_age_s", "whole")
+    __slots__ = ("changes", "complete_age_s", "proof_age_s", "sent_at", "whole")
 
-    def __init__(self, *, changes, whole, proof_age_s=0.0):
+    def __init__(
+        self, *, changes, whole, proof_age_s=0.0, complete_age_s=None, sent_at=None
+    ):
         self.changes = changes
         self.whole = whole
         self.proof_age_s = proof_age_s
+        self.complete_age_s = proof_age_s if complete_age_s is None else complete_age_s
+        self.sent_at = sent_at
 
 
 def _encode(frame):
     """Returns a :class:`Frame` in bytes."""
     changes = frame.changes
     rows = [[item.key, item.value, item.revision] for item in changes.items]
-    proof_age_ms = round(frame.proof_age_s * 1e3)
-    body = [rows, changes.revision, changes.era, frame.whole, proof_age_ms]
+    body = [
+        rows,
+        changes.revision,
+        changes.era,
+        frame.whole,
+        round(frame.proof_age_s * 1e3),
+        round(frame.complete_age_s * 1e3),
+        None if frame.sent_at is None else round(frame.sent_at * 1e3),
+    ]
     return zlib.compress(cbor2.dumps(body), COMPRESSION_LEVEL)
 
 
 def _decode(data):
-    """Decodes a :class:`Frame`; those of earlier versions have no age.
+    """Decodes a :class:`Frame`; those of earlier versions have no ages.
 
     :raises DecodeError: if it does not have the expected form.
     """
@@ -88,10 +102,14 @@
             )
             for key, value, item_revision in rows
         ]
+        ages_s = [max(0, int(age_ms)) / 1e3 for age_ms in rest[:2]]
+        sent_at_ms = rest[2] if len(rest) > 2 else None
         return Frame(
             changes=Changes(items=items, revision=int(revision), era=era),
             whole=bool(whole),
-            proof_age_s=max(0, int(rest[0])) / 1e3 if rest else 0.0,
+            proof_age_s=ages_s[0] if ages_s else 0.0,
+            complete_age_s=ages_s[1] if len(ages_s) > 1 else None,
+            sent_at=None if sent_at_ms is None else int(sent_at_ms) / 1e3,
         )
     except (
         zlib.error,
@@ -124,13 +142,17 @@
     """Sends this entry VM's view to followers while it is in contact with the store.
 
     :param view: the :class:`briarspoke.entry.view.StoreView`.
+    :param clock: function that returns monotonic seconds.
+    :param record_write: called with the number of bytes of each frame.
     """
 
     noisy = False
 
-    def __init__(self, *, view):
+    def __init__(self, *, view, clock, record_write):
         self.links = set()
         self._view = view
+        self._clock = clock
+        self._record_write = record_write
         view.listeners.append(self)
 
     def buildProtocol(self, address):
@@ -143,7 +165,9 @@
             link.transport.loseConnection()
             return
         self.links.add(link)
-        link.sendString(self._encode_with_age(self._whole_view(), whole=True))
+        data = self._encode_with_age(self._whole_view(), whole=True)
+        self._record_write(len(data))
+        link.sendString(data)
 
     def store_changed(self, changes):
         """Sends changes to the followers; empty ones act as a heartbeat."""
@@ -158,13 +182,21 @@
         return Changes(items=view.items.values(), revision=view.revision, era=view.era)
 
     def _encode_with_age(self, changes, *, whole):
-        age_s = self._view.proof_age_s()
-        return _encode(Frame(changes=changes, whole=whole, proof_age_s=age_s))
+        return _encode(
+            Frame(
+                changes=changes,
+                whole=whole,
+                proof_age_s=self._view.proof_age_s(),
+                complete_age_s=self._view.completeness_age_s(),
+                sent_at=self._clock(),
+            )
+        )
 
     def _send(self, changes, *, whole):
         if self.links:
             data = self._encode_with_age(changes, whole=whole)
             for link in self.links:
+                self._record_write(len(data))
                 link.sendString(data)
 
     def send_heartbeat(self):
@@ -225,6 +257,11 @@
         self._connecting = False
         self._last_data_at = 0.0
         self._next_attempt_at = 0.0
+        self._attempted_at = 0.0
+        # Least difference between this VM's clock and the relay's in the frames of the
+        # current connection, or None before the first. A frame with a larger one took
+        # that much longer on its way.
+        self._least_offset_s = None
         # Whether the relay's last frame was refused because of its era or revision.
         self._is_relay_behind = False
         node.store.era_observers.append(self._era_rose)
@@ -266,6 +303,8 @@
         if address is None:
             return
         self._connecting = True
+        self._attempted_at = now
+        self._least_offset_s = None
         self._host, port = address
         self._node.reactor.connectTCP(self._host, port, self, timeout=CONNECT_TIMEOUT_S)
 
@@ -328,6 +367,7 @@
             return
         view = self._node.view
         changes = frame.changes
+        ages_s = (frame.proof_age_s, frame.complete_age_s + self._transit_s(frame))
         if not self._is_current(changes, frame.whole):
             self._is_relay_behind = True
             self._disconnect()
@@ -335,11 +375,26 @@
             log.info(
                 "relays: follows host=%s revision=%d", self._host, changes.revision
             )
-            view.switch_to_relay(changes, frame.proof_age_s)
+            view.switch_to_relay(changes, *ages_s)
         elif frame.whole:
-            view.replace_from_relay(changes, frame.proof_age_s)
+            view.replace_from_relay(changes, *ages_s)
         else:
-            view.apply_changes(changes, frame.proof_age_s)
+            view.apply_changes(changes, *ages_s)
+
+    def _transit_s(self, frame):
+        """Returns how long a frame was on its way, beyond the quickest one.
+
+        The relay sent the first frame after this VM tried to connect.
+        """
+        if frame.sent_at is None:
+            return 0.0
+        now = self._node.now()
+        offset_s = now - frame.sent_at
+        if self._least_offset_s is None:
+            self._least_offset_s = offset_s
+            return now - self._attempted_at
+        self._least_offset_s = min(self._least_offset_s, offset_s)
+        return min(now - self._attempted_at, offset_s - self._least_offset_s)
 
     def _is_current(self, changes, whole):
         """Returns whether a frame is not older than the view and can be applied."""
--- a/briarspoke/entry/selection.py
+++ b/briarspoke/entry/selection.py
@@ -91,15 +91,43 @@
             default=None,
         )
 
+    def bound_at(self, server):
+        """Returns the time by which requests must have arrived at a server.
+
+        :returns: infinity unless it leaves or its zone is evacuated.
+        """
+        bound_at = self._node.evacuations.bound_at(server)
+        if server.intake.is_leaving:
+            # Others serve what has no key; an owner serves its keys until they have
+            # moved to another server.
+            drain_until = server.intake.drain_until
+            bound_at = min(
+                bound_at, drain_until if self._dispatcher.keyed else -math.inf
+            )
+        return bound_at
+
+    def can_arrive(self, server, size_bytes=0, *, connects=True):
+        """Returns whether a request that is sent now arrives before the bound.
+
+        :param size_bytes: size of its head and body.
+        :param connects: whether a connection may have to be opened first.
+        """
+        bound_at = self.bound_at(server)
+        if bound_at == math.inf:
+            return True
+        arrival_s = self._node.link.arrival_s(size_bytes, connects=connects)
+        return self._node.now() + arrival_s < bound_at
+
     def _is_usable_after_pause(self, server):
+        if not self.can_arrive(server):
+            return False
         if not server.intake.is_leaving:
             return (
                 not server.registration_missing
                 or self._dispatcher.keyed
                 or self._most_are_missing()
             )
-        # A draining owner serves its keys until they have moved to another server.
-        return self._dispatcher.keyed and self._node.now() < server.intake.drain_until
+        return True
 
     def _most_are_missing(self):
         """Returns whether more than half of the servers have no registration.
--- a/briarspoke/entry/servers.py
+++ b/briarspoke/entry/servers.py
@@ -227,7 +227,18 @@
         """Sends no requests to the server for a number of seconds."""
         self.intake.pause(self._clock() + seconds)
 
-    def send(self, head, listener, *, body, idempotent, objective_s, echo, is_head):
+    def send(
+        self,
+        head,
+        listener,
+        *,
+        body,
+        idempotent,
+        objective_s,
+        echo,
+        is_head,
+        may_write=lambda: True,
+    ):
         """Sends a whole request on an idle or a new connection.
 
         :param head: the head as bytes.
@@ -239,10 +250,12 @@
             late answer to an earlier request could not be recognised, so the request
             gets a new connection.
         :param is_head: whether the method is HEAD.
+        :param may_write: returns whether the request may still be written; called when
+            a new connection is ready.
         :returns: an :class:`UpstreamRequest` that can be abandoned.
         """
         upstream_request = UpstreamRequest(
-            head, listener, body=body, echo=echo, is_head=is_head
+            head, listener, body=body, echo=echo, is_head=is_head, may_write=may_write
         )
         connection = None
         if echo is not None:
@@ -296,9 +309,12 @@
         """Sends the next unsent request, or keeps the new connection idle."""
         while self._awaiting_connection:
             upstream_request = self._awaiting_connection.popleft()
-            if not upstream_request.abandoned:
+            if upstream_request.abandoned:
+                continue
+            if upstream_request.may_write():
                 upstream_request.start(connection)
                 return
+            upstream_request.withdraw()
         self._keep_idle(connection)
 
     def _connect_failed(self, failure):
@@ -313,8 +329,7 @@
         self._awaiting_connection.clear()
         for upstream_request in unsent:
             if not upstream_request.abandoned:
-                upstream_request.abandoned = True
-                upstream_request.listener(Answer(failure=WITHDRAWN, sent=False))
+                upstream_request.withdraw()
 
     def exchange_ended(self, connection):
         """Keeps a connection for the next request, or closes it."""
@@ -339,6 +354,7 @@
     :param head: the head as bytes.
     :param listener: called with the :class:`Answer`.
     :param body: the :class:`briarspoke.entry.arriving.Body`.
+    :param may_write: returns whether the request may still be written.
     """
 
     __slots__ = (
@@ -349,10 +365,12 @@
         "_is_head",
         "abandoned",
         "listener",
+        "may_write",
         "written",
     )
 
-    def __init__(self, head, listener, *, body, echo, is_head):
+    def __init__(self, head, listener, *, body, echo, is_head, may_write):
+        self.may_write = may_write
         self.listener = listener
         self.abandoned = False
         self.written = False
@@ -375,6 +393,11 @@
             echo=self._echo,
         )
 
+    def withdraw(self):
+        """Takes the request back before it is written."""
+        self.abandoned = True
+        self.listener(Answer(failure=WITHDRAWN, sent=False))
+
     def abandon(self):
         """Closes the connection; servers then cancel the request."""
         self.abandoned = True
--- a/briarspoke/entry/view.py
+++ b/briarspoke/entry/view.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import random
 
 from twisted.internet import defer
@@ -11,6 +12,7 @@
 from briarspoke.entry.pauses import Pause
 from briarspoke.errors import BriarspokeError
 from briarspoke.platform.keyvalue import (
+    WATCH_GRACE_S,
     HistoryGoneError,
     StoreError,
     StoreRestoredError,
@@ -53,12 +55,23 @@
         self.reachable = False
         # Time as of which the items were last known to be current.
         self.last_contact = None
+        # Earliest time at which the changes that observers are told of can have been
+        # acknowledged by the store; minus infinity for those of the first view.
+        self.changes_since = -math.inf
+        # Time of which it is certain that the items were complete then. It is earlier
+        # than ``last_contact`` by the time that the store's answer took.
+        self._complete_at = -math.inf
+        # Time and wait of the last call that reads or watches the items.
+        self._asked_at = 0.0
+        self._asked_wait_s = 0.0
         # Time of the first answer at the start or after the last outage.
         self.recovered_at = None
         self._client = client
         self._sleep = sleep
         self._clock = clock
         self._observers_by_prefix = {}
+        # Prefixes of items that are applied before others which arrive with them.
+        self._first_prefixes = ()
         # Objects whose ``store_changed(changes)`` is called with changes that come from
         # the store, ``view_replaced()`` after all items were read from it again, and
         # ``view_abandoned()`` when this view begins to follow a relay.
@@ -74,9 +87,15 @@
         self._pause = Pause(sleep=sleep)
         client.era_observers.append(self._era_rose)
 
-    def observe(self, prefix, observer):
-        """Calls ``observer(key, item)`` for each change; item is None if removed."""
+    def observe(self, prefix, observer, *, first=False):
+        """Calls ``observer(key, item)`` for each change; item is None if removed.
+
+        :param first: whether these items are applied before others that arrive with
+            them.
+        """
         self._observers_by_prefix[prefix] = observer
+        if first:
+            self._first_prefixes += (prefix,)
 
     def put(self, item):
         """Adds an item that this process has written, before the watch returns it."""
@@ -86,34 +105,42 @@
         """Returns the seconds since the items were last known to be current."""
         return self._clock() - self.last_contact
 
-    def switch_to_relay(self, changes, proof_age_s=0.0):
+    def completeness_age_s(self):
+        """Returns the seconds since the items were complete for certain."""
+        return self._clock() - self._complete_at
+
+    def switch_to_relay(self, changes, proof_age_s=0.0, complete_age_s=None):
         """Replaces all items by those of a relay, which sends all further changes.
 
         :param changes: :class:`Changes` with all items of the relay.
         :param proof_age_s: seconds since they were known to be current.
+        :param complete_age_s: seconds since they were complete for certain; None for
+            ``proof_age_s``.
         """
         self.uses_relay = True
         self._relay_ended = defer.Deferred()
-        self._replace_all(changes, proof_age_s)
+        self._replace_all(changes, proof_age_s, complete_age_s)
         for listener in self.listeners:
             listener.view_abandoned()
 
-    def replace_from_relay(self, changes, proof_age_s=0.0):
+    def replace_from_relay(self, changes, proof_age_s=0.0, complete_age_s=None):
         """Replaces all items by those that the relay has read again.
 
         The relay may have had an outage of the store that this view knows nothing of,
         so registrations that are missing get the time to return, as after an outage.
         """
         self.recovered_at = self._clock()
-        self._replace_all(changes, proof_age_s)
+        self._replace_all(changes, proof_age_s, complete_age_s)
 
-    def apply_changes(self, changes, proof_age_s=0.0):
+    def apply_changes(self, changes, proof_age_s=0.0, complete_age_s=None):
         """Applies :class:`Changes` that came from the store or from a relay.
 
         :param proof_age_s: seconds since they were known to be complete.
+        :param complete_age_s: seconds since they were complete for certain; None for
+            ``proof_age_s``.
         """
-        self._contact_succeeded(proof_age_s)
-        for item in changes.items:
+        self._contact_succeeded(proof_age_s, complete_age_s)
+        for item in self._in_order(changes.items):
             self._apply(item)
         self.revision = max(self.revision, changes.revision)
         if not self.uses_relay:
@@ -189,20 +216,34 @@
             if self.uses_relay:
                 return
         if self.revision is None:
+            self._asked_at, self._asked_wait_s = self._clock(), 0.0
             changes = await self._client.read_all()
             if self.uses_relay:
                 return
-            self._replace_all(changes)
+            # Changes that are made while the pages arrive follow with the next watch.
+            asked_age_s = self._clock() - self._asked_at
+            self._replace_all(changes, complete_age_s=asked_age_s)
             for listener in self.listeners:
                 listener.view_replaced()
             return
         changes = await self._watch()
         if self.uses_relay:
             return
-        self.apply_changes(changes)
+        self.apply_changes(changes, complete_age_s=self._answer_age_s(changes))
         if changes.items:
             await self._pause.wait(BATCH_DELAY_S)
 
+    def _answer_age_s(self, changes):
+        """Returns how long the answer to the last watch may have taken.
+
+        An empty answer was sent at the end of the wait. One with changes was sent at
+        any time, but an answer that takes longer than ``WATCH_GRACE_S`` counts as lost.
+        """
+        age_s = self._clock() - self._asked_at
+        if not changes.items:
+            return max(0.0, age_s - self._asked_wait_s)
+        return min(WATCH_GRACE_S, age_s)
+
     async def _watch(self):
         """Waits for changes, and asks again at once if the watch is lost.
 
@@ -212,6 +253,7 @@
             MAX_RELAY_PROOF_INTERVAL_S if self.is_relay() else MAX_PROOF_INTERVAL_S
         )
         wait_s = max(MIN_WATCH_WAIT_S, interval_s - self.proof_age_s())
+        self._asked_at, self._asked_wait_s = self._clock(), wait_s
         try:
             return await self._client.watch(self.revision, wait_s, self.era)
         except (HistoryGoneError, StoreRestoredError):
@@ -224,13 +266,23 @@
                 round(self.proof_age_s() * 1e3),
                 str(error),
             )
+        self._asked_at, self._asked_wait_s = self._clock(), CATCH_UP_WAIT_S
         changes = await self._client.watch(self.revision, CATCH_UP_WAIT_S, self.era)
         # Registrations may have expired if the store was away for a moment.
         self.recovered_at = self._clock()
         return changes
 
-    def _contact_succeeded(self, proof_age_s=0.0):
+    def _in_order(self, items):
+        return sorted(
+            items, key=lambda item: not item.key.startswith(self._first_prefixes)
+        )
+
+    def _contact_succeeded(self, proof_age_s, complete_age_s):
         now = self._clock() - proof_age_s
+        if complete_age_s is None:
+            complete_age_s = proof_age_s
+        self.changes_since = self._complete_at
+        self._complete_at = max(self._complete_at, self._clock() - complete_age_s)
         if not self.reachable:
             self.reachable = True
             self.recovered_at = self._clock()
@@ -250,8 +302,8 @@
         # The relay's heartbeats end, so its followers soon watch the store themselves.
         self.reachable = False
 
-    def _replace_all(self, changes, proof_age_s=0.0):
-        self._contact_succeeded(proof_age_s)
+    def _replace_all(self, changes, proof_age_s=0.0, complete_age_s=None):
+        self._contact_succeeded(proof_age_s, complete_age_s)
         if changes.era != self.era:
             # Registrations that the copy lacks get the time to return.
             self.recovered_at = self._clock()
@@ -260,7 +312,7 @@
         by_key = {item.key: item for item in changes.items}
         for key in [key for key in self.items if key not in by_key]:
             self._remove(key)
-        for item in by_key.values():
+        for item in self._in_order(by_key.values()):
             self._apply(item)
         self.revision = changes.revision
 
--- a/briarspoke/keyspace/range_manager.py
+++ b/briarspoke/keyspace/range_manager.py
@@ -8,6 +8,7 @@
 from briarspoke.keyspace import placement
 from briarspoke.keyspace.allowance import Allowances
 from briarspoke.keyspace.confirmation import OwnerConfirmation
+from briarspoke.keyspace.evacuation import ZoneMoves
 from briarspoke.keyspace.granter import Granter
 from briarspoke.keyspace.keymap import KEY_COUNT, UNOWNED, KeyMap, Owner
 from briarspoke.keyspace.moves import Move, MoveState
@@ -73,6 +74,7 @@
             self._former_granter = former.granter
         self._confirmation = None
         self._announcements = []
+        self._zone_moves = ZoneMoves(node=node, service=service)
         self._allowances = Allowances()
         self._fraction_by_key = {}
         self._plan_allowances_at = 0.0
@@ -164,7 +166,7 @@
             # The store may have been restored from a copy that is older than the map.
             return
         usable_instances = sorted(
-            r.server_instance for r in records.values() if not r.draining
+            r.server_instance for r in records.values() if self._zone_moves.may_own(r)
         )
         if len(usable_instances) != self._usable_count:
             self._usable_count = len(usable_instances)
@@ -199,15 +201,31 @@
                 reason = "gone" if record is None else "draining"
             for piece in subtract_ranges(first, last, moving):
                 self._start_move(*piece, owner, None, reason)
-        free_moves = MAX_CONCURRENT_MOVES - len(self.moves)
         # Without the store, a released range stays without an owner.
         may_move = self._node.view.reachable and not self._leadership.has_lost_store(
             now
         )
+        if may_move:
+            self._start_evacuation(records, now)
+        free_moves = MAX_CONCURRENT_MOVES - len(self.moves)
         if free_moves > 0 and may_move and now >= self._rebalance_at:
             self._rebalance_at = now + REBALANCE_INTERVAL_S
             self._rebalance(records, now, free_moves)
 
+    def _start_evacuation(self, records, now):
+        transfers = self._zone_moves.transfers(
+            self._map,
+            records,
+            lambda: self._usable_candidates(records),
+            self.moves,
+            now,
+        )
+        for transfer in transfers:
+            owner = self._map.owner(transfer.first)
+            self._start_move(
+                transfer.first, transfer.last, owner, transfer.to, "evacuated"
+            )
+
     def _rebalance(self, records, now, free_moves):
         candidates = self._usable_candidates(records)
         estimate = self._node.load_estimate(self.service)
@@ -264,7 +282,9 @@
 
     def _usable_candidates(self, records):
         usable = [
-            record for _, record in sorted(records.items()) if not record.draining
+            record
+            for _, record in sorted(records.items())
+            if self._zone_moves.may_own(record)
         ]
         # A server without keys gets no grant that would show that it is back.
         reachable = [r for r in usable if self.granter.client(r).reachable]
--- a/briarspoke/metrics.py
+++ b/briarspoke/metrics.py
@@ -25,6 +25,10 @@
         "source",
         "Servers that take nothing new, by who said so: store, answer, peer, asked.",
     ),
+    "evacuations_total": (
+        "event",
+        "Evacuations of availability zones with servers, by event: begins, ends.",
+    ),
     "retries_denied_total": (
         "reason",
         "Failed attempts that were not retried, by reason.",
@@ -112,6 +116,11 @@
     ),
     "servers_known": ("", "Servers that this entry VM may use."),
     "servers_limited": ("service", "Servers that name a rate limit, by service."),
+    "zones_evacuated": ("", "Evacuated availability zones that have servers."),
+    "keys_evacuating": (
+        "service",
+        "Keys that servers of evacuated availability zones still own, by service.",
+    ),
     "connections_open": ("", "Open connections from callers."),
     "key_ranges": ("service", "Key ranges of the key map, by service."),
     "key_ranges_moving": (
