--- a/briarspoke/entry/node.py
+++ b/briarspoke/entry/node.py
@@ -103,9 +103,7 @@
         self.view = StoreView(client=self.store, sleep=self.sleep, clock=clock)
         self.registry = NodeRegistry(node=self)
         self.control = Control(node=self)
-        self.relay = Relay(
-            view=self.view, clock=clock, record_write=self.link.record_write
-        )
+        self.relay = Relay(view=self.view, record_write=self.link.record_write)
         self.view.is_relay = lambda: bool(self.relay.links) or self.registry.is_relay()
         self.relay_follower = RelayFollower(node=self)
         self.view.find_relay = self.relay_follower.wait_for_first_view
--- a/briarspoke/entry/relays.py
+++ b/briarspoke/entry/relays.py
@@ -142,16 +142,14 @@
     """Sends this entry VM's view to followers while it is in contact with the store.
 
     :param view: the :class:`briarspoke.entry.view.StoreView`.
-    :param clock: function that returns monotonic seconds.
     :param record_write: called with the number of bytes of each frame.
     """
 
     noisy = False
 
-    def __init__(self, *, view, clock, record_write):
+    def __init__(self, *, view, record_write=lambda size_bytes: None):
         self.links = set()
         self._view = view
-        self._clock = clock
         self._record_write = record_write
         view.listeners.append(self)
 
@@ -188,7 +186,7 @@
                 whole=whole,
                 proof_age_s=self._view.proof_age_s(),
                 complete_age_s=self._view.completeness_age_s(),
-                sent_at=self._clock(),
+                sent_at=self._view.now(),
             )
         )
 
--- a/briarspoke/entry/view.py
+++ b/briarspoke/entry/view.py
@@ -101,6 +101,10 @@
         """Adds an item that this process has written, before the watch returns it."""
         self._apply(item)
 
+    def now(self):
+        """Returns monotonic seconds."""
+        return self._clock()
+
     def proof_age_s(self):
         """Returns the seconds since the items were last known to be current."""
         return self._clock() - self.last_contact
