Pace the moves off an evacuated zone, also for a new controller

Parts of a zone with few servers left all started within 0.3 s. A part now has at most 6% of the load, and starts when it is due. A new controller released keys before their owners had accepted a grant of its own, so that the keys had no owner until the former grants had expired; it waits up to 1 s for that.

--- a/briarspoke/keyspace/evacuation.py
+++ b/briarspoke/keyspace/evacuation.py
@@ -23,12 +23,21 @@
 SPREAD_S = 1.5
 # Time between two rounds; the controller's duties run at this interval.
 ROUND_S = 0.1
+# A new controller waits this long for owners to accept a grant of its own. Before, a
+# release would not be final, and the keys would have no owner until the grants of the
+# controller before have expired, which takes up to 10 s.
+ACCEPTANCE_WAIT_S = 1.0
 # Moves in progress for each remaining server. A move takes 0.3 to 1 s, so 2 let a
-# server get up to 10 ranges within the time above.
+# server get up to 10 ranges within the time above. A few servers get larger ranges, and
+# have to take the number of all together, or two thirds of the keys take too long.
 MOVES_PER_SERVER = 2
+MIN_MOVES = 8
 # A range is not divided into parts with less than this fraction of the mean load of a
 # server, since each part costs two calls.
 MIN_PART_SHARE = 0.1
+# Largest part, as a fraction of the load of all keys. A third of them then moves in
+# about six parts even if few servers are left.
+MAX_PART_SHARE = 0.06
 # Keys that nobody has asked for lately count as if this fraction of the load were
 # spread over all keys, so that one server does not get all of them.
 SPREAD_LOAD_SHARE = 0.2
@@ -65,7 +74,16 @@
         return int(load / self._per_key)
 
 
-def plan(leaving, candidates, total_load, *, elapsed_s, moving_count):
+def plan(
+    leaving,
+    candidates,
+    total_load,
+    *,
+    keys_at_first,
+    keys_left,
+    elapsed_s,
+    moving_count,
+):
     """Returns the list of :class:`Transfer` to start now.
 
     The remaining servers are filled one after the other, least utilised first, up to
@@ -76,25 +94,27 @@
         own keys. Their loads include keys that are on their way to them and are
         increased by those of the plan.
     :param total_load: requests per second to all keys.
+    :param keys_at_first: number of keys that had to leave when the moves began.
+    :param keys_left: how many of them do not move yet.
     :param elapsed_s: seconds since the evacuation began.
     :param moving_count: moves that are in progress.
     """
-    free_moves = MOVES_PER_SERVER * len(candidates) - moving_count
+    most_moves = max(MIN_MOVES, MOVES_PER_SERVER * len(candidates))
+    free_moves = most_moves - moving_count
     if not candidates or free_moves <= 0:
         return []
     weights = _Weights(total_load)
     total = sum(_weight(each, weights) for each in leaving)
     level = _level(candidates, total)
-    rounds_left = max(1.0, (SPREAD_S - elapsed_s) / ROUND_S)
-    wanted = total / rounds_left
+    due = min(1.0, (elapsed_s + ROUND_S) / SPREAD_S) * keys_at_first
+    started = keys_at_first - keys_left
     transfers = []
-    planned = 0.0
     for each in leaving:
-        for transfer, load in _divide(each, candidates, level, weights):
-            if len(transfers) >= free_moves or planned >= wanted:
+        for transfer in _divide(each, candidates, level, weights):
+            if len(transfers) >= free_moves or started >= due:
                 return transfers
             transfers.append(transfer)
-            planned += load
+            started += transfer.last - transfer.first + 1
     return transfers
 
 
@@ -119,7 +139,7 @@
 
 
 def _divide(leaving, candidates, level, weights):
-    """Yields (:class:`Transfer`, load) that together move a range.
+    """Yields the :class:`Transfer` objects that together move a range.
 
     The load of a target is increased when the next one is asked for, so that the last
     one, which is not used, counts nowhere.
@@ -128,15 +148,19 @@
     rates = list(leaving.bucket_rates)
     while first <= leaving.last:
         target = least_utilised(candidates)
-        room = max(
-            (level - target.utilisation) * target.slots / target.latency_s,
-            MIN_PART_SHARE * weights.total / len(candidates),
-        )
-        last, load = _run(first, leaving.last, rates, room, weights)
+        most = MAX_PART_SHARE * weights.total
+        least = min(most, MIN_PART_SHARE * weights.total / len(candidates))
+        room = (level - target.utilisation) * target.slots / target.latency_s
+        wanted = min(most, max(room, least))
+        last, load = _run(first, leaving.last, rates, wanted, weights)
+        rest_rate = sum(rate for key, rate in rates if key > last)
+        rest = weights.of(leaving.last - last, rest_rate)
+        if rest < least:
+            last, load = leaving.last, load + rest
         if load > room:
             # One key, or the last few: the server with the lowest utilisation after.
             target = least_utilised(candidates, load)
-        yield Transfer(first=first, last=last, to=target.server_instance), load
+        yield Transfer(first=first, last=last, to=target.server_instance)
         target.load += load
         first = last + 1
         rates = [(key, rate) for key, rate in rates if key > last]
@@ -175,13 +199,21 @@
     :param service: name of the service.
     """
 
-    __slots__ = ("_began_at", "_is_blocked", "_node", "_service")
+    __slots__ = (
+        "_began_at",
+        "_is_blocked",
+        "_keys_at_first_by_zone",
+        "_node",
+        "_service",
+    )
 
     def __init__(self, *, node, service):
         self._node = node
         self._service = service
         # Time since which keys have to leave evacuated zones, or None if none have to.
         self._began_at = None
+        # {zone: keys that had to leave it when this process began to move them}.
+        self._keys_at_first_by_zone = {}
         # Whether the log says that there is no other server.
         self._is_blocked = False
 
@@ -194,12 +226,14 @@
             record.zone
         )
 
-    def transfers(self, key_map, records, candidates, moves, now):
+    def transfers(self, key_map, records, candidates, moves, now, *, is_final):
         """Returns the list of :class:`Transfer` to start now.
 
         :param records: ``{server_instance: ServerRecord}`` of possible owners.
         :param candidates: function that returns the servers that may own keys.
         :param moves: the moves in progress.
+        :param is_final: returns whether a release by an (owner, first key, last key)
+            ends the ownership.
         """
         owned_by_zone = self._owned_by_zone(key_map, records)
         if not owned_by_zone:
@@ -224,15 +258,26 @@
         transfers = []
         evacuations = self._node.evacuations
         for zone in sorted(owned_by_zone, key=evacuations.began_at):
-            leaving = [
-                _leaving(*piece, rates)
+            keys_at_first = self._keys_at_first_by_zone.setdefault(
+                zone, sum(last - first + 1 for first, last in owned_by_zone[zone])
+            )
+            pieces = [
+                piece
                 for first, last in owned_by_zone[zone]
                 for piece in subtract_ranges(first, last, moving)
             ]
+            leaving = [
+                _leaving(first, last, rates)
+                for first, last in pieces
+                if now - self._began_at >= ACCEPTANCE_WAIT_S
+                or is_final(key_map.owner(first), first, last)
+            ]
             transfers += plan(
                 leaving,
                 usable,
                 total_load,
+                keys_at_first=keys_at_first,
+                keys_left=sum(last - first + 1 for first, last in pieces),
                 elapsed_s=now - evacuations.began_at(zone),
                 moving_count=len(moves) + len(transfers),
             )
@@ -270,6 +315,7 @@
         self._is_blocked = not usable
 
     def _log_end(self, now):
+        self._keys_at_first_by_zone = {}
         if self._began_at is not None:
             log.info(
                 "keys: evacuation ends service=%s after_ms=%d",
--- a/briarspoke/keyspace/range_manager.py
+++ b/briarspoke/keyspace/range_manager.py
@@ -219,6 +219,7 @@
             lambda: self._usable_candidates(records),
             self.moves,
             now,
+            is_final=self._releaser.is_final,
         )
         for transfer in transfers:
             owner = self._map.owner(transfer.first)
--- a/briarspoke/keyspace/releases.py
+++ b/briarspoke/keyspace/releases.py
@@ -5,7 +5,7 @@
 import logging
 
 from briarspoke.entry.servers import ServerRecord
-from briarspoke.keyspace.moves import MoveEnd, MoveState
+from briarspoke.keyspace.moves import Move, MoveEnd, MoveState
 from briarspoke.platform import grants
 
 log = logging.getLogger(__name__)
@@ -150,6 +150,20 @@
             move.first, move.last, move.owner.incarnation, now
         )
 
+    def is_final(self, owner, first, last):
+        """Returns whether a release that is sent now ends the ownership of keys.
+
+        Otherwise a grant may arrive after it, and the keys have no owner until all
+        grants have expired.
+
+        :param owner: the :class:`briarspoke.keyspace.keymap.Owner` of all the keys.
+        """
+        client = self._granter.known_client(owner.server_instance)
+        move = Move(first=first, last=last, owner=owner, to=None, reason="")
+        return client is not None and not self._may_be_granted_late(
+            move, client, self._node.now()
+        )
+
     def _release(self, move, client, now, *, is_registered):
         if is_registered and self._may_be_granted_late(move, client, now):
             self._wait_for_expiry(move, now)
