--- a/briarspoke/entry/evacuations.py
+++ b/briarspoke/entry/evacuations.py
@@ -63,6 +63,11 @@
         # sent to a server of an evacuated zone in between.
         node.view.observe(documents.EVACUATION_PREFIX, self._changed, first=True)
 
+    @property
+    def is_active(self):
+        """Whether any zone is evacuated."""
+        return bool(self._by_zone)
+
     def is_evacuated(self, zone):
         """Returns whether a zone is evacuated."""
         return zone in self._by_zone
@@ -90,7 +95,10 @@
 
     def closes(self, server):
         """Returns whether a server must not get any request now."""
-        return bool(self._by_zone) and self._node.now() >= self.bound_at(server)
+        if not self.is_active:
+            return False
+        arrival_s = self._node.link.arrival_s(0, connects=True)
+        return self._node.now() + arrival_s >= self.bound_at(server)
 
     def leaves_no_server(self, dispatcher):
         """Returns whether all servers of a service that do not leave are evacuated."""
--- a/briarspoke/entry/explanation.py
+++ b/briarspoke/entry/explanation.py
@@ -8,7 +8,15 @@
 CONTEXT_S = 10.0
 # Prefixes of lines about the state of a process, as opposed to a single request.
 CONTEXT_PREFIXES = frozenset(
-    {"store", "configuration", "control", "crashes", "keys", "servers"}
+    {
+        "configuration",
+        "control",
+        "crashes",
+        "evacuations",
+        "keys",
+        "servers",
+        "store",
+    }
 )
 
 _LINE = re.compile(
@@ -126,6 +134,10 @@
         # A request is held back until a line says that it was cleared.
         fingerprints = {request.fields.get("fingerprint") for request in request_lines}
         return line.fields["fingerprint"] in fingerprints and age_s >= 0
+    if line.prefix == "evacuations":
+        # A zone is evacuated until a line says that it has ended.
+        is_own = line.source in {request.source for request in request_lines}
+        return is_own and age_s >= 0
     if not 0 <= age_s <= CONTEXT_S:
         return False
     if line.prefix == "keys":
--- a/briarspoke/entry/reload.py
+++ b/briarspoke/entry/reload.py
@@ -17,6 +17,7 @@
 CHANGEABLE = frozenset(
     {
         "drain_s",
+        "evacuation_s",
         "grace_s",
         "log_level",
         "max_hold_s",
--- a/briarspoke/entry/selection.py
+++ b/briarspoke/entry/selection.py
@@ -119,7 +119,9 @@
         return self._node.now() + arrival_s < bound_at
 
     def _is_usable_after_pause(self, server):
-        if not self.can_arrive(server):
+        if (
+            server.intake.is_leaving or self._node.evacuations.is_active
+        ) and not self.can_arrive(server):
             return False
         if not server.intake.is_leaving:
             return (
--- a/tests/test_entry_logs.py
+++ b/tests/test_entry_logs.py
@@ -137,3 +137,17 @@
         found = explanation.find("r1", {"vm": lines})
         assert len(found.lines) == 2
         assert [line.fields["fingerprint"] for line in found.context] == ["ab"]
+
+
+class TestEvacuatedZone:
+    """Guards against a refusal with code 3010 that ``explain`` does not explain."""
+
+    def test_lines_of_the_evacuation_are_context(self):
+        lines = [
+            LINE.format(1, "evacuations: begins zone=z1 servers=2"),
+            LINE.format(5, "requests: zone-evacuated id=r1 code=3010").replace(
+                ":00:05", ":40:05"
+            ),
+        ]
+        found = explanation.find("r1", {"vm": lines})
+        assert [line.event for line in found.context] == ["begins"]
