--- a/briarspoke/entry/gauges.py
+++ b/briarspoke/entry/gauges.py
@@ -87,6 +87,8 @@
     news = node.division.news
     gauge("room_news_age_seconds", lambda: _none_to_nan(news.age_s(node.now())))
     gauge("capacity_shares", lambda: _capacity_shares(node))
+    gauge("zones_evacuated", node.evacuations.zones_with_servers)
+    gauge("keys_evacuating", node.evacuations.keys_to_move)
     gauge("connections_open", lambda: len(node.callers))
     gauge("key_ranges", lambda: {name: len(m.starts) for name, m in maps.items()})
     gauge("key_ranges_moving", node.control.moves_by_service)
