--- a/briarspoke/entry/dispatch.py
+++ b/briarspoke/entry/dispatch.py
@@ -14,6 +14,7 @@
 from briarspoke.entry.misdirection import MisdirectedOwners
 from briarspoke.entry.permitqueue import PermitQueue
 from briarspoke.entry.selection import ServerSelection
+from briarspoke.entry.serverload import LoadLevel
 from briarspoke.entry.servicetimes import ServiceTime
 from briarspoke.keyspace.keymap import UNOWNED
 
@@ -73,6 +74,7 @@
         )
         # Requests since the start.
         self.arrived = 0
+        self.load_level = LoadLevel()
         self.gates = Gates()
         self._service_times_by_route = {}
         self._misdirected_owners = MisdirectedOwners()
--- a/briarspoke/entry/exchange.py
+++ b/briarspoke/entry/exchange.py
@@ -317,7 +317,7 @@
         if answering_id is None or answering_id == server.target:
             self.node.crashes.server_answered(server, self.sent_at)
             self.node.notices.record_answer(self.dispatcher.name, server, answer)
-            serverload.record_answer(self.node, self.dispatcher.name, server, answer)
+            serverload.record_answer(self.node, self.dispatcher, server, answer)
         else:
             self.node.crashes.server_replaced(server)
         if answer.get(header_names.NOT_RUN) is not None or answer.status == 421:
--- a/briarspoke/entry/selection.py
+++ b/briarspoke/entry/selection.py
@@ -140,13 +140,14 @@
         best = None
         best_score = math.inf
         without_permit = []
+        usual = self._dispatcher.load_level.usual
         for server in usable:
             if server in exchange.tried or not self._has_slot(server):
                 continue
             if not self._node.rate_limits.has_permit(server):
                 without_permit.append(server)
                 continue
-            score = expected_done_s(server, now)
+            score = expected_done_s(server, now, usual)
             score *= 1 + LOSS_FACTOR * server.loss_rate
             if not self._affinity.prefers(server.record.server_id):
                 score *= self._non_preferred_factor()
--- a/briarspoke/entry/serverload.py
+++ b/briarspoke/entry/serverload.py
@@ -22,9 +22,46 @@
 # Limits of the speed that is believed, relative to the usual one.
 MIN_SLOWNESS = 0.25
 MAX_SLOWNESS = 10.0
-# Weight of a request beyond the slots. With 2, a server whose slots are all taken is
-# about as good as an idle one that this VM does not prefer (NON_PREFERRED_FACTOR).
+# Weight of a request that waits at a server against one that runs, since it also makes
+# the next one wait.
 QUEUE_WEIGHT = 2.0
+# Part of a server's deviation from the usual load of the service that counts. Other VMs
+# send requests that this one does not see, so with all of it many VMs choose the same
+# servers (tests/test_room_load.py, 300 VMs).
+LOAD_WEIGHT = 0.5
+# Weight of the latest report in the usual load of the service.
+LEVEL_WEIGHT = 0.05
+# The estimate is at least this part of that by this VM's own requests.
+MIN_RATIO = 0.1
+
+
+class LoadLevel:
+    """The usual load of a service's servers, as their reports show it to this VM.
+
+    :ivar usual: moving average of :func:`load_per_slot`, or None before a report.
+    """
+
+    __slots__ = ("usual",)
+
+    def __init__(self):
+        self.usual = None
+
+    def record(self, load):
+        """Adds a :class:`briarspoke.platform.load.Load`."""
+        per_slot = load_per_slot(load, load.running + load.waiting)
+        if self.usual is None:
+            self.usual = per_slot
+        self.usual += LEVEL_WEIGHT * (per_slot - self.usual)
+
+
+def load_per_slot(load, present):
+    """Returns requests per slot, those that have to wait weighted.
+
+    :param load: a :class:`briarspoke.platform.load.Load`.
+    :param present: requests at the server.
+    """
+    waiting = max(0, present + 1 - load.slots)
+    return (present + QUEUE_WEIGHT * waiting) / load.slots
 
 
 class ServerLoad:
@@ -72,11 +109,11 @@
         return min(slots, load.slots) - taken
 
 
-def record_answer(node, service, server, answer):
+def record_answer(node, dispatcher, server, answer):
     """Records the load that an answer reports, if any.
 
     :param node: the :class:`briarspoke.entry.node.EntryNode`.
-    :param service: name of the service.
+    :param dispatcher: the :class:`briarspoke.entry.dispatch.Dispatcher`.
     :param server: the :class:`briarspoke.entry.servers.Server` that has answered.
     :param answer: the :class:`briarspoke.entry.connections.Answer`.
     """
@@ -84,46 +121,43 @@
     try:
         load = decode_load(answer.headers)
     except DecodeError as error:
-        node.metrics.count("loads_not_usable_total", service)
+        node.metrics.count("loads_not_usable_total", dispatcher.name)
         if not state.unusable_logged:
             state.unusable_logged = True
             log.warning(
                 "servers: load not usable id=%s service=%s error=%r",
                 server.record.server_id,
-                service,
+                dispatcher.name,
                 str(error),
             )
         return
     if load is not None:
         state.unusable_logged = False
         state.record(load, node.now())
+        dispatcher.load_level.record(load)
         server.room.load_reported(load, node.now())
 
 
-def expected_done_s(server, now):
+def expected_done_s(server, now, usual):
     """Returns an estimate of how long a request sent to a server now would take.
 
-    It orders servers; only differences count. What a server reports replaces this VM's
-    count of its own requests, the more the newer it is. The service time is always the
-    one that this VM has measured, so that a server that reports no load and is slow
-    does not attract requests for long.
+    It orders servers; only ratios count. The service time that this VM has measured,
+    and its own requests in flight, count in any case, so that a server that reports too
+    little does not attract requests for long. The estimate is higher or lower by what a
+    server has reported about its load and its speed, the less the older it is.
 
     :param server: a :class:`briarspoke.entry.servers.Server`.
+    :param usual: the service's :attr:`LoadLevel.usual`.
     """
-    service_s = server.expected_s(now)
-    own_s = service_s * (1 + server.in_flight)
+    own_s = server.expected_s(now) * (1 + server.in_flight)
     age_s = server.load.age_s(now)
-    if age_s is None:
+    if age_s is None or usual is None:
         return own_s
     load = server.load.current(now)
     present = max(
         server.in_flight, load.running + load.waiting + server.load.sent_since
     )
+    ratio = 1 + LOAD_WEIGHT * (load_per_slot(load, present) - usual)
     slowness = min(MAX_SLOWNESS, max(MIN_SLOWNESS, load.percent / USUAL_PERCENT))
-    slowness = 1 + (slowness - 1) * max(0.0, 1 - age_s / SPEED_AGE_S)
-    queued = max(0, present + 1 - load.slots)
-    reported_s = (
-        service_s * slowness * (1 + (present + QUEUE_WEIGHT * queued) / load.slots)
-    )
-    weight = 1 - age_s / MAX_AGE_S
-    return weight * reported_s + (1 - weight) * own_s
+    ratio *= 1 + (slowness - 1) * max(0.0, 1 - age_s / SPEED_AGE_S)
+    return own_s * (1 + (1 - age_s / MAX_AGE_S) * (max(MIN_RATIO, ratio) - 1))
--- a/tests/test_entry_room.py
+++ b/tests/test_entry_room.py
@@ -12,7 +12,12 @@
 from hypothesis import strategies as st
 
 from briarspoke.entry import room
-from briarspoke.entry.serverload import MAX_AGE_S, ServerLoad, expected_done_s
+from briarspoke.entry.serverload import (
+    MAX_AGE_S,
+    LoadLevel,
+    ServerLoad,
+    expected_done_s,
+)
 from briarspoke.platform.load import MAX_COUNT, Load, decode_load
 from briarspoke.platform.values import DecodeError
 
@@ -274,8 +279,8 @@
     return server
 
 
-def done_s(**options):
-    return expected_done_s(server_of(**options), 10.0)
+def done_s(*, usual=0.5, **options):
+    return expected_done_s(server_of(**options), 10.0, usual)
 
 
 class TestExpectedDone:
@@ -290,7 +295,8 @@
         # Guards against other choices in deployments whose servers report nothing.
         own_s = latency_s * (1 + in_flight)
         plain = server_of(latency_s=latency_s, in_flight=in_flight)
-        assert expected_done_s(plain, 10.0) == own_s
+        assert expected_done_s(plain, 10.0, 0.5) == own_s
+        assert expected_done_s(plain, 10.0, None) == own_s
         load = Load(running=9, waiting=9, slots=1)
         assert own_s == done_s(
             latency_s=latency_s, in_flight=in_flight, load=load, age_s=age_s
@@ -323,8 +329,16 @@
 
     def test_idle_server_before_one_that_other_vms_have_filled(self):
         full = Load(running=6, waiting=3, slots=6)
-        assert done_s(load=full) > 2 * done_s(load=Load(running=0, waiting=0, slots=6))
-        assert done_s(load=full) > done_s()
+        idle = Load(running=0, waiting=0, slots=6)
+        assert done_s(load=idle) < done_s() < done_s(load=full)
+        assert done_s(load=full) > 2 * done_s(load=idle)
+
+    def test_usually_loaded_server_counts_like_one_without_a_report(self):
+        # Guards against requests to another zone for a server that is as idle as all.
+        level = LoadLevel()
+        idle = Load(running=1, waiting=0, slots=6)
+        level.record(idle)
+        assert done_s(load=idle, usual=level.usual) == pytest.approx(done_s())
 
     def test_own_requests_since_the_report_count(self):
         idle = Load(running=0, waiting=0, slots=6)
