Divide keys by the speed of servers (placement)

Keys moved only away from servers above a utilisation of 0.6, so slow servers kept up to three times their part while the others were idle; and above it, errors of the estimates moved keys to and fro (173 moves in 30 s with 113 servers at 0.45).

With more than 40 servers, placement.even_out now gives each server its part by speed where that saves more waiting than the moves cost, from rates over 12 s whose errors are reduced, and rebalance ignores what the error explains. Deployments of up to 40 servers are served as before.

--- a/briarspoke/keyspace/load.py
+++ b/briarspoke/keyspace/load.py
@@ -11,6 +11,10 @@
 # is estimated with an error of a quarter; a shorter time would move keys because of
 # noise.
 AVERAGING_S = 2.9
+# Time constant of the average by which keys are divided evenly. The load of a server
+# with 5 requests/s is then known to about an eighth, while callers that move between
+# zones or keys still count in time.
+STEADY_AVERAGING_S = 12.0
 # A new estimate is the plain mean since its first report, so that overloaded servers
 # are known soon. Until this time it is too low instead of too noisy.
 MIN_AVERAGING_S = 0.75
@@ -117,6 +121,7 @@
     """Request rate by bucket and service time by server, from all entry VMs' reports.
 
     :ivar rate_by_bucket: ``{bucket: requests per second}``.
+    :ivar steady_rate_by_bucket: the same, averaged over ``STEADY_AVERAGING_S``.
     """
 
     __slots__ = (
@@ -126,10 +131,12 @@
         "_service_s_by_server",
         "_started_at",
         "rate_by_bucket",
+        "steady_rate_by_bucket",
     )
 
     def __init__(self):
         self.rate_by_bucket = {}
+        self.steady_rate_by_bucket = {}
         self._started_at = None
         self._decayed_at = None
         self._latencies = {}
@@ -142,11 +149,12 @@
             self._started_at = now
         self.decay(now)
         # Decayed counts of a steady rate r add up to r times the averaging time.
-        scale = 1 / self._averaging_s(now)
+        scale = 1 / self.averaging_s(now)
+        steady_scale = 1 / self.steady_averaging_s(now)
+        rates, steady_rates = self.rate_by_bucket, self.steady_rate_by_bucket
         for bucket, count in counts.requests.items():
-            self.rate_by_bucket[bucket] = (
-                self.rate_by_bucket.get(bucket, 0.0) + count * scale
-            )
+            rates[bucket] = rates.get(bucket, 0.0) + count * scale
+            steady_rates[bucket] = steady_rates.get(bucket, 0.0) + count * steady_scale
         for server_id, (weight, total_s) in counts.latencies.items():
             known, known_s = self._latencies.get(server_id, (0.0, 0.0))
             self._latencies[server_id] = (known + weight, known_s + total_s)
@@ -154,9 +162,17 @@
         for server_id, count in counts.rejections.items():
             self._recent(server_id).rejections += count
 
-    def _averaging_s(self, now):
-        age_s = now - self._started_at
-        return min(AVERAGING_S, max(MIN_AVERAGING_S, age_s))
+    def averaging_s(self, now):
+        """Returns the seconds over which the rates are averaged."""
+        return min(AVERAGING_S, self._age_s(now))
+
+    def steady_averaging_s(self, now):
+        """Returns the seconds over which the steady rates are averaged."""
+        return min(STEADY_AVERAGING_S, self._age_s(now))
+
+    def _age_s(self, now):
+        age_s = 0.0 if self._started_at is None else now - self._started_at
+        return max(MIN_AVERAGING_S, age_s)
 
     def _recent(self, server_id):
         return self._recent_by_server.setdefault(server_id, RecentAnswers())
@@ -199,12 +215,22 @@
         if self._started_at is None:
             return
         if self._decayed_at is not None and now > self._decayed_at:
-            factor = math.exp((self._decayed_at - now) / self._averaging_s(now))
-            self.rate_by_bucket = {
-                bucket: rate * factor
-                for bucket, rate in self.rate_by_bucket.items()
-                if rate * factor > MIN_RATE
-            }
+            idle_s = now - self._decayed_at
+            self.rate_by_bucket = _decayed(
+                self.rate_by_bucket, math.exp(-idle_s / self.averaging_s(now))
+            )
+            self.steady_rate_by_bucket = _decayed(
+                self.steady_rate_by_bucket,
+                math.exp(-idle_s / self.steady_averaging_s(now)),
+            )
         self._decayed_at = (
             now if self._decayed_at is None else max(self._decayed_at, now)
         )
+
+
+def _decayed(rate_by_bucket, factor):
+    return {
+        bucket: rate * factor
+        for bucket, rate in rate_by_bucket.items()
+        if rate * factor > MIN_RATE
+    }
--- a/briarspoke/keyspace/placement.py
+++ b/briarspoke/keyspace/placement.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import math
+
 from briarspoke.keyspace.keymap import KEY_COUNT, KeyMap, Owner
 from briarspoke.keyspace.load import KEYS_PER_BUCKET
+from briarspoke.keyspace.waiting import waiting_requests
 
 # Utilisation of a server, in requests per slot, above which keys move away from it.
 MAX_UTILISATION = 0.6
@@ -29,6 +32,29 @@
 MAX_SHORTFALL = 0.7
 # Share of the mean load that a server without keys is given first.
 INITIAL_LOAD_SHARE = 0.5
+# Up to this number of servers, keys move only away from busy ones: these deployments
+# are served well so, and would get many more moves for a few ms of waiting.
+MAX_FEW_SERVERS = 40
+# An owner has too much if its load is this many times its part by speed, and by more
+# than the errors of the estimates. With these it is relieved from about 1.3 on, the
+# bound that is asked for.
+EVEN_RATIO = 1.2
+# Standard errors by which a load must exceed the ratio.
+NOISE_FACTOR = 1.0
+# The same for rates over a short time, where fewer errors are wanted: the slower
+# estimate finds the rest.
+REBALANCE_NOISE_FACTOR = 2.0
+# Standard error of an estimated speed, as a fraction. Service times vary by about a
+# third, and an estimate counts some 20 answers.
+SPEED_ERROR = 0.07
+# Requests after which the rate of one key is known well enough by itself.
+HOT_COUNT = 10.0
+# What a move costs in seconds of waiting for each request/s that it moves: the keys
+# have no owner for half a second, and requests wait half of it in the mean.
+MOVE_COST_S2 = 0.5 * 0.25
+# Seconds over which a move must save more waiting than it costs. Keys move again when
+# the load changes, which it does several times in a few minutes.
+MOVE_HORIZON_S = 30.0
 
 
 class Candidate:
@@ -52,6 +78,15 @@
         self.latency_s = latency_s
         self.load = 0.0
 
+    @property
+    def speed(self):
+        """Requests per second that keep all slots busy."""
+        return self.slots / self.latency_s
+
+    def waiting_requests(self, more_load=0.0):
+        """Mean number of waiting requests after adding some load."""
+        return waiting_requests(self.slots, (self.load + more_load) * self.latency_s)
+
     @property
     def utilisation(self):
         """Mean number of requests in the server per slot."""
@@ -129,7 +164,9 @@
     )
 
 
-def rebalance(key_map, candidates, rate_by_bucket, moving=(), *, urgent=False):
+def rebalance(
+    key_map, candidates, rate_by_bucket, moving=(), *, urgent=False, averaging_s=None
+):
     """Returns the :class:`Transfer` list that evens out the utilisation of servers.
 
     The cost of a move grows with its number of keys, so the narrowest range with the
@@ -138,6 +175,9 @@
     :param moving: (first, last, server instance of the next owner or None) of ranges
         whose move is in progress.
     :param urgent: whether only servers far above their capacity are relieved.
+    :param averaging_s: seconds over which the rates were averaged, or None if they have
+        no error. With many servers, one below its capacity is relieved only if its load
+        exceeds what the error explains; :func:`even_out` does the rest.
     """
     ranges_by_instance = assign_load(key_map, candidates, rate_by_bucket)
     by_instance = {candidate.server_instance: candidate for candidate in candidates}
@@ -146,6 +186,8 @@
     if len(candidates) < 2:
         return []
     threshold = URGENT_UTILISATION if urgent else MAX_UTILISATION
+    if len(candidates) <= MAX_FEW_SERVERS:
+        averaging_s = None
     transfers = []
     for candidate in candidates:
         if (
@@ -157,14 +199,14 @@
             if transfer is not None:
                 transfers.append(transfer)
     while len(transfers) < MAX_TRANSFERS:
-        transfer = _relieve(candidates, ranges_by_instance, threshold)
+        transfer = _relieve(candidates, ranges_by_instance, threshold, averaging_s)
         if transfer is None:
             break
         transfers.append(transfer)
     return transfers
 
 
-def _relieve(candidates, ranges_by_instance, threshold):
+def _relieve(candidates, ranges_by_instance, threshold, averaging_s=None):
     # Capped, since one hot key would raise the mean and hide other overloaded servers.
     mean = sum(min(FULL_UTILISATION, c.utilisation) for c in candidates) / len(
         candidates
@@ -172,6 +214,12 @@
     for source in sorted(candidates, key=lambda c: c.utilisation, reverse=True):
         if source.utilisation < threshold or source.utilisation < MIN_IMBALANCE * mean:
             return None
+        if averaging_s is not None and source.utilisation < FULL_UTILISATION:
+            error = math.sqrt(source.load / averaging_s) / source.speed
+            if source.utilisation - REBALANCE_NOISE_FACTOR * error < (
+                MIN_IMBALANCE * mean
+            ):
+                continue
         transfer = _move_hottest(source, candidates, ranges_by_instance)
         if transfer is not None:
             return transfer
@@ -200,6 +248,157 @@
     return None
 
 
+def even_out(key_map, candidates, rate_by_bucket, moving=(), *, averaging_s):
+    """Returns the :class:`Transfer` list that gives each server its part by speed.
+
+    :func:`rebalance` relieves servers that are short of capacity. Here requests wait
+    less, at any utilisation, where this saves more waiting than the moves cost.
+
+    :param rate_by_bucket: rates over a long time, since the errors of short ones are as
+        large as the imbalance that is to be found.
+    :param moving: as for :func:`rebalance`.
+    :param averaging_s: seconds over which the rates were averaged.
+    """
+    if len(candidates) <= MAX_FEW_SERVERS:
+        return []
+    ranges_by_instance = assign_load(key_map, candidates, rate_by_bucket)
+    by_instance = {candidate.server_instance: candidate for candidate in candidates}
+    for first, last, to in moving:
+        _count_at_next_owner(ranges_by_instance, by_instance, first, last, to)
+    errors = _reduce_noise(candidates, ranges_by_instance, averaging_s)
+    transfers = []
+    while len(transfers) < MAX_TRANSFERS:
+        transfer = _even_out_one(candidates, ranges_by_instance, errors)
+        if transfer is None:
+            break
+        transfers.append(transfer)
+    return transfers
+
+
+def _reduce_noise(candidates, ranges_by_instance, averaging_s):
+    """Moves each estimated load towards the part of all load that its keys would have.
+
+    How far depends on how much more the loads differ than by the errors of counting: if
+    requests are spread evenly over the keys, the number of keys tells more than the
+    requests of a few seconds. Hot keys are left as they are.
+
+    :returns: ``{server_instance: standard error of the load}``.
+    """
+    errors = {
+        c.server_instance: math.sqrt(max(c.load, 1 / averaging_s) / averaging_s)
+        for c in candidates
+    }
+    widths, even_loads = [], []
+    for candidate in candidates:
+        ranges = ranges_by_instance.get(candidate.server_instance, ())
+        widths.append(sum(last - first + 1 for first, last, _ in ranges))
+        even_loads.append(
+            sum(
+                rate
+                for _, _, rates in ranges
+                for _, rate in rates
+                if rate * averaging_s < HOT_COUNT
+            )
+        )
+    total_width, total_load = sum(widths), sum(even_loads)
+    if total_width == 0 or total_load == 0:
+        return errors
+    expected = [total_load * width / total_width for width in widths]
+    excess = sum(
+        (load - mean) ** 2 - mean / averaging_s
+        for load, mean in zip(even_loads, expected, strict=True)
+    )
+    variance = max(0.0, excess / sum(mean * mean for mean in expected))
+    for candidate, load, mean in zip(candidates, even_loads, expected, strict=True):
+        if load == 0 or mean == 0:
+            continue
+        trust = variance * mean / (variance * mean + 1 / averaging_s)
+        errors[candidate.server_instance] *= math.sqrt(trust)
+        factor = (mean + trust * (load - mean)) / load
+        candidate.load += (factor - 1) * load
+        ranges_by_instance[candidate.server_instance] = [
+            (
+                first,
+                last,
+                [
+                    (b, rate * factor if rate * averaging_s < HOT_COUNT else rate)
+                    for b, rate in rates
+                ],
+            )
+            for first, last, rates in ranges_by_instance[candidate.server_instance]
+        ]
+    return errors
+
+
+def _even_out_one(candidates, ranges_by_instance, errors):
+    part_per_speed = _part_per_speed(candidates, ranges_by_instance)
+    sources = sorted(candidates, key=lambda c: c.load / c.speed, reverse=True)
+    # One move to the server with the most room replaces several to others.
+    targets = sorted(
+        (c for c in candidates if not c.is_limited),
+        key=lambda c: c.load - part_per_speed * c.speed,
+    )
+    for source in sources:
+        part = part_per_speed * source.speed
+        load_error = errors[source.server_instance]
+        error = math.hypot(load_error, SPEED_ERROR * source.load)
+        if source.load <= part:
+            return None
+        if source.load <= EVEN_RATIO * part + NOISE_FACTOR * error:
+            continue
+        for target in targets[:MAX_TRANSFERS]:
+            # The target gets at most its part, so that no key moves back.
+            room = part_per_speed * target.speed - target.load
+            wanted = min(source.load - part, room)
+            if target is source or wanted <= 0:
+                break
+            if not _saves_waiting(source, target, wanted, load_error):
+                continue
+            transfer = _transfer_load(source, target, wanted, ranges_by_instance)
+            if transfer is not None:
+                return transfer
+    return None
+
+
+def _part_per_speed(candidates, ranges_by_instance):
+    """Returns the load that each server should have, divided by its speed.
+
+    Servers with a key that alone is more than their part are left out: the other keys
+    cannot make up for it.
+    """
+    load = sum(c.load for c in candidates)
+    speed = sum(c.speed for c in candidates)
+    part_per_speed = load / speed
+    for candidate in candidates:
+        hottest = max(
+            (
+                rate
+                for _, _, rates in ranges_by_instance.get(candidate.server_instance, ())
+                for _, rate in rates
+            ),
+            default=0.0,
+        )
+        if hottest > part_per_speed * candidate.speed and speed > candidate.speed:
+            load -= hottest
+            speed -= candidate.speed
+    return load / speed
+
+
+def _saves_waiting(source, target, load, error):
+    """Returns whether a move of some load saves more waiting than it costs.
+
+    :param error: standard error of the source's load. It is subtracted, since the loads
+        that look highest are mostly overestimated.
+    """
+    saved = (
+        source.waiting_requests(-error)
+        + target.waiting_requests()
+        - source.waiting_requests(-error - load)
+        - target.waiting_requests(load)
+    )
+    return saved * MOVE_HORIZON_S > MOVE_COST_S2 * load
+
+
 def _move_neighbours_of_hottest(source, target, ranges_by_instance):
     """Plans to move other keys away from a server that one key fully utilises."""
     rate, bucket = max(
--- a/briarspoke/keyspace/range_manager.py
+++ b/briarspoke/keyspace/range_manager.py
@@ -217,16 +217,30 @@
             {c.server_instance[0]: c.utilisation for c in candidates},
             self._node.dispatcher(self.service).expected_latency_s(),
         )
+        moving = [(move.first, move.last, move.next_owner) for move in self.moves]
+        urgent = any(move.state is not MoveState.EXPIRING for move in self.moves)
         transfers = placement.rebalance(
             self._map,
             candidates,
             estimate.rate_by_bucket,
-            [(move.first, move.last, move.next_owner) for move in self.moves],
-            urgent=any(move.state is not MoveState.EXPIRING for move in self.moves),
+            moving,
+            urgent=urgent,
+            averaging_s=estimate.averaging_s(now),
         )
-        for transfer in transfers[:free_moves]:
+        even = []
+        if not urgent:
+            moving += [(t.first, t.last, t.to) for t in transfers]
+            even = placement.even_out(
+                self._map,
+                candidates,
+                estimate.steady_rate_by_bucket,
+                moving,
+                averaging_s=estimate.steady_averaging_s(now),
+            )
+        planned = [(t, "load") for t in transfers] + [(t, "speed") for t in even]
+        for transfer, reason in planned[:free_moves]:
             owner = self._map.owner(transfer.first)
-            self._start_move(transfer.first, transfer.last, owner, transfer.to, "load")
+            self._start_move(transfer.first, transfer.last, owner, transfer.to, reason)
 
     def _plan_allowances(self, records, now):
         """Announces which fractions of the requests for hot keys are admitted."""
