Bound the requests that cold servers get from all entry VMs together

A server that has started, or returned from an outage or an evacuation, crashes under a burst, and each entry VM returned to it independently. A cold server is now a server with a rate limit, which permits divide over all VMs. The limit is the highest whose worst sum in any second stays within the bound of the service. Without warmup_per_s nothing changes.

--- a/briarspoke/entry/discovery.py
+++ b/briarspoke/entry/discovery.py
@@ -104,6 +104,8 @@
                 clock=node.now,
                 held_answers=node.held_answers,
             )
+            # Before requests that wait can be sent to it.
+            node.coldness.entry_read(server, record)
             dispatcher.add_server(server)
         server.record = record
         server.registration_missing = server.replaced = False
@@ -112,6 +114,8 @@
             record.draining = server.intake.is_leaving
         elif server.intake.leave(STORE, node.notices.drain_until()):
             node.metrics.count("intake_closed_total", STORE)
+        if is_same_process:
+            node.coldness.entry_read(server, record)
         log.info(
             "servers: %s id=%s service=%s zone=%s address=%s:%d incarnation=%d"
             " sequence=%d revision=%d",
--- a/briarspoke/entry/exchange.py
+++ b/briarspoke/entry/exchange.py
@@ -310,6 +310,9 @@
             self.node.rate_limits.record_answer(
                 self.dispatcher.name, server, answer, self.sent_at
             )
+            self.node.coldness.server_answered(
+                self.dispatcher.name, server, answer, self.sent_at
+            )
         if answer.status is None:
             self._handle_failure(server, answer)
             return
@@ -391,6 +394,9 @@
         self.node.metrics.count("attempts_total", answer.failure)
         if answer.failure in UNREACHABLE_FAILURES:
             server.record_unreachable()
+            self.node.coldness.server_failed(
+                self.dispatcher.name, server, connected=answer.sent
+            )
         else:
             # The server was reachable and may answer other requests, so it is not
             # counted as unreachable.
@@ -478,6 +484,9 @@
         written = self.upstream_request.written
         self._abandon_attempt()
         server.record_unreachable()
+        self.node.coldness.server_failed(
+            self.dispatcher.name, server, connected=written
+        )
         if not written:
             self._end_not_run(codes.OWNER_UNREACHABLE, None)
         else:
--- a/briarspoke/entry/gauges.py
+++ b/briarspoke/entry/gauges.py
@@ -61,6 +61,7 @@
     gauge("store_age_seconds", lambda: _age(node.now(), view.last_contact))
     gauge("servers_known", lambda: sum(1 for _ in node.all_records()))
     gauge("servers_limited", lambda: _limited_servers(node))
+    gauge("servers_cold", node.coldness.counts_by_service)
     gauge("connections_open", lambda: len(node.callers))
     gauge("key_ranges", lambda: {name: len(m.starts) for name, m in maps.items()})
     gauge("key_ranges_moving", node.control.moves_by_service)
--- a/briarspoke/entry/node.py
+++ b/briarspoke/entry/node.py
@@ -10,6 +10,7 @@
 
 from briarspoke.entry import crashes, gauges, logs, relays, status
 from briarspoke.entry.callers import CallerFactory
+from briarspoke.entry.coldness import Coldness
 from briarspoke.entry.control import Control
 from briarspoke.entry.crashes import Crashes
 from briarspoke.entry.discovery import ServerDiscovery
@@ -105,6 +106,7 @@
         self.relay_follower = RelayFollower(node=self)
         self.view.find_relay = self.relay_follower.wait_for_first_view
         self.rate_limits = RateLimits(node=self)
+        self.coldness = Coldness(node=self)
         self.notices = Notices(node=self)
         self.fingerprints = Fingerprints(node=self)
         self.crashes = Crashes(node=self)
@@ -116,6 +118,7 @@
             on_allowances=self._allowances_announced,
             on_suspect=self.crashes.reported,
             on_leaving=self.notices.peer_leaving,
+            on_cold=self.coldness.peer_cold,
             rate_limits=self.rate_limits,
         )
         self.view.observe(documents.CONFIGURATION_KEY, self._configuration_changed)
@@ -387,6 +390,7 @@
         self.key_maps.expire(now)
         if self.routing_table is None:
             return
+        self.coldness.tick(now)
         self.rate_limits.tick(now)
         for dispatcher in self._dispatchers_by_service.values():
             dispatcher.tick(now)
--- a/briarspoke/entry/permits.py
+++ b/briarspoke/entry/permits.py
@@ -24,11 +24,15 @@
 # the same number is repeated.
 ASK_INTERVAL_S = 0.05
 REPEAT_INTERVAL_S = 0.2
+# The same for cold servers. The controller forgets requests after VALIDITY_S.
+COLD_REPEAT_INTERVAL_S = 0.4
 # Time for which the answer of the controller tells how many others wait.
 KNOWN_FOR_S = 0.5
 # How often all entry VMs together ask for a permit for which no request waits, for each
 # request that the limit allows.
 SPARE_ASKS_PER_PERMIT = 4.0
+# The same for cold servers, many of which may be cold at once.
+COLD_SPARE_ASKS_PER_PERMIT = 1.0
 # Permits that the controller saves up, in seconds of the limit, and their least number.
 SAVED_S = 0.25
 MIN_SAVED = 1.0
@@ -105,18 +109,19 @@
         # Requests that the controller believes to wait here.
         self._outstanding = 0
 
-    def should_ask(self, wanted_by_rank, now):
+    def should_ask(self, wanted_by_rank, now, repeat_s=REPEAT_INTERVAL_S):
         """Returns whether to ask for permits now.
 
         A VM that wants none any more says so, since others are told how many wait.
 
         :param wanted_by_rank: ``{rank: requests}`` that wait at this entry VM.
+        :param repeat_s: time after which a request for the same number is repeated.
         """
-        since_s = now - self._asked[-1].at if self._asked else math.inf
+        since_s = self.asked_since_s(now)
         if not wanted_by_rank:
             return self._outstanding > 0 and since_s < VALIDITY_S
         if wanted_by_rank == self._wanted:
-            return since_s >= REPEAT_INTERVAL_S
+            return since_s >= repeat_s
         return since_s >= ASK_INTERVAL_S
 
     def ask(self, wanted_by_rank, controller, now):
@@ -132,7 +137,7 @@
             self._unanswered_since = now
         return number
 
-    def take_spare_turn(self, now, per_s, vms):
+    def take_spare_turn(self, now, per_s, vms, asks=SPARE_ASKS_PER_PERMIT):
         """Returns whether to ask for a permit for which no request waits.
 
         Turns are rarer with more entry VMs, so that the controller is not asked by all
@@ -140,8 +145,9 @@
 
         :param per_s: limit of the server.
         :param vms: number of entry VMs.
+        :param asks: such requests for each permit, of all entry VMs together.
         """
-        interval_s = vms / (SPARE_ASKS_PER_PERMIT * per_s)
+        interval_s = vms / (asks * per_s)
         if self._next_spare_at is None:
             self._next_spare_at = now + interval_s * self._uniform()
         if now < self._next_spare_at:
@@ -174,6 +180,14 @@
             self._expiry_times.extend([expires_at] * answer.granted)
         return True
 
+    def asked_since_s(self, now):
+        """Returns the seconds since the last request for permits."""
+        return now - self._asked[-1].at if self._asked else math.inf
+
+    def has_permit(self, now):
+        """Returns whether a permit is left."""
+        return self._count(now) > 0
+
     def is_alone(self, now):
         """Returns whether the controller does not answer."""
         return (
--- a/briarspoke/entry/ratelimits.py
+++ b/briarspoke/entry/ratelimits.py
@@ -4,7 +4,13 @@
 
 import logging
 
-from briarspoke.entry.permits import PermitHolder, PermitIssuer
+from briarspoke.entry import coldlimits
+from briarspoke.entry.permits import (
+    COLD_REPEAT_INTERVAL_S,
+    COLD_SPARE_ASKS_PER_PERMIT,
+    PermitHolder,
+    PermitIssuer,
+)
 from briarspoke.entry.serverlimits import format_limit
 from briarspoke.platform import headers
 from briarspoke.platform.limits import decode_limit
@@ -17,6 +23,8 @@
 SETTLING_S = 0.5
 SETTLING_AFTER_RESTORE_S = 3.5
 FIRST_ERA = 1
+# A request for permits of the same server within this time is a repeat.
+ASKED_RECENTLY_S = 1.0
 
 
 class RateLimits:
@@ -31,6 +39,7 @@
         self._node = node
         self._term = None
         self._issuer = None
+        self._cold_asks = coldlimits.AskBudget()
 
     def record_answer(self, service, server, answer, sent_at):
         """Records the limit that a server names in an answer, and tells other VMs.
@@ -59,7 +68,7 @@
             # Only the answer of a server that works as usual shows that it is not in
             # need any more.
             return
-        before = server.limit.per_s
+        before = server.limit.named_per_s
         if server.limit.learn(per_s, sent_at):
             self._changed(service, server, before, "answer")
             self._node.datagrams.send_limit(
@@ -79,12 +88,12 @@
         server = self._server(service, instance)
         if server is None:
             return
-        before = server.limit.per_s
+        before = server.limit.named_per_s
         if server.limit.learn_from_peer(per_s, age_s, self._node.now()):
             self._changed(service, server, before, "peer")
 
     def _changed(self, service, server, before, source):
-        per_s = server.limit.per_s
+        per_s = server.limit.named_per_s
         log.info(
             "servers: limit %s id=%s service=%s incarnation=%d per_s=%s before=%s "
             "source=%s nodes=%d",
@@ -97,24 +106,43 @@
             source,
             self._node.node_count,
         )
-        if per_s is None:
+        if server.limit.per_s is None:
             server.permits = None
             self._node.dispatcher(service).permit_queue.arrived(server)
 
     def has_permit(self, server):
         """Returns whether a request may be sent to a server now."""
+        if not self._node.coldness.may_be_used(server):
+            return False
         per_s = server.limit.per_s
-        return per_s is None or self._holder(server).is_available(
-            self._node.now(), per_s, self._node.node_count
+        if per_s is None:
+            return True
+        now, holder = self._node.now(), self._holder(server)
+        if server.limit.cold is None:
+            return holder.is_available(now, per_s, self._node.node_count)
+        may_send_alone = holder.is_alone(now) and self._node.coldness.may_send_alone(
+            server, now
         )
+        return coldlimits.may_send(holder, now, per_s, may_send_alone=may_send_alone)
+
+    def _alone_vms(self, server):
+        """Returns how many VMs divide what is sent without the controller."""
+        if server.limit.cold is None:
+            return self._node.node_count
+        return coldlimits.ALONE_SENDERS
 
     def want_spare_permit(self, server):
         """Notes that a request went elsewhere for lack of a permit.
 
         A permit is asked for only if it is this entry VM's turn.
         """
+        spell = server.limit.cold
+        if spell is not None and not spell.is_unconfirmed:
+            # The spell ends by itself.
+            return
+        options = {} if spell is None else {"asks": COLD_SPARE_ASKS_PER_PERMIT}
         if self._holder(server).take_spare_turn(
-            self._node.now(), server.limit.per_s, self._node.node_count
+            self._node.now(), server.limit.per_s, self._node.node_count, **options
         ):
             server.wants_spare_permit = True
 
@@ -122,7 +150,7 @@
         """Uses up a permit for a request that is sent now."""
         if server.limit.per_s is not None:
             self._holder(server).take(
-                self._node.now(), server.limit.per_s, self._node.node_count
+                self._node.now(), server.limit.per_s, self._alone_vms(server)
             )
 
     def expected_wait_s(self, server, *, rank, ahead):
@@ -134,8 +162,16 @@
         per_s = server.limit.per_s
         if per_s is None:
             return 0.0
-        return self._holder(server).expected_wait_s(
-            self._node.now(), per_s, self._node.node_count, rank=rank, ahead=ahead
+        now, holder, spell = self._node.now(), self._holder(server), server.limit.cold
+        if (
+            spell is not None
+            and holder.is_alone(now)
+            and not self._node.coldness.may_send_alone(server, now)
+        ):
+            # Another VM sends. Nothing is sent from here before the spell ends.
+            return spell.left_s(now)
+        return holder.expected_wait_s(
+            now, per_s, self._alone_vms(server), rank=rank, ahead=ahead
         )
 
     def _holder(self, server):
@@ -150,17 +186,33 @@
         """
         now = self._node.now()
         holder = self._holder(server)
-        if not holder.should_ask(wanted_by_rank, now):
-            return
         control = self._node.control
+        options = {}
+        if server.limit.cold is not None:
+            options["repeat_s"] = COLD_REPEAT_INTERVAL_S
+        if not holder.should_ask(wanted_by_rank, now, **options):
+            return
+        if (
+            server.limit.cold is not None
+            and not control.is_leader
+            and not self._cold_asks.take(
+                now,
+                self._node.node_count,
+                is_repeat=holder.asked_since_s(now) < ASKED_RECENTLY_S,
+            )
+        ):
+            self._node.metrics.count("cold_asks_denied_total", service)
+            return
         controller = control.controller()
         process = controller.process if controller is not None else None
         number = holder.ask(wanted_by_rank, process, now)
-        limit = (server.limit.per_s, server.limit.age_s(now))
+        named_per_s = server.limit.named_per_s
+        limit = (named_per_s, 0.0 if named_per_s is None else server.limit.age_s(now))
+        cold = self._node.coldness.message_fields(server)
         instance = _instance_of(server)
         if control.is_leader:
             self.permits_requested(
-                service, instance, number, *limit, wanted_by_rank, None
+                service, instance, number, *limit, wanted_by_rank, None, cold
             )
         elif controller is not None:
             self._node.datagrams.send_permit_request(
@@ -170,27 +222,41 @@
                 *limit,
                 wanted_by_rank,
                 (controller.host, controller.port),
+                cold,
             )
 
     def permits_requested(
-        self, service, instance, number, per_s, age_s, wanted_by_rank, address
+        self,
+        service,
+        instance,
+        number,
+        per_s,
+        age_s,
+        wanted_by_rank,
+        address,
+        cold=None,
     ):
         """Handles a request for permits, if this process is the controller.
 
         :param instance: pair of server identifier and incarnation.
         :param number: number of the request.
-        :param per_s: limit as the entry VM that asks knows it.
+        :param per_s: limit that the server names, as the entry VM that asks knows it,
+            or None if the server is only cold.
         :param age_s: seconds since it sent the answered request.
         :param wanted_by_rank: ``{rank: requests}`` that wait there.
         :param address: (host, port) of that VM, or None for this one.
+        :param cold: (seconds left or None, number of the server's entry) as that VM
+            knows them, or None if it does not count the server as cold.
         """
         now = self._node.now()
         issuer = self._usable_issuer(now)
         server = self._server(service, instance)
         if issuer is None or server is None:
             return
-        if address is not None:
+        if address is not None and per_s is not None:
             self.peer_limit(service, instance, per_s, age_s)
+        if address is not None and cold is not None:
+            self._node.coldness.peer_cold(service, instance, *cold)
         if server.limit.per_s is None:
             # The limit has ended, which the VM learns from the next answer.
             answers = {}
--- a/briarspoke/entry/reports.py
+++ b/briarspoke/entry/reports.py
@@ -44,6 +44,8 @@
     :param on_allowances: called with (service, ``{key: fraction}``).
     :param on_suspect: called with (:class:`SuspectReport`).
     :param on_leaving: called with (service, pair of server identifier and incarnation).
+    :param on_cold: called with (service, pair of server identifier and incarnation,
+        seconds left or None, number of the server's entry).
     :param rate_limits: the :class:`briarspoke.entry.ratelimits.RateLimits`.
     """
 
@@ -55,6 +57,7 @@
         on_allowances,
         on_suspect,
         on_leaving,
+        on_cold,
         rate_limits,
     ):
         self._on_load = on_load
@@ -62,6 +65,7 @@
         self._on_allowances = on_allowances
         self._on_suspect = on_suspect
         self._on_leaving = on_leaving
+        self._on_cold = on_cold
         self._rate_limits = rate_limits
 
     def datagramReceived(self, data, address):
@@ -123,7 +127,9 @@
 
     def _decode_limit(self, kind, instance, fields, address):
         if kind == KIND_LIMIT:
-            per_s, age_ms = fields
+            per_s, age_ms, *cold = fields
+            if cold:
+                return self._on_cold, (instance, *_decode_cold(cold))
             limit = None if per_s is None else _decode_limit_per_s(per_s)
             return self._rate_limits.peer_limit, (
                 instance,
@@ -131,14 +137,15 @@
                 _decode_age_s(age_ms),
             )
         if kind == KIND_PERMIT_REQUEST:
-            number, per_s, age_ms, wanted = fields
+            number, per_s, age_ms, wanted, *cold = fields
             return self._rate_limits.permits_requested, (
                 instance,
                 int(number),
-                _decode_limit_per_s(per_s),
+                None if cold and per_s is None else _decode_limit_per_s(per_s),
                 _decode_age_s(age_ms),
                 _decode_counts(wanted),
                 address,
+                _decode_cold(cold) if cold else None,
             )
         controller, number, serial, granted, saved, waiting = fields
         answer = PermitAnswer(
@@ -162,19 +169,44 @@
         for address in addresses:
             self.transport.write(data, address)
 
+    def send_cold(self, service, instance, left_s, sequence, addresses):
+        """Tells other entry VMs that a server is cold.
+
+        :param instance: pair of server identifier and incarnation.
+        :param left_s: seconds for which it stays cold, or None if that is not known.
+        :param sequence: number of the server's entry that was read last.
+        :param addresses: [(host, port)] of the entry VMs.
+        """
+        fields = [None, 0, *_cold_fields(left_s, sequence)]
+        data = cbor2.dumps([KIND_LIMIT, service, *instance, *fields])
+        for address in addresses:
+            self.transport.write(data, address)
+
     def send_permit_request(
-        self, service, instance, number, per_s, age_s, wanted_by_rank, address
+        self,
+        service,
+        instance,
+        number,
+        per_s,
+        age_s,
+        wanted_by_rank,
+        address,
+        cold=None,
     ):
         """Asks the controller for permits to send requests to a server.
 
         :param instance: pair of server identifier and incarnation.
         :param number: number of the request for permits.
-        :param per_s: limit of the server.
+        :param per_s: limit that the server names, or None if it is only cold.
         :param age_s: seconds since the request was sent whose answer named it.
         :param wanted_by_rank: ``{rank: requests}`` that wait at this entry VM.
         :param address: (host, port) of the controller.
+        :param cold: (seconds left or None, number of the server's entry) of a cold
+            server, or None.
         """
         fields = [number, per_s, _ms(age_s), wanted_by_rank]
+        if cold is not None:
+            fields += _cold_fields(*cold)
         data = cbor2.dumps([KIND_PERMIT_REQUEST, service, *instance, *fields])
         self.transport.write(data, address)
 
@@ -311,6 +343,15 @@
     return min(MAX_PER_S, max(MIN_PER_S, float(per_s)))
 
 
+def _cold_fields(left_s, sequence):
+    return [None if left_s is None else _ms(left_s), sequence]
+
+
+def _decode_cold(fields):
+    left_ms, sequence = fields
+    return None if left_ms is None else _decode_age_s(left_ms), int(sequence)
+
+
 def _decode_age_s(age_ms):
     return max(0.0, age_ms / 1000)
 
--- a/briarspoke/entry/serverlimits.py
+++ b/briarspoke/entry/serverlimits.py
@@ -1,4 +1,4 @@
-"""Rate limits that servers name in their answers."""
+"""Rate limits that servers name in their answers, or have while they are cold."""
 
 from __future__ import annotations
 
@@ -12,18 +12,44 @@
 class ServerLimit:
     """What an entry VM knows about the rate limit of one lifetime of a server.
 
-    :ivar per_s: requests per second that the server takes from all entry VMs together,
-        or None without a limit.
+    :ivar named_per_s: requests per second that the server names for all entry VMs
+        together, or None without a limit.
+    :ivar cold: the :class:`briarspoke.entry.coldness.ColdSpell` while the server is
+        cold, or None.
     """
 
-    __slots__ = ("_as_of", "per_s", "unusable_logged")
+    __slots__ = (
+        "_as_of",
+        "cold",
+        "confirmed_at",
+        "named_per_s",
+        "unusable_logged",
+        "unusable_warmup_logged",
+    )
 
     def __init__(self):
-        self.per_s = None
+        self.named_per_s = None
+        self.cold = None
+        # Time at which an entry last showed that the server, which had been
+        # unreachable, was not cold; or None.
+        self.confirmed_at = None
         # Whether the log has a line about the unusable values that arrive at present.
         self.unusable_logged = False
+        self.unusable_warmup_logged = False
         self._as_of = -math.inf
 
+    @property
+    def per_s(self):
+        """Requests per second that the server takes from all entry VMs together.
+
+        The lower of the limit that it names and the one while it is cold, or None.
+        """
+        if self.cold is None:
+            return self.named_per_s
+        if self.named_per_s is None:
+            return self.cold.per_s
+        return min(self.named_per_s, self.cold.per_s)
+
     def learn(self, per_s, as_of):
         """Learns the limit of an answer.
 
@@ -35,7 +61,7 @@
         if as_of < self._as_of:
             return False
         self._as_of = as_of
-        before, self.per_s = self.per_s, per_s
+        before, self.named_per_s = self.named_per_s, per_s
         return per_s != before
 
     def learn_from_peer(self, per_s, age_s, now):
@@ -45,10 +71,19 @@
         :returns: whether the limit has changed.
         """
         as_of = now - age_s
-        if self.per_s is not None and (per_s is None or per_s > self.per_s):
+        known = self.named_per_s
+        if known is not None and (per_s is None or per_s > known):
             as_of -= PEER_MARGIN_S
         return self.learn(per_s, as_of)
 
+    def keeps_keys(self, now):
+        """Returns whether the server is limited for too short a time to move keys."""
+        return (
+            self.cold is not None
+            and self.named_per_s is None
+            and not self.cold.lasts_for_moves(now)
+        )
+
     def age_s(self, now):
         """Returns the seconds since the request was sent whose answer is known."""
         return now - self._as_of
--- a/briarspoke/keyspace/placement.py
+++ b/briarspoke/keyspace/placement.py
@@ -38,16 +38,19 @@
     :param latency_s: mean service time, including waits in the server.
     :param limit_per_s: requests per second that the server takes, or None without a
         limit. Such a server counts as slower, so that keys move away, and gets no more.
+    :param keeps_keys: whether the limit ends too soon for keys to move away.
     :ivar load: requests per second, see :func:`assign_load`.
     """
 
     __slots__ = ("is_limited", "latency_s", "load", "server_instance", "slots")
 
-    def __init__(self, *, server_instance, slots, latency_s, limit_per_s=None):
+    def __init__(
+        self, *, server_instance, slots, latency_s, limit_per_s=None, keeps_keys=False
+    ):
         self.server_instance = server_instance
         self.slots = slots
         self.is_limited = limit_per_s is not None
-        if self.is_limited:
+        if self.is_limited and not keeps_keys:
             latency_s = max(latency_s, slots / limit_per_s)
         self.latency_s = latency_s
         self.load = 0.0
--- a/briarspoke/keyspace/range_manager.py
+++ b/briarspoke/keyspace/range_manager.py
@@ -185,6 +185,7 @@
             slots=record.slots,
             latency_s=known_s or server.latency_s,
             limit_per_s=server.limit.per_s,
+            keeps_keys=server.limit.keeps_keys(self._node.now()),
         )
 
     def _start_moves(self, records, now):
--- a/briarspoke/metrics.py
+++ b/briarspoke/metrics.py
@@ -72,6 +72,14 @@
         "service",
         "Permits that the controller gave for servers with a rate limit, by service.",
     ),
+    "cold_spells_total": (
+        "source",
+        "Times at which a server began to count as cold, by where it was learned.",
+    ),
+    "cold_asks_denied_total": (
+        "service",
+        "Requests for permits of cold servers that were put off, by service.",
+    ),
     "store_calls_total": ("kind", "Calls to the platform's store, by kind."),
     "store_failures_total": ("kind", "Failed calls to the store, by kind."),
     "store_sent_bytes_total": ("kind", "Estimated bytes sent to the store, by kind."),
@@ -111,6 +119,7 @@
         "Seconds since the last contact with the store or the relay.",
     ),
     "servers_known": ("", "Servers that this entry VM may use."),
+    "servers_cold": ("service", "Servers that count as cold, by service."),
     "servers_limited": ("service", "Servers that name a rate limit, by service."),
     "connections_open": ("", "Open connections from callers."),
     "key_ranges": ("service", "Key ranges of the key map, by service."),
--- a/tests/limit_fakes.py
+++ b/tests/limit_fakes.py
@@ -77,15 +77,26 @@
     :param vms: number of entry VMs, each in its own availability zone.
     :param keyed: whether the service has keys.
     :param per_s: requests per second of all callers together.
+    :param service_options: additional fields of the service's configuration.
     :param first_vm_share: fraction of them that comes to the first VM, or None if all
         VMs get the same.
     """
 
-    def __init__(self, *, vms, keyed, per_s, first_vm_share=None, route_type="safe"):
+    def __init__(
+        self,
+        *,
+        vms,
+        keyed,
+        per_s,
+        first_vm_share=None,
+        route_type="safe",
+        service_options=None,
+    ):
         # The code under test draws from the module's generator.
         random.seed(SEED)
         self.world = World()
         service = {"health_path": "/h", "max_conns": 110, "sharded": keyed}
+        service.update(service_options or {})
         self.world.store.put(
             "op/config",
             configuration(
--- /dev/null
+++ b/tests/test_cold_servers.py
@@ -0,0 +1,507 @@
+"""Cold servers: how entry VMs learn of them, and what they get from all VMs."""
+
+from __future__ import annotations
+
+import logging
+
+import pytest
+from entry_fakes import STORE, World, configuration, registration, route
+from http_fakes import LOST
+from limit_fakes import AnsweringServers, Deployment
+from test_cold_limits import D1_BOUND, most_in_window, send_as_if_alone
+from twisted.internet import error
+from twisted.python.failure import Failure
+
+from briarspoke.entry import coldlimits
+from briarspoke.entry.coldness import (
+    ENTRY_DELAY_S,
+    EXPECTED_CONFIRMATION_S,
+    UNCONFIRMED_S,
+    Coldness,
+)
+from briarspoke.entry.connections import Answer
+from briarspoke.entry.reports import Datagrams
+from briarspoke.keyspace import placement
+from briarspoke.platform.values import DecodeError
+from briarspoke.platform.warmup import MAX_WARMUP_S, decode_warmup_s
+
+SERVERS = (11, 12, 13)
+COLD_SERVICE = {"warmup_per_s": 4, "warmup": "3000ms"}
+CONNECT_TIMEOUT_S = 0.4
+
+
+class DarkServers(AnsweringServers):
+    """Servers that can be unreachable for a time.
+
+    :ivar dark: numbers of servers at which connections are not answered.
+    """
+
+    def __init__(self, world):
+        super().__init__(world)
+        self.dark = set()
+
+    def step(self):
+        attempts = self._world.reactor.tcpClients
+        for attempt in list(attempts):
+            host, _, factory = attempt[:3]
+            if int(host.rpartition(".")[2]) in self.dark:
+                attempts.remove(attempt)
+                self._world.reactor.callLater(
+                    CONNECT_TIMEOUT_S,
+                    factory.clientConnectionFailed,
+                    None,
+                    Failure(error.TimeoutError()),
+                )
+        super().step()
+
+    def go_dark(self, numbers):
+        """Ends all connections of servers and lets new ones time out."""
+        self.dark = set(numbers)
+        for connection in list(self._connections):
+            peer, number = connection
+            if number in self.dark:
+                self._connections.remove(connection)
+                peer.close(LOST)
+
+
+def deployment(*, vms=8, keyed=False, per_s=120.0, cold=True):
+    """Returns entry VMs and servers whose service bounds cold servers."""
+    deployment = Deployment(
+        vms=vms,
+        keyed=keyed,
+        per_s=per_s,
+        service_options=COLD_SERVICE if cold else None,
+    )
+    deployment.servers = DarkServers(deployment.world)
+    for node in deployment.nodes:
+        node.settings.cold_ratio, node.settings.cold_slack = 1.5, 8
+        # All requests of these tests are alike, and servers end while they run them.
+        node.settings.never_held_back = ("all",)
+        node.settings_changed()
+    return deployment
+
+
+def write_entry(world, number, sequence, warmup_s, **options):
+    """Writes a later entry of a server."""
+    world.store.put(
+        f"servers/s-{number}",
+        registration(
+            "stock",
+            number,
+            seq=sequence,
+            warmup_left=f"{round(warmup_s * 1000)}ms",
+            slots=8,
+            **options,
+        ),
+    )
+
+
+def arrivals(deployment, number, since):
+    """Returns the most arrivals at a server in any second after a time."""
+    times = deployment.servers.arrivals_by_number.get(number, ())
+    return most_in_window([time for time in times if time >= since])
+
+
+class TestColdServersGetTooMuch:
+    @pytest.mark.parametrize("keyed", [True, False])
+    def test_sum_of_all_vms_keeps_to_the_bound(self, keyed):
+        cold = self.turn_cold(keyed)
+        assert max(cold.most) <= D1_BOUND
+        # Guards against servers that get nothing.
+        assert min(cold.rates) >= 1.0
+
+    def test_test_finds_a_bound_that_each_vm_counts_by_itself(self, monkeypatch):
+        monkeypatch.setattr(coldlimits, "may_send", send_as_if_alone)
+        monkeypatch.setattr(Coldness, "may_send_alone", lambda *args: True)
+        cold = self.turn_cold(False, cut=True)
+        assert max(cold.most) > D1_BOUND
+
+    def test_sum_keeps_to_the_bound_while_no_vm_reaches_another(self):
+        cold = self.turn_cold(False, cut=True)
+        assert max(cold.most) <= D1_BOUND
+
+    def turn_cold(self, keyed, *, cut=False):
+        cold = deployment(vms=24 if cut else 8, keyed=keyed)
+        cold.run(1.0)
+        for number in SERVERS:
+            write_entry(cold.world, number, 2, 20.0 if cut else 3.0)
+        cold.run(0.6)
+        if cut:
+            for node in cold.nodes:
+                cold.cut(node)
+        since = cold.now()
+        cold.run(5.0 if cut else 2.4)
+        cold.most = [arrivals(cold, number, since) for number in SERVERS]
+        cold.rates = [cold.rate(number, since) for number in SERVERS]
+        return cold
+
+    def test_they_serve_as_before_once_they_are_warm(self):
+        cold = self.turn_cold(False)
+        cold.run(1.0)
+        answered = len(cold.answers)
+        cold.run(2.0)
+        assert cold.outcomes(answered)[200] >= 0.97 * 2.0 * 120
+
+    def test_waiting_requests_are_refused_at_once_with_a_hint(self):
+        # The load and bounds are those of the same test for limits that servers name.
+        cold = deployment(vms=4, keyed=True, per_s=60.0)
+        cold.run(1.0)
+        for number in SERVERS:
+            write_entry(cold.world, number, 2, 4.6)
+        cold.run(0.6)
+        answered = len(cold.answers)
+        cold.run(4.0)
+        refused = [a for a in cold.answers[answered:] if b" 503 " in a[0][:20]]
+        assert len(refused) >= 0.7 * 4.0 * 60
+        assert all(b"Retry-After" in data for data, _ in refused)
+        assert sum(wait_s < 0.05 for _, wait_s in refused) >= 0.9 * len(refused)
+
+    def test_warm_servers_are_used_first(self):
+        cold = deployment(per_s=60.0)
+        cold.run(1.0)
+        write_entry(cold.world, 11, 2, 3.0)
+        cold.run(0.6)
+        answered, since = len(cold.answers), cold.now()
+        cold.run(2.0)
+        assert cold.outcomes(answered)[200] >= 0.97 * 2.0 * 60
+        assert cold.rate(11, since) <= 1.0
+
+
+class TestServersThatReturnFromAnOutage:
+    @pytest.mark.parametrize("keyed", [True, False])
+    def test_get_no_burst_from_vms_that_do_not_know_that_they_are_cold(self, keyed):
+        outage = self.outage(keyed)
+        assert max(outage.most) <= D1_BOUND
+        assert outage.answered_late >= 0.5 * 160
+
+    def test_test_finds_vms_that_do_not_note_the_outage(self, monkeypatch):
+        monkeypatch.setattr(Coldness, "server_failed", lambda *args, **options: None)
+        assert max(self.outage(False).most) > D1_BOUND
+
+    def outage(self, keyed):
+        outage = deployment(vms=16, keyed=keyed, per_s=160.0)
+        outage.run(1.0)
+        outage.servers.go_dark(SERVERS)
+        outage.run(3.0)
+        outage.servers.dark.clear()
+        since = outage.now()
+        outage.run(2.5)
+        outage.most = [arrivals(outage, number, since) for number in SERVERS]
+        answered = len(outage.answers)
+        outage.run(1.5)
+        outage.answered_late = outage.outcomes(answered)[200]
+        return outage
+
+
+class One:
+    """One entry VM and its only server, of a service that bounds cold servers."""
+
+    def __init__(self, *, cold=True, vms=1):
+        self.world = World()
+        service = {"health_path": "/h", "max_conns": 110}
+        if cold:
+            service |= COLD_SERVICE
+        self.world.store.put(
+            "op/config",
+            configuration(
+                routes={"lookup": route("stock")}, services={"stock": service}
+            ),
+        )
+        self.world.add_server("stock", 11, slots=8)
+        self.nodes = [
+            self.world.add_node(f"front-{n}", number=n, zone=f"z{n}")
+            for n in range(1, vms + 1)
+        ]
+        self.node = self.nodes[0]
+        for node in self.nodes:
+            node.settings.cold_ratio, node.settings.cold_slack = 1.5, 8
+        self.world.advance(5.0)
+
+    def server(self, node=None):
+        return (node or self.node).dispatcher("stock").servers["s-11"]
+
+    def is_cold(self, node=None):
+        return self.server(node).limit.per_s is not None
+
+    def write(self, sequence, warmup_s, **options):
+        write_entry(self.world, 11, sequence, warmup_s, **options)
+        self.world.advance(0.6)
+
+    def fail(self, *, connected=False, node=None):
+        server = self.server(node)
+        server.record_unreachable()
+        (node or self.node).coldness.server_failed("stock", server, connected=connected)
+
+    def answer(self, *, warmup=None, sent_at=None):
+        now = self.world.reactor.seconds()
+        headers = [] if warmup is None else [(b"warmup-ms", warmup)]
+        self.node.coldness.server_answered(
+            "stock",
+            self.server(),
+            Answer(status=200, headers=headers, body=b""),
+            now if sent_at is None else sent_at,
+        )
+
+
+class TestColdnessThatIsNotLearned:
+    def test_entry_begins_renews_and_ends_it(self, caplog):
+        one = One()
+        with caplog.at_level(logging.INFO):
+            one.write(2, 1.0)
+            assert one.is_cold()
+            one.write(3, 3.0)
+            one.world.advance(1.5)
+            assert one.is_cold()
+            one.write(4, 0.0)
+            assert not one.is_cold()
+        lines = [r.getMessage() for r in caplog.records if ": cold" in r.getMessage()]
+        assert [line.split(" id=")[0] for line in lines] == [
+            "servers: cold begins",
+            "servers: cold ends",
+        ]
+
+    def test_it_ends_without_a_further_entry(self):
+        one = One()
+        one.write(2, 3.0)
+        one.world.advance(2.0)
+        assert one.is_cold()
+        one.world.advance(1.5)
+        assert not one.is_cold()
+
+    def test_new_lifetime_is_cold_before_it_gets_a_request(self):
+        one = One()
+        one.write(1, 3.0, born=2)
+        assert one.is_cold()
+
+    def test_zone_that_returns_is_cold_until_a_later_entry(self):
+        one = One()
+        one.node.coldness.zone_returned("elsewhere")
+        assert not one.is_cold()
+        one.node.coldness.zone_returned("poa")
+        assert one.is_cold()
+        # Written before the end of the evacuation.
+        one.write(2, 0.0)
+        assert one.is_cold()
+        one.world.advance(ENTRY_DELAY_S)
+        one.write(3, 0.0)
+        assert not one.is_cold()
+
+    def test_zone_that_returns_is_cold_for_the_warm_up_without_an_entry(self):
+        one = One()
+        one.node.coldness.zone_returned("poa")
+        one.world.advance(2.9)
+        assert one.is_cold()
+        one.world.advance(0.3)
+        assert not one.is_cold()
+
+    def test_unreachable_server_is_cold_until_a_later_entry(self):
+        one = One()
+        one.fail()
+        one.world.advance(10.0)
+        assert one.is_cold()
+        one.write(2, 0.0)
+        assert not one.is_cold()
+
+    def test_entry_from_before_the_failure_ends_nothing(self):
+        one = One()
+        one.fail()
+        one.write(2, 0.0)
+        assert one.is_cold()
+
+    def test_unreachable_server_is_cold_for_the_warm_up_after_its_first_answer(self):
+        one = One()
+        one.fail()
+        failed_at = one.world.reactor.seconds()
+        one.world.advance(8.0)
+        one.answer(sent_at=failed_at - 0.1)
+        one.world.advance(4.0)
+        assert one.is_cold()
+        one.answer()
+        one.world.advance(2.9)
+        assert one.is_cold()
+        one.world.advance(0.3)
+        assert not one.is_cold()
+
+    def test_unreachable_server_of_which_nothing_is_heard_is_forgotten(self):
+        one = One()
+        one.fail()
+        one.world.advance(UNCONFIRMED_S - 1.0)
+        assert one.is_cold()
+        one.world.advance(UNCONFIRMED_S / 2 + 2.0)
+        assert not one.is_cold()
+
+    def test_single_slow_answer_is_no_outage(self):
+        one = One()
+        one.fail(connected=True)
+        assert not one.is_cold()
+        one.fail(connected=True)
+        assert one.is_cold()
+
+    def test_answer_names_the_time(self):
+        one = One()
+        one.answer(warmup=b"1500")
+        one.world.advance(1.4)
+        assert one.is_cold()
+        one.answer(warmup=b"0")
+        assert not one.is_cold()
+
+    def test_unusable_time_is_logged_once(self, caplog):
+        one = One()
+        for _ in range(3):
+            one.answer(warmup=b"-1")
+        assert caplog.text.count("warm-up not usable") == 1
+        assert not one.is_cold()
+
+    def test_lower_of_both_limits_counts(self):
+        one = One()
+        limit = one.server().limit
+        limit.learn(2.0, 0.0)
+        one.write(2, 3.0)
+        assert limit.per_s == 2.0
+        limit.learn(9.0, 1.0)
+        assert limit.per_s == pytest.approx(3.03, abs=0.01)
+        one.world.advance(4.0)
+        assert limit.per_s == 9.0
+
+
+class TestOtherVmsThatDoNotKnow:
+    def test_are_told_of_an_unreachable_server(self):
+        one = One(vms=3)
+        one.fail()
+        one.world.advance(0.1)
+        assert all(one.is_cold(node) for node in one.nodes)
+
+    def test_are_told_of_an_entry_that_they_do_not_get(self):
+        one = One(vms=3)
+        cut = next(node for node in one.nodes if not node.control.is_leader)
+        cut.faults(STORE).cut = True
+        one.write(2, 3.0)
+        assert one.is_cold(cut)
+
+    def test_are_not_told_each_time_by_a_vm_whose_own_path_is_broken(self):
+        one = One(vms=3)
+        one.fail()
+        one.world.advance(1.5)
+        one.write(2, 0.0)
+        assert not any(one.is_cold(node) for node in one.nodes)
+        one.fail()
+        one.world.advance(0.1)
+        assert [one.is_cold(node) for node in one.nodes] == [True, False, False]
+
+    def test_late_message_does_not_undo_a_later_entry(self):
+        one = One()
+        one.write(5, 0.0)
+        instance = one.server().record.server_instance
+        one.node.coldness.peer_cold("stock", instance, 2.0, 4)
+        one.node.coldness.peer_cold("stock", instance, None, 3)
+        assert not one.is_cold()
+        one.node.coldness.peer_cold("stock", instance, None, 4)
+        assert one.is_cold()
+
+    def test_controller_that_does_not_know_gives_no_more_than_the_limit(self):
+        one = One(vms=2)
+        leader = next(node for node in one.nodes if node.control.is_leader)
+        other = next(node for node in one.nodes if node is not leader)
+        other.coldness._begin(
+            other.coldness._service("stock"),
+            one.server(other),
+            one.world.reactor.seconds() + 3.0,
+            "peer",
+        )
+        other.rate_limits.ask("stock", one.server(other), {1: 50})
+        one.world.advance(0.1)
+        assert one.is_cold(leader)
+        holder = one.server(other).permits
+        assert holder._count(one.world.reactor.seconds()) <= 1
+
+
+class TestServicesWithoutABound:
+    def test_nothing_is_sent_or_kept(self, monkeypatch):
+        sent = []
+        monkeypatch.setattr(Datagrams, "send_cold", lambda *args: sent.append(args))
+        one = One(cold=False, vms=2)
+        one.write(2, 3.0)
+        one.fail()
+        one.node.coldness.zone_returned("poa")
+        one.answer(warmup=b"1500")
+        instance = one.server().record.server_instance
+        one.node.coldness.peer_cold("stock", instance, 2.0, 9)
+        assert not any(one.is_cold(node) for node in one.nodes)
+        assert sent == [] and one.node.coldness.counts_by_service() == {}
+
+
+class TestVmThatKnowsOnlyItself:
+    def test_sends_nothing_before_its_view_is_complete(self):
+        one = One()
+        late = one.world.add_node("front-9", number=9, start=False)
+        late._configuration_changed("op/config", one.node.view.items["op/config"])
+        item = one.node.view.items["servers/s-11"]
+        late._discovery._server_changed("servers/s-11", item)
+        server = one.server(late)
+        assert not late.dispatcher("stock").selection.has_capacity(server)
+        late.start()
+        one.world.advance(3.0)
+        assert late.dispatcher("stock").selection.has_capacity(one.server(late))
+
+
+class TestDecodedWarmUp:
+    @pytest.mark.parametrize(
+        ("values", "seconds"),
+        [([], None), ([b"0"], 0.0), ([b" 1500 "], 1.5), ([b"x", b"20"], 0.02)],
+    )
+    def test_value(self, values, seconds):
+        assert decode_warmup_s([(b"warmup-ms", v) for v in values]) == seconds
+
+    @pytest.mark.parametrize("value", [b"", b"-1", b"1.5", b"nan", b"9" * 40, b"\xff"])
+    def test_unusable_value_is_reported(self, value):
+        with pytest.raises(DecodeError):
+            decode_warmup_s([(b"warmup-ms", value)])
+
+    def test_long_time_is_not_believed(self):
+        assert decode_warmup_s([(b"warmup-ms", b"999999999")]) == MAX_WARMUP_S
+
+
+class TestKeysOfColdOwners:
+    def rebalanced(self, *, keeps_keys, per_s=3.0):
+        """Returns the load of a cold owner of 7 requests a second, and transfers."""
+        cold = placement.Candidate(
+            server_instance=("s-1", 1),
+            slots=6,
+            latency_s=0.4,
+            limit_per_s=per_s,
+            keeps_keys=keeps_keys,
+        )
+        warm = [
+            placement.Candidate(server_instance=(f"s-{n}", 1), slots=6, latency_s=0.4)
+            for n in (2, 3, 4)
+        ]
+        key_map = placement.initial_map([cold, *warm], 1)
+        rates = {}
+        for first, last, owner in key_map.ranges():
+            buckets = range(
+                first // placement.KEYS_PER_BUCKET, last // placement.KEYS_PER_BUCKET
+            )
+            total = 7.0 if owner.server_id == "s-1" else 4.0
+            for bucket in buckets:
+                rates[bucket] = total / len(buckets)
+        transfers = placement.rebalance(key_map, [cold, *warm], rates)
+        return cold.load, transfers
+
+    def test_stay_for_a_spell_that_ends_soon(self):
+        _, transfers = self.rebalanced(keeps_keys=True)
+        assert transfers == []
+
+    def test_leave_as_far_as_their_load_is_beyond_the_limit(self):
+        load, transfers = self.rebalanced(keeps_keys=False)
+        assert transfers and load <= 3.0
+        assert all(transfer.to != ("s-1", 1) for transfer in transfers)
+
+    def test_length_of_a_spell(self):
+        one = One()
+        limit = one.server().limit
+        one.write(2, 3.0)
+        now = one.world.reactor.seconds()
+        assert not limit.keeps_keys(now)
+        assert limit.keeps_keys(now + 1.5)
+        one.fail()
+        assert limit.cold.left_s(now) == EXPECTED_CONFIRMATION_S
