Tell other entry VMs of many cold servers in few datagrams

A zone of 120 servers that turns cold made the controller send 3,960 datagrams at once. Servers of which a VM learns within a tick now share datagrams.

--- a/briarspoke/entry/coldness.py
+++ b/briarspoke/entry/coldness.py
@@ -111,6 +111,9 @@
         # {(service, server instance): Server} of cold servers.
         self._cold_by_instance = {}
         self._limit_by_terms = {}
+        # {service: [Server]} of which other VMs are told at the next tick. Many servers
+        # may become cold together.
+        self._untold_by_service = {}
         self._view_was_complete = False
 
     def _service(self, name):
@@ -119,6 +122,11 @@
         service = None if table is None else table.services.get(name)
         return None if service is None or service.cold_per_s is None else service
 
+    def _is_known(self, name, server):
+        """Returns whether a server is in use, and not an earlier lifetime of one."""
+        servers = self._node.dispatcher(name).servers
+        return servers.get(server.record.server_id) is server
+
     def entry_read(self, server, record):
         """Learns from an entry in the store that is newer than those before.
 
@@ -164,6 +172,8 @@
         service = self._service(name)
         if service is None or (connected and not server.is_failing):
             return
+        if not self._is_known(name, server):
+            return
         confirmed_at = server.limit.confirmed_at
         is_own_path = (
             confirmed_at is not None and self._node.now() - confirmed_at < RETELL_S
@@ -190,7 +200,7 @@
         :param sent_at: time at which the answered request was sent.
         """
         service = self._service(name)
-        if service is None:
+        if service is None or not self._is_known(name, server):
             return
         try:
             warmup_s = decode_warmup_s(answer.headers)
@@ -229,6 +239,14 @@
                 tell=True,
             )
 
+    def peers_cold(self, name, servers):
+        """Learns what another entry VM knows of servers; see :meth:`peer_cold`.
+
+        :param servers: [(instance, seconds left or None, entry's number)].
+        """
+        for instance, left_s, sequence in servers:
+            self.peer_cold(name, instance, left_s, sequence)
+
     def peer_cold(self, name, instance, left_s, sequence):
         """Learns what another entry VM knows.
 
@@ -327,12 +345,20 @@
         if tell is None:
             tell = source != PEER and self._node.control.is_leader
         if tell:
-            self._node.datagrams.send_cold(
-                service.name,
-                instance,
-                *self.message_fields(server),
-                self._node.registry.addresses(),
-            )
+            self._untold_by_service.setdefault(service.name, []).append(server)
+
+    def _tell(self):
+        """Tells other VMs of the servers of which they have to know."""
+        untold, self._untold_by_service = self._untold_by_service, {}
+        addresses = self._node.registry.addresses()
+        for name, servers in untold.items():
+            cold = [
+                (server.record.server_instance, *self.message_fields(server))
+                for server in dict.fromkeys(servers)
+                if server.limit.cold is not None
+            ]
+            if cold:
+                self._node.datagrams.send_cold(name, cold, addresses)
 
     def _end(self, name, server, source):
         spell, server.limit.cold = server.limit.cold, None
@@ -368,7 +394,8 @@
         return limit
 
     def tick(self, now):
-        """Ends the spells whose time is over, and forgets servers that have gone."""
+        """Ends the spells whose time is over, and tells other VMs of new ones."""
+        self._tell()
         for (name, instance), server in list(self._cold_by_instance.items()):
             known = self._node.dispatcher(name).servers.get(instance[0])
             if known is not server or server.limit.cold is None:
--- a/briarspoke/entry/reports.py
+++ b/briarspoke/entry/reports.py
@@ -29,6 +29,9 @@
 KIND_PERMITS = 7
 KIND_SUSPECT = 8
 KIND_LEAVING = 9
+KIND_COLD = 10
+# Servers in one datagram about cold servers; about 1,000 bytes.
+MAX_SERVERS_PER_DATAGRAM = 20
 # Requests or permits that one datagram counts at most.
 MAX_COUNT = 10_000
 
@@ -44,8 +47,8 @@
     :param on_allowances: called with (service, ``{key: fraction}``).
     :param on_suspect: called with (:class:`SuspectReport`).
     :param on_leaving: called with (service, pair of server identifier and incarnation).
-    :param on_cold: called with (service, pair of server identifier and incarnation,
-        seconds left or None, number of the server's entry).
+    :param on_cold: called with (service, [(pair of server identifier and incarnation,
+        seconds left or None, number of the server's entry)]).
     :param rate_limits: the :class:`briarspoke.entry.ratelimits.RateLimits`.
     """
 
@@ -113,6 +116,13 @@
         if kind == KIND_LEAVING:
             server_id, incarnation = rest
             return self._on_leaving, ((str(server_id), int(incarnation)),)
+        if kind == KIND_COLD:
+            (rows,) = rest
+            servers = [
+                ((str(server_id), int(incarnation)), *_decode_cold(cold))
+                for server_id, incarnation, *cold in rows
+            ]
+            return self._on_cold, (servers,)
         if kind != KIND_OWNERS:
             raise ValueError(f"unknown kind {kind!r}")
         changes = [
@@ -127,9 +137,7 @@
 
     def _decode_limit(self, kind, instance, fields, address):
         if kind == KIND_LIMIT:
-            per_s, age_ms, *cold = fields
-            if cold:
-                return self._on_cold, (instance, *_decode_cold(cold))
+            per_s, age_ms = fields
             limit = None if per_s is None else _decode_limit_per_s(per_s)
             return self._rate_limits.peer_limit, (
                 instance,
@@ -169,18 +177,20 @@
         for address in addresses:
             self.transport.write(data, address)
 
-    def send_cold(self, service, instance, left_s, sequence, addresses):
-        """Tells other entry VMs that a server is cold.
+    def send_cold(self, service, servers, addresses):
+        """Tells other entry VMs which servers are cold.
 
-        :param instance: pair of server identifier and incarnation.
-        :param left_s: seconds for which it stays cold, or None if that is not known.
-        :param sequence: number of the server's entry that was read last.
+        :param servers: [(pair of server identifier and incarnation, seconds for which
+            it stays cold or None if that is not known, number of its entry that was
+            read last)].
         :param addresses: [(host, port)] of the entry VMs.
         """
-        fields = [None, 0, *_cold_fields(left_s, sequence)]
-        data = cbor2.dumps([KIND_LIMIT, service, *instance, *fields])
-        for address in addresses:
-            self.transport.write(data, address)
+        rows = [[*instance, *_cold_fields(*cold)] for instance, *cold in servers]
+        for start in range(0, len(rows), MAX_SERVERS_PER_DATAGRAM):
+            part = rows[start : start + MAX_SERVERS_PER_DATAGRAM]
+            data = cbor2.dumps([KIND_COLD, service, part])
+            for address in addresses:
+                self.transport.write(data, address)
 
     def send_permit_request(
         self,
--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -4,6 +4,7 @@
 
 import logging
 
+import cbor2
 import pytest
 from entry_fakes import STORE, World, configuration, registration, route
 from http_fakes import LOST
@@ -20,7 +21,7 @@
     Coldness,
 )
 from briarspoke.entry.connections import Answer
-from briarspoke.entry.reports import Datagrams
+from briarspoke.entry.reports import KIND_COLD, Datagrams
 from briarspoke.keyspace import placement
 from briarspoke.platform.values import DecodeError
 from briarspoke.platform.warmup import MAX_WARMUP_S, decode_warmup_s
@@ -415,6 +416,50 @@
         assert holder._count(one.world.reactor.seconds()) <= 1
 
 
+class TestZoneThatTurnsColdAtOnce:
+    def test_vms_are_told_in_few_datagrams(self, monkeypatch):
+        one = One(vms=2)
+        leader = next(node for node in one.nodes if node.control.is_leader)
+        for number in range(20, 140):
+            one.world.add_server("stock", number, warmup_left="3000ms")
+        sent = []
+        write = leader.datagrams.transport.write
+        monkeypatch.setattr(
+            leader.datagrams.transport,
+            "write",
+            lambda data, address: (sent.append(data), write(data, address)),
+        )
+        other = next(node for node in one.nodes if node is not leader)
+        other.faults(STORE).cut = True
+        one.world.advance(0.7)
+        assert leader.coldness.counts_by_service() == {"stock": 120}
+        assert len([data for data in sent if len(data) > 100]) <= 10
+        assert max(map(len, sent)) <= 1_200
+
+
+class TestUnreadableMessages:
+    @pytest.mark.parametrize(
+        "rest",
+        [
+            [],
+            [[]],
+            [[["s-11"]]],
+            [[["s-11", 1, 2]]],
+            [[["s-11", 1, "x", 3]]],
+            [[["s-11", float("inf"), 1, 3]]],
+            [[["s-11", 1, float("nan"), 3]]],
+            [None],
+            [[["s-11", 1, 1e300, 10**30]]],
+        ],
+    )
+    def test_stop_nothing_and_make_nothing_cold_for_long(self, rest):
+        one = One()
+        data = cbor2.dumps([KIND_COLD, "stock", *rest])
+        one.node.datagrams.datagramReceived(data, ("10.0.1.2", 9000))
+        one.world.advance(MAX_WARMUP_S + 0.2)
+        assert not one.is_cold()
+
+
 class TestServicesWithoutABound:
     def test_nothing_is_sent_or_kept(self, monkeypatch):
         sent = []
