--- a/briarspoke/entry/discovery.py
+++ b/briarspoke/entry/discovery.py
@@ -111,6 +111,7 @@
             record.draining = server.intake.is_leaving
         else:
             node.notices.leave(record.service, server, STORE, node.view.changes_since)
+        node.coldness.entry_read(server, record)
         if not is_same_process:
             # Last, since requests that wait are sent to it at once.
             dispatcher.add_server(server)
--- a/briarspoke/entry/gauges.py
+++ b/briarspoke/entry/gauges.py
@@ -89,6 +89,7 @@
     gauge("capacity_shares", lambda: _capacity_shares(node))
     gauge("zones_evacuated", node.evacuations.zones_with_servers)
     gauge("keys_evacuating", node.evacuations.keys_to_move)
+    gauge("servers_cold", node.coldness.counts_by_service)
     gauge("connections_open", lambda: len(node.callers))
     gauge("key_ranges", lambda: {name: len(m.starts) for name, m in maps.items()})
     gauge("key_ranges_moving", node.control.moves_by_service)
--- a/briarspoke/entry/node.py
+++ b/briarspoke/entry/node.py
@@ -11,6 +11,7 @@
 from briarspoke.entry import crashes, gauges, logs, relays, status
 from briarspoke.entry.arrival import OwnLink
 from briarspoke.entry.callers import CallerFactory
+from briarspoke.entry.coldness import Coldness
 from briarspoke.entry.control import Control
 from briarspoke.entry.crashes import Crashes
 from briarspoke.entry.discovery import ServerDiscovery
@@ -111,8 +112,10 @@
         self.relay_follower = RelayFollower(node=self)
         self.view.find_relay = self.relay_follower.wait_for_first_view
         self.rate_limits = RateLimits(node=self)
+        self.coldness = Coldness(node=self)
         self.notices = Notices(node=self)
         self.evacuations = Evacuations(node=self)
+        self.evacuations.on_ended.append(self.coldness.zone_returned)
         self.fingerprints = Fingerprints(node=self)
         self.crashes = Crashes(node=self)
         self.crashes.settings_changed()
@@ -126,6 +129,7 @@
             on_leaving=self.notices.peer_leaving,
             on_shares=self.division.shares_received,
             on_demand=self.division.demand_reported,
+            on_cold=self.coldness.peers_cold,
             rate_limits=self.rate_limits,
         )
         self.view.observe(documents.CONFIGURATION_KEY, self._configuration_changed)
@@ -403,6 +407,7 @@
         self.key_maps.expire(now)
         if self.routing_table is None:
             return
+        self.coldness.tick(now)
         self.rate_limits.tick(now)
         self.evacuations.tick(now)
         for dispatcher in self._dispatchers_by_service.values():
--- a/briarspoke/entry/reports.py
+++ b/briarspoke/entry/reports.py
@@ -32,6 +32,9 @@
 KIND_LEAVING = 9
 KIND_SHARES = 10
 KIND_DEMAND = 11
+KIND_COLD = 12
+# Servers in one datagram about cold servers; about 1,000 bytes.
+MAX_SERVERS_PER_DATAGRAM = 20
 # Requests or permits that one datagram counts at most.
 MAX_COUNT = 10_000
 
@@ -49,6 +52,8 @@
     :param on_leaving: called with (service, pair of server identifier and incarnation).
     :param on_shares: called with (:class:`briarspoke.entry.sharenews.News`).
     :param on_demand: called with (node, process, number, ``{service: requests}``).
+    :param on_cold: called with (service, [(pair of server identifier and incarnation,
+        seconds left or None, number of the server's entry)]).
     :param rate_limits: the :class:`briarspoke.entry.ratelimits.RateLimits`.
     """
 
@@ -62,6 +67,7 @@
         on_leaving,
         on_shares,
         on_demand,
+        on_cold,
         rate_limits,
     ):
         self._on_load = on_load
@@ -71,6 +77,7 @@
         self._on_leaving = on_leaving
         self._on_shares = on_shares
         self._on_demand = on_demand
+        self._on_cold = on_cold
         self._rate_limits = rate_limits
 
     def datagramReceived(self, data, address):
@@ -122,6 +129,13 @@
         if kind == KIND_LEAVING:
             server_id, incarnation = rest
             return self._on_leaving, ((str(server_id), int(incarnation)),)
+        if kind == KIND_COLD:
+            (rows,) = rest
+            servers = [
+                ((str(server_id), int(incarnation)), *_decode_cold(cold))
+                for server_id, incarnation, *cold in rows
+            ]
+            return self._on_cold, (servers,)
         if kind != KIND_OWNERS:
             raise ValueError(f"unknown kind {kind!r}")
         changes = [
@@ -144,14 +158,15 @@
                 _decode_age_s(age_ms),
             )
         if kind == KIND_PERMIT_REQUEST:
-            number, per_s, age_ms, wanted = fields
+            number, per_s, age_ms, wanted, *cold = fields
             return self._rate_limits.permits_requested, (
                 instance,
                 int(number),
-                _decode_limit_per_s(per_s),
+                None if cold and per_s is None else _decode_limit_per_s(per_s),
                 _decode_age_s(age_ms),
                 _decode_counts(wanted),
                 address,
+                _decode_cold(cold) if cold else None,
             )
         controller, number, serial, granted, saved, waiting = fields
         answer = PermitAnswer(
@@ -175,19 +190,46 @@
         for address in addresses:
             self.transport.write(data, address)
 
+    def send_cold(self, service, servers, addresses):
+        """Tells other entry VMs which servers are cold.
+
+        :param servers: [(pair of server identifier and incarnation, seconds for which
+            it stays cold or None if that is not known, number of its entry that was
+            read last)].
+        :param addresses: [(host, port)] of the entry VMs.
+        """
+        rows = [[*instance, *_cold_fields(*cold)] for instance, *cold in servers]
+        for start in range(0, len(rows), MAX_SERVERS_PER_DATAGRAM):
+            part = rows[start : start + MAX_SERVERS_PER_DATAGRAM]
+            data = cbor2.dumps([KIND_COLD, service, part])
+            for address in addresses:
+                self.transport.write(data, address)
+
     def send_permit_request(
-        self, service, instance, number, per_s, age_s, wanted_by_rank, address
+        self,
+        service,
+        instance,
+        number,
+        per_s,
+        age_s,
+        wanted_by_rank,
+        address,
+        cold=None,
     ):
         """Asks the controller for permits to send requests to a server.
 
         :param instance: pair of server identifier and incarnation.
         :param number: number of the request for permits.
-        :param per_s: limit of the server.
+        :param per_s: limit that the server names, or None if it is only cold.
         :param age_s: seconds since the request was sent whose answer named it.
         :param wanted_by_rank: ``{rank: requests}`` that wait at this entry VM.
         :param address: (host, port) of the controller.
+        :param cold: (seconds left or None, number of the server's entry) of a cold
+            server, or None.
         """
         fields = [number, per_s, _ms(age_s), wanted_by_rank]
+        if cold is not None:
+            fields += _cold_fields(*cold)
         data = cbor2.dumps([KIND_PERMIT_REQUEST, service, *instance, *fields])
         self.transport.write(data, address)
 
@@ -365,6 +407,15 @@
     return min(MAX_PER_S, max(MIN_PER_S, float(per_s)))
 
 
+def _cold_fields(left_s, sequence):
+    return [None if left_s is None else _ms(left_s), sequence]
+
+
+def _decode_cold(fields):
+    left_ms, sequence = fields
+    return None if left_ms is None else _decode_age_s(left_ms), int(sequence)
+
+
 def _decode_age_s(age_ms):
     return max(0.0, age_ms / 1000)
 
