Limit all keys of an owner that has too many requests

The controller now also announces the fraction for all other keys of such an owner.

An owner that is known to have free slots is not paused any more because its answers take long: with work of 410 ms and machines that are slow for moments, two answers above 0.4 of the objective are frequent without any queue, and each cost up to 2.5 s at that VM.

--- a/briarspoke/entry/allowances.py
+++ b/briarspoke/entry/allowances.py
@@ -32,34 +32,49 @@
 
 
 class Gates:
-    """Gates of one service by key.
+    """Gates of one service, by key and for the other keys of an owner.
 
     :param uniform: function that returns a random number from 0 to 1.
     """
 
-    __slots__ = ("_by_key", "_uniform")
+    __slots__ = ("_by_key", "_by_server", "_uniform")
 
     def __init__(self, *, uniform=random.random):
         self._by_key = {}
+        self._by_server = {}
         self._uniform = uniform
 
-    def update(self, fraction_by_key, now):
-        """Replaces the fractions by those that the controller has announced."""
+    def update(self, admission, now):
+        """Replaces the fractions by those that the controller has announced.
+
+        :param admission: the :class:`briarspoke.keyspace.allowance.Admission`.
+        """
+        self._by_key = self._updated(self._by_key, admission.by_key, now)
+        self._by_server = self._updated(self._by_server, admission.by_server, now)
+
+    def _updated(self, gates, fraction_by_name, now):
         kept = {}
-        for key, fraction in fraction_by_key.items():
-            gate = self._by_key.get(key)
+        for name, fraction in fraction_by_name.items():
+            gate = gates.get(name)
             if gate is None:
                 gate = Gate(fraction=fraction, credit=self._uniform())
             gate.fraction = min(1.0, max(0.0, fraction))
             gate.expires_at = now + EXPIRY_S
-            kept[key] = gate
-        self._by_key = kept
+            kept[name] = gate
+        return kept
 
     def are_active(self, now):
         """Returns whether any key is limited."""
-        return any(now < gate.expires_at for gate in self._by_key.values())
-
-    def gate(self, key, now):
-        """Returns the :class:`Gate` of a key, or None if the key is not limited."""
-        gate = self._by_key.get(key)
+        return any(
+            now < gate.expires_at
+            for gates in (self._by_key, self._by_server)
+            for gate in gates.values()
+        )
+
+    def gate(self, key, server_id, now):
+        """Returns the :class:`Gate` of a key, or None if the key is not limited.
+
+        :param server_id: identifier of the owner of the key, or None if it has none.
+        """
+        gate = self._by_key.get(key) or self._by_server.get(server_id)
         return gate if gate is not None and now < gate.expires_at else None
--- a/briarspoke/entry/dispatch.py
+++ b/briarspoke/entry/dispatch.py
@@ -117,8 +117,7 @@
         Requests for the hot keys of an overloaded owner are admitted in the fraction
         that the controller has announced.
         """
-        key = exchange.request.key
-        gate = self.gates.gate(key, self._node.now()) if self.keyed else None
+        gate = self._gate(exchange) if self.keyed else None
         if gate is None or gate.admits():
             return True
         retry_after_s = max(
@@ -140,9 +139,12 @@
         server_id = server.record.server_id
         self._node.key_load.answered(self.name, server_id, seconds, weight)
         self._misdirected_owners.record_answer(self._owner_of_key(exchange))
-        if self.gates.gate(exchange.request.key, self._node.now()) is not None:
+        if self._gate(exchange) is not None:
             # The controller limits the requests for the key.
             return
+        if self.selection.owner_limits.is_known_free(server):
+            # Its answers take long for another reason than its load.
+            return
         objective_s = exchange.route.objective_s
         share = shares.equal_share(server.record.slots, self._node.node_count)
         excess_s = server.min_recent_latency_s - PACING_THRESHOLD_FRACTION * objective_s
@@ -151,6 +153,14 @@
                 min(MAX_PACING_PAUSE_S, PACING_FACTOR * (1 / share - 1) * excess_s)
             )
 
+    def _gate(self, exchange):
+        owner = self._owner_of_key(exchange)
+        return self.gates.gate(
+            exchange.request.key,
+            None if owner is None else owner.server_id,
+            self._node.now(),
+        )
+
     def spend_retry(self, now):
         """Takes one retry from the budget; returns False if none is left."""
         if self.budget.spend(now, self._node.node_count):
--- a/briarspoke/entry/node.py
+++ b/briarspoke/entry/node.py
@@ -288,18 +288,18 @@
         if self.key_maps.announce(service, changes, self.now()):
             self._dispatch_waiting(service)
 
-    def announce_allowances(self, service, fraction_by_key):
+    def announce_allowances(self, service, admission):
         """Tells all entry VMs which fractions of the requests for keys to admit.
 
-        :param fraction_by_key: ``{key: fraction}``; other keys are not limited.
+        :param admission: the :class:`briarspoke.keyspace.allowance.Admission`.
         """
         addresses = self.registry.addresses()
-        self.datagrams.send_allowances(service, fraction_by_key, addresses)
-        self._allowances_announced(service, fraction_by_key)
+        self.datagrams.send_allowances(service, admission, addresses)
+        self._allowances_announced(service, admission)
 
-    def _allowances_announced(self, service, fraction_by_key):
+    def _allowances_announced(self, service, admission):
         if self.knows_service(service):
-            self.dispatcher(service).gates.update(fraction_by_key, self.now())
+            self.dispatcher(service).gates.update(admission, self.now())
 
     async def write_key_map(self, service, key_map, term):
         """Writes a key map, provided that this VM is still the controller.
--- a/briarspoke/entry/reports.py
+++ b/briarspoke/entry/reports.py
@@ -11,6 +11,7 @@
 from briarspoke.entry.permits import PermitAnswer
 from briarspoke.entry.sharenews import News, ServiceNews
 from briarspoke.entry.suspects import MAX_CRASHES_PER_SUSPECT, SuspectReport
+from briarspoke.keyspace.allowance import Admission
 from briarspoke.keyspace.keymap import Owner
 from briarspoke.keyspace.load import LoadCounts
 from briarspoke.platform.limits import MAX_PER_S, MIN_PER_S
@@ -47,7 +48,8 @@
 
     :param on_load: called with (service, :class:`LoadCounts`).
     :param on_owners: called with (service, [(first, last, :class:`Owner`)]).
-    :param on_allowances: called with (service, ``{key: fraction}``).
+    :param on_allowances: called with (service,
+        :class:`briarspoke.keyspace.allowance.Admission`).
     :param on_suspect: called with (:class:`SuspectReport`).
     :param on_leaving: called with (service, pair of server identifier and incarnation).
     :param on_shares: called with (:class:`briarspoke.entry.sharenews.News`).
@@ -120,8 +122,7 @@
             )
             return self._on_load, (load,)
         if kind == KIND_ALLOWANCES:
-            fractions = {int(key): float(f) for key, f in rest[0].items()}
-            return self._on_allowances, (fractions,)
+            return self._on_allowances, (_decode_admission(*rest),)
         if kind in (KIND_LIMIT, KIND_PERMIT_REQUEST, KIND_PERMITS):
             server_id, incarnation, *fields = rest
             instance = (str(server_id), int(incarnation))
@@ -332,14 +333,17 @@
         for address in addresses:
             self.transport.write(data, address)
 
-    def send_allowances(self, service, fraction_by_key, addresses):
+    def send_allowances(self, service, admission, addresses):
         """Tells other entry VMs which fractions of the requests for keys to admit.
 
-        :param fraction_by_key: ``{key: fraction}``; other keys are not limited.
+        :param admission: the :class:`briarspoke.keyspace.allowance.Admission`.
         :param addresses: [(host, port)] of the entry VMs.
         """
-        rounded = {key: round(f, 4) for key, f in fraction_by_key.items()}
-        data = cbor2.dumps([KIND_ALLOWANCES, service, rounded])
+        rounded = [
+            {name: round(fraction, 4) for name, fraction in fractions.items()}
+            for fractions in (admission.by_key, admission.by_server)
+        ]
+        data = cbor2.dumps([KIND_ALLOWANCES, service, *rounded])
         for address in addresses:
             self.transport.write(data, address)
 
@@ -358,6 +362,13 @@
             self.transport.write(data, address)
 
 
+def _decode_admission(by_key, by_server):
+    return Admission(
+        by_key={int(key): float(fraction) for key, fraction in by_key.items()},
+        by_server={str(s): float(fraction) for s, fraction in by_server.items()},
+    )
+
+
 def _decode_shares(fields):
     controller, number, sent_ms, vms, by_service = fields
     return News(
--- a/briarspoke/entry/room.py
+++ b/briarspoke/entry/room.py
@@ -157,16 +157,28 @@
         closed_by = server.room.closed_by(server, now)
         if closed_by is not None:
             return closed_by
-        free_slots = server.load.free_slots(now, slots)
-        if free_slots is not None:
-            return FREE if free_slots > 0 else FULL
-        has_room = node.division.news.has_room(
-            self._dispatcher.name, server.record.server_id, now
-        )
+        has_room = self._has_room(server)
         if has_room is None:
             return NO_NEWS
         return FREE if has_room else FULL
 
+    def _has_room(self, server):
+        """Returns whether an owner has free slots, or None if nothing tells."""
+        now = self._node.now()
+        free_slots = server.load.free_slots(now, server.record.slots)
+        if free_slots is not None:
+            return free_slots > 0
+        return self._node.division.news.has_room(
+            self._dispatcher.name, server.record.server_id, now
+        )
+
+    def is_known_free(self, server):
+        """Returns whether an owner is known to have free slots.
+
+        Slow answers then show the length of the work, or a slow machine, and no queue.
+        """
+        return bool(self._has_room(server))
+
     def has_slot(self, server, key=None):
         """Returns whether a request may be sent to an owner.
 
--- a/briarspoke/keyspace/allowance.py
+++ b/briarspoke/keyspace/allowance.py
@@ -1,11 +1,12 @@
 """Decides how many requests for the keys of an overloaded owner are admitted.
 
-The load that this answers: one key, or a few, with several times the requests that
-their owner can run, spread over many entry VMs. No VM sees more than a small part of
-that load, and all of them together fill the owner's queue until it rejects what it
-should run. The controller sees the whole load. It tells each VM which fraction of the
-requests for such a key to admit, so that the owner's slots stay busy and its queue
-stays short; the rest is refused at once.
+The load that this answers: an owner with several times the requests that it can run,
+for one key or for many, spread over many entry VMs. No VM sees more than a small part
+of that load, and all of them together fill the owner's queue until it rejects what it
+should run, or answers nearly all of it too late. The controller sees the whole load. It
+tells each VM which fraction of the requests for the hottest keys to admit, and of those
+for all other keys of the owner if they alone are too many, so that the owner's slots
+stay busy and its queue stays short; the rest is refused at once.
 """
 
 from __future__ import annotations
@@ -26,8 +27,28 @@
 # Bounds of the admitted rate, relative to the slots divided by the service time.
 MIN_RATE_FACTOR = 0.4
 MAX_RATE_FACTOR = 1.6
-# Keys of one owner that are limited; others count as one load.
+# Keys of one owner that are limited one by one; others count as one load.
 MAX_LIMITED_KEYS = 8
+# The other keys are limited too if their requests exceed this fraction of the admitted
+# rate. Below it, the rate without the hottest keys is one that the owner can run.
+MAX_OTHERS_FRACTION = 0.9
+
+
+class Admission:
+    """Fractions of the requests for keys of overloaded owners that are admitted.
+
+    :param by_key: ``{key: fraction}`` of the hottest keys.
+    :param by_server: ``{server id: fraction}`` for all other keys of an owner.
+    """
+
+    __slots__ = ("by_key", "by_server")
+
+    def __init__(self, *, by_key, by_server):
+        self.by_key = by_key
+        self.by_server = by_server
+
+    def __bool__(self):
+        return bool(self.by_key or self.by_server)
 
 
 class OwnerLimit:
@@ -92,6 +113,20 @@
     return fractions
 
 
+def others_fraction(rate, rate_by_key):
+    """Returns which fraction of the requests for all but the hottest keys is admitted.
+
+    :param rate: requests per second that the owner can run.
+    :param rate_by_key: ``{key: requests per second}``.
+    :returns: the fraction, or None if these requests are not limited.
+    """
+    total = sum(rate_by_key.values())
+    hottest = sorted(rate_by_key.values(), reverse=True)[:MAX_LIMITED_KEYS]
+    if total <= rate or total - sum(hottest) <= MAX_OTHERS_FRACTION * rate:
+        return None
+    return rate / total
+
+
 class Allowances:
     """Limits of all overloaded owners of one service, kept by the controller."""
 
@@ -101,14 +136,14 @@
         self._limits_by_instance = {}
 
     def plan(self, candidates, rates_by_instance, recent_by_server):
-        """Returns ``{key: fraction}`` of the requests for each limited key to admit.
+        """Returns the :class:`Admission` of the keys of all overloaded owners.
 
         :param candidates: the :class:`briarspoke.keyspace.placement.Candidate` list
             with loads.
         :param rates_by_instance: ``{server_instance: {key: requests per second}}``.
         :param recent_by_server: ``{server_id: RecentAnswers}`` since the last plan.
         """
-        fraction_by_key = {}
+        admission = Admission(by_key={}, by_server={})
         limits = {}
         for candidate in candidates:
             instance = candidate.server_instance
@@ -121,8 +156,10 @@
             else:
                 limit.adjust(recent_by_server.get(instance[0]), candidate.latency_s)
             limits[instance] = limit
-            fraction_by_key.update(
-                divide_rate(limit.rate, rates_by_instance.get(instance, {}))
-            )
+            rate_by_key = rates_by_instance.get(instance, {})
+            admission.by_key.update(divide_rate(limit.rate, rate_by_key))
+            fraction = others_fraction(limit.rate, rate_by_key)
+            if fraction is not None:
+                admission.by_server[instance[0]] = fraction
         self._limits_by_instance = limits
-        return fraction_by_key
+        return admission
--- a/briarspoke/keyspace/range_manager.py
+++ b/briarspoke/keyspace/range_manager.py
@@ -6,7 +6,7 @@
 
 from briarspoke.errors import BriarspokeError, invariant
 from briarspoke.keyspace import demand, placement
-from briarspoke.keyspace.allowance import Allowances
+from briarspoke.keyspace.allowance import Admission, Allowances
 from briarspoke.keyspace.confirmation import OwnerConfirmation
 from briarspoke.keyspace.evacuation import ZoneMoves
 from briarspoke.keyspace.granter import Granter
@@ -80,7 +80,7 @@
         self.full_owners_at = 0.0
         self._zone_moves = ZoneMoves(node=node, service=service)
         self._allowances = Allowances()
-        self._fraction_by_key = {}
+        self._admission = Admission(by_key={}, by_server={})
         self._plan_allowances_at = 0.0
         self._fence_raised = False
         self._writing = False
@@ -287,20 +287,24 @@
             records, candidates, recent_by_server, estimate.age_s(now)
         )
         self.full_owners_at = now
-        before, self._fraction_by_key = (
-            self._fraction_by_key,
+        before, admission = (
+            self._admission,
             self._allowances.plan(candidates, rates_by_instance, recent_by_server),
         )
-        if not before and not self._fraction_by_key:
+        self._admission = admission
+        if not before and not admission:
             return
-        self._node.announce_allowances(self.service, self._fraction_by_key)
-        if before.keys() != self._fraction_by_key.keys():
+        self._node.announce_allowances(self.service, admission)
+        if (
+            before.by_key.keys() != admission.by_key.keys()
+            or before.by_server.keys() != admission.by_server.keys()
+        ):
             log.info(
-                "keys: limited service=%s keys=%s admitted_percent=%s",
+                "keys: limited service=%s keys=%s admitted_percent=%s servers=%s "
+                "others_admitted_percent=%s",
                 self.service,
-                ",".join(str(key) for key in self._fraction_by_key) or "-",
-                ",".join(f"{100 * f:.0f}" for f in self._fraction_by_key.values())
-                or "-",
+                *_format_fractions(admission.by_key),
+                *_format_fractions(admission.by_server),
             )
 
     def _usable_candidates(self, records):
@@ -514,3 +518,13 @@
     low = first // placement.KEYS_PER_BUCKET
     high = last // placement.KEYS_PER_BUCKET
     return sum(rate for b, rate in rate_by_bucket.items() if low <= b <= high)
+
+
+def _format_fractions(fraction_by_name):
+    """Returns the names and the percentages as texts for log lines."""
+    if not fraction_by_name:
+        return "-", "-"
+    return (
+        ",".join(str(name) for name in fraction_by_name),
+        ",".join(f"{100 * fraction:.0f}" for fraction in fraction_by_name.values()),
+    )
--- a/tests/test_entry_odd_entries.py
+++ b/tests/test_entry_odd_entries.py
@@ -9,6 +9,7 @@
 from entry_fakes import World, configuration, registration, request, route
 
 from briarspoke.entry import explanation, logs
+from briarspoke.keyspace.allowance import Admission
 from briarspoke.metrics import Metrics
 from briarspoke.platform import documents
 from briarspoke.platform.values import DecodeError
@@ -152,7 +153,9 @@
 class TestMessages:
     def test_datagrams_create_no_dispatcher(self, world):
         services = {dispatcher.name for dispatcher in world.node.dispatchers()}
-        world.node._allowances_announced("odd", {7: 0.5})
+        world.node._allowances_announced(
+            "odd", Admission(by_key={7: 0.5}, by_server={})
+        )
         world.node._owners_announced("odd", [])
         world.node.rate_limits.peer_limit("odd", ("s-1", 1), 2.0, 0.0)
         assert {d.name for d in world.node.dispatchers()} == services
--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -14,6 +14,8 @@
     route,
 )
 
+from briarspoke.keyspace.allowance import Admission
+
 ORDER = {"method": "POST", "path": "/order/1", "body": b"two crates", "key": None}
 
 
@@ -445,7 +447,8 @@
 
 class TestLimitedKeys:
     def limit(self, world, fraction_by_key):
-        world.node.announce_allowances("stock", fraction_by_key)
+        admission = Admission(by_key=fraction_by_key, by_server={})
+        world.node.announce_allowances("stock", admission)
 
     def test_requests_beyond_the_fraction_are_refused_at_once(self, world):
         # Guards against callers that wait for an owner that cannot run their requests.
@@ -483,7 +486,7 @@
         self.limit(world, {7: 0.25})
         world.advance(0.1)
         gates = other.dispatcher("stock").gates
-        assert gates.gate(7, other.now()).fraction == 0.25
+        assert gates.gate(7, None, other.now()).fraction == 0.25
 
 
 class TestOverloadedOwner:
--- a/tests/test_entry_room.py
+++ b/tests/test_entry_room.py
@@ -18,6 +18,7 @@
     ServerLoad,
     expected_done_s,
 )
+from briarspoke.keyspace.allowance import Admission
 from briarspoke.platform.load import MAX_COUNT, Load, decode_load
 from briarspoke.platform.values import DecodeError
 
@@ -233,7 +234,9 @@
 
     def test_limited_keys_have_their_own_limit(self, world):
         serve(world)
-        world.node.announce_allowances("stock", {7: 0.5})
+        world.node.announce_allowances(
+            "stock", Admission(by_key={7: 0.5}, by_server={})
+        )
         dispatcher = world.node.dispatcher("stock")
         owner_limits = dispatcher.selection.owner_limits
         assert owner_limits.limit(dispatcher.servers["s-11"]) == (2, room.KEYS_LIMITED)
--- a/tests/test_hot_key_load.py
+++ b/tests/test_hot_key_load.py
@@ -17,7 +17,12 @@
 
 from briarspoke.entry.allowances import Gate, Gates
 from briarspoke.entry.reports import REPORT_INTERVAL_S
-from briarspoke.keyspace.allowance import Allowances, divide_rate
+from briarspoke.keyspace.allowance import (
+    Admission,
+    Allowances,
+    divide_rate,
+    others_fraction,
+)
 from briarspoke.keyspace.load import KeyLoad, LoadEstimate
 from briarspoke.keyspace.placement import Candidate
 from briarspoke.keyspace.range_manager import ALLOWANCE_INTERVAL_S
@@ -45,11 +50,12 @@
     :param vms: number of entry VMs.
     :param hot_rate: requests per second for the hot key.
     :param queue: requests that wait at the owner before it rejects more.
+    :param hot_keys: number of neighbouring keys among which that rate is divided.
     :param limited: whether the controller's allowances are in force. Without them each
         VM has at most one request at the owner, as it would decide by itself.
     """
 
-    def __init__(self, *, vms, hot_rate, queue=SLOTS, limited=True, seed=1):
+    def __init__(self, *, vms, hot_rate, hot_keys=1, queue=SLOTS, limited=True, seed=1):
         self.random = random.Random(seed)
         self.limited = limited
         self.queue_limit = queue
@@ -66,7 +72,8 @@
         self.now = 0.0
         self._events = []
         self._numbers = itertools.count()
-        for key, rate in ((HOT_KEY, hot_rate), *((k, SMALL_RATE) for k in SMALL_KEYS)):
+        hot = ((HOT_KEY + k, hot_rate / hot_keys) for k in range(hot_keys))
+        for key, rate in (*hot, *((k, SMALL_RATE) for k in SMALL_KEYS)):
             self._at(self.random.expovariate(rate), self._arrive, key, rate)
         for vm in range(vms):
             offset = self.random.random() * REPORT_INTERVAL_S
@@ -90,7 +97,7 @@
         settled = self.now >= SETTLED_AT
         self.small_arrived += settled and key != HOT_KEY
         if self.limited:
-            gate = self.gates[vm].gate(key, self.now)
+            gate = self.gates[vm].gate(key, OWNER[0], self.now)
             if gate is not None and not gate.admits():
                 return
         elif self.in_flight[vm]:
@@ -185,10 +192,50 @@
 
     def test_key_that_its_owner_can_run_is_not_limited(self):
         day = HotKeyDay(vms=78, hot_rate=0.7 * CAPACITY).play()
-        assert not any(gates.gate(HOT_KEY, day.now) for gates in day.gates)
+        assert not any(gates.gate(HOT_KEY, OWNER[0], day.now) for gates in day.gates)
         assert day.served_per_s > 0.65 * CAPACITY
 
 
+class TestManyKeysOfOneOwner:
+    """An owner with more requests than it can run, none of whose keys is hot."""
+
+    @pytest.mark.parametrize("vms", [34, 93, 300])
+    @pytest.mark.parametrize("overload", [1.5, 4, 10])
+    def test_owner_stays_busy_and_its_queue_short(self, vms, overload):
+        # Guards against an owner whose queue is so long that it answers nearly all
+        # requests too late, because only its eight hottest keys are limited.
+        day = HotKeyDay(vms=vms, hot_rate=overload * CAPACITY, hot_keys=200).play()
+        assert day.served_per_s > 0.85 * CAPACITY
+        assert day.rejected_fraction < MOST_REJECTED
+        assert day.latency_s(0.95) < OBJECTIVE_S
+
+    @given(
+        rate=st.floats(0.1, 100.0),
+        rate_by_key=st.dictionaries(
+            st.integers(0, 99), st.floats(0.01, 50.0), min_size=1, max_size=60
+        ),
+    )
+    @settings(derandomize=True, deadline=None, max_examples=500)
+    def test_admitted_load_fits(self, rate, rate_by_key):
+        others = others_fraction(rate, rate_by_key)
+        by_key = divide_rate(rate, rate_by_key)
+        admitted = sum(
+            r * by_key.get(key, 1.0 if others is None else others)
+            for key, r in rate_by_key.items()
+        )
+        if others is None:
+            hottest = sorted(rate_by_key.values(), reverse=True)[:8]
+            assert sum(rate_by_key.values()) - sum(hottest) <= rate
+        else:
+            assert 0 < others < 1
+            # A hottest key with less than its share is not limited.
+            assert (
+                admitted
+                <= rate * 1.0001
+                + sum(r for k, r in rate_by_key.items() if k not in by_key) * others
+            )
+
+
 RATES = st.dictionaries(
     st.integers(0, 99), st.floats(0.01, 500.0), min_size=1, max_size=30
 )
@@ -230,13 +277,14 @@
     def test_allowances_end_without_the_controller(self):
         # Guards against a key that stays limited after the controller is gone.
         gates = Gates()
-        gates.update({7: 0.1}, 10.0)
-        assert gates.gate(7, 11.0) is not None
-        assert gates.gate(7, 13.0) is None
+        gates.update(Admission(by_key={7: 0.1}, by_server={"s": 0.2}), 10.0)
+        assert gates.gate(7, None, 11.0) is not None
+        assert gates.gate(8, "s", 11.0) is not None
+        assert gates.gate(7, "s", 13.0) is None
         assert not gates.are_active(13.0)
 
     def test_fractions_from_the_network_are_bounded(self):
         gates = Gates(uniform=lambda: 0.0)
-        gates.update({1: -5.0, 2: 7.0}, 0.0)
-        assert not gates.gate(1, 0.0).admits()
-        assert gates.gate(2, 0.0).admits()
+        gates.update(Admission(by_key={1: -5.0, 2: 7.0}, by_server={}), 0.0)
+        assert not gates.gate(1, None, 0.0).admits()
+        assert gates.gate(2, None, 0.0).admits()
