--- a/briarspoke/entry/coldness.py
+++ b/briarspoke/entry/coldness.py
@@ -239,14 +239,6 @@
                 tell=True,
             )
 
-    def peers_cold(self, name, servers):
-        """Learns what another entry VM knows of servers; see :meth:`peer_cold`.
-
-        :param servers: [(instance, seconds left or None, entry's number)].
-        """
-        for instance, left_s, sequence in servers:
-            self.peer_cold(name, instance, left_s, sequence)
-
     def peer_cold(self, name, instance, left_s, sequence):
         """Learns what another entry VM knows.
 
--- a/briarspoke/entry/node.py
+++ b/briarspoke/entry/node.py
@@ -118,7 +118,6 @@
             on_allowances=self._allowances_announced,
             on_suspect=self.crashes.reported,
             on_leaving=self.notices.peer_leaving,
-            on_cold=self.coldness.peers_cold,
             rate_limits=self.rate_limits,
         )
         self.view.observe(documents.CONFIGURATION_KEY, self._configuration_changed)
--- a/briarspoke/entry/ratelimits.py
+++ b/briarspoke/entry/ratelimits.py
@@ -92,6 +92,14 @@
         if server.limit.learn_from_peer(per_s, age_s, self._node.now()):
             self._changed(service, server, before, "peer")
 
+    def peers_cold(self, service, servers):
+        """Learns which servers another entry VM knows to be cold.
+
+        :param servers: [(instance, seconds left or None, entry's number)].
+        """
+        for instance, left_s, sequence in servers:
+            self._node.coldness.peer_cold(service, instance, left_s, sequence)
+
     def _changed(self, service, server, before, source):
         per_s = server.limit.named_per_s
         log.info(
--- a/briarspoke/entry/reports.py
+++ b/briarspoke/entry/reports.py
@@ -47,8 +47,6 @@
     :param on_allowances: called with (service, ``{key: fraction}``).
     :param on_suspect: called with (:class:`SuspectReport`).
     :param on_leaving: called with (service, pair of server identifier and incarnation).
-    :param on_cold: called with (service, [(pair of server identifier and incarnation,
-        seconds left or None, number of the server's entry)]).
     :param rate_limits: the :class:`briarspoke.entry.ratelimits.RateLimits`.
     """
 
@@ -60,7 +58,6 @@
         on_allowances,
         on_suspect,
         on_leaving,
-        on_cold,
         rate_limits,
     ):
         self._on_load = on_load
@@ -68,7 +65,6 @@
         self._on_allowances = on_allowances
         self._on_suspect = on_suspect
         self._on_leaving = on_leaving
-        self._on_cold = on_cold
         self._rate_limits = rate_limits
 
     def datagramReceived(self, data, address):
@@ -122,7 +118,7 @@
                 ((str(server_id), int(incarnation)), *_decode_cold(cold))
                 for server_id, incarnation, *cold in rows
             ]
-            return self._on_cold, (servers,)
+            return self._rate_limits.peers_cold, (servers,)
         if kind != KIND_OWNERS:
             raise ValueError(f"unknown kind {kind!r}")
         changes = [
--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import logging
+from types import SimpleNamespace
 
 import cbor2
 import pytest
 from entry_fakes import STORE, World, configuration, registration, route
 from http_fakes import LOST
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from limit_fakes import AnsweringServers, Deployment
 from test_cold_limits import D1_BOUND, most_in_window, send_as_if_alone
 from twisted.internet import error
@@ -21,7 +24,7 @@
     Coldness,
 )
 from briarspoke.entry.connections import Answer
-from briarspoke.entry.reports import KIND_COLD, Datagrams
+from briarspoke.entry.reports import KIND_COLD, KIND_PERMIT_REQUEST, Datagrams
 from briarspoke.keyspace import placement
 from briarspoke.platform.values import DecodeError
 from briarspoke.platform.warmup import MAX_WARMUP_S, decode_warmup_s
@@ -459,6 +462,33 @@
         one.world.advance(MAX_WARMUP_S + 0.2)
         assert not one.is_cold()
 
+    @given(
+        st.lists(
+            st.recursive(
+                st.none() | st.integers() | st.floats() | st.text() | st.binary(),
+                lambda values: st.lists(values) | st.dictionaries(st.text(), values),
+                max_leaves=8,
+            ),
+            max_size=2,
+        )
+    )
+    @settings(derandomize=True, deadline=None)
+    def test_any_content_stops_nothing(self, rest):
+        def receive(*args):
+            pass
+
+        datagrams = Datagrams(
+            on_load=receive,
+            on_owners=receive,
+            on_allowances=receive,
+            on_suspect=receive,
+            on_leaving=receive,
+            rate_limits=SimpleNamespace(peers_cold=receive, permits_requested=receive),
+        )
+        for kind in (KIND_COLD, KIND_PERMIT_REQUEST):
+            data = cbor2.dumps([kind, "stock", *rest])
+            datagrams.datagramReceived(data, ("10.0.0.1", 1))
+
 
 class TestServicesWithoutABound:
     def test_nothing_is_sent_or_kept(self, monkeypatch):
