--- a/briarspoke/entry/reports.py
+++ b/briarspoke/entry/reports.py
@@ -52,8 +52,6 @@
     :param on_leaving: called with (service, pair of server identifier and incarnation).
     :param on_shares: called with (:class:`briarspoke.entry.sharenews.News`).
     :param on_demand: called with (node, process, number, ``{service: requests}``).
-    :param on_cold: called with (service, [(pair of server identifier and incarnation,
-        seconds left or None, number of the server's entry)]).
     :param rate_limits: the :class:`briarspoke.entry.ratelimits.RateLimits`.
     """
 
@@ -67,7 +65,6 @@
         on_leaving,
         on_shares,
         on_demand,
-        on_cold,
         rate_limits,
     ):
         self._on_load = on_load
@@ -77,7 +74,6 @@
         self._on_leaving = on_leaving
         self._on_shares = on_shares
         self._on_demand = on_demand
-        self._on_cold = on_cold
         self._rate_limits = rate_limits
 
     def datagramReceived(self, data, address):
@@ -135,7 +131,7 @@
                 ((str(server_id), int(incarnation)), *_decode_cold(cold))
                 for server_id, incarnation, *cold in rows
             ]
-            return self._on_cold, (servers,)
+            return self._rate_limits.peers_cold, (servers,)
         if kind != KIND_OWNERS:
             raise ValueError(f"unknown kind {kind!r}")
         changes = [
