--- a/briarspoke/entry/node.py
+++ b/briarspoke/entry/node.py
@@ -129,7 +129,6 @@
             on_leaving=self.notices.peer_leaving,
             on_shares=self.division.shares_received,
             on_demand=self.division.demand_reported,
-            on_cold=self.coldness.peers_cold,
             rate_limits=self.rate_limits,
         )
         self.view.observe(documents.CONFIGURATION_KEY, self._configuration_changed)
