--- a/tests/test_entry_room.py
+++ b/tests/test_entry_room.py
@@ -133,7 +133,7 @@
         serve(world, extra="Server-Load: 2,0,4")
         assert sent_at_once(world, [7, 7, 8]) == 2
 
-    def test_requests_that_waited_are_sent_in_order_of_rank(self, world):
+    def test_requests_for_the_same_key_follow_each_other(self, world):
         serve(world, extra="Server-Load: 2,0,4")
         assert sent_at_once(world, [7, 7, 7]) == 1
         for _ in range(2):
