Use idle connections for 0.7 of the time that servers announce

A safe request used a connection that was idle for at most 4 s, although servers keep them for 10 s and announce it. The limit now follows from the announcement, up to 30 s; 4 s stay where nothing is announced, and 1 s for requests that must not run twice. One connection that is too old no longer hides an older one that the server keeps longer.

--- a/briarspoke/entry/servers.py
+++ b/briarspoke/entry/servers.py
@@ -16,13 +16,19 @@
 MIN_CONNECT_TIMEOUT_S = 0.3
 MAX_CONNECT_TIMEOUT_S = 0.6
 CONNECT_TIMEOUT_FRACTION = 1 / 3
-# A server may close an idle connection at any time. A request that must not run twice
-# uses a connection only if it was in use a short time ago.
+# A server may close an idle connection at any time. This long one is used if the server
+# has not announced a keep-alive timeout.
 MAX_IDLE_S = 4.0
+# A request that must not run twice uses a connection only if it was in use a short time
+# ago: a server that has forgotten the connection resets it, and nobody knows whether
+# the request has run.
 MAX_IDLE_NON_IDEMPOTENT_S = 1.0
 # Fraction of the keep-alive timeout announced by a server for which an idle connection
 # is used.
 KEEP_ALIVE_FRACTION = 0.7
+# Longest time for which an idle connection is kept, whatever the server announces. Some
+# networks drop idle connections after a minute.
+MAX_ANNOUNCED_IDLE_S = 30.0
 # Weight of the latest service time in the moving average.
 LATENCY_WEIGHT = 0.15
 # Number of answers for which the assumed service time of a new server counts. The first
@@ -248,7 +254,8 @@
         connection = None
         if echo is not None:
             connection = self._take_idle(
-                MAX_IDLE_S if idempotent else MAX_IDLE_NON_IDEMPOTENT_S, echo
+                MAX_ANNOUNCED_IDLE_S if idempotent else MAX_IDLE_NON_IDEMPOTENT_S,
+                echo,
             )
         if connection is not None:
             upstream_request.start(connection)
@@ -269,13 +276,11 @@
         """Returns the idle connection that was in use last and may be used, or None."""
         now = self._clock()
         for connection in reversed(tuple(self._idle)):
-            connection_max_idle_s = max_idle_s
-            if connection.keep_alive_s is not None:
-                connection_max_idle_s = min(
-                    connection_max_idle_s, connection.keep_alive_s * KEEP_ALIVE_FRACTION
-                )
-            if now - connection.idle_since > connection_max_idle_s:
+            idle_s = now - connection.idle_since
+            if idle_s > max_idle_s:
                 return None
+            if idle_s > _max_idle_s(connection):
+                continue
             if not connection.reusable:
                 self._idle.remove(connection)
             elif not is_idle(connection.transport):
@@ -289,8 +294,10 @@
 
     def close_idle(self, now):
         """Closes connections that have been idle for too long."""
-        while self._idle and now - self._idle[0].idle_since > MAX_IDLE_S:
-            self._idle.popleft().abandon()
+        for connection in list(self._idle):
+            if now - connection.idle_since > _max_idle_s(connection):
+                self._idle.remove(connection)
+                connection.abandon()
 
     def close(self):
         """Closes all idle connections."""
@@ -343,6 +350,13 @@
             self._idle.remove(connection)
 
 
+def _max_idle_s(connection):
+    """Returns how long a connection may be idle before it is not used any more."""
+    if connection.keep_alive_s is None:
+        return MAX_IDLE_S
+    return min(MAX_ANNOUNCED_IDLE_S, connection.keep_alive_s * KEEP_ALIVE_FRACTION)
+
+
 class UpstreamRequest:
     """One attempt to send a request to a server.
 
