Call the store less while it is quiet and in outages

Registrations of VMs are renewed each 4.5 s instead of 3 s, which leaves three attempts within the lease of 10 s. In an outage the retries of registrations, each 0.5 s, were more than the probes: they now wait up to 1.5 s while the view is not current. A VM with a relay in its zone probes each 2 s instead of 0.8 s and asks its relay more often, which costs no call.

--- a/briarspoke/entry/registry.py
+++ b/briarspoke/entry/registry.py
@@ -16,14 +16,18 @@
 NODE_PREFIX = "briarspoke/nodes/"
 # A VM that ends without leaving is counted for up to this time. Until then the others
 # leave its part of the retry budget and of the servers' slots unused, and the followers
-# of a lost relay watch the store themselves. Each renewal is a call to the store.
+# of a lost relay watch the store themselves. Each renewal is a call to the store. The
+# interval leaves three attempts within the lease, each with a timeout of 1 s.
 LEASE_S = 10.0
-RENEWAL_INTERVAL_S = 3.0
+RENEWAL_INTERVAL_S = 4.5
 # Time for which a lower number of registered VMs must last before it counts.
 COUNT_MEMORY_S = 5.0
 # Interval of checks whether the registration has disappeared from the store, and delay
 # before a failed call is retried.
 CHECK_INTERVAL_S = 0.5
+# Longest delay of the retry while the view of the store is not current either: the view
+# asks by itself, and the retry follows at once when it is current again.
+OUTAGE_RETRY_S = 1.5
 
 
 class NodeRecord:
@@ -213,7 +217,7 @@
                 if not getattr(error, "outcome_unknown", False):
                     self._lease = None
                 if store.era == era:
-                    await self._pause.wait(CHECK_INTERVAL_S)
+                    await self._wait_for_retry()
             except Exception:
                 log.exception("registry: unexpected error")
                 await self._node.sleep(CHECK_INTERVAL_S)
@@ -223,6 +227,16 @@
         while self._lease is not None and self._node.now() < renew_at:
             await self._pause.wait(CHECK_INTERVAL_S)
 
+    async def _wait_for_retry(self):
+        retry_at = self._node.now() + OUTAGE_RETRY_S
+        await self._pause.wait(CHECK_INTERVAL_S)
+        while (
+            not self._node.view.reachable
+            and not self._stopping
+            and self._node.now() < retry_at
+        ):
+            await self._pause.wait(CHECK_INTERVAL_S)
+
     async def leave(self):
         """Removes the registration by ending its lease."""
         self._stopping = True
--- a/briarspoke/entry/relays.py
+++ b/briarspoke/entry/relays.py
@@ -35,6 +35,9 @@
 CHECK_INTERVAL_S = 0.2
 # A follower that lost its relay watches the store for at least this long.
 RECONNECT_DELAY_S = 3.0
+# The same while this VM does not reach the store, since asking the relay costs no call
+# to the store.
+OUTAGE_RECONNECT_DELAY_S = 0.8
 CONNECT_TIMEOUT_S = 0.5
 # A VM that starts tries to reach its relay for this long before it reads all items
 # from the store. That takes seconds on a slow link; the relay sends them compressed.
@@ -225,6 +228,7 @@
         self._connecting = False
         self._last_data_at = 0.0
         self._next_attempt_at = 0.0
+        self._next_outage_attempt_at = 0.0
         # Whether the relay's last frame was refused because of its era or revision.
         self._is_relay_behind = False
         node.store.era_observers.append(self._era_rose)
@@ -260,7 +264,12 @@
                 )
                 self._disconnect()
             return
-        if self._connecting or now < self._next_attempt_at:
+        next_attempt_at = (
+            self._next_attempt_at
+            if self._node.view.reachable
+            else min(self._next_attempt_at, self._next_outage_attempt_at)
+        )
+        if self._connecting or now < next_attempt_at:
             return
         address = self._node.registry.relay_address()
         if address is None:
@@ -306,7 +315,12 @@
 
     def clientConnectionFailed(self, connector, reason):
         self._connecting = False
-        self._next_attempt_at = self._node.now() + RECONNECT_DELAY_S
+        self._set_next_attempt()
+
+    def _set_next_attempt(self):
+        now = self._node.now()
+        self._next_attempt_at = now + RECONNECT_DELAY_S
+        self._next_outage_attempt_at = now + OUTAGE_RECONNECT_DELAY_S
 
     def note_activity(self, link):
         """Restarts the heartbeat timeout after data arrived on the current link."""
@@ -360,7 +374,7 @@
 
     def _disconnect(self):
         link, self._link = self._link, None
-        self._next_attempt_at = self._node.now() + RECONNECT_DELAY_S
+        self._set_next_attempt()
         if link.transport is not None:
             link.transport.abortConnection()
         if self._node.view.uses_relay:
--- a/briarspoke/entry/view.py
+++ b/briarspoke/entry/view.py
@@ -32,6 +32,10 @@
 BATCH_DELAY_S = 0.4
 FIRST_RETRY_S = 0.1
 MAX_RETRY_S = 0.8
+# The same for a VM with a relay in its zone, which asks the relay meanwhile. With the
+# random part and the probe itself, the VM is in contact again less than 3 s after its
+# path to the store is sound, also if the relay has failed.
+MAX_FOLLOWER_RETRY_S = 2.0
 # A longer time without a proof that the copy is current is logged when it ends.
 LATE_PROOF_S = MAX_PROOF_INTERVAL_S + 0.2
 
@@ -68,6 +72,8 @@
         self._relay_ended = None
         # Returns whether followers get their changes from this view, or may soon.
         self.is_relay = lambda: False
+        # Returns whether another VM is the relay of this VM's zone.
+        self.has_relay = lambda: False
         # Coroutine function that runs before all items are read. It may connect to a
         # relay, which makes reading them unnecessary.
         self.find_relay = None
@@ -167,7 +173,8 @@
                     continue
                 self._contact_failed(error)
                 await self._pause.wait(retry_s * (0.75 + random.random() / 2))
-                retry_s = min(MAX_RETRY_S, 2 * retry_s)
+                max_s = MAX_FOLLOWER_RETRY_S if self.has_relay() else MAX_RETRY_S
+                retry_s = min(max_s, 2 * retry_s)
             except Exception:
                 # The process would never hear of a change again if this loop ended.
                 log.exception("store: unexpected error")
