Ask for permits of cold servers again after an unanswered request

A VM that the controller has not answered for a second leaves cold servers to another VM and refuses its own requests for them at once. None waited then, so none asked the controller again, and one lost datagram kept the VM from an owner until its spell ended: up to 45 s for a server that was unreachable. Such a VM now asks for one permit until the controller answers.

--- a/briarspoke/entry/permitqueue.py
+++ b/briarspoke/entry/permitqueue.py
@@ -48,6 +48,10 @@
             rank=rank,
         )
         for server in servers:
+            if self._node.rate_limits.needs_controller(server):
+                # Requests are refused at once, so none waits that would ask for a
+                # permit and show that the controller answers again.
+                server.wants_spare_permit = True
             self.ask(server)
 
     def _rank(self, exchange, server):
--- a/briarspoke/entry/ratelimits.py
+++ b/briarspoke/entry/ratelimits.py
@@ -170,18 +170,26 @@
         per_s = server.limit.per_s
         if per_s is None:
             return 0.0
-        now, holder, spell = self._node.now(), self._holder(server), server.limit.cold
-        if (
-            spell is not None
-            and holder.is_alone(now)
-            and not self._node.coldness.may_send_alone(server, now)
-        ):
+        now = self._node.now()
+        if self.needs_controller(server):
             # Another VM sends. Nothing is sent from here before the spell ends.
-            return spell.left_s(now)
-        return holder.expected_wait_s(
+            return server.limit.cold.left_s(now)
+        return self._holder(server).expected_wait_s(
             now, per_s, self._alone_vms(server), rank=rank, ahead=ahead
         )
 
+    def needs_controller(self, server):
+        """Returns whether nothing is sent until the controller answers again.
+
+        Another entry VM sends to the cold server in the meantime.
+        """
+        if server.limit.cold is None:
+            return False
+        now = self._node.now()
+        return self._holder(server).is_alone(
+            now
+        ) and not self._node.coldness.may_send_alone(server, now)
+
     def _holder(self, server):
         if server.permits is None:
             server.permits = PermitHolder()
--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -7,11 +7,11 @@
 
 import cbor2
 import pytest
-from entry_fakes import STORE, World, configuration, registration, route
+from entry_fakes import STORE, World, configuration, registration, request, route
 from http_fakes import LOST
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from limit_fakes import AnsweringServers, Deployment
+from limit_fakes import AnsweringServers, Deployment, DiscardingTransport
 from test_cold_limits import D1_BOUND, most_in_window, send_as_if_alone
 from twisted.internet import error
 from twisted.python.failure import Failure
@@ -419,6 +419,35 @@
         assert holder._count(one.world.reactor.seconds()) <= 1
 
 
+class TestVmThatTheControllerDidNotAnswer:
+    def test_asks_again_although_it_refuses_all_requests(self, monkeypatch):
+        # Guards against a VM that refuses all requests until the server is warm.
+        one = One(vms=2)
+        servers = AnsweringServers(one.world)
+        vm = next(node for node in one.nodes if not node.control.is_leader)
+        monkeypatch.setattr(vm.registry, "is_first_for", lambda value: False)
+        one.write(2, 30.0)
+        transport, vm.datagrams.transport = (
+            vm.datagrams.transport,
+            DiscardingTransport(),
+        )
+        self.send(one, vm, servers, seconds=3)
+        assert not servers.arrivals_by_number
+        vm.datagrams.transport = transport
+        self.send(one, vm, servers, seconds=3)
+        assert one.is_cold(vm)
+        assert len(servers.arrivals_by_number[11]) >= 3
+
+    def send(self, one, vm, servers, *, seconds):
+        """Sends two requests a second to a VM."""
+        for number in range(2 * seconds):
+            request_id = f"r{one.world.reactor.seconds()}-{number}"
+            one.world.caller(vm).send(request("GET", request_id=request_id))
+            for _ in range(50):
+                one.world.advance(0.01)
+                servers.step()
+
+
 class TestZoneThatTurnsColdAtOnce:
     def test_vms_are_told_in_few_datagrams(self, monkeypatch):
         one = One(vms=2)
