Build the datagrams of a test with the handlers that the merge added

Datagrams got on_shares and on_demand with the division of capacity, so the test of unreadable messages about cold servers failed before it checked anything.

--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -512,6 +512,8 @@
             on_allowances=receive,
             on_suspect=receive,
             on_leaving=receive,
+            on_shares=receive,
+            on_demand=receive,
             rate_limits=SimpleNamespace(peers_cold=receive, permits_requested=receive),
         )
         for kind in (KIND_COLD, KIND_PERMIT_REQUEST):
