Do not limit the keys of an owner with a rate limit a second time

An owner that names a rate limit or is cold counts as slow as its limit, so the controller saw it as overloaded and limited all its keys to a fraction, on top of permits. The fraction for all keys now applies only to owners without a limit; hot keys are limited as before.

--- a/briarspoke/keyspace/allowance.py
+++ b/briarspoke/keyspace/allowance.py
@@ -159,7 +159,8 @@
             rate_by_key = rates_by_instance.get(instance, {})
             admission.by_key.update(divide_rate(limit.rate, rate_by_key))
             fraction = others_fraction(limit.rate, rate_by_key)
-            if fraction is not None:
+            # Permits already divide the rate of an owner that has a rate limit.
+            if fraction is not None and not candidate.is_limited:
                 admission.by_server[instance[0]] = fraction
         self._limits_by_instance = limits
         return admission
--- a/tests/test_hot_key_load.py
+++ b/tests/test_hot_key_load.py
@@ -241,6 +241,20 @@
 )
 
 
+class TestOwnerWithARateLimit:
+    """Guards against requests that are refused although a permit is free for them."""
+
+    @pytest.mark.parametrize(("limit_per_s", "limited"), [(3.0, []), (None, ["s-1"])])
+    def test_is_not_limited_a_second_time(self, limit_per_s, limited):
+        candidate = Candidate(
+            server_instance=("s-1", 1), slots=8, latency_s=0.4, limit_per_s=limit_per_s
+        )
+        rate_by_key = dict.fromkeys(range(100), 0.5)
+        candidate.load = sum(rate_by_key.values())
+        admission = Allowances().plan([candidate], {("s-1", 1): rate_by_key}, {})
+        assert list(admission.by_server) == limited
+
+
 class TestDivideRate:
     @given(rate=st.floats(0.1, 100.0), rate_by_key=RATES)
     @settings(derandomize=True, deadline=None, max_examples=500)
