Remember that an entry contradicted an outage if the server had answered

A VM that finds a server unreachable does not tell others within 5 s after an entry showed that the server was not cold. This was noted only while nothing was known of the server. An answer, which a server that works gives at once, changed the spell to a known one, so its end was not noted and each further failure limited the server for all VMs again.

--- a/briarspoke/entry/coldness.py
+++ b/briarspoke/entry/coldness.py
@@ -54,6 +54,8 @@
     :ivar until: end of the spell.
     :ivar is_unconfirmed: whether the server was unreachable and nothing has shown since
         whether it is cold.
+    :ivar is_suspected: whether only a failure says that the server is cold, although it
+        may have answered since.
     :ivar event_at: time of the last failure, or when the end was learned.
     :ivar trusted_from: entries that arrive from then on may end or shorten the spell.
     """
@@ -63,6 +65,7 @@
         "checked_at",
         "event_at",
         "is_first",
+        "is_suspected",
         "is_unconfirmed",
         "limit",
         "trusted_from",
@@ -74,6 +77,7 @@
         self.began_at = began_at
         self.until = began_at
         self.is_unconfirmed = False
+        self.is_suspected = False
         self.event_at = began_at
         self.trusted_from = began_at
         self.is_first = False
@@ -146,6 +150,7 @@
             spell.until = max(spell.until, until)
         elif record.warmup_s > 0:
             spell.until, spell.is_unconfirmed = until, False
+            spell.is_suspected = False
         else:
             self._end(service.name, server, ENTRY)
 
@@ -224,6 +229,7 @@
             return
         if warmup_s is not None and warmup_s > 0:
             self._begin(service, server, now + warmup_s, ANSWER, tell=True)
+            server.limit.cold.is_suspected = False
         elif spell is None:
             return
         elif warmup_s == 0:
@@ -312,6 +318,7 @@
         else:
             spell.until = max(spell.until, until)
         spell.is_unconfirmed = is_unconfirmed
+        spell.is_suspected = is_unconfirmed or spell.is_suspected
         spell.event_at = now
         if trusted_from is None:
             trusted_from = now + ENTRY_DELAY_S
@@ -355,7 +362,7 @@
     def _end(self, name, server, source):
         spell, server.limit.cold = server.limit.cold, None
         self._cold_by_instance.pop((name, server.record.server_instance), None)
-        if spell.is_unconfirmed and source == ENTRY:
+        if spell.is_suspected and source == ENTRY:
             server.limit.confirmed_at = self._node.now()
         if server.limit.per_s is None:
             server.permits = None
--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -382,10 +382,14 @@
         one.write(2, 3.0)
         assert one.is_cold(cut)
 
-    def test_are_not_told_each_time_by_a_vm_whose_own_path_is_broken(self):
+    @pytest.mark.parametrize("answers", [False, True])
+    def test_are_not_told_each_time_by_a_vm_whose_own_path_is_broken(self, answers):
         one = One(vms=3)
         one.fail()
-        one.world.advance(1.5)
+        one.world.advance(0.1)
+        if answers:
+            one.answer()
+        one.world.advance(1.4)
         one.write(2, 0.0)
         assert not any(one.is_cold(node) for node in one.nodes)
         one.fail()
