End an evacuation at once after a restore of the store that kept its item

Nobody is told of an unchanged item of a restored store, so the evacuation kept the era before the restore. Its later withdrawal was taken for an item that the store had lost, and the zone stayed closed for another 5 s. The era is now read from the item.

--- a/briarspoke/entry/evacuations.py
+++ b/briarspoke/entry/evacuations.py
@@ -231,7 +231,12 @@
         """
         if not self._by_zone:
             return
+        items = self._node.view.items
         for zone, evacuation in list(self._by_zone.items()):
+            item = items.get(documents.EVACUATION_PREFIX + zone)
+            if item is not None:
+                # Nobody is told of an item that a restored store still has.
+                evacuation.era = item.era
             if evacuation.ends_at is not None and now >= evacuation.ends_at:
                 self._end(zone)
         # Servers come and go during an evacuation.
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -378,6 +378,16 @@
         unkeyed.run(3.0)
         assert unkeyed.last_arrival("z1") > asked_at + NEWS_S
 
+    def test_withdrawal_after_a_restore_that_kept_the_item(self, unkeyed):
+        # Guards against a zone that stays closed as if the item had got lost.
+        unkeyed.evacuate("z1")
+        unkeyed.run(1.0)
+        unkeyed.world.store.restore(unkeyed.world.store.copy())
+        unkeyed.run(3.0)
+        unkeyed.withdraw("z1")
+        unkeyed.run(1.0)
+        assert not any(node.evacuations.is_evacuated("z1") for node in unkeyed.nodes)
+
     def test_restored_store_whose_item_nobody_writes_again(self, unkeyed):
         copy = unkeyed.world.store.copy()
         unkeyed.evacuate("z1")
