Ask only for permits of servers that may be used

Each waiting request of a service without keys asks for a permit of one server with a limit. Servers that leave or whose zone is evacuated were among them, so the requests that asked for their permits waited in vain while the rate of the others was not used.

--- a/briarspoke/entry/permitqueue.py
+++ b/briarspoke/entry/permitqueue.py
@@ -65,16 +65,19 @@
             return
         dispatcher = self._dispatcher
         wanted_by_rank = collections.Counter(entry[0] for entry in server.waiting)
+        limited = []
         if dispatcher.waiting and not dispatcher.keyed:
             limited = [
-                s for s in dispatcher.servers.values() if s.limit.per_s is not None
+                s for s in dispatcher.selection.usable() if s.limit.per_s is not None
             ]
         for rank, number, exchange in dispatcher.waiting:
             if dispatcher.keyed:
                 asked = dispatcher.owner_server(exchange.request.key)
-            else:
+            elif limited:
                 # A permit of another server for the same request would be lost.
                 asked = limited[number % len(limited)]
+            else:
+                break
             if asked is server:
                 wanted_by_rank[rank] += 1
         if server.wants_spare_permit:
--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -170,6 +170,18 @@
         assert cold.outcomes(answered)[200] >= 0.97 * 2.0 * 60
         assert cold.rate(11, since) <= 1.0
 
+    def test_permits_of_servers_in_use_are_asked_for(self):
+        # Guards against permits of servers of an evacuated zone, which nobody can use.
+        cold = deployment(vms=2, per_s=4.0)
+        for number in SERVERS:
+            zone = "z9" if number > 11 else "z1"
+            write_entry(cold.world, number, 2, 30.0, zone=zone)
+        cold.world.store.put("op/evacuate/z9", b"{}")
+        cold.run(2.0)
+        since = cold.now()
+        cold.run(6.0)
+        assert cold.rate(11, since) >= 0.7 * 3.03
+
 
 class TestServersThatReturnFromAnOutage:
     @pytest.mark.parametrize("keyed", [True, False])
