Do not take a connection without time to open for an outage

A request whose deadline ended while its connection was being opened made the server count as unreachable, and so as cold at all VMs, however short the deadline was. Callers with short deadlines limited healthy servers. Within the shortest connection timeout this now counts like a slow answer.

--- a/briarspoke/entry/exchange.py
+++ b/briarspoke/entry/exchange.py
@@ -8,7 +8,7 @@
 from briarspoke.entry import answers, serverload
 from briarspoke.entry.arriving import Body
 from briarspoke.entry.crashes import CRASH_FAILURES
-from briarspoke.entry.servers import WITHDRAWN
+from briarspoke.entry.servers import MIN_CONNECT_TIMEOUT_S, WITHDRAWN
 from briarspoke.http.upstream import HOP_BY_HOP
 from briarspoke.http.wire import connection_options
 from briarspoke.platform import headers as header_names
@@ -535,8 +535,10 @@
         written = self.upstream_request.written
         self._abandon_attempt()
         server.record_unreachable()
+        # A connection that had little time to open says as little as a slow answer.
+        had_time = self.node.now() - self.sent_at >= MIN_CONNECT_TIMEOUT_S
         self.node.coldness.server_failed(
-            self.dispatcher.name, server, connected=written
+            self.dispatcher.name, server, connected=written or not had_time
         )
         if not written:
             self._end_not_run(
--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -353,6 +353,15 @@
         one.fail(connected=True)
         assert one.is_cold()
 
+    @pytest.mark.parametrize(("deadline_ms", "is_cold"), [(50, False), (450, True)])
+    def test_connection_without_time_to_open_is_no_outage(self, deadline_ms, is_cold):
+        # Guards against a caller's short deadline that limits a server for all VMs.
+        one = One()
+        one.world.caller(one.node).send(request("GET", deadline=deadline_ms))
+        assert len(one.world.reactor.tcpClients) == 1
+        one.world.advance(0.5)
+        assert one.is_cold() == is_cold
+
     def test_answer_names_the_time(self):
         one = One()
         one.answer(warmup=b"1500")
