--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -7,11 +7,11 @@
 
 import cbor2
 import pytest
-from entry_fakes import STORE, World, configuration, registration, route
+from entry_fakes import STORE, World, configuration, registration, request, route
 from http_fakes import LOST
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from limit_fakes import AnsweringServers, Deployment
+from limit_fakes import AnsweringServers, Deployment, DiscardingTransport
 from test_cold_limits import D1_BOUND, most_in_window, send_as_if_alone
 from twisted.internet import error
 from twisted.python.failure import Failure
@@ -170,6 +170,18 @@
         assert cold.outcomes(answered)[200] >= 0.97 * 2.0 * 60
         assert cold.rate(11, since) <= 1.0
 
+    def test_permits_of_servers_in_use_are_asked_for(self):
+        # Guards against permits of servers of an evacuated zone, which nobody can use.
+        cold = deployment(vms=2, per_s=4.0)
+        for number in SERVERS:
+            zone = "z9" if number > 11 else "z1"
+            write_entry(cold.world, number, 2, 30.0, zone=zone)
+        cold.world.store.put("op/evacuate/z9", b"{}")
+        cold.run(2.0)
+        since = cold.now()
+        cold.run(6.0)
+        assert cold.rate(11, since) >= 0.7 * 3.03
+
 
 class TestServersThatReturnFromAnOutage:
     @pytest.mark.parametrize("keyed", [True, False])
@@ -341,6 +353,15 @@
         one.fail(connected=True)
         assert one.is_cold()
 
+    @pytest.mark.parametrize(("deadline_ms", "is_cold"), [(50, False), (450, True)])
+    def test_connection_without_time_to_open_is_no_outage(self, deadline_ms, is_cold):
+        # Guards against a caller's short deadline that limits a server for all VMs.
+        one = One()
+        one.world.caller(one.node).send(request("GET", deadline=deadline_ms))
+        assert len(one.world.reactor.tcpClients) == 1
+        one.world.advance(0.5)
+        assert one.is_cold() == is_cold
+
     def test_answer_names_the_time(self):
         one = One()
         one.answer(warmup=b"1500")
@@ -382,10 +403,14 @@
         one.write(2, 3.0)
         assert one.is_cold(cut)
 
-    def test_are_not_told_each_time_by_a_vm_whose_own_path_is_broken(self):
+    @pytest.mark.parametrize("answers", [False, True])
+    def test_are_not_told_each_time_by_a_vm_whose_own_path_is_broken(self, answers):
         one = One(vms=3)
         one.fail()
-        one.world.advance(1.5)
+        one.world.advance(0.1)
+        if answers:
+            one.answer()
+        one.world.advance(1.4)
         one.write(2, 0.0)
         assert not any(one.is_cold(node) for node in one.nodes)
         one.fail()
@@ -419,6 +444,35 @@
         assert holder._count(one.world.reactor.seconds()) <= 1
 
 
+class TestVmThatTheControllerDidNotAnswer:
+    def test_asks_again_although_it_refuses_all_requests(self, monkeypatch):
+        # Guards against a VM that refuses all requests until the server is warm.
+        one = One(vms=2)
+        servers = AnsweringServers(one.world)
+        vm = next(node for node in one.nodes if not node.control.is_leader)
+        monkeypatch.setattr(vm.registry, "is_first_for", lambda value: False)
+        one.write(2, 30.0)
+        transport, vm.datagrams.transport = (
+            vm.datagrams.transport,
+            DiscardingTransport(),
+        )
+        self.send(one, vm, servers, seconds=3)
+        assert not servers.arrivals_by_number
+        vm.datagrams.transport = transport
+        self.send(one, vm, servers, seconds=3)
+        assert one.is_cold(vm)
+        assert len(servers.arrivals_by_number[11]) >= 3
+
+    def send(self, one, vm, servers, *, seconds):
+        """Sends two requests a second to a VM."""
+        for number in range(2 * seconds):
+            request_id = f"r{one.world.reactor.seconds()}-{number}"
+            one.world.caller(vm).send(request("GET", request_id=request_id))
+            for _ in range(50):
+                one.world.advance(0.01)
+                servers.step()
+
+
 class TestZoneThatTurnsColdAtOnce:
     def test_vms_are_told_in_few_datagrams(self, monkeypatch):
         one = One(vms=2)
@@ -483,6 +537,8 @@
             on_allowances=receive,
             on_suspect=receive,
             on_leaving=receive,
+            on_shares=receive,
+            on_demand=receive,
             rate_limits=SimpleNamespace(peers_cold=receive, permits_requested=receive),
         )
         for kind in (KIND_COLD, KIND_PERMIT_REQUEST):
