Do not count unreachable servers as cold

Spells now end by their own time. After two failed attempts to connect to a server in a row, a VM sends it one request at a time until its first answer, and tells nobody.

Permits of cold owners: calls for grants no longer take from the limit of servers that are only cold, for which renewals used half. What becomes available between two ticks of the controller counts from then.

--- a/briarspoke/entry/coldness.py
+++ b/briarspoke/entry/coldness.py
@@ -1,14 +1,14 @@
 """Which servers are cold, as one entry VM knows it.
 
-The load that this answers: servers that restart, or return from an outage or an
-evacuation, while requests wait for them at all entry VMs. What a VM does not know about
-a server that was unreachable counts as cold, since all VMs would return to it together.
+The load that this answers: servers that start, or return from an evacuation, while
+requests wait for them at all entry VMs. Each spell ends by its own time, since an entry
+in the store changes only when more than its sequence number changes, so that none may
+follow.
 """
 
 from __future__ import annotations
 
 import logging
-import random
 
 from briarspoke.entry import logs
 from briarspoke.entry.coldlimits import cold_limit
@@ -21,18 +21,9 @@
 # An entry that arrives within this time after an event may have been written before it:
 # 0.4 s collection of changes at the view, the same at its relay, and the way.
 ENTRY_DELAY_S = 1.0
-# A server that was unreachable counts as cold for this long if nobody hears of it
-# again, and up to half as long again, so that VMs without any contact do not return
-# together.
-UNCONFIRMED_S = 30.0
-UNCONFIRMED_SPREAD = 0.5
-# Expected time until an entry shows whether a server that was unreachable is cold: the
-# delay above and the interval of 0.87 s between two entries.
-EXPECTED_CONFIRMATION_S = 2.0
-# A VM that finds a server unreachable although an entry has shown within this time that
-# it was not cold has a broken path of its own. Telling others would limit the server
-# for all of them, each time for up to EXPECTED_CONFIRMATION_S.
-RETELL_S = 5.0
+# A server may have restarted unseen if this many attempts to connect to it in a row
+# have failed. A single one can be a lost packet.
+CONNECT_FAILURES_TO_SEND_ONE = 2
 # Keys do not move for a spell that ends sooner: a release, a write and a grant take
 # about a second, and more when a whole zone is cold.
 MIN_SPELL_TO_MOVE_S = 2.0
@@ -42,7 +33,6 @@
 ENTRY = "entry"
 ANSWER = "answer"
 EVACUATION = "evacuation"
-UNREACHABLE = "unreachable"
 PEER = "peer"
 
 
@@ -52,18 +42,15 @@
     :param limit: the :class:`briarspoke.entry.coldlimits.ColdLimit`.
     :param began_at: start of the spell.
     :ivar until: end of the spell.
-    :ivar is_unconfirmed: whether the server was unreachable and nothing has shown since
-        whether it is cold.
-    :ivar event_at: time of the last failure, or when the end was learned.
-    :ivar trusted_from: entries that arrive from then on may end or shorten the spell.
+    :ivar learned_at: time at which the end was learned last.
+    :ivar trusted_from: entries that arrive from then on may end the spell.
     """
 
     __slots__ = (
         "began_at",
         "checked_at",
-        "event_at",
         "is_first",
-        "is_unconfirmed",
+        "learned_at",
         "limit",
         "trusted_from",
         "until",
@@ -73,8 +60,7 @@
         self.limit = limit
         self.began_at = began_at
         self.until = began_at
-        self.is_unconfirmed = False
-        self.event_at = began_at
+        self.learned_at = began_at
         self.trusted_from = began_at
         self.is_first = False
         self.checked_at = None
@@ -85,17 +71,12 @@
         return self.limit.per_s
 
     def left_s(self, now):
-        """Returns the seconds for which the server is expected to stay cold."""
-        left_s = max(0.0, self.until - now)
-        return min(left_s, EXPECTED_CONFIRMATION_S) if self.is_unconfirmed else left_s
+        """Returns the seconds for which the server stays cold."""
+        return max(0.0, self.until - now)
 
     def lasts_for_moves(self, now):
-        """Returns whether the spell lasts long enough for keys to move meanwhile.
-
-        An outage is expected to last as long again as it has lasted so far.
-        """
-        left_s = now - self.began_at if self.is_unconfirmed else self.until - now
-        return left_s >= MIN_SPELL_TO_MOVE_S
+        """Returns whether the spell lasts long enough for keys to move meanwhile."""
+        return self.until - now >= MIN_SPELL_TO_MOVE_S
 
 
 class Coldness:
@@ -137,16 +118,11 @@
         if service is None:
             return
         now = self._node.now()
-        until = now + min(MAX_WARMUP_S, record.warmup_s)
         spell = server.limit.cold
-        if spell is None:
-            if record.warmup_s > 0:
-                self._begin(service, server, until, ENTRY, trusted_from=now)
-        elif now < spell.trusted_from:
-            spell.until = max(spell.until, until)
-        elif record.warmup_s > 0:
-            spell.until, spell.is_unconfirmed = until, False
-        else:
+        if record.warmup_s > 0:
+            until = now + min(MAX_WARMUP_S, record.warmup_s)
+            self._begin(service, server, until, ENTRY)
+        elif spell is not None and now >= spell.trusted_from:
             self._end(service.name, server, ENTRY)
 
     def zone_returned(self, zone):
@@ -160,36 +136,14 @@
                 if server.record.zone == zone:
                     self._begin(service, server, now + service.warmup_s, EVACUATION)
 
-    def server_failed(self, name, server, *, connected):
-        """Notes that a server was unreachable, since it may have restarted meanwhile.
+    def sends_one(self, server):
+        """Returns whether this VM sends one request at a time to a server.
 
-        A request that timed out on a connection tells this only together with another
-        failure; the server may just be slow.
-
-        :param name: name of the service.
-        :param connected: whether the request was on a connection.
+        It may have restarted under its old identifier, which no entry has shown yet.
         """
-        service = self._service(name)
-        if service is None or (connected and not server.is_failing):
-            return
-        if not self._is_known(name, server):
-            return
-        confirmed_at = server.limit.confirmed_at
-        is_own_path = (
-            confirmed_at is not None and self._node.now() - confirmed_at < RETELL_S
-        )
-        self._begin_unconfirmed(service, server, UNREACHABLE, tell=not is_own_path)
-
-    def _begin_unconfirmed(self, service, server, source, *, tell=False):
-        now = self._node.now()
-        spread = random.uniform(1, 1 + UNCONFIRMED_SPREAD)
-        self._begin(
-            service,
-            server,
-            now + UNCONFIRMED_S * spread,
-            source,
-            is_unconfirmed=True,
-            tell=tell,
+        return (
+            server.connect_failures >= CONNECT_FAILURES_TO_SEND_ONE
+            and self._service(server.record.service) is not None
         )
 
     def server_answered(self, name, server, answer, sent_at):
@@ -217,34 +171,18 @@
                 )
         now = self._node.now()
         spell = server.limit.cold
-        if spell is not None and sent_at < spell.event_at:
-            # The server may have become cold after it got the request.
-            if warmup_s:
-                spell.until = max(spell.until, now + warmup_s)
+        if warmup_s is None:
             return
-        if warmup_s is not None and warmup_s > 0:
-            self._begin(service, server, now + warmup_s, ANSWER, tell=True)
-        elif spell is None:
-            return
-        elif warmup_s == 0:
+        if warmup_s > 0:
+            self._begin(service, server, now + warmup_s, ANSWER)
+        elif spell is not None and sent_at >= spell.learned_at:
             self._end(name, server, ANSWER)
-        elif spell.is_unconfirmed:
-            # It restarted before this answer, if it did.
-            self._begin(
-                service,
-                server,
-                now + service.warmup_s,
-                ANSWER,
-                trusted_from=spell.trusted_from,
-                tell=True,
-            )
 
     def peer_cold(self, name, instance, left_s, sequence):
         """Learns what another entry VM knows.
 
         :param instance: pair of server identifier and incarnation.
-        :param left_s: seconds for which the server is still cold, or None if the VM
-            found it unreachable and does not know.
+        :param left_s: seconds for which the server is still cold.
         :param sequence: number of the server's entry that the VM has read last.
         """
         service = self._service(name)
@@ -253,90 +191,56 @@
         server = self._node.dispatcher(name).servers.get(instance[0])
         if server is None or server.record.server_instance != instance:
             return
-        # Only a second later entry was certainly written after a failure elsewhere.
-        newer = server.record.sequence - sequence - (left_s is None)
-        if newer > 0 and server.record.warmup_s == 0 and server.limit.cold is None:
-            return
-        if left_s is None:
-            if server.limit.cold is None:
-                self._begin_unconfirmed(service, server, PEER)
+        spell = server.limit.cold
+        is_later = server.record.sequence > sequence
+        if spell is None and is_later and server.record.warmup_s == 0:
             return
         until = self._node.now() + min(MAX_WARMUP_S, left_s)
-        spell = server.limit.cold
-        if spell is None or spell.is_unconfirmed or until > spell.until:
-            self._begin(
-                service,
-                server,
-                until,
-                PEER,
-                trusted_from=None if spell is None else spell.trusted_from,
-            )
+        if spell is None or until > spell.until:
+            self._begin(service, server, until, PEER)
 
     def message_fields(self, server):
-        """Returns (seconds left or None, entry's number) for messages to other VMs.
+        """Returns (seconds left, entry's number) for messages to other VMs.
 
         :returns: None if the server is not cold.
         """
         spell = server.limit.cold
         if spell is None:
             return None
-        left_s = None if spell.is_unconfirmed else spell.left_s(self._node.now())
-        return left_s, server.record.sequence
-
-    def _begin(
-        self,
-        service,
-        server,
-        until,
-        source,
-        *,
-        is_unconfirmed=False,
-        trusted_from=None,
-        tell=None,
-    ):
-        """Begins a spell, or changes the end of the present one.
-
-        :param trusted_from: see :class:`ColdSpell`; None for a time from now.
-        :param tell: whether other VMs are told; None if only the controller tells them,
-            since those that reach the store read the same there.
-        """
+        return spell.left_s(self._node.now()), server.record.sequence
+
+    def _begin(self, service, server, until, source):
+        """Begins a spell, or lengthens the present one."""
         now = self._node.now()
         spell = server.limit.cold
         is_new = spell is None
-        was_unconfirmed = not is_new and spell.is_unconfirmed
         if is_new:
             spell = ColdSpell(limit=self._limit(service), began_at=now)
             server.limit.cold = spell
-        if is_new or is_unconfirmed or was_unconfirmed:
-            spell.until = until
-        else:
-            spell.until = max(spell.until, until)
-        spell.is_unconfirmed = is_unconfirmed
-        spell.event_at = now
-        if trusted_from is None:
-            trusted_from = now + ENTRY_DELAY_S
+        spell.until = max(spell.until, until)
+        spell.learned_at = now
+        # Entries arrive in their order, but not in the order of other events.
+        trusted_from = now if source == ENTRY else now + ENTRY_DELAY_S
         spell.trusted_from = max(spell.trusted_from, trusted_from)
+        if not is_new:
+            return
         instance = server.record.server_instance
         self._cold_by_instance[(service.name, instance)] = server
-        if not is_new and is_unconfirmed == was_unconfirmed:
-            return
-        if is_new:
-            self._node.metrics.count("cold_spells_total", source)
+        self._node.metrics.count("cold_spells_total", source)
         log.info(
-            "servers: cold %s id=%s service=%s incarnation=%d left_ms=%s per_s=%s "
+            "servers: cold begins id=%s service=%s incarnation=%d left_ms=%d per_s=%s "
             "source=%s nodes=%d",
-            "begins" if is_new else "changes",
             server.record.server_id,
             logs.field(service.name),
             server.record.incarnation,
-            "-" if is_unconfirmed else round((until - now) * 1000),
+            round((until - now) * 1000),
             format_limit(spell.per_s),
             source,
             self._node.node_count,
         )
-        if tell is None:
-            tell = source != PEER and self._node.control.is_leader
-        if tell:
+        # Entries and ends of evacuations are read by all VMs that reach the store. The
+        # controller tells the others.
+        if source == ANSWER or (source != PEER and self._node.control.is_leader):
             self._untold_by_service.setdefault(service.name, []).append(server)
 
     def _tell(self):
@@ -355,8 +259,6 @@
     def _end(self, name, server, source):
         spell, server.limit.cold = server.limit.cold, None
         self._cold_by_instance.pop((name, server.record.server_instance), None)
-        if spell.is_unconfirmed and source == ENTRY:
-            server.limit.confirmed_at = self._node.now()
         if server.limit.per_s is None:
             server.permits = None
         log.info(
--- a/briarspoke/entry/exchange.py
+++ b/briarspoke/entry/exchange.py
@@ -347,6 +347,7 @@
             return
         answering_id = answer.get(header_names.SERVER_ID)
         if answering_id is None or answering_id == server.target:
+            server.connect_failures = 0
             self.node.crashes.server_answered(server, self.sent_at)
             self.node.notices.record_answer(self.dispatcher.name, server, answer)
             serverload.record_answer(self.node, self.dispatcher, server, answer)
@@ -429,10 +430,7 @@
         )
         self.node.metrics.count("attempts_total", answer.failure)
         if answer.failure in UNREACHABLE_FAILURES:
-            server.record_unreachable()
-            self.node.coldness.server_failed(
-                self.dispatcher.name, server, connected=answer.sent
-            )
+            server.record_unreachable(connected=answer.sent)
         else:
             # The server was reachable and may answer other requests, so it is not
             # counted as unreachable.
@@ -534,10 +532,7 @@
         self.node.metrics.count("attempts_total", "timeout")
         written = self.upstream_request.written
         self._abandon_attempt()
-        server.record_unreachable()
-        self.node.coldness.server_failed(
-            self.dispatcher.name, server, connected=written
-        )
+        server.record_unreachable(connected=written)
         if not written:
             self._end_not_run(
                 codes.OWNER_UNREACHABLE,
--- a/briarspoke/entry/permits.py
+++ b/briarspoke/entry/permits.py
@@ -31,8 +31,6 @@
 # How often all entry VMs together ask for a permit for which no request waits, for each
 # request that the limit allows.
 SPARE_ASKS_PER_PERMIT = 4.0
-# The same for cold servers, many of which may be cold at once.
-COLD_SPARE_ASKS_PER_PERMIT = 1.0
 # Permits that the controller saves up, in seconds of the limit, and their least number.
 SAVED_S = 0.25
 MIN_SAVED = 1.0
@@ -137,7 +135,7 @@
             self._unanswered_since = now
         return number
 
-    def take_spare_turn(self, now, per_s, vms, asks=SPARE_ASKS_PER_PERMIT):
+    def take_spare_turn(self, now, per_s, vms):
         """Returns whether to ask for a permit for which no request waits.
 
         Turns are rarer with more entry VMs, so that the controller is not asked by all
@@ -145,9 +143,8 @@
 
         :param per_s: limit of the server.
         :param vms: number of entry VMs.
-        :param asks: such requests for each permit, of all entry VMs together.
         """
-        interval_s = vms / (asks * per_s)
+        interval_s = vms / (SPARE_ASKS_PER_PERMIT * per_s)
         if self._next_spare_at is None:
             self._next_spare_at = now + interval_s * self._uniform()
         if now < self._next_spare_at:
@@ -285,7 +282,11 @@
         self.refilled_at = max(self.refilled_at, now)
         paid = min(self.call_debt, MAX_CALLS_FRACTION * new)
         self.call_debt -= paid
-        self.saved = min(max(MIN_SAVED, SAVED_S * per_s), self.saved + new - paid)
+        self.saved += new - paid
+
+    def discard_excess(self, per_s):
+        """Limits what is saved up for requests that come later."""
+        self.saved = min(max(MIN_SAVED, SAVED_S * per_s), self.saved)
 
 
 class PermitIssuer:
@@ -316,16 +317,23 @@
         server = self._server_by_instance.get(instance)
         if server is None:
             server = self._server_by_instance[instance] = _Server(now)
-        waiting = server.waiting_by_vm.setdefault(vm, _Waiting())
-        if number <= waiting.number:
+        waiting = server.waiting_by_vm.get(vm)
+        if waiting is not None and number <= waiting.number:
             return {}
+        # What has become available until now is for earlier requests, and expires with
+        # them.
+        answers = self._answers(server, self._distribute(server, per_s, now))
+        waiting = server.waiting_by_vm.setdefault(vm, _Waiting())
         waiting.number = number
         waiting.count_by_rank = dict(wanted_by_rank)
         waiting.at = server.asked_at = now
+        if vm in answers:
+            return answers
         granted_by_vm = self._distribute(server, per_s, now)
         if wanted_by_rank:
             granted_by_vm.setdefault(vm, 0)
-        return self._answers(server, granted_by_vm)
+        answers.update(self._answers(server, granted_by_vm))
+        return answers
 
     def grant_all(self, number, wanted_by_rank):
         """Returns the :class:`PermitAnswer` for a server without a limit."""
@@ -361,7 +369,12 @@
             server.call_debt += 1
 
     def _distribute(self, server, per_s, now):
-        """Returns ``{vm: permits}``: urgent requests first, then VMs in turn."""
+        """Returns ``{vm: permits}``: urgent requests first, then VMs in turn.
+
+        All that wait have asked before the last refill, or nothing is new since. So
+        each permit counts from the time at which it became available, and what is left
+        of it counts towards the next one. Otherwise ticks would lower the limit.
+        """
         server.refill(per_s, now)
         for vm, waiting in list(server.waiting_by_vm.items()):
             if now - waiting.at >= VALIDITY_S:
@@ -383,6 +396,7 @@
                 del waiting.count_by_rank[rank]
             server.saved -= 1
             granted_by_vm[vm] = granted_by_vm.get(vm, 0) + 1
+        server.discard_excess(per_s)
         return granted_by_vm
 
     def _answers(self, server, granted_by_vm):
--- a/briarspoke/entry/ratelimits.py
+++ b/briarspoke/entry/ratelimits.py
@@ -7,7 +7,6 @@
 from briarspoke.entry import coldlimits
 from briarspoke.entry.permits import (
     COLD_REPEAT_INTERVAL_S,
-    COLD_SPARE_ASKS_PER_PERMIT,
     PermitHolder,
     PermitIssuer,
 )
@@ -95,7 +94,7 @@
     def peers_cold(self, service, servers):
         """Learns which servers another entry VM knows to be cold.
 
-        :param servers: [(instance, seconds left or None, entry's number)].
+        :param servers: [(instance, seconds left, entry's number)].
         """
         for instance, left_s, sequence in servers:
             self._node.coldness.peer_cold(service, instance, left_s, sequence)
@@ -144,13 +143,11 @@
 
         A permit is asked for only if it is this entry VM's turn.
         """
-        spell = server.limit.cold
-        if spell is not None and not spell.is_unconfirmed:
+        if server.limit.cold is not None:
             # The spell ends by itself.
             return
-        options = {} if spell is None else {"asks": COLD_SPARE_ASKS_PER_PERMIT}
         if self._holder(server).take_spare_turn(
-            self._node.now(), server.limit.per_s, self._node.node_count, **options
+            self._node.now(), server.limit.per_s, self._node.node_count
         ):
             server.wants_spare_permit = True
 
@@ -253,7 +250,7 @@
         :param age_s: seconds since it sent the answered request.
         :param wanted_by_rank: ``{rank: requests}`` that wait there.
         :param address: (host, port) of that VM, or None for this one.
-        :param cold: (seconds left or None, number of the server's entry) as that VM
+        :param cold: (seconds left, number of the server's entry) as that VM
             knows them, or None if it does not count the server as cold.
         """
         now = self._node.now()
@@ -305,7 +302,14 @@
             self._node.dispatcher(service).permit_queue.arrived(server)
 
     def count_call(self, service, instance):
-        """Counts a call of the controller to a server towards the server's limit."""
+        """Counts a call of the controller to a server towards the limit that it names.
+
+        The bound of cold servers is one for requests. Renewals of an owner's grants
+        would take half of their limit.
+        """
+        server = self._server(service, instance)
+        if server is None or server.limit.named_per_s is None:
+            return
         if self._issuer is not None:
             self._issuer.count_call((service, instance))
 
--- a/briarspoke/entry/reports.py
+++ b/briarspoke/entry/reports.py
@@ -191,8 +191,7 @@
         """Tells other entry VMs which servers are cold.
 
         :param servers: [(pair of server identifier and incarnation, seconds for which
-            it stays cold or None if that is not known, number of its entry that was
-            read last)].
+            it stays cold, number of its entry that was read last)].
         :param addresses: [(host, port)] of the entry VMs.
         """
         rows = [[*instance, *_cold_fields(*cold)] for instance, *cold in servers]
@@ -221,8 +220,8 @@
         :param age_s: seconds since the request was sent whose answer named it.
         :param wanted_by_rank: ``{rank: requests}`` that wait at this entry VM.
         :param address: (host, port) of the controller.
-        :param cold: (seconds left or None, number of the server's entry) of a cold
-            server, or None.
+        :param cold: (seconds left, number of the server's entry) of a cold server, or
+            None.
         """
         fields = [number, per_s, _ms(age_s), wanted_by_rank]
         if cold is not None:
@@ -415,12 +414,12 @@
 
 
 def _cold_fields(left_s, sequence):
-    return [None if left_s is None else _ms(left_s), sequence]
+    return [_ms(left_s), sequence]
 
 
 def _decode_cold(fields):
     left_ms, sequence = fields
-    return None if left_ms is None else _decode_age_s(left_ms), int(sequence)
+    return _decode_age_s(left_ms), int(sequence)
 
 
 def _decode_age_s(age_ms):
--- a/briarspoke/entry/selection.py
+++ b/briarspoke/entry/selection.py
@@ -41,6 +41,8 @@
 
     def in_flight_limit(self, server):
         """Returns how many requests this entry VM may have in flight at a server."""
+        if self._node.coldness.sends_one(server):
+            return 1
         if self._dispatcher.keyed:
             return self.owner_limits.limit(server)[0]
         slots, vms = server.record.slots, self._node.node_count
@@ -66,7 +68,7 @@
     def _has_slot(self, server, key=None):
         if server.intake.paused_until > self._node.now():
             return False
-        if self._dispatcher.keyed:
+        if self._dispatcher.keyed and not self._node.coldness.sends_one(server):
             return self.owner_limits.has_slot(server, key)
         return server.in_flight < self.in_flight_limit(server)
 
--- a/briarspoke/entry/serverlimits.py
+++ b/briarspoke/entry/serverlimits.py
@@ -21,7 +21,6 @@
     __slots__ = (
         "_as_of",
         "cold",
-        "confirmed_at",
         "named_per_s",
         "unusable_logged",
         "unusable_warmup_logged",
@@ -30,9 +29,6 @@
     def __init__(self):
         self.named_per_s = None
         self.cold = None
-        # Time at which an entry last showed that the server, which had been
-        # unreachable, was not cold; or None.
-        self.confirmed_at = None
         # Whether the log has a line about the unusable values that arrive at present.
         self.unusable_logged = False
         self.unusable_warmup_logged = False
--- a/briarspoke/entry/servers.py
+++ b/briarspoke/entry/servers.py
@@ -149,6 +149,8 @@
         self.service_time = ServiceTime(assumed_s=latency_s)
         self.answer_count = 0
         self.failures = 0
+        # Attempts to connect that have failed since the last answer.
+        self.connect_failures = 0
         # Time of the first of the consecutive failures.
         self.failing_since = None
         # Moving average of the fraction of attempts without a usable answer.
@@ -224,9 +226,14 @@
         self.loss_rate += LOSS_RATE_WEIGHT * (1.0 - self.loss_rate)
         self.room.close(room.LOST, self._clock())
 
-    def record_unreachable(self):
-        """Records an unreachable server; pauses it after consecutive failures."""
+    def record_unreachable(self, *, connected=True):
+        """Records an unreachable server; pauses it after consecutive failures.
+
+        :param connected: whether the request was on a connection.
+        """
         self.record_loss()
+        if not connected:
+            self.connect_failures += 1
         self.failures += 1
         if self.failing_since is None:
             self.failing_since = self._clock()
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -182,6 +182,27 @@
         assert self.request(issuer, "b", 1, {1: 1}, 10.1) == {"b": 0}
         assert self.give(issuer, 10.25) == {"b": 1}
 
+    def test_rate_is_not_lowered_by_ticks(self):
+        # The ticks do not fall together with the permits.
+        issuer = PermitIssuer(usable_from=0.0)
+        granted = 0
+        for step in range(200):
+            now = 100.0 + step * 0.05
+            answers = {}
+            if step % 8 == 0:
+                answers = issuer.request("s", "a", step, {1: 5}, 3.0, now)
+            else:
+                answers = issuer.tick(lambda _: 3.0, now).get("s", {})
+            granted += sum(answer.granted for answer in answers.values())
+        assert 29 <= granted <= 31
+
+    def test_nothing_is_saved_up_while_nobody_waits(self):
+        issuer = PermitIssuer(usable_from=0.0)
+        issuer.request("s", "a", 1, {1: 1}, 3.0, 100.0)
+        issuer.tick(lambda _: 3.0, 104.0)
+        answers = issuer.request("s", "a", 2, {1: 9}, 3.0, 108.0)
+        assert answers["a"].granted == 1
+
     def test_entry_vms_of_one_rank_take_turns(self):
         issuer = PermitIssuer(usable_from=0.0)
         got = {"a": 0, "b": 0}
--- a/tests/test_room_load.py
+++ b/tests/test_room_load.py
@@ -109,6 +109,7 @@
             zone_nodes=nodes,
             division=SimpleNamespace(news=self.news),
             rate_limits=SimpleNamespace(has_permit=lambda server: True),
+            coldness=SimpleNamespace(sends_one=lambda server: False),
         )
         self.dispatcher = SimpleNamespace(
             name=SERVICE,
