--- a/tests/test_room_load.py
+++ b/tests/test_room_load.py
@@ -110,6 +110,9 @@
             division=SimpleNamespace(news=self.news),
             rate_limits=SimpleNamespace(has_permit=lambda server: True),
             coldness=SimpleNamespace(sends_one=lambda server: False),
+            evacuations=SimpleNamespace(
+                is_active=False, bound_at=lambda server: math.inf
+            ),
         )
         self.dispatcher = SimpleNamespace(
             name=SERVICE,
