Let stand-ins of servers report load and the time for which they are cold

The soak needs servers whose answers have Server-Load and Warmup-Ms and whose registrations have warmup_left, since entry VMs decide by them. Nothing is sent unless the soak asks for it.

--- a/briarspoke/standins/platform_documents.py
+++ b/briarspoke/standins/platform_documents.py
@@ -13,16 +13,27 @@
 
 
 def registration(
-    *, service, address, slots, state="ready", born=1, sequence=1, zone="a"
+    *,
+    service,
+    address,
+    slots,
+    state="ready",
+    born=1,
+    sequence=1,
+    zone="a",
+    warmup_left_s=0.0,
 ):
-    """Returns the encoded registration of a server."""
+    """Returns the encoded registration of a server.
+
+    :param warmup_left_s: seconds for which the server is still cold.
+    """
     body = {
         "service": service,
         "address": address,
         "zone": zone,
         "slots": slots,
         "state": state,
-        "warmup_left": "0ms",
+        "warmup_left": f"{round(warmup_left_s * 1000)}ms",
         "seq": sequence,
         "born": born,
     }
--- a/briarspoke/standins/platform_http.py
+++ b/briarspoke/standins/platform_http.py
@@ -174,6 +174,8 @@
         says that the server leaves, or None.
     :param on_pause: function that is called with the request id and the seconds of each
         rejection that asks for a pause, or None.
+    :param on_misdirected: function that is called with the request id of each request
+        that is answered 421, or None.
     """
 
     def __init__(
@@ -189,6 +191,7 @@
         on_limit=None,
         on_leaving=None,
         on_pause=None,
+        on_misdirected=None,
     ):
         self.running_count = 0
         self.stopped = False
@@ -204,6 +207,15 @@
         self.pause_s = None
         # Whether the connection of a lost answer is aborted or stays open.
         self.resets_lost_answers = False
+        # Whether answers report the server's load, and how many times longer than usual
+        # work takes.
+        self.reports_load = False
+        self.slowness = 1.0
+        # Value of the reports in place of the true load, or None.
+        self.false_load = None
+        # Whether answers name the time for which the server is still cold.
+        self.reports_warmup = False
+        self.cold_until = 0.0
         self.random = random.Random(0)
         self._reactor = reactor
         self._model = model
@@ -215,6 +227,7 @@
         self._on_limit = on_limit
         self._on_leaving = on_leaving
         self._on_pause = on_pause
+        self._on_misdirected = on_misdirected
         self._queue = []
 
     def handle(self, exchange):
@@ -262,7 +275,7 @@
                 continue
             self.running_count += 1
             self._on_run(exchange.headers[b"request-id"], key)
-            work_s = self._work_s * (0.5 + self.random.random())
+            work_s = self._work_s * self.slowness * (0.5 + self.random.random())
             self._reactor.callLater(work_s, self._finish, exchange)
 
     def _finish(self, exchange):
@@ -280,8 +293,27 @@
         if not self.stopped:
             self._start_queued()
 
+    @property
+    def warmup_left_s(self):
+        """Seconds for which the server is still cold."""
+        return max(0.0, self.cold_until - self._reactor.seconds())
+
+    def _load(self):
+        return b"%d,%d,%d,%d" % (
+            self.running_count,
+            len(self._queue),
+            self._slots,
+            round(100 * self.slowness),
+        )
+
     def _respond(self, exchange, status, headers, body=b""):
         headers = [*_echo(exchange), *headers]
+        if status == 421 and self._on_misdirected is not None:
+            self._on_misdirected(exchange.headers.get(b"request-id"))
+        if self.reports_load:
+            headers.append((b"Server-Load", self.false_load or self._load()))
+        if self.reports_warmup:
+            headers.append((b"Warmup-Ms", b"%d" % round(self.warmup_left_s * 1000)))
         if self.limit_per_s is not None:
             headers.append((b"Server-Limit", b"%g" % self.limit_per_s))
             if self._on_limit is not None:
