Let the soak learn evacuations, cold servers and uneven demand

The soak had one zone, no cold servers and an even load, so that faults of evacuations and of limits of cold servers could not show. It now checks EVAC and FAILBACK from the requests that arrive at its servers.

--- a/briarspoke/soak/checks.py
+++ b/briarspoke/soak/checks.py
@@ -4,6 +4,9 @@
 
 import collections
 
+from briarspoke.soak.arrivals import Arrivals
+from briarspoke.soak.coldness import ColdChecks
+from briarspoke.soak.evacuations import EvacuationChecks
 from briarspoke.soak.intake import IntakeChecks
 from briarspoke.soak.limits import LimitChecks
 
@@ -25,6 +28,13 @@
         self.runs_by_id = collections.Counter()
         self.limits = LimitChecks(clock=clock, add_violation=self._add_violation)
         self.intake = IntakeChecks(clock=clock, add_violation=self._add_violation)
+        self.cold = ColdChecks(clock=clock, add_violation=self._add_violation)
+        self.evacuations = EvacuationChecks(
+            clock=clock, add_violation=self._add_violation
+        )
+        self.arrivals = Arrivals(
+            clock=clock, listeners=[self.evacuations.arrived, self.cold.arrived]
+        )
         self._clock = clock
         self._refused_ids = set()
         self._at_most_once_ids = set()
@@ -47,6 +57,7 @@
         """Records that a request arrives at a process of a server."""
         self.limits.request_arrived(process, request_id)
         self.intake.request_arrived(process, request_id)
+        self.arrivals.arrived(process, request_id)
 
     def disturbed(self, node):
         """Records that an entry VM is restarted, paused or cut off."""
--- a/briarspoke/soak/deployment.py
+++ b/briarspoke/soak/deployment.py
@@ -11,6 +11,8 @@
 import sys
 
 from briarspoke.entry.process import SETTINGS_VARIABLE
+from briarspoke.platform.documents import EVACUATION_PREFIX as EVACUATIONS
+from briarspoke.soak import coldness, evacuations
 from briarspoke.soak.proxy import Proxy
 from briarspoke.standins import platform_documents
 from briarspoke.standins.platform_http import (
@@ -32,6 +34,8 @@
 )
 WORK_S = 0.02
 SLOTS = 4
+# Zones of the servers and entry VMs, which take turns.
+ZONES = ("a", "b")
 GRACE_S = 6.0
 
 
@@ -47,6 +51,7 @@
 
     def __init__(self, *, name, settings, directory, proxy):
         self.name = name
+        self.zone = settings["zone"]
         self.settings = settings
         self.proxy = proxy
         self.process = None
@@ -94,6 +99,10 @@
     def __init__(self, *, deployment, service, number):
         self.service = service
         self.number = number
+        # Each zone has servers that reject by a reset and servers that answer.
+        self.zone = ZONES[number // 2 % len(ZONES)]
+        # Whether the server renews its registration.
+        self.is_renewing = False
         self.server_id = f"{service}-{number}"
         self.incarnation = 0
         # Identifier, incarnation and sequence number of the server that had the address
@@ -135,6 +144,7 @@
             self.stand_in.stopped = True
             self._factory.reset_connections()
             self.end_limit()
+        self.is_renewing = False
         self.incarnation += 1
         self.sequence = 0
         self.state = "ready"
@@ -157,10 +167,28 @@
             on_limit=functools.partial(checks.limits.limit_named, self.process),
             on_leaving=functools.partial(checks.intake.leaving_said, self.process),
             on_pause=functools.partial(checks.intake.pause_asked, self.process),
+            on_misdirected=functools.partial(checks.arrivals.misdirected, self.process),
         )
+        checks.evacuations.process_started(self.process, self.zone)
+        self.stand_in.reports_load = self.number % 4 != 3
+        self.stand_in.reports_warmup = self.number % 2 == 0
+        self._become_cold(is_serving=False)
         # Half of the servers reject by a reset, which does not say that nothing ran.
         self.stand_in.resets_when_full = self.number % 2 == 1
 
+    def become_cold(self, *, is_serving=True):
+        """Lets the current process be cold again, which its registration says.
+
+        :param is_serving: whether entry VMs may send requests to it at this time.
+        """
+        self._become_cold(is_serving=is_serving)
+        self.register()
+
+    def _become_cold(self, *, is_serving):
+        now = self._deployment.reactor.seconds()
+        self.stand_in.cold_until = now + coldness.WARMUP_S
+        self._deployment.checks.cold.cold_began(self.process, is_serving=is_serving)
+
     def name_limit(self, per_s):
         """Lets the current process name a limit in requests per second."""
         self.stand_in.limit_per_s = per_s
@@ -171,15 +199,22 @@
         self._deployment.checks.limits.limit_ended(self.process)
 
     def register(self):
-        """Writes the registration to the store."""
+        """Writes the registration to the store, from now on again and again."""
+        self.is_renewing = True
         self.sequence += 1
         self._write_registration(
             self.server_id, self.incarnation, self.sequence, self.state
         )
 
+    def renew_registration(self):
+        """Writes the registration again unless it was deleted or the store is out."""
+        if self.is_renewing and not self._deployment.store_stand_in.outage:
+            self.register()
+
     def register_late(self):
         """Writes the registration of the server that had the address before."""
         if self.replaced_server is not None:
+            self.is_renewing = False
             self._write_registration(*self.replaced_server, "ready")
 
     def _write_registration(self, server_id, incarnation, sequence, state):
@@ -190,11 +225,14 @@
             state=state,
             born=incarnation,
             sequence=sequence,
+            zone=self.zone,
+            warmup_left_s=self.stand_in.warmup_left_s,
         )
         self._deployment.store.put(f"servers/{server_id}", data)
 
     def expire_registration(self):
         """Deletes the registration, as the store does when its lease expires."""
+        self.is_renewing = False
         self._deployment.store.delete(f"servers/{self.server_id}")
 
 
@@ -224,14 +262,16 @@
             for number in range(servers)
         ]
         self.nodes = [
-            self._entry_process(f"front-a-{n}", directory) for n in range(nodes)
+            self._entry_process(ZONES[n % len(ZONES)], n, directory)
+            for n in range(nodes)
         ]
 
-    def _entry_process(self, name, directory):
+    def _entry_process(self, zone, number, directory):
+        name = f"front-{zone}-{number}"
         proxy = Proxy(reactor=self.reactor, port=self._store_port)
         settings = {
             "node": name,
-            "zone": "a",
+            "zone": zone,
             "ip": "127.0.0.1",
             "caller_listen": f"127.0.0.1:{free_port()}",
             "ready_listen": f"127.0.0.1:{free_port()}",
@@ -239,6 +279,9 @@
             "metrics_port": free_port(),
             "store": f"127.0.0.1:{proxy.port}",
             "drain_s": "2000ms",
+            "evacuation_s": f"{evacuations.EVACUATION_S}s",
+            "cold_ratio": coldness.COLD_RATIO,
+            "cold_slack": coldness.COLD_SLACK,
             "grace_s": f"{GRACE_S}s",
             "max_hold_s": "10000ms",
             "retry_ratio": 0.2,
@@ -268,9 +311,15 @@
             }
             for name, route_type, service in ROUTES
         }
+        service = {
+            "health_path": "/h",
+            "max_conns": 110,
+            "warmup_per_s": coldness.WARMUP_PER_S,
+            "warmup": f"{round(coldness.WARMUP_S * 1000)}ms",
+        }
         services = {
-            KEYED_SERVICE: {"health_path": "/h", "max_conns": 110, "sharded": True},
-            UNKEYED_SERVICE: {"health_path": "/h", "max_conns": 110},
+            KEYED_SERVICE: {**service, "sharded": True},
+            UNKEYED_SERVICE: service,
         }
         data = platform_documents.configuration(
             version=self.version, routes=routes, services=services
@@ -288,9 +337,27 @@
             if key.startswith(("op/", "servers/"))
         }
         self.store.restore(copy)
+        evacuated = [key for key in self.store.items if key.startswith(EVACUATIONS)]
+        for key in evacuated:
+            if key not in written:
+                self.store.delete(key)
         for key, value in written.items():
             self.store.put(key, value)
 
+    def servers_of(self, zone):
+        """Returns the servers of a zone."""
+        return [server for server in self.servers if server.zone == zone]
+
+    def evacuate(self, zone):
+        """Asks for the evacuation of a zone; the store acknowledges it."""
+        self.store.put(f"{EVACUATIONS}{zone}", b"{}")
+        self.checks.evacuations.zone_evacuated(zone)
+
+    def withdraw_evacuation(self, zone):
+        """Withdraws the evacuation of a zone."""
+        self.checks.evacuations.zone_returned(zone)
+        self.store.delete(f"{EVACUATIONS}{zone}")
+
     def start(self):
         """Starts every entry VM."""
         for node in self.nodes:
--- a/briarspoke/soak/faults.py
+++ b/briarspoke/soak/faults.py
@@ -4,6 +4,9 @@
 
 import signal
 
+from briarspoke.soak.demand import KEY_COUNT, SURGE_FACTOR
+from briarspoke.soak.deployment import ZONES
+
 by_name = {}
 
 
@@ -50,10 +53,12 @@
 def cut_node_from_store(run):
     node = run.choose(run.deployment.nodes)
     run.checks.disturbed(node.name)
+    run.checks.evacuations.path_broken(node.name)
     node.proxy.set_mode(run.choose(("silent", "reset", "one-way", "slow")))
 
     def end():
         node.proxy.set_mode("open")
+        run.checks.evacuations.path_restored(node.name)
         run.checks.undisturbed(node.name)
 
     return end
@@ -63,9 +68,14 @@
 def store_outage(run):
     stand_in = run.deployment.store_stand_in
     stand_in.outage = run.choose(("busy", "silent", "reset"))
+    run.checks.cold.store_failed()
+    for node in run.deployment.nodes:
+        run.checks.evacuations.path_broken(node.name)
 
     def end():
         stand_in.outage = ""
+        for node in run.deployment.nodes:
+            run.checks.evacuations.path_restored(node.name)
 
     return end
 
@@ -192,3 +202,71 @@
         server.register()
 
     return end
+
+
+@fault
+def cold_server(run):
+    """One server or all of a service become cold again while they serve."""
+    server = run.choose(run.deployment.servers)
+    servers = [s for s in run.deployment.servers if s.service == server.service]
+    # Nobody can learn of it while the store is out.
+    if not run.deployment.store_stand_in.outage:
+        for cold in servers if run.choose((True, False)) else [server]:
+            # A server that is not registered is not known to be cold.
+            if cold.is_renewing:
+                cold.become_cold()
+    return lambda: None
+
+
+@fault
+def slow_server(run):
+    stand_in = run.choose(run.deployment.servers).stand_in
+    stand_in.slowness = 3.0
+
+    def end():
+        stand_in.slowness = 1.0
+
+    return end
+
+
+@fault
+def false_load(run):
+    stand_in = run.choose(run.deployment.servers).stand_in
+    stand_in.false_load = run.choose(
+        (b"0,0,4", b"0,0,0", b"99999999999,7,4,1", b"x", b"-1,0,4", b"4,16,4,900")
+    )
+
+    def end():
+        stand_in.false_load = None
+
+    return end
+
+
+@fault
+def hot_key(run):
+    run.demand.hot_key = run.choose(range(KEY_COUNT))
+
+    def end():
+        run.demand.hot_key = None
+
+    return end
+
+
+@fault
+def surge(run):
+    run.demand.factor = SURGE_FACTOR
+
+    def end():
+        run.demand.factor = 1.0
+
+    return end
+
+
+@fault
+def moved_callers(run):
+    run.demand.zone = run.choose(ZONES)
+
+    def end():
+        run.demand.zone = None
+
+    return end
--- a/briarspoke/soak/run.py
+++ b/briarspoke/soak/run.py
@@ -12,6 +12,7 @@
 from briarspoke.entry.heldbytes import HeldBytes
 from briarspoke.soak import faults
 from briarspoke.soak.checks import Checks
+from briarspoke.soak.demand import Demand
 from briarspoke.soak.deployment import HOST, ROUTES, Deployment
 from briarspoke.standins import platform_documents
 
@@ -29,6 +30,14 @@
 LIMITS_PER_S = (0.5, 1.0, 2.0)
 LIMITED_S = (8.0, 14.0)
 UNLIMITED_S = (0.2, 3.0)
+# Zones that are evacuated together, more often one alone; "c" has no servers. The range
+# of the times in which zones are and are not evacuated.
+EVACUATED_ZONES = (("a",), ("a",), ("b",), ("b",), ("a", "b"), ("c",))
+EVACUATED_S = (4.0, 8.0)
+NOT_EVACUATED_S = (0.5, 3.0)
+# Servers write their entries about this often.
+RENEWAL_INTERVAL_S = 0.87
+STORE_POLL_INTERVAL_S = 0.1
 MAX_ANSWER_S = 3.0
 MAX_ANSWER_BYTES = 1 << 20
 DEADLINE_MS = 2_000
@@ -107,7 +116,11 @@
         self.checks = Checks(clock=reactor.seconds)
         self.injected = []
         self.limits_named = 0
+        self.evacuated = []
         self._random = random.Random(seed)
+        self.demand = Demand(random=self._random)
+        self._checked_at = None
+        self._max_lag_s = 0.0
         self._request_count = 0
         self._served_count = self._sent_count = 0
         self._callers_by_node = {}
@@ -133,13 +146,20 @@
         """Executes the run and returns its report as a dict."""
         self.deployment.start()
         await self._sleep(STARTUP_S)
-        loops = [task.LoopingCall(self._send_request), task.LoopingCall(self._check)]
-        loops[0].start(1 / REQUESTS_PER_S)
-        loops[1].start(CHECK_INTERVAL_S)
+        loops = []
+        for function, interval_s in (
+            (self._send_requests, 1 / REQUESTS_PER_S),
+            (self._check, CHECK_INTERVAL_S),
+            (self._renew_registrations, RENEWAL_INTERVAL_S),
+        ):
+            loops.append(task.LoopingCall(function))
+            loops[-1].start(interval_s)
         try:
             limits = defer.ensureDeferred(self._name_limits())
+            evacuations = defer.ensureDeferred(self._evacuate())
             await self._inject_faults()
             await limits
+            await evacuations
             await self._sleep(RECOVERY_S)
             self._served_count = self._sent_count = 0
             await self._sleep(2 * MAX_ANSWER_S)
@@ -188,25 +208,76 @@
                 server.end_limit()
             await self._sleep(self._random.uniform(*UNLIMITED_S))
 
+    async def _evacuate(self):
+        """Evacuates zones again and again, whose servers are cold at times."""
+        end_at = self.reactor.seconds() + self.seconds
+        deployment = self.deployment
+        while self.reactor.seconds() < end_at:
+            zones = self.choose(EVACUATED_ZONES)
+            servers = [s for zone in zones for s in deployment.servers_of(zone)]
+            if self.choose((True, False, False)):
+                for server in servers:
+                    server.restart()
+            await self._store_works()
+            self.evacuated.append("+".join(zones))
+            for zone in zones:
+                deployment.evacuate(zone)
+            evacuated_s = self._random.uniform(*EVACUATED_S)
+            await self._sleep(evacuated_s / 2)
+            if self.choose((True, False)):
+                node = self.choose(deployment.nodes)
+                self.checks.disturbed(node.name)
+                self.restart(node)
+            await self._sleep(evacuated_s / 2)
+            await self._store_works()
+            if self.choose((True, True, False)):
+                for server in servers:
+                    if server.is_renewing:
+                        server.become_cold(is_serving=False)
+            for zone in zones:
+                deployment.withdraw_evacuation(zone)
+            await self._sleep(self._random.uniform(*NOT_EVACUATED_S))
+
+    async def _store_works(self):
+        """Waits until the store acknowledges writes."""
+        while self.deployment.store_stand_in.outage:
+            await self._sleep(STORE_POLL_INTERVAL_S)
+
+    def _renew_registrations(self):
+        for server in self.deployment.servers:
+            server.renew_registration()
+
     def _check(self):
+        # Arrivals are seen late by up to this lag of the soak's own process.
+        now = self.reactor.seconds()
+        if self._checked_at is not None:
+            lag_s = now - self._checked_at - CHECK_INTERVAL_S
+            self._max_lag_s = max(self._max_lag_s, lag_s)
+        self._checked_at = now
+        self.checks.arrivals.settle()
         self.checks.check_owners([s.model for s in self.deployment.servers if s.model])
 
+    def _send_requests(self):
+        for _ in range(self.demand.count()):
+            self._send_request()
+
     def _send_request(self):
         self._request_count += 1
         request_id = f"{self.seed:x}-{self._request_count:x}".encode()
         route_name, route_type, _ = self.choose(ROUTES)
-        node = self.choose(self.deployment.nodes)
+        node = self.demand.node(self.deployment.nodes)
         data = platform_documents.request(
             method=b"GET" if route_type == "safe" else b"POST",
             path=f"/{route_name}/1".encode(),
             host=HOST.encode(),
             request_id=request_id,
-            key=self._random.randrange(65_536),
+            key=self.demand.key(),
             deadline_ms=DEADLINE_MS,
         )
         self.checks.request_sent(request_id, at_most_once=route_type != "safe")
         self.checks.limits.request_sent(request_id, node.name)
         self.checks.intake.request_sent(request_id, node.name)
+        self.checks.evacuations.request_sent(request_id, node.name)
         self._sent_count += 1
         self._idle_caller(node).send(
             data, lambda answer: self._request_answered(request_id, answer)
@@ -231,6 +302,8 @@
             "seconds": self.seconds,
             "faults": len(self.injected),
             "limits": self.limits_named,
+            "evacuated": self.evacuated,
+            "max_lag_ms": round(self._max_lag_s * 1000),
             "requests": self._request_count,
             "answers": dict(self.checks.answers_by_status),
             "violations": self.checks.violations[:20],
