Keep the sendings of a request as attempts

An exchange had fields for the one attempt that it could have at a time. A hedged request has two. Each is now an Attempt with its server, its time of sending and its upstream request, and it is taken out of the requests in flight once. No change of behaviour.

--- a/briarspoke/entry/callers.py
+++ b/briarspoke/entry/callers.py
@@ -16,7 +16,8 @@
     header_bytes,
 )
 from briarspoke.entry.calleroutput import CallerOutput
-from briarspoke.entry.exchange import Exchange, Request
+from briarspoke.entry.exchange import Exchange
+from briarspoke.entry.request import Request
 from briarspoke.http.transports import write_immediately
 from briarspoke.platform import headers as header_names
 
--- a/briarspoke/entry/exchange.py
+++ b/briarspoke/entry/exchange.py
@@ -7,6 +7,7 @@
 from briarspoke import codes
 from briarspoke.entry import answers
 from briarspoke.entry.arriving import Body
+from briarspoke.entry.attempts import Attempt
 from briarspoke.entry.crashes import CRASH_FAILURES
 from briarspoke.entry.servers import WITHDRAWN
 from briarspoke.http.upstream import HOP_BY_HOP
@@ -15,10 +16,6 @@
 
 log = logging.getLogger(__name__)
 
-# Subtracted from the caller's deadline for the network time of request and answer.
-DEADLINE_MARGIN_S = 0.01
-# Used for a request without a deadline header.
-DEFAULT_DEADLINE_S = 30.0
 MAX_KEY = 65_535
 # Retries after a server answered that it is not responsible for the key, for example
 # while the key changes owner. They do not count as attempts.
@@ -38,85 +35,14 @@
 }
 
 
-class Request:
-    """A complete request of a caller.
-
-    :param method: HTTP method in bytes.
-    :param target: path and query in bytes.
-    :param headers: list of (name in lower case, value) in bytes.
-    :param body: the :class:`briarspoke.entry.arriving.Body`.
-    :param arrived_at: monotonic seconds of its first byte.
-    :param completed_at: monotonic seconds of its last byte.
-    """
-
-    __slots__ = (
-        "arrived_at",
-        "body",
-        "closes_connection",
-        "completed_at",
-        "deadline_s",
-        "fingerprint",
-        "headers",
-        "held_bytes",
-        "host",
-        "key",
-        "method",
-        "request_id",
-        "target",
-    )
-
-    def __init__(self, *, method, target, headers, body, arrived_at, completed_at):
-        self.method = method
-        self.target = target
-        self.headers = headers
-        self.body = body
-        self.arrived_at = arrived_at
-        self.completed_at = completed_at
-        self.closes_connection = False
-        # Bytes that the limit on held request bodies counts for this request.
-        self.held_bytes = 0
-        self.host = b""
-        self.request_id = b""
-        self.deadline_s = None
-        self.key = None
-        # See :class:`briarspoke.entry.fingerprints.Fingerprints`; computed when needed.
-        self.fingerprint = None
-        for name, value in headers:
-            if name == b"host":
-                self.host = value.split(b":")[0].strip().lower()
-            elif name == header_names.REQUEST_ID:
-                self.request_id = value
-            elif name == header_names.DEADLINE_MS:
-                if value.isdigit() and len(value) < 10:
-                    self.deadline_s = int(value) / 1000
-            elif name == header_names.KEY and value.isdigit() and len(value) < 6:
-                self.key = int(value)
-
-    @property
-    def path(self):
-        """Path of the target, without the query."""
-        return self.target.partition(b"?")[0]
-
-    def expires_at(self, route):
-        """Returns the time at which the caller's or the route's time limit ends.
-
-        :param route: the :class:`briarspoke.entry.routes.Route`.
-        """
-        wait_s = self.deadline_s or DEFAULT_DEADLINE_S
-        if self.deadline_s is not None:
-            wait_s -= DEADLINE_MARGIN_S
-        if route.timeout_s is not None:
-            wait_s = min(wait_s, route.timeout_s)
-        return self.arrived_at + wait_s
-
-
 class Exchange:
     """Sends a request to a server, retries it if allowed, and answers the caller.
 
     :param node: the :class:`briarspoke.entry.node.EntryNode`.
     :param connection: the caller's
         :class:`briarspoke.entry.callers.CallerConnection`.
-    :param request: the :class:`Request`.
+    :param request: the :class:`briarspoke.entry.request.Request`.
+    :ivar running: the :class:`Attempt` objects that are not answered yet.
     """
 
     __slots__ = (
@@ -136,11 +62,9 @@
         "refusal_code",
         "request",
         "route",
-        "sent_at",
-        "server",
+        "running",
         "tried",
         "unknown_outcome_code",
-        "upstream_request",
     )
 
     def __init__(self, *, node, connection, request):
@@ -151,9 +75,7 @@
         self.done = False
         self.route = None
         self.dispatcher = None
-        self.server = None
-        self.upstream_request = None
-        self.sent_at = 0.0
+        self.running = []
         self.expires_at = 0.0
         self.queued_at = None
         self.give_up_at = None
@@ -250,18 +172,17 @@
                 "queue_seconds", self.route.priority, now - self.request.completed_at
             )
         self.queued_at = None
-        self.server = server
-        self.sent_at = now
         self.tried = (*self.tried, server)
         self.attempts += 1
-        server.in_flight += 1
+        attempt = Attempt(exchange=self, server=server, sent_at=now)
+        self.running.append(attempt)
         if server.limit.per_s is not None:
             self.node.metrics.count("limited_sends_total", self.dispatcher.name)
             self.node.rate_limits.take_permit(server)
         request = self.request
-        self.upstream_request = server.send(
+        attempt.upstream_request = server.send(
             self._encode_head(server, now),
-            self._handle_answer,
+            attempt.handle_answer,
             body=request.body,
             idempotent=self.route.idempotent,
             objective_s=self.route.objective_s,
@@ -291,52 +212,55 @@
             server.target,
         )
 
-    def _handle_answer(self, answer):
-        server, self.server = self.server, None
-        self.upstream_request = None
-        server.in_flight -= 1
+    def handle_answer(self, attempt, answer):
+        """Handles the answer to an attempt, or its failure.
+
+        :param answer: the :class:`briarspoke.entry.connections.Answer`.
+        """
+        self.running.remove(attempt)
+        attempt.end()
         try:
-            self._process_answer(server, answer)
+            self._process_answer(attempt, answer)
         except Exception:
             # The caller gets an answer now, and one that does not claim more than is
             # known about the request.
             log.exception("requests: cannot process an answer")
             self.node.metrics.count("internal_errors_total", "answer")
             self._end_unknown(codes.OUTCOME_UNKNOWN)
-        self.dispatcher.on_request_ended(server)
+        self.dispatcher.on_request_ended(attempt.server)
 
-    def _process_answer(self, server, answer):
+    def _process_answer(self, attempt, answer):
+        server = attempt.server
         if self._tells_limit(server, answer):
             self.node.rate_limits.record_answer(
-                self.dispatcher.name, server, answer, self.sent_at
+                self.dispatcher.name, server, answer, attempt.sent_at
             )
         if answer.status is None:
-            self._handle_failure(server, answer)
+            self._handle_failure(attempt, answer)
             return
         answering_id = answer.get(header_names.SERVER_ID)
         if answering_id is None or answering_id == server.target:
-            self.node.crashes.server_answered(server, self.sent_at)
+            self.node.crashes.server_answered(server, attempt.sent_at)
             self.node.notices.record_answer(self.dispatcher.name, server, answer)
         else:
             self.node.crashes.server_replaced(server)
         if answer.get(header_names.NOT_RUN) is not None or answer.status == 421:
             self._handle_not_run(server, answer)
         else:
-            self._handle_server_answer(server, answer)
+            self._handle_server_answer(attempt, answer)
 
-    def _handle_server_answer(self, server, answer):
-        now = self.node.now()
+    def _handle_server_answer(self, attempt, answer):
+        server = attempt.server
+        seconds = self.node.now() - attempt.sent_at
         self.node.crashes.run_ended(self.request)
-        self.node.metrics.observe(
-            "server_seconds", self.dispatcher.name, now - self.sent_at
-        )
+        self.node.metrics.observe("server_seconds", self.dispatcher.name, seconds)
         if _is_spoiled(answer):
             server.record_loss()
             self.node.metrics.count("attempts_total", "spoiled")
-            self._retry_or_fail(server, codes.ANSWER_MALFORMED, "spoiled")
+            self._retry_or_fail(attempt, codes.ANSWER_MALFORMED, "spoiled")
             return
         if answer.status < 500:
-            self.dispatcher.count_answer(self, server, now - self.sent_at)
+            self.dispatcher.count_answer(self, server, seconds)
             self.node.metrics.count("attempts_total", "answered")
         else:
             server.record_loss()
@@ -379,10 +303,11 @@
             return
         self._end_not_run(codes.SERVER_SHED, self.node.RETRY_AFTER_LOAD_S)
 
-    def _handle_failure(self, server, answer):
+    def _handle_failure(self, attempt, answer):
+        server = attempt.server
         if answer.failure == WITHDRAWN:
             self.attempts -= 1
-            self.tried = self.tried[:-1]
+            self._forget_try(server)
             self.dispatcher.dispatch(self)
             return
         self.node.crashes.attempt_failed(
@@ -401,10 +326,16 @@
             self.attempts -= 1
             self.dispatcher.on_unreachable(self, server)
             return
-        self._retry_or_fail(server, codes.OUTCOME_UNKNOWN, answer.failure)
+        self._retry_or_fail(attempt, codes.OUTCOME_UNKNOWN, answer.failure)
+
+    def _forget_try(self, server):
+        tried = list(self.tried)
+        # The latest one: an owner of keys may have got the request before.
+        last = len(tried) - 1 - tried[::-1].index(server)
+        self.tried = (*tried[:last], *tried[last + 1 :])
 
-    def _retry_or_fail(self, server, code, reason):
-        self.node.request_log.log_attempt(self, server, reason)
+    def _retry_or_fail(self, attempt, code, reason):
+        self.node.request_log.log_attempt(attempt, reason)
         self.unknown_outcome_code = code
         if (
             self.route.idempotent
@@ -470,20 +401,22 @@
         return None
 
     def _timed_out(self):
-        server = self.server
-        if server is None:
+        attempts = self._abandon_running()
+        if not attempts:
             self._end_not_run(codes.DEADLINE_IN_QUEUE, None)
             return
-        self.node.metrics.count("attempts_total", "timeout")
-        written = self.upstream_request.written
-        self._abandon_attempt()
-        server.record_unreachable()
+        for attempt in attempts:
+            self.node.metrics.count("attempts_total", "timeout")
+            attempt.server.record_unreachable()
+        written = [attempt for attempt in attempts if attempt.may_have_run]
         if not written:
             self._end_not_run(codes.OWNER_UNREACHABLE, None)
         else:
-            self.node.request_log.log_attempt(self, server, "timeout")
+            for attempt in written:
+                self.node.request_log.log_attempt(attempt, "timeout")
             self._end_unknown(codes.ANSWER_TIMEOUT)
-        self.dispatcher.on_request_ended(server)
+        for attempt in attempts:
+            self.dispatcher.on_request_ended(attempt.server)
 
     def end_for_shutdown(self):
         """Answers the request without further waiting, because the process stops."""
@@ -491,21 +424,20 @@
             return
         if self.queued_at is not None:
             self.dispatcher.dequeue(self)
-        written = self.server is not None and self.upstream_request.written
-        if self.server is not None:
-            server = self.server
-            self._abandon_attempt()
-            self.node.request_log.log_attempt(self, server, "process-ends")
-        if written:
+        attempts = self._abandon_running()
+        for attempt in attempts:
+            self.node.request_log.log_attempt(attempt, "process-ends")
+        if any(attempt.may_have_run for attempt in attempts):
             self._end_unknown(codes.OUTCOME_UNKNOWN)
         else:
             self._end_not_run(codes.SHUTTING_DOWN, self.node.RETRY_AFTER_UNAVAILABLE_S)
 
-    def _abandon_attempt(self):
-        server, self.server = self.server, None
-        self.upstream_request.abandon()
-        self.upstream_request = None
-        server.in_flight -= 1
+    def _abandon_running(self):
+        """Abandons all attempts and returns them."""
+        attempts, self.running = self.running, []
+        for attempt in attempts:
+            attempt.abandon()
+        return attempts
 
     def caller_gone(self):
         """Ends the request without an answer, since the caller has disconnected."""
@@ -516,10 +448,8 @@
         self.node.metrics.count("refusals_total", codes.CALLER_GONE.number)
         if self.queued_at is not None:
             self.dispatcher.dequeue(self)
-        if self.server is not None:
-            server = self.server
-            self._abandon_attempt()
-            self.dispatcher.on_request_ended(server)
+        for attempt in self._abandon_running():
+            self.dispatcher.on_request_ended(attempt.server)
 
     def _end(self, answer):
         if self.done:
--- a/briarspoke/entry/fingerprints.py
+++ b/briarspoke/entry/fingerprints.py
@@ -86,7 +86,7 @@
         Two requests have the same one if a server cannot tell them apart but by the
         identifier and the time left of the attempt.
 
-        :param request: the :class:`briarspoke.entry.exchange.Request`.
+        :param request: the :class:`briarspoke.entry.request.Request`.
         """
         caller = self._hash(CALLER_BYTES)
         for name, value in request.headers:
--- a/briarspoke/entry/node.py
+++ b/briarspoke/entry/node.py
@@ -347,7 +347,7 @@
     def may_outlast_stop(self, request):
         """Returns whether the time limit of a request ends after the process.
 
-        :param request: the :class:`briarspoke.entry.exchange.Request`.
+        :param request: the :class:`briarspoke.entry.request.Request`.
         """
         if self.routing_table is None:
             return False
--- a/briarspoke/entry/requestlog.py
+++ b/briarspoke/entry/requestlog.py
@@ -41,7 +41,10 @@
         request = exchange.request
         server = None
         if exchange.dispatcher is not None:
-            server = exchange.server or exchange.dispatcher.owner_of(exchange)
+            if exchange.running:
+                server = exchange.running[0].server
+            else:
+                server = exchange.dispatcher.owner_of(exchange)
         contact = node.view.last_contact
         log.info(
             "requests: %s id=%s code=%d route=%s service=%s key=%s attempts=%d "
@@ -66,8 +69,12 @@
             self._take_left_out(),
         )
 
-    def log_attempt(self, exchange, server, reason):
-        """Logs an attempt whose outcome is unknown."""
+    def log_attempt(self, attempt, reason):
+        """Logs an attempt whose outcome is unknown.
+
+        :param attempt: the :class:`briarspoke.entry.attempts.Attempt`.
+        """
+        exchange, server = attempt.exchange, attempt.server
         if self._rate_limiter.allows():
             log.info(
                 "requests: attempt failed id=%s server=%s reason=%s after_ms=%d "
@@ -75,7 +82,7 @@
                 logs.field(exchange.request.request_id.decode("latin-1")),
                 server.record.server_id,
                 reason,
-                (self._node.now() - exchange.sent_at) * 1000,
+                (self._node.now() - attempt.sent_at) * 1000,
                 server.in_flight,
                 exchange.attempts,
                 self._take_left_out(),
