Send second copies of slow requests that may be repeated

A heavy tail of answer times decides the p99 of lookups on services without keys, while the servers have free capacity. With hedge_share above 0, a request that is slower than nearly all others of its route is sent to a second server; the first whole, signed answer wins and the other attempt is cancelled. The limit is a credit that grows with a VM's own requests, so it holds over all VMs without their number; copies also draw on the retry budget and leave retries their part. No copies are sent when capacity is short.

--- a/briarspoke/entry/attempts.py
+++ b/briarspoke/entry/attempts.py
@@ -12,14 +12,23 @@
     :param exchange: the :class:`briarspoke.entry.exchange.Exchange`.
     :param server: the :class:`briarspoke.entry.servers.Server`.
     :param sent_at: monotonic seconds.
+    :param is_copy: whether another attempt was running at that time.
     """
 
-    __slots__ = ("exchange", "is_running", "sent_at", "server", "upstream_request")
+    __slots__ = (
+        "exchange",
+        "is_copy",
+        "is_running",
+        "sent_at",
+        "server",
+        "upstream_request",
+    )
 
-    def __init__(self, *, exchange, server, sent_at):
+    def __init__(self, *, exchange, server, sent_at, is_copy=False):
         self.exchange = exchange
         self.server = server
         self.sent_at = sent_at
+        self.is_copy = is_copy
         # The :class:`briarspoke.entry.servers.UpstreamRequest`.
         self.upstream_request = None
         self.is_running = True
@@ -29,6 +38,10 @@
         """Passes an answer, or the reason why there is none, to the exchange."""
         self.exchange.handle_answer(self, answer)
 
+    def on_timer(self, now):
+        """Called when the request is due for a copy, if it still runs."""
+        self.exchange.dispatcher.copies.send_due(self)
+
     @property
     def may_have_run(self):
         """Whether any of the request was written to the server."""
@@ -44,4 +57,5 @@
         """Closes the connection, so that the server stops working on the request."""
         if self.is_running:
             self.end()
-            self.upstream_request.abandon()
+            if self.upstream_request is not None:
+                self.upstream_request.abandon()
--- a/briarspoke/entry/budget.py
+++ b/briarspoke/entry/budget.py
@@ -12,6 +12,41 @@
 SAFETY_FACTOR = 0.8
 
 
+# Part of a VM's retries per request that copies of slow requests may use. The rest and
+# all of the slack are for retries of requests that have failed, which need them more.
+COPY_FRACTION = 0.75
+
+
+class WindowCounter:
+    """Counts events within a sliding window.
+
+    An event is counted for the length of the window and at most one step longer.
+
+    :param window_s: length of the window in seconds.
+    """
+
+    __slots__ = ("_counters", "_step_s")
+
+    def __init__(self, *, window_s):
+        self._step_s = window_s / WINDOW_STEPS
+        self._counters = collections.deque()
+
+    def add(self, now):
+        """Counts an event."""
+        step = int(now / self._step_s)
+        if self._counters and self._counters[-1][0] == step:
+            self._counters[-1][1] += 1
+        else:
+            self._counters.append([step, 1])
+
+    def total(self, now):
+        """Returns the number of events in the window that ends now."""
+        oldest = int(now / self._step_s) - WINDOW_STEPS
+        while self._counters and self._counters[0][0] < oldest:
+            self._counters.popleft()
+        return sum(count for _, count in self._counters)
+
+
 class RetryBudget:
     """Limits the retries of one service within a sliding window.
 
@@ -24,46 +59,41 @@
     :param window_s: length of the window in seconds.
     """
 
-    __slots__ = ("_ratio", "_requests", "_slack", "_spent", "_step_s")
+    __slots__ = ("_ratio", "_requests", "_slack", "_spent")
 
     def __init__(self, *, ratio, slack, window_s):
         self._ratio = ratio
         self._slack = slack
-        self._step_s = window_s / WINDOW_STEPS
-        self._requests = collections.deque()
-        self._spent = collections.deque()
+        self._requests = WindowCounter(window_s=window_s)
+        self._spent = WindowCounter(window_s=window_s)
 
     def set_limits(self, *, ratio, slack):
         """Changes the limits; retries that are already counted stay counted."""
         self._ratio = ratio
         self._slack = slack
 
-    def _add(self, counters, now):
-        step = int(now / self._step_s)
-        if counters and counters[-1][0] == step:
-            counters[-1][1] += 1
-        else:
-            counters.append([step, 1])
-
-    def _total(self, counters, now):
-        oldest = int(now / self._step_s) - WINDOW_STEPS
-        while counters and counters[0][0] < oldest:
-            counters.popleft()
-        return sum(count for _, count in counters)
-
     def count_request(self, now):
         """Counts a caller's request."""
-        self._add(self._requests, now)
+        self._requests.add(now)
 
     def spend(self, now, nodes):
         """Returns whether one more retry may be sent, and counts it if so.
 
         :param nodes: number of entry VMs that share the slack.
         """
-        allowed = SAFETY_FACTOR * (
-            self._ratio * self._total(self._requests, now) + self._slack / max(1, nodes)
+        return self._spend(
+            now, self._ratio * self._requests.total(now) + self._slack / max(1, nodes)
         )
-        if self._total(self._spent, now) + 1 > allowed:
+
+    def spend_copy(self, now):
+        """Returns whether one more copy may be sent, and counts it if so.
+
+        Copies use none of the slack, so a wrong number of entry VMs does not matter.
+        """
+        return self._spend(now, COPY_FRACTION * self._ratio * self._requests.total(now))
+
+    def _spend(self, now, allowed):
+        if self._spent.total(now) + 1 > SAFETY_FACTOR * allowed:
             return False
-        self._add(self._spent, now)
+        self._spent.add(now)
         return True
--- a/briarspoke/entry/crashes.py
+++ b/briarspoke/entry/crashes.py
@@ -253,6 +253,22 @@
         )
         return failed_at <= 1
 
+    def may_copy(self, request):
+        """Returns whether a copy of a running request may be sent to another server.
+
+        No server may have ended, or be about to be known as ended, under the request.
+        """
+        fingerprint = self._fingerprint(request)
+        if self.suspects.is_exempt(fingerprint):
+            return True
+        suspect = self.suspects.by_fingerprint.get(fingerprint)
+        if suspect is not None and suspect.weight_by_instance:
+            return False
+        return not any(
+            fingerprint in pending.fingerprints
+            for pending in self._pending_by_instance.values()
+        )
+
     def refusal(self, request, *, sending):
         """Decides whether a request is held back.
 
--- a/briarspoke/entry/dispatch.py
+++ b/briarspoke/entry/dispatch.py
@@ -11,6 +11,7 @@
 from briarspoke.entry import shares
 from briarspoke.entry.allowances import Gates
 from briarspoke.entry.budget import RetryBudget
+from briarspoke.entry.copies import Copies
 from briarspoke.entry.misdirection import MisdirectedOwners
 from briarspoke.entry.permitqueue import PermitQueue
 from briarspoke.entry.selection import ServerSelection
@@ -77,6 +78,7 @@
         self._node = node
         self.selection = ServerSelection(node=node, dispatcher=self)
         self.permit_queue = PermitQueue(node=node, dispatcher=self)
+        self.copies = Copies(node=node, dispatcher=self)
         # Heap of (rank, sequence number, exchange): requests that wait for any server,
         # or until their key has an owner. Others wait in the queue of the owner.
         self.waiting = []
@@ -91,6 +93,7 @@
     def count_request(self, exchange):
         """Counts a caller's request for the retry budget and the load per key."""
         self.budget.count_request(self._node.now())
+        self.copies.count_request(exchange)
         key = exchange.request.key
         if key is not None and self.keyed:
             self._node.key_load.count(self.name, key)
@@ -129,6 +132,7 @@
         :param seconds: service time of the request.
         """
         weight = server.record_answer(seconds)
+        self.copies.record_answer(exchange, seconds)
         self._service_time(exchange.route).record(seconds)
         if not self.keyed:
             return
@@ -406,6 +410,7 @@
 
     def on_shed(self, server):
         """Pauses a server that has shed a request."""
+        self.copies.record_rejection()
         if self.keyed:
             # The owner is the only server for its keys, so a retry has to wait until
             # one of its slots is likely to be free.
@@ -455,6 +460,7 @@
 
     def on_request_ended(self, server):
         """Sends waiting requests after a request at a server has ended."""
+        self.copies.in_flight_changed()
         while server.waiting and self.selection.has_capacity(server):
             exchange = self._pop_most_urgent(server.waiting)
             if exchange is not None:
--- a/briarspoke/entry/exchange.py
+++ b/briarspoke/entry/exchange.py
@@ -24,6 +24,8 @@
 UNREACHABLE_FAILURES = frozenset({"connect", "refused", "timeout"})
 # Longest time after which a caller whose request is held back is asked to come back.
 MAX_RETRY_AFTER_S = 30.0
+# Answers that say that the request has not run, with or without the platform's header.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # Delay before a request is sent again to an owner that did not hold its key yet.
 SAME_OWNER_RETRY_DELAY_S = 0.08
 
@@ -49,6 +51,7 @@
         "_avoid_owner_until",
         "_encoded_head",
         "_misdirected_by",
+        "_unsigned_answer",
         "answer",
         "attempts",
         "connection",
@@ -56,6 +59,7 @@
         "done",
         "expires_at",
         "give_up_at",
+        "has_copy",
         "misdirected_count",
         "node",
         "queued_at",
@@ -92,6 +96,10 @@
         # Result code if the request leaves its queue without being sent.
         self.refusal_code = codes.QUEUE_FULL
         self._encoded_head = None
+        # Whether the request has been sent a second time while the first one ran.
+        self.has_copy = False
+        # Answer without a signature that arrived while another attempt ran.
+        self._unsigned_answer = None
 
     def start(self):
         """Finds the route of the request and dispatches it."""
@@ -166,16 +174,26 @@
         """Sends the request to a server that has capacity for it."""
         if self.refuse_if_too_late(server) or self._refuse_if_held_back(sending=True):
             return
-        now = self.node.now()
         if not self.tried:
+            now = self.node.now()
             self.node.metrics.observe(
                 "queue_seconds", self.route.priority, now - self.request.completed_at
             )
         self.queued_at = None
+        self._begin_attempt(server)
+
+    def send_copy(self, server):
+        """Sends the request to a second server while the first one runs it."""
+        self.has_copy = True
+        self._begin_attempt(server, is_copy=True)
+
+    def _begin_attempt(self, server, *, is_copy=False):
+        now = self.node.now()
         self.tried = (*self.tried, server)
         self.attempts += 1
-        attempt = Attempt(exchange=self, server=server, sent_at=now)
+        attempt = Attempt(exchange=self, server=server, sent_at=now, is_copy=is_copy)
         self.running.append(attempt)
+        self.dispatcher.copies.in_flight_changed()
         if server.limit.per_s is not None:
             self.node.metrics.count("limited_sends_total", self.dispatcher.name)
             self.node.rate_limits.take_permit(server)
@@ -191,6 +209,7 @@
             else None,
             is_head=request.method == b"HEAD",
         )
+        self.dispatcher.copies.schedule(attempt)
 
     def _encode_head(self, server, now):
         request = self.request
@@ -262,9 +281,23 @@
         if answer.status < 500:
             self.dispatcher.count_answer(self, server, seconds)
             self.node.metrics.count("attempts_total", "answered")
+            if self.running and answer.status in NOT_RUN_STATUSES:
+                return
+            if self.running and answer.get(header_names.SIGNATURE) is None:
+                # The other attempt may still get an answer of the server itself.
+                self._unsigned_answer = answer
+                return
+            if self.has_copy:
+                outcome = "won" if attempt.is_copy else "lost"
+                self.node.metrics.count("hedges_total", outcome)
         else:
             server.record_loss()
             self.node.metrics.count("attempts_total", "server-error")
+            if self.running:
+                self.unknown_outcome_code = codes.OUTCOME_UNKNOWN
+                return
+            if self._end_unsigned():
+                return
             if self.route.idempotent and self._may_retry("server-error"):
                 self.unknown_outcome_code = codes.OUTCOME_UNKNOWN
                 self.dispatcher.dispatch(self)
@@ -287,6 +320,8 @@
             self.dispatcher.on_misdirected(
                 self, server, answer.get(header_names.SERVER_ID)
             )
+            if self._is_left_to_other():
+                return
             if self.misdirected_count <= MAX_MISDIRECTED_RETRIES and self._spend_retry(
                 "misdirected"
             ):
@@ -298,6 +333,8 @@
             return
         self.node.metrics.count("attempts_total", "shed")
         self.dispatcher.on_shed(server)
+        if self._is_left_to_other():
+            return
         if self._may_retry("shed"):
             self.dispatcher.dispatch(self)
             return
@@ -308,7 +345,8 @@
         if answer.failure == WITHDRAWN:
             self.attempts -= 1
             self._forget_try(server)
-            self.dispatcher.dispatch(self)
+            if not self._is_left_to_other():
+                self.dispatcher.dispatch(self)
             return
         self.node.crashes.attempt_failed(
             self.dispatcher.name, server, self.request, answer.failure
@@ -324,7 +362,8 @@
                 self.dispatcher.on_reset(server)
         if not answer.sent:
             self.attempts -= 1
-            self.dispatcher.on_unreachable(self, server)
+            if not self._is_left_to_other():
+                self.dispatcher.on_unreachable(self, server)
             return
         self._retry_or_fail(attempt, codes.OUTCOME_UNKNOWN, answer.failure)
 
@@ -337,6 +376,8 @@
     def _retry_or_fail(self, attempt, code, reason):
         self.node.request_log.log_attempt(attempt, reason)
         self.unknown_outcome_code = code
+        if self._is_left_to_other():
+            return
         if (
             self.route.idempotent
             and self._may_repeat(reason)
@@ -346,6 +387,19 @@
         else:
             self._end_unknown(code)
 
+    def _is_left_to_other(self):
+        """Returns whether another attempt decides the result after one has failed.
+
+        An answer that the other one has got without a signature is given now.
+        """
+        return bool(self.running) or self._end_unsigned()
+
+    def _end_unsigned(self):
+        if self._unsigned_answer is None:
+            return False
+        self._end(self._unsigned_answer)
+        return True
+
     def _may_repeat(self, reason):
         return reason not in CRASH_FAILURES or self.node.crashes.may_repeat(
             self.request
@@ -373,6 +427,8 @@
         self._end_not_run(code, retry_after_s)
 
     def _end_not_run(self, code, retry_after_s):
+        if self._end_unsigned():
+            return
         if self.unknown_outcome_code is not None:
             # The refusal of a retry does not say whether an earlier attempt has run.
             self._end_unknown(self.unknown_outcome_code)
@@ -380,7 +436,8 @@
         self._end((code, "no", retry_after_s))
 
     def _end_unknown(self, code):
-        self._end((code, "unknown", None))
+        if not self._end_unsigned():
+            self._end((code, "unknown", None))
 
     def on_timer(self, now):
         """Ends the request if its wait in a queue or its deadline has expired.
@@ -407,7 +464,11 @@
             return
         for attempt in attempts:
             self.node.metrics.count("attempts_total", "timeout")
-            attempt.server.record_unreachable()
+            if attempt.is_copy:
+                # It has had less time than a request normally has.
+                attempt.server.record_unfinished(self.node.now() - attempt.sent_at)
+            else:
+                attempt.server.record_unreachable()
         written = [attempt for attempt in attempts if attempt.may_have_run]
         if not written:
             self._end_not_run(codes.OWNER_UNREACHABLE, None)
@@ -456,7 +517,11 @@
             return
         self.done = True
         self.answer = answer
+        abandoned = self._abandon_running()
         self._release_body()
+        for attempt in abandoned:
+            self.node.metrics.count("attempts_total", "abandoned")
+            self.dispatcher.copies.record_abandoned(attempt)
         if isinstance(answer, tuple):
             self.node.request_log.log_result(answer[0], self)
         else:
@@ -468,6 +533,8 @@
                 self.node.now() - self.request.arrived_at,
             )
         self.connection.answer_ready()
+        for attempt in abandoned:
+            self.dispatcher.on_request_ended(attempt.server)
 
     def _release_body(self):
         # The timer keeps a reference to the exchange until the deadline.
--- a/briarspoke/entry/gauges.py
+++ b/briarspoke/entry/gauges.py
@@ -44,6 +44,14 @@
     }
 
 
+def _hedge_delays(node):
+    return {
+        dispatcher.name: dispatcher.copies.last_delay_s
+        for dispatcher in node.dispatchers()
+        if dispatcher.copies.last_delay_s is not None
+    }
+
+
 def register(node, loop_lag):
     """Registers the gauges of an entry VM with its metrics.
 
@@ -61,6 +69,7 @@
     gauge("store_age_seconds", lambda: _age(node.now(), view.last_contact))
     gauge("servers_known", lambda: sum(1 for _ in node.all_records()))
     gauge("servers_limited", lambda: _limited_servers(node))
+    gauge("hedge_delay_seconds", lambda: _hedge_delays(node))
     gauge("connections_open", lambda: len(node.callers))
     gauge("key_ranges", lambda: {name: len(m.starts) for name, m in maps.items()})
     gauge("key_ranges_moving", node.control.moves_by_service)
--- a/briarspoke/entry/reload.py
+++ b/briarspoke/entry/reload.py
@@ -18,6 +18,7 @@
     {
         "drain_s",
         "grace_s",
+        "hedge_share",
         "log_level",
         "max_hold_s",
         "never_held_back",
--- a/briarspoke/entry/selection.py
+++ b/briarspoke/entry/selection.py
@@ -113,10 +113,12 @@
         )
         return 2 * missing_count > len(self._dispatcher.servers)
 
-    def choose(self, exchange):
+    def choose(self, exchange, accepts=None):
         """Returns the best server for a request without a key, or None.
 
         :param exchange: the :class:`briarspoke.entry.exchange.Exchange`.
+        :param accepts: function that returns whether a server may get the request, or
+            None if all may.
         """
         now = self._node.now()
         zone = self._node.settings.zone
@@ -132,6 +134,8 @@
         for server in usable:
             if server in exchange.tried or not self._has_slot(server):
                 continue
+            if accepts is not None and not accepts(server):
+                continue
             if not self._node.rate_limits.has_permit(server):
                 without_permit.append(server)
                 continue
--- a/briarspoke/entry/servers.py
+++ b/briarspoke/entry/servers.py
@@ -200,6 +200,16 @@
         """Records an attempt whose answer was lost or unusable."""
         self.loss_rate += LOSS_RATE_WEIGHT * (1.0 - self.loss_rate)
 
+    def record_unfinished(self, seconds):
+        """Records that an attempt was abandoned for the answer of another server.
+
+        That is no failure, but the answer would have taken longer. Otherwise a server
+        that never answers would keep its expected service time.
+
+        :param seconds: time since the attempt was sent.
+        """
+        self.latency_s += LATENCY_WEIGHT * max(0.0, seconds - self.latency_s)
+
     def record_unreachable(self):
         """Records an unreachable server; pauses it after consecutive failures."""
         self.record_loss()
--- a/briarspoke/metrics.py
+++ b/briarspoke/metrics.py
@@ -29,6 +29,16 @@
         "reason",
         "Failed attempts that were not retried, by reason.",
     ),
+    "hedges_total": (
+        "outcome",
+        "Second copies of slow requests: sent; won and lost, the copies with which the "
+        "copy or the first one was answered first.",
+    ),
+    "hedges_denied_total": (
+        "reason",
+        "Second copies of slow requests that were due and not sent, by reason. "
+        "Capacity is short with queue, busy and rejected.",
+    ),
     "first_attempts_total": ("", "Requests whose first attempt was started."),
     "attempts_total": ("outcome", "Attempts that ended, by outcome."),
     "handover_waits_total": (
@@ -118,6 +128,10 @@
         "service",
         "Key ranges that are being moved, as known to the controller, by service.",
     ),
+    "hedge_delay_seconds": (
+        "service",
+        "Time after which the latest request would get a second copy, by service.",
+    ),
     "controls": ("", "1 if this entry VM is the controller of key ownership, else 0."),
     "loop_lag_seconds": ("", "Largest delay of the event loop since the last scrape."),
     "requests_held_back": (
