--- a/briarspoke/entry/routes.py
+++ b/briarspoke/entry/routes.py
@@ -163,17 +163,19 @@
         "_objective_s_by_service",
         "_routes_by_host",
         "limits",
+        "routes",
         "services",
         "version",
     )
 
     def __init__(self, *, version, routes, services, limits):
         self.version = version
+        self.routes = tuple(routes)
         self.services = services
         self.limits = limits
         self._routes_by_host = {}
         self._objective_s_by_service = {}
-        for route in sorted(routes, key=lambda route: -len(route.prefix)):
+        for route in sorted(self.routes, key=lambda route: -len(route.prefix)):
             by_prefix = self._routes_by_host.setdefault(route.host.encode(), {})
             by_prefix[route.prefix.encode()] = route
             for share in route.shares:
