Check the platform's configuration before it is sent

briarspoke check knew only the product's own configuration. It now recognises the platform's document and the settings of entry VMs. It reports what an entry VM would reject, entries that can never get requests and limits that contradict each other or the settings, and shows what differs from the version in force and what that does to requests.

--- a/briarspoke/configuration/codes.py
+++ b/briarspoke/configuration/codes.py
@@ -239,3 +239,67 @@
     500,
     "A change of the configuration would not raise its version by one.",
 )
+
+# 512x: findings in the platform's document and the settings of entry VMs.
+ROUTE_HIDDEN = register(
+    5120,
+    "route-hidden",
+    Kind.CALLER_ERROR,
+    422,
+    "Another route has the same host and prefix and gets all requests.",
+)
+ROUTE_NEVER_MATCHES = register(
+    5121,
+    "route-never-matches",
+    Kind.CALLER_ERROR,
+    422,
+    "No request can have the route's host and prefix.",
+)
+SHARE_WITHOUT_WEIGHT = register(
+    5122,
+    "share-without-weight",
+    Kind.CALLER_ERROR,
+    422,
+    "A part of a route's split has no weight and gets no requests.",
+)
+SERVICE_WITHOUT_ROUTE = register(
+    5123,
+    "service-without-route",
+    Kind.CALLER_ERROR,
+    422,
+    "No route sends requests to the service.",
+)
+OBJECTIVE_ABOVE_TIMEOUT = register(
+    5124,
+    "objective-above-timeout",
+    Kind.CALLER_ERROR,
+    422,
+    "The latency objective of a route is longer than its timeout.",
+)
+LIMIT_ABOVE_MEMORY = register(
+    5125,
+    "limit-above-memory",
+    Kind.CALLER_ERROR,
+    422,
+    "One request may be larger than the memory that an entry VM has for requests.",
+)
+ATTEMPTS_ABOVE_BUDGET = register(
+    5126,
+    "attempts-above-budget",
+    Kind.CALLER_ERROR,
+    422,
+    "The retry budget does not cover the attempts of a single request.",
+)
+HEDGE_SHARE_ABOVE_BUDGET = register(
+    5127,
+    "hedge-share-above-budget",
+    Kind.CALLER_ERROR,
+    422,
+    "The retry budget does not cover the copies that are allowed.",
+)
+NOT_UTF8 = register(
+    5128, "not-utf-8", Kind.CALLER_ERROR, 422, "The file is not text in UTF-8."
+)
+NOT_JSON = register(
+    5129, "not-json", Kind.CALLER_ERROR, 422, "The file is not a whole JSON value."
+)
--- a/briarspoke/entry/heldbytes.py
+++ b/briarspoke/entry/heldbytes.py
@@ -2,6 +2,12 @@
 
 from __future__ import annotations
 
+# Shares of the VM's memory for answers that arrive, for answers that wait for their
+# callers, and for requests until they are answered.
+ANSWERS_SHARE = 0.1
+OUTPUT_SHARE = 0.1
+REQUESTS_SHARE = 0.25
+
 
 class HeldBytes:
     """Counts the memory of messages that are held, up to a limit.
--- a/briarspoke/entry/node.py
+++ b/briarspoke/entry/node.py
@@ -15,7 +15,12 @@
 from briarspoke.entry.discovery import ServerDiscovery
 from briarspoke.entry.dispatch import Dispatcher
 from briarspoke.entry.fingerprints import Fingerprints
-from briarspoke.entry.heldbytes import HeldBytes
+from briarspoke.entry.heldbytes import (
+    ANSWERS_SHARE,
+    OUTPUT_SHARE,
+    REQUESTS_SHARE,
+    HeldBytes,
+)
 from briarspoke.entry.httpclient import HttpClient
 from briarspoke.entry.notices import Notices
 from briarspoke.entry.ratelimits import RateLimits
@@ -45,11 +50,6 @@
 # Time to send these final answers before the process ends.
 FLUSH_S = 0.3
 LISTEN_BACKLOG = 512
-# Shares of the VM's memory for answers that arrive, for answers that wait for their
-# callers, and for requests until they are answered.
-ANSWERS_SHARE = 0.1
-OUTPUT_SHARE = 0.1
-REQUESTS_SHARE = 0.25
 
 
 class EntryNode:
--- a/briarspoke/output.py
+++ b/briarspoke/output.py
@@ -33,11 +33,14 @@
 def print_differences(changes):
     """Prints the resources that a change affects, and each modified option.
 
-    :param changes: list ``changes`` of an API answer.
+    :param changes: list ``changes`` of an API answer, or of objects like those with
+        the effects on requests as ``effects``.
     """
     for change in changes:
         sign = {"create": "+", "update": "~", "delete": "-"}[change["action"]]
-        print(f"{sign} {change['kind']}/{change['name']}")
+        effects = change.get("effects")
+        suffix = f" ({', '.join(effects)})" if effects else ""
+        print(f"{sign} {change['kind']}/{change['name']}{suffix}")
         if change["action"] == "update":
             _print_options("", change["before"], change["after"])
     sys.stdout.flush()
