--- a/briarspoke/entry/copies.py
+++ b/briarspoke/entry/copies.py
@@ -223,10 +223,10 @@
         self._is_suspended = is_suspended
         if self._lines.allows():
             log.info(
-                "hedging: %s service=%s reason=%s mean_in_flight=%.1f servers=%d",
+                "hedging: %s service=%s reason=%s mean_in_flight=%s servers=%d",
                 "suspended" if is_suspended else "resumed",
                 logs.field(self._dispatcher.name),
                 reason or "-",
-                self._hedging.in_flight.value(now),
+                round(self._hedging.in_flight.value(now), 1),
                 usable_count,
             )
--- a/tests/test_entry_hedging.py
+++ b/tests/test_entry_hedging.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import pytest
-from entry_fakes import World, answer, configuration, request, route
+from entry_fakes import CLOSED, World, answer, configuration, request, route
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -243,10 +243,17 @@
         assert not world.reactor.tcpClients
         assert counted(world, "hedges_denied_total", "stopping") == 1
 
-    def test_after_a_server_was_full(self):
+    def test_after_a_server_was_full(self, caplog):
+        caplog.set_level("INFO")
         world = entry_world()
         world.dispatcher.copies.record_rejection()
         self.assert_none(world)
+        assert "hedging: suspended service=stock reason=rejected" in caplog.text
+        world.advance(1.0)
+        for caller in list(world.node.callers):
+            caller.connectionLost(CLOSED)
+        hedged(world, request_id="r2")
+        assert "hedging: resumed service=stock reason=-" in caplog.text
         assert counted(world, "hedges_denied_total", "rejected") == 1
 
 
