Pass on no refusal of a server while an earlier attempt may have run

A server's 429, 408 or 503 says that the request has not run. After a reset of another attempt, a retry's or a copy's such answer without the platform's header was passed on to the caller as it was (REFUSED). The outcome is unknown then.

--- a/briarspoke/entry/exchange.py
+++ b/briarspoke/entry/exchange.py
@@ -302,6 +302,10 @@
                 self.unknown_outcome_code = codes.OUTCOME_UNKNOWN
                 self.dispatcher.dispatch(self)
                 return
+        if answer.status in NOT_RUN_STATUSES and self.unknown_outcome_code is not None:
+            # It does not say whether an earlier attempt has run.
+            self._end_unknown(self.unknown_outcome_code)
+            return
         self._end(answer)
 
     def _tells_limit(self, server, answer):
--- a/tests/test_entry_hedging.py
+++ b/tests/test_entry_hedging.py
@@ -308,12 +308,17 @@
         assert status_of(caller.take()) == 503
 
     @pytest.mark.parametrize("refuses", [0, 1])
-    def test_refusal_does_not_claim_what_the_other_one_may_have_done(self, refuses):
+    @pytest.mark.parametrize(
+        "data", [refusal(), refusal(429), answer(429), answer(408), answer(503)]
+    )
+    def test_refusal_does_not_claim_what_the_other_one_may_have_done(
+        self, refuses, data
+    ):
         # Guards against "not run" while one of two attempts may have run.
         world = entry_world()
         caller, *servers = hedged(world)
         servers[1 - refuses].reset()
-        servers[refuses].send(refusal())
+        servers[refuses].send(data)
         assert status_of(caller.take()) == 502
 
     def test_unsigned_answer_is_given_if_the_other_one_fails(self):
