--- a/briarspoke/entry/exchange.py
+++ b/briarspoke/entry/exchange.py
@@ -7,7 +7,9 @@
 from briarspoke import codes
 from briarspoke.entry import answers, serverload
 from briarspoke.entry.arriving import Body
+from briarspoke.entry.attempts import Attempt
 from briarspoke.entry.crashes import CRASH_FAILURES
+from briarspoke.entry.request import DEFAULT_DEADLINE_S
 from briarspoke.entry.servers import WITHDRAWN
 from briarspoke.http.upstream import HOP_BY_HOP
 from briarspoke.http.wire import connection_options
@@ -15,10 +17,6 @@
 
 log = logging.getLogger(__name__)
 
-# Subtracted from the caller's deadline for the network time of request and answer.
-DEADLINE_MARGIN_S = 0.01
-# Used for a request without a deadline header.
-DEFAULT_DEADLINE_S = 30.0
 MAX_KEY = 65_535
 # Retries after a server answered that it is not responsible for the key, for example
 # while the key changes owner. They do not count as attempts.
@@ -31,8 +29,6 @@
 UNREACHABLE_FAILURES = frozenset({"connect", "refused", "timeout"})
 # Longest time after which a caller whose request is held back is asked to come back.
 MAX_RETRY_AFTER_S = 30.0
-# Bytes of the request line and of the headers that this VM adds, without the target.
-ADDED_HEAD_BYTES = 150
 # Delay before a request is sent again to an owner that did not hold its key yet.
 SAME_OWNER_RETRY_DELAY_S = 0.08
 
@@ -44,97 +40,21 @@
 }
 
 
-class Request:
-    """A complete request of a caller.
-
-    :param method: HTTP method in bytes.
-    :param target: path and query in bytes.
-    :param headers: list of (name in lower case, value) in bytes.
-    :param body: the :class:`briarspoke.entry.arriving.Body`.
-    :param arrived_at: monotonic seconds of its first byte.
-    :param completed_at: monotonic seconds of its last byte.
-    """
-
-    __slots__ = (
-        "arrived_at",
-        "body",
-        "closes_connection",
-        "completed_at",
-        "deadline_s",
-        "fingerprint",
-        "headers",
-        "held_bytes",
-        "host",
-        "key",
-        "method",
-        "request_id",
-        "target",
-    )
-
-    def __init__(self, *, method, target, headers, body, arrived_at, completed_at):
-        self.method = method
-        self.target = target
-        self.headers = headers
-        self.body = body
-        self.arrived_at = arrived_at
-        self.completed_at = completed_at
-        self.closes_connection = False
-        # Bytes that the limit on held request bodies counts for this request.
-        self.held_bytes = 0
-        self.host = b""
-        self.request_id = b""
-        self.deadline_s = None
-        self.key = None
-        # See :class:`briarspoke.entry.fingerprints.Fingerprints`; computed when needed.
-        self.fingerprint = None
-        for name, value in headers:
-            if name == b"host":
-                self.host = value.split(b":")[0].strip().lower()
-            elif name == header_names.REQUEST_ID:
-                self.request_id = value
-            elif name == header_names.DEADLINE_MS:
-                if value.isdigit() and len(value) < 10:
-                    self.deadline_s = int(value) / 1000
-            elif name == header_names.KEY and value.isdigit() and len(value) < 6:
-                self.key = int(value)
-
-    @property
-    def size_bytes(self):
-        """Size of the request as it is sent to a server, in bytes."""
-        head = sum(len(name) + len(value) + 4 for name, value in self.headers)
-        return ADDED_HEAD_BYTES + len(self.target) + head + len(self.body)
-
-    @property
-    def path(self):
-        """Path of the target, without the query."""
-        return self.target.partition(b"?")[0]
-
-    def expires_at(self, route):
-        """Returns the time at which the caller's or the route's time limit ends.
-
-        :param route: the :class:`briarspoke.entry.routes.Route`.
-        """
-        wait_s = self.deadline_s or DEFAULT_DEADLINE_S
-        if self.deadline_s is not None:
-            wait_s -= DEADLINE_MARGIN_S
-        if route.timeout_s is not None:
-            wait_s = min(wait_s, route.timeout_s)
-        return self.arrived_at + wait_s
-
-
 class Exchange:
     """Sends a request to a server, retries it if allowed, and answers the caller.
 
     :param node: the :class:`briarspoke.entry.node.EntryNode`.
     :param connection: the caller's
         :class:`briarspoke.entry.callers.CallerConnection`.
-    :param request: the :class:`Request`.
+    :param request: the :class:`briarspoke.entry.request.Request`.
+    :ivar running: the :class:`Attempt` objects that are not answered yet.
     """
 
     __slots__ = (
         "_avoid_owner_until",
         "_encoded_head",
         "_misdirected_by",
+        "_unsigned_answer",
         "answer",
         "attempts",
         "connection",
@@ -142,17 +62,16 @@
         "done",
         "expires_at",
         "give_up_at",
+        "has_copy",
         "misdirected_count",
         "node",
         "queued_at",
         "refusal_code",
         "request",
         "route",
-        "sent_at",
-        "server",
+        "running",
         "tried",
         "unknown_outcome_code",
-        "upstream_request",
     )
 
     def __init__(self, *, node, connection, request):
@@ -163,9 +82,7 @@
         self.done = False
         self.route = None
         self.dispatcher = None
-        self.server = None
-        self.upstream_request = None
-        self.sent_at = 0.0
+        self.running = []
         self.expires_at = 0.0
         self.queued_at = None
         self.give_up_at = None
@@ -182,6 +99,10 @@
         # Result code if the request leaves its queue without being sent.
         self.refusal_code = codes.QUEUE_FULL
         self._encoded_head = None
+        # Whether the request has been sent a second time while the first one ran.
+        self.has_copy = False
+        # Answer without a signature that arrived while another attempt ran.
+        self._unsigned_answer = None
 
     def start(self):
         """Finds the route of the request and dispatches it."""
@@ -256,24 +177,33 @@
         """Sends the request to a server that has capacity for it."""
         if self.refuse_if_too_late(server) or self._refuse_if_held_back(sending=True):
             return
-        now = self.node.now()
         if not self.tried:
+            now = self.node.now()
             self.node.metrics.observe(
                 "queue_seconds", self.route.priority, now - self.request.completed_at
             )
         self.queued_at = None
-        self.server = server
-        self.sent_at = now
+        self._begin_attempt(server)
+
+    def send_copy(self, server):
+        """Sends the request to a second server while the first one runs it."""
+        self.has_copy = True
+        self._begin_attempt(server, is_copy=True)
+
+    def _begin_attempt(self, server, *, is_copy=False):
+        now = self.node.now()
         self.tried = (*self.tried, server)
         self.attempts += 1
-        server.request_sent(self)
+        attempt = Attempt(exchange=self, server=server, sent_at=now, is_copy=is_copy)
+        self.running.append(attempt)
+        self.dispatcher.copies.in_flight_changed()
         if server.limit.per_s is not None:
             self.node.metrics.count("limited_sends_total", self.dispatcher.name)
             self.node.rate_limits.take_permit(server)
         request = self.request
-        self.upstream_request = server.send(
+        attempt.upstream_request = server.send(
             self._encode_head(server, now),
-            self._handle_answer,
+            attempt.handle_answer,
             body=request.body,
             idempotent=self.route.idempotent,
             objective_s=self.route.objective_s,
@@ -281,19 +211,11 @@
             if request.request_id
             else None,
             is_head=request.method == b"HEAD",
-            may_write=self._may_write,
+            may_write=attempt.may_write,
         )
-        if self.upstream_request.written:
+        if attempt.upstream_request.written:
             self.node.link.record_write(request.size_bytes)
-
-    def _may_write(self):
-        """Returns whether the request is written to a connection that is ready."""
-        size_bytes = self.request.size_bytes
-        selection = self.dispatcher.selection
-        if not selection.can_arrive(self.server, size_bytes, connects=False):
-            return False
-        self.node.link.record_write(size_bytes)
-        return True
+        self.dispatcher.copies.schedule(attempt)
 
     def _encode_head(self, server, now):
         request = self.request
@@ -315,39 +237,43 @@
             server.target,
         )
 
-    def _handle_answer(self, answer):
-        server, self.server = self.server, None
-        self.upstream_request = None
-        server.request_ended(self)
+    def handle_answer(self, attempt, answer):
+        """Handles the answer to an attempt, or its failure.
+
+        :param answer: the :class:`briarspoke.entry.connections.Answer`.
+        """
+        self.running.remove(attempt)
+        attempt.end()
         try:
-            self._process_answer(server, answer)
+            self._process_answer(attempt, answer)
         except Exception:
             # The caller gets an answer now, and one that does not claim more than is
             # known about the request.
             log.exception("requests: cannot process an answer")
             self.node.metrics.count("internal_errors_total", "answer")
-            if answer.sent or self.server is not None:
+            if answer.sent or self.running:
                 self._end_unknown(codes.OUTCOME_UNKNOWN)
             else:
                 self._end_not_run(
                     codes.OWNER_UNREACHABLE, self.node.RETRY_AFTER_UNAVAILABLE_S
                 )
-        self.dispatcher.on_request_ended(server)
+        self.dispatcher.on_request_ended(attempt.server)
 
-    def _process_answer(self, server, answer):
+    def _process_answer(self, attempt, answer):
+        server = attempt.server
         if self._tells_limit(server, answer):
             self.node.rate_limits.record_answer(
-                self.dispatcher.name, server, answer, self.sent_at
+                self.dispatcher.name, server, answer, attempt.sent_at
             )
             self.node.coldness.server_answered(
-                self.dispatcher.name, server, answer, self.sent_at
+                self.dispatcher.name, server, answer, attempt.sent_at
             )
         if answer.status is None:
-            self._handle_failure(server, answer)
+            self._handle_failure(attempt, answer)
             return
         answering_id = answer.get(header_names.SERVER_ID)
         if answering_id is None or answering_id == server.target:
-            self.node.crashes.server_answered(server, self.sent_at)
+            self.node.crashes.server_answered(server, attempt.sent_at)
             self.node.notices.record_answer(self.dispatcher.name, server, answer)
             serverload.record_answer(self.node, self.dispatcher, server, answer)
         else:
@@ -355,25 +281,38 @@
         if answer.get(header_names.NOT_RUN) is not None or answer.status == 421:
             self._handle_not_run(server, answer)
         else:
-            self._handle_server_answer(server, answer)
+            self._handle_server_answer(attempt, answer)
 
-    def _handle_server_answer(self, server, answer):
-        now = self.node.now()
+    def _handle_server_answer(self, attempt, answer):
+        server = attempt.server
+        seconds = self.node.now() - attempt.sent_at
         self.node.crashes.run_ended(self.request)
-        self.node.metrics.observe(
-            "server_seconds", self.dispatcher.name, now - self.sent_at
-        )
+        self.node.metrics.observe("server_seconds", self.dispatcher.name, seconds)
         if _is_spoiled(answer):
             server.record_loss()
             self.node.metrics.count("attempts_total", "spoiled")
-            self._retry_or_fail(server, codes.ANSWER_MALFORMED, "spoiled")
+            self._retry_or_fail(attempt, codes.ANSWER_MALFORMED, "spoiled")
             return
         if answer.status < 500:
-            self.dispatcher.count_answer(self, server, now - self.sent_at)
+            self.dispatcher.count_answer(self, server, seconds)
             self.node.metrics.count("attempts_total", "answered")
+            if self.running and answer.status in PROMISING_STATUSES:
+                return
+            if self.running and answer.get(header_names.SIGNATURE) is None:
+                # The other attempt may still get an answer of the server itself.
+                self._unsigned_answer = answer
+                return
+            if self.has_copy:
+                outcome = "won" if attempt.is_copy else "lost"
+                self.node.metrics.count("hedges_total", outcome)
         else:
             server.record_loss()
             self.node.metrics.count("attempts_total", "server-error")
+            if self.running:
+                self.unknown_outcome_code = codes.OUTCOME_UNKNOWN
+                return
+            if self._end_unsigned():
+                return
             if self.route.idempotent and self._may_retry("server-error"):
                 self.unknown_outcome_code = codes.OUTCOME_UNKNOWN
                 self.dispatcher.dispatch(self)
@@ -400,6 +339,8 @@
             self.dispatcher.on_misdirected(
                 self, server, answer.get(header_names.SERVER_ID)
             )
+            if self._is_left_to_other():
+                return
             if self.misdirected_count <= MAX_MISDIRECTED_RETRIES and self._spend_retry(
                 "misdirected"
             ):
@@ -411,18 +352,22 @@
             return
         self.node.metrics.count("attempts_total", "shed")
         self.dispatcher.on_shed(server)
+        if self._is_left_to_other():
+            return
         if self._may_retry("shed"):
             self.dispatcher.dispatch(self)
             return
         self._end_not_run(codes.SERVER_SHED, self.node.RETRY_AFTER_LOAD_S)
 
-    def _handle_failure(self, server, answer):
+    def _handle_failure(self, attempt, answer):
+        server = attempt.server
         if answer.failure == WITHDRAWN or _is_unsent(answer):
             if answer.failure != WITHDRAWN:
                 self.node.metrics.count("attempts_total", "unsent")
             self.attempts -= 1
-            self.tried = self.tried[:-1]
-            self.dispatcher.dispatch(self)
+            self._forget_try(server)
+            if not self._is_left_to_other():
+                self.dispatcher.dispatch(self)
             return
         self.node.crashes.attempt_failed(
             self.dispatcher.name, server, self.request, answer.failure
@@ -441,13 +386,22 @@
                 self.dispatcher.on_reset(server)
         if not answer.sent:
             self.attempts -= 1
-            self.dispatcher.on_unreachable(self, server)
+            if not self._is_left_to_other():
+                self.dispatcher.on_unreachable(self, server)
             return
-        self._retry_or_fail(server, codes.OUTCOME_UNKNOWN, answer.failure)
+        self._retry_or_fail(attempt, codes.OUTCOME_UNKNOWN, answer.failure)
+
+    def _forget_try(self, server):
+        tried = list(self.tried)
+        # The latest one: an owner of keys may have got the request before.
+        last = len(tried) - 1 - tried[::-1].index(server)
+        self.tried = (*tried[:last], *tried[last + 1 :])
 
-    def _retry_or_fail(self, server, code, reason):
-        self.node.request_log.log_attempt(self, server, reason)
+    def _retry_or_fail(self, attempt, code, reason):
+        self.node.request_log.log_attempt(attempt, reason)
         self.unknown_outcome_code = code
+        if self._is_left_to_other():
+            return
         if (
             self.route.idempotent
             and self._may_repeat(reason)
@@ -457,6 +411,19 @@
         else:
             self._end_unknown(code)
 
+    def _is_left_to_other(self):
+        """Returns whether another attempt decides the result after one has failed.
+
+        An answer that the other one has got without a signature is given now.
+        """
+        return bool(self.running) or self._end_unsigned()
+
+    def _end_unsigned(self):
+        if self._unsigned_answer is None:
+            return False
+        self._end(self._unsigned_answer)
+        return True
+
     def _may_repeat(self, reason):
         return reason not in CRASH_FAILURES or self.node.crashes.may_repeat(
             self.request
@@ -484,6 +451,8 @@
         self._end_not_run(code, retry_after_s)
 
     def _end_not_run(self, code, retry_after_s):
+        if self._end_unsigned():
+            return
         if self.unknown_outcome_code is not None:
             # The refusal of a retry does not say whether an earlier attempt has run.
             self._end_unknown(self.unknown_outcome_code)
@@ -491,7 +460,8 @@
         self._end((code, "no", retry_after_s))
 
     def _end_unknown(self, code):
-        self._end((code, "unknown", None))
+        if not self._end_unsigned():
+            self._end((code, "unknown", None))
 
     def on_timer(self, now):
         """Ends the request if its wait in a queue or its deadline has expired.
@@ -524,29 +494,37 @@
         return seconds if seconds <= MAX_RETRY_AFTER_FRACTION * left_s else None
 
     def _timed_out(self):
-        server = self.server
-        if server is None:
+        attempts = self._abandon_running()
+        if not attempts:
             self._end_not_run(
                 codes.DEADLINE_IN_QUEUE,
                 self._useful_retry_after_s(self.node.RETRY_AFTER_LOAD_S),
             )
             return
-        self.node.metrics.count("attempts_total", "timeout")
-        written = self.upstream_request.written
-        self._abandon_attempt()
-        server.record_unreachable()
-        self.node.coldness.server_failed(
-            self.dispatcher.name, server, connected=written
-        )
+        for attempt in attempts:
+            self.node.metrics.count("attempts_total", "timeout")
+            if attempt.is_copy:
+                # It has had less time than a request normally has.
+                attempt.server.record_unfinished(self.node.now() - attempt.sent_at)
+            else:
+                attempt.server.record_unreachable()
+                self.node.coldness.server_failed(
+                    self.dispatcher.name,
+                    attempt.server,
+                    connected=attempt.may_have_run,
+                )
+        written = [attempt for attempt in attempts if attempt.may_have_run]
         if not written:
             self._end_not_run(
                 codes.OWNER_UNREACHABLE,
                 self._useful_retry_after_s(self.node.RETRY_AFTER_UNAVAILABLE_S),
             )
         else:
-            self.node.request_log.log_attempt(self, server, "timeout")
+            for attempt in written:
+                self.node.request_log.log_attempt(attempt, "timeout")
             self._end_unknown(codes.ANSWER_TIMEOUT)
-        self.dispatcher.on_request_ended(server)
+        for attempt in attempts:
+            self.dispatcher.on_request_ended(attempt.server)
 
     def end_for_shutdown(self):
         """Answers the request without further waiting, because the process stops."""
@@ -554,21 +532,20 @@
             return
         if self.queued_at is not None:
             self.dispatcher.dequeue(self)
-        written = self.server is not None and self.upstream_request.written
-        if self.server is not None:
-            server = self.server
-            self._abandon_attempt()
-            self.node.request_log.log_attempt(self, server, "process-ends")
-        if written:
+        attempts = self._abandon_running()
+        for attempt in attempts:
+            self.node.request_log.log_attempt(attempt, "process-ends")
+        if any(attempt.may_have_run for attempt in attempts):
             self._end_unknown(codes.OUTCOME_UNKNOWN)
         else:
             self._end_not_run(codes.SHUTTING_DOWN, self.node.RETRY_AFTER_UNAVAILABLE_S)
 
-    def _abandon_attempt(self):
-        server, self.server = self.server, None
-        self.upstream_request.abandon()
-        self.upstream_request = None
-        server.request_ended(self)
+    def _abandon_running(self):
+        """Abandons all attempts and returns them."""
+        attempts, self.running = self.running, []
+        for attempt in attempts:
+            attempt.abandon()
+        return attempts
 
     def caller_gone(self):
         """Ends the request without an answer, since the caller has disconnected."""
@@ -579,17 +556,19 @@
         self.node.metrics.count("refusals_total", codes.CALLER_GONE.number)
         if self.queued_at is not None:
             self.dispatcher.dequeue(self)
-        if self.server is not None:
-            server = self.server
-            self._abandon_attempt()
-            self.dispatcher.on_request_ended(server)
+        for attempt in self._abandon_running():
+            self.dispatcher.on_request_ended(attempt.server)
 
     def _end(self, answer):
         if self.done:
             return
         self.done = True
         self.answer = answer
+        abandoned = self._abandon_running()
         self._release_body()
+        for attempt in abandoned:
+            self.node.metrics.count("attempts_total", "abandoned")
+            self.dispatcher.copies.record_abandoned(attempt)
         if isinstance(answer, tuple):
             self.node.request_log.log_result(answer[0], self)
         else:
@@ -601,6 +580,8 @@
                 self.node.now() - self.request.arrived_at,
             )
         self.connection.answer_ready()
+        for attempt in abandoned:
+            self.dispatcher.on_request_ended(attempt.server)
 
     def _release_body(self):
         # The timer keeps a reference to the exchange until the deadline.
--- a/briarspoke/entry/node.py
+++ b/briarspoke/entry/node.py
@@ -19,7 +19,12 @@
 from briarspoke.entry.division import INTERVAL_S, Division
 from briarspoke.entry.evacuations import Evacuations
 from briarspoke.entry.fingerprints import Fingerprints
-from briarspoke.entry.heldbytes import HeldBytes
+from briarspoke.entry.heldbytes import (
+    ANSWERS_SHARE,
+    OUTPUT_SHARE,
+    REQUESTS_SHARE,
+    HeldBytes,
+)
 from briarspoke.entry.httpclient import HttpClient
 from briarspoke.entry.notices import Notices
 from briarspoke.entry.ratelimits import RateLimits
@@ -49,11 +54,6 @@
 # Time to send these final answers before the process ends.
 FLUSH_S = 0.3
 LISTEN_BACKLOG = 512
-# Shares of the VM's memory for answers that arrive, for answers that wait for their
-# callers, and for requests until they are answered.
-ANSWERS_SHARE = 0.1
-OUTPUT_SHARE = 0.1
-REQUESTS_SHARE = 0.25
 
 
 class EntryNode:
@@ -367,7 +367,7 @@
     def may_outlast_stop(self, request):
         """Returns whether the time limit of a request ends after the process.
 
-        :param request: the :class:`briarspoke.entry.exchange.Request`.
+        :param request: the :class:`briarspoke.entry.request.Request`.
         """
         if self.routing_table is None:
             return False
--- a/tests/test_room_load.py
+++ b/tests/test_room_load.py
@@ -109,6 +109,7 @@
             zone_nodes=nodes,
             division=SimpleNamespace(news=self.news),
             rate_limits=SimpleNamespace(has_permit=lambda server: True),
+            evacuations=SimpleNamespace(is_active=False),
         )
         self.dispatcher = SimpleNamespace(
             name=SERVICE,
