Let copies follow reported load and this VM's share of capacity

Copies knew nothing of Server-Load, and compared what is in flight with the equal share of the slots. A VM with little demand then looked idle while the service had no free capacity, and sent copies. Reports and shares are used now. With hedge_share 0, the setting alone is read.

--- a/briarspoke/entry/copies.py
+++ b/briarspoke/entry/copies.py
@@ -15,6 +15,8 @@
     Situation,
 )
 from briarspoke.entry.logs import LogRateLimiter
+from briarspoke.entry.serverload import MAX_SLOWNESS, SPEED_AGE_S
+from briarspoke.platform.load import USUAL_PERCENT
 
 log = logging.getLogger(__name__)
 
@@ -23,10 +25,11 @@
 MAX_CROSS_ZONE_BODY_BYTES = 4096
 
 
-class NoReports:
-    """What servers that do not report their load say about it.
+class Reports:
+    """What servers say about their load in their answers.
 
-    Another object with these methods takes its place where servers report their load.
+    A value is used for :data:`briarspoke.entry.serverload.MAX_AGE_S`, and the speed in
+    it for :data:`briarspoke.entry.serverload.SPEED_AGE_S`.
     """
 
     def expected_s(self, server, now):
@@ -34,14 +37,26 @@
 
         :returns: 0.0 if there is no report that may be used.
         """
-        return 0.0
+        load = server.load.current(now)
+        if load is None:
+            return 0.0
+        present = load.running + load.waiting + server.load.sent_since
+        expected_s = server.expected_s(now) * max(1.0, present / load.slots)
+        if server.load.age_s(now) <= SPEED_AGE_S:
+            expected_s *= min(MAX_SLOWNESS, load.percent / USUAL_PERCENT)
+        return expected_s
 
     def utilisation(self, server, now):
         """Returns the fraction of a server's slots that it reports as in use, or None.
 
-        Waiting requests count like running ones, so the fraction may exceed 1.
+        Waiting requests count like running ones. The fraction is at most 1, so that a
+        single false report does not suspend the copies of the whole service.
         """
-        return None
+        load = server.load.current(now)
+        if load is None:
+            return None
+        present = load.running + load.waiting + server.load.sent_since
+        return min(1.0, present / load.slots)
 
 
 class Copies:
@@ -68,14 +83,16 @@
         # Whether the last copy that was due was not sent for lack of capacity.
         self._is_suspended = False
         self._lines = LogRateLimiter(node.now)
-        self.reports = NoReports()
+        self.reports = Reports()
         # Delay in seconds after which the latest request was to get a copy, or None.
         self.last_delay_s = None
 
     @property
     def share(self):
         """Copies that are allowed per request of the service."""
-        return 0.0 if self._dispatcher.keyed else self._node.settings.hedge_share
+        share = self._node.settings.hedge_share
+        # Called several times for each request, so the setting is looked at first.
+        return share if share > 0 and not self._dispatcher.keyed else 0.0
 
     def _may_be_copied(self, exchange):
         route = exchange.route
@@ -174,6 +191,7 @@
         exchange.send_copy(server)
 
     def _situation(self, exchange, usable, now):
+        selection = self._dispatcher.selection
         slots = sum(server.record.slots for server in usable)
         reported = [self.reports.utilisation(server, now) for server in usable]
         known = [utilisation for utilisation in reported if utilisation is not None]
@@ -186,8 +204,8 @@
             time_left_s=exchange.expires_at - now,
             waiting=len(self._dispatcher.waiting),
             in_flight=sum(server.in_flight for server in usable),
-            in_flight_limit=self._dispatcher.selection.service_limit(usable),
-            slots=slots / max(1, self._node.node_count),
+            in_flight_limit=selection.service_limit(usable),
+            slots=slots / max(1, self._node.node_count) * selection.share,
             reported_utilisation=sum(known) / len(known) if known else 0.0,
         )
 
--- a/briarspoke/entry/hedging.py
+++ b/briarspoke/entry/hedging.py
@@ -66,7 +66,7 @@
     :param waiting: requests that wait for a server of the service at this entry VM.
     :param in_flight: requests of this entry VM in flight at usable servers.
     :param in_flight_limit: the most that this entry VM may have in flight there.
-    :param slots: this entry VM's equal share of the slots of usable servers.
+    :param slots: this entry VM's share of the slots of usable servers.
     :param reported_utilisation: mean of what usable servers report, 0 if none does.
     """
 
