--- a/briarspoke/entry/exchange.py
+++ b/briarspoke/entry/exchange.py
@@ -10,7 +10,7 @@
 from briarspoke.entry.attempts import Attempt
 from briarspoke.entry.crashes import CRASH_FAILURES
 from briarspoke.entry.request import DEFAULT_DEADLINE_S
-from briarspoke.entry.servers import WITHDRAWN
+from briarspoke.entry.servers import MIN_CONNECT_TIMEOUT_S, WITHDRAWN
 from briarspoke.http.upstream import HOP_BY_HOP
 from briarspoke.http.wire import connection_options
 from briarspoke.platform import headers as header_names
@@ -508,10 +508,13 @@
                 attempt.server.record_unfinished(self.node.now() - attempt.sent_at)
             else:
                 attempt.server.record_unreachable()
+                # A connection that had little time to open says as little as a slow
+                # answer.
+                had_time = self.node.now() - attempt.sent_at >= MIN_CONNECT_TIMEOUT_S
                 self.node.coldness.server_failed(
                     self.dispatcher.name,
                     attempt.server,
-                    connected=attempt.may_have_run,
+                    connected=attempt.may_have_run or not had_time,
                 )
         written = [attempt for attempt in attempts if attempt.may_have_run]
         if not written:
