--- a/briarspoke/entry/gauges.py
+++ b/briarspoke/entry/gauges.py
@@ -66,6 +66,14 @@
     }
 
 
+def _hedge_delays(node):
+    return {
+        dispatcher.name: dispatcher.copies.last_delay_s
+        for dispatcher in node.dispatchers()
+        if dispatcher.copies.last_delay_s is not None
+    }
+
+
 def register(node, loop_lag):
     """Registers the gauges of an entry VM with its metrics.
 
@@ -90,6 +98,7 @@
     gauge("zones_evacuated", node.evacuations.zones_with_servers)
     gauge("keys_evacuating", node.evacuations.keys_to_move)
     gauge("servers_cold", node.coldness.counts_by_service)
+    gauge("hedge_delay_seconds", lambda: _hedge_delays(node))
     gauge("connections_open", lambda: len(node.callers))
     gauge("key_ranges", lambda: {name: len(m.starts) for name, m in maps.items()})
     gauge("key_ranges_moving", node.control.moves_by_service)
--- a/briarspoke/entry/reload.py
+++ b/briarspoke/entry/reload.py
@@ -19,6 +19,7 @@
         "drain_s",
         "evacuation_s",
         "grace_s",
+        "hedge_share",
         "log_level",
         "max_hold_s",
         "never_held_back",
--- a/briarspoke/entry/room.py
+++ b/briarspoke/entry/room.py
@@ -60,26 +60,29 @@
     def __init__(self):
         self._closed_until = 0.0
         self._reason = None
-        # Exchanges in the order in which they were sent.
+        # Attempts in the order in which they were sent.
         self._in_flight = {}
         self._times_s = collections.deque(maxlen=RECENT_TIMES)
 
-    def request_sent(self, exchange):
-        """Notes a request that is sent."""
-        self._in_flight[exchange] = None
+    def request_sent(self, attempt):
+        """Notes a request that is sent.
 
-    def request_ended(self, exchange, server, now):
+        :param attempt: the :class:`briarspoke.entry.attempts.Attempt`.
+        """
+        self._in_flight[attempt] = None
+
+    def request_ended(self, attempt, server, now):
         """Notes that a request is not in flight any more.
 
         :param server: the :class:`briarspoke.entry.servers.Server`.
         """
         # A caller may give up before a server that hangs shows otherwise.
-        self._check_overdue(exchange, server, now)
-        self._in_flight.pop(exchange, None)
+        self._check_overdue(attempt, server, now)
+        self._in_flight.pop(attempt, None)
 
     def has_key(self, key):
         """Returns whether a request for a key is in flight."""
-        return any(exchange.request.key == key for exchange in self._in_flight)
+        return any(attempt.request.key == key for attempt in self._in_flight)
 
     def close(self, reason, now):
         """Notes a sign that the server lacks room.
@@ -102,8 +105,8 @@
             if min(self._times_s[-1], self._times_s[-2]) > SLOW_RATIO * shortest_s:
                 self.close(SLOW, now)
 
-    def _check_overdue(self, exchange, server, now):
-        if now - exchange.sent_at > server.service_time.upper_s:
+    def _check_overdue(self, attempt, server, now):
+        if now - attempt.sent_at > server.service_time.upper_s:
             self.close(OVERDUE, now)
 
     def closed_by(self, server, now):
--- a/briarspoke/entry/servers.py
+++ b/briarspoke/entry/servers.py
@@ -210,22 +210,35 @@
         self.room.time_measured(seconds, self._clock())
         return weight
 
-    def request_sent(self, exchange):
-        """Counts a request of this VM that is sent."""
+    def request_sent(self, attempt):
+        """Counts a request of this VM that is sent.
+
+        :param attempt: the :class:`briarspoke.entry.attempts.Attempt`.
+        """
         self.in_flight += 1
         self.load.request_sent()
-        self.room.request_sent(exchange)
+        self.room.request_sent(attempt)
 
-    def request_ended(self, exchange):
+    def request_ended(self, attempt):
         """Counts a request of this VM that is answered, lost or given up."""
         self.in_flight -= 1
-        self.room.request_ended(exchange, self, self._clock())
+        self.room.request_ended(attempt, self, self._clock())
 
     def record_loss(self):
         """Records an attempt whose answer was lost or unusable."""
         self.loss_rate += LOSS_RATE_WEIGHT * (1.0 - self.loss_rate)
         self.room.close(room.LOST, self._clock())
 
+    def record_unfinished(self, seconds):
+        """Records that an attempt was abandoned for the answer of another server.
+
+        That is no failure, but the answer would have taken longer. Otherwise a server
+        that never answers would keep its expected service time.
+
+        :param seconds: time since the attempt was sent.
+        """
+        self.latency_s += LATENCY_WEIGHT * max(0.0, seconds - self.latency_s)
+
     def record_unreachable(self, *, connected=True):
         """Records an unreachable server; pauses it after consecutive failures.
 
