Renew grants until the end while a stopping controller cannot resign

A controller that is stopped while the store does not answer ended as soon as it had no callers, and its keys had no owner until their grants had expired, since no other controller can take over without the store. It now tries to resign again and again and renews grants until the grace time ends.

--- a/briarspoke/entry/control.py
+++ b/briarspoke/entry/control.py
@@ -14,6 +14,8 @@
 
 log = logging.getLogger(__name__)
 
+# Interval between two attempts to resign while the store does not answer.
+RESIGN_RETRY_S = 0.3
 CONTROL_TICK_INTERVAL_S = 0.1
 # Collects changes that arrive together, so that they are handled in one tick.
 WAKE_DELAY_S = 0.005
@@ -105,10 +107,12 @@
     async def stop(self):
         """Resigns as controller.
 
-        If the store does not answer, this process stays the controller and renews
-        grants until it ends.
+        While the store does not answer, this process stays the controller and renews
+        grants, since no other one can take over.
         """
-        if await self.leadership.resign() and self._loop.running:
+        while not await self.leadership.resign():
+            await self._node.sleep(RESIGN_RETRY_S)
+        if self._loop.running:
             self._loop.stop()
 
     def wake(self):
