Let owners accept a grant of a new term before they are asked for a release

A new controller asked draining owners for their keys in its first tick, before they had accepted a grant with its tokens. Such a release does not end the ownership, since the predecessor may still renew, so the keys had no owner until all its grants had expired, 14 s later, and the next change of the controller began that anew.

Draining owners, and owners whose keys move for load, now get up to 1 s to accept a grant of the term first, as those of evacuated zones do. The test has keys without an owner for more than 0.5 s without the change. Ruled out: reachability of these owners (their grants were answered before and after).

--- a/briarspoke/keyspace/range_manager.py
+++ b/briarspoke/keyspace/range_manager.py
@@ -8,7 +8,7 @@
 from briarspoke.keyspace import demand, placement
 from briarspoke.keyspace.allowance import Admission, Allowances
 from briarspoke.keyspace.confirmation import OwnerConfirmation
-from briarspoke.keyspace.evacuation import ZoneMoves
+from briarspoke.keyspace.evacuation import ACCEPTANCE_WAIT_S, ZoneMoves
 from briarspoke.keyspace.granter import Granter
 from briarspoke.keyspace.keymap import KEY_COUNT, UNOWNED, KeyMap, Owner
 from briarspoke.keyspace.moves import Move, MoveState
@@ -87,6 +87,8 @@
         self._written_at = 0.0
         self._started_at = node.now()
         self._rebalance_at = 0.0
+        # Time of the first map with the tokens of this term.
+        self._term_map_at = 0.0
         self._usable_count = 0
         self._usable_count_since = self._started_at
         self._releaser = RangeReleaser(
@@ -204,6 +206,10 @@
                 reason = "unowned"
             else:
                 reason = "gone" if record is None else "draining"
+            if reason == "draining" and not self._may_be_released(
+                owner, first, last, now
+            ):
+                continue
             for piece in subtract_ranges(first, last, moving):
                 self._start_move(*piece, owner, None, reason)
         # Without the store, a released range stays without an owner.
@@ -217,6 +223,16 @@
             self._rebalance_at = now + REBALANCE_INTERVAL_S
             self._rebalance(records, now, free_moves)
 
+    def _may_be_released(self, owner, first, last, now):
+        """Returns whether an owner may be asked to release keys.
+
+        In a new term it first gets time to accept a grant of that term, since a release
+        before that does not end its ownership.
+        """
+        return now >= self._term_map_at + ACCEPTANCE_WAIT_S or self._releaser.is_final(
+            owner, first, last
+        )
+
     def _start_evacuation(self, records, now):
         transfers = self._zone_moves.transfers(
             self._map,
@@ -457,8 +473,12 @@
         if reason == FIRST_MAP:
             # Without a map, no earlier controller has sent a grant.
             self._releaser.previous_grants_expire_at = self._node.now()
-        self._fence_raised = True
         now = self._written_at = self._node.now()
+        if not self._fence_raised:
+            self._fence_raised = True
+            self._term_map_at = now
+            # Moves for load wait for the same reason as those of draining owners.
+            self._rebalance_at = now + ACCEPTANCE_WAIT_S
         log.info(
             "keys: map written service=%s ranges=%d fence=%d reason=%s",
             self.service,
--- a/tests/test_keyspace_ownership.py
+++ b/tests/test_keyspace_ownership.py
@@ -238,6 +238,36 @@
         assert restarted.control.is_leader
 
 
+class TestDrainingOwnerOfANewTerm:
+    @pytest.mark.parametrize("states", [["draining"], ["draining", "ready"]])
+    def test_its_keys_move_without_a_pause(self, world, states):
+        # Guards against a new controller that asks owners for a release before they
+        # have seen a token of its term: the keys then have no owner until all grants
+        # of its predecessor have expired, up to 14 s.
+        lost = controller(world)
+        lost.faults(STORE).cut = True
+        for server in SERVERS:
+            lost.faults(address(server)).cut = True
+        for number, state in zip(SERVERS, states, strict=False):
+            world.store.put(
+                f"servers/s-{number}", registration("stock", number, state=state, seq=2)
+            )
+        successor = next(node for node in world.nodes if node is not lost)
+        for _ in range(100):
+            if successor.control.is_leader:
+                break
+            world.advance(0.05)
+        unowned_s = dict.fromkeys(KEYS, 0.0)
+        for _ in range(100):
+            world.advance(0.05)
+            for key in KEYS:
+                owners = holders(world, key)
+                assert len(owners) <= 1
+                unowned_s[key] += 0.05 * (not owners)
+        assert max(unowned_s.values()) < 0.5
+        assert not any(holders(world, key) == [f"s-{SERVERS[0]}"] for key in KEYS)
+
+
 class TestLateControlWrites:
     def test_record_of_an_earlier_attempt_ends_with_its_lease(self):
         # Guards against a controller that renews grants for ever: the record that made
