--- a/briarspoke/entry/control.py
+++ b/briarspoke/entry/control.py
@@ -14,8 +14,6 @@
 
 log = logging.getLogger(__name__)
 
-# Interval between two attempts to resign while the store does not answer.
-RESIGN_RETRY_S = 0.3
 CONTROL_TICK_INTERVAL_S = 0.1
 # Collects changes that arrive together, so that they are handled in one tick.
 WAKE_DELAY_S = 0.005
@@ -107,12 +105,10 @@
     async def stop(self):
         """Resigns as controller.
 
-        While the store does not answer, this process stays the controller and renews
-        grants, since no other one can take over.
+        If the store does not answer, this process stays the controller and renews
+        grants until it ends.
         """
-        while not await self.leadership.resign():
-            await self._node.sleep(RESIGN_RETRY_S)
-        if self._loop.running:
+        if await self.leadership.resign() and self._loop.running:
             self._loop.stop()
 
     def wake(self):
--- a/briarspoke/entry/node.py
+++ b/briarspoke/entry/node.py
@@ -457,9 +457,6 @@
         those that do not end get a final answer. After that, nothing more is read from
         kept connections; of what still comes, only requests whose time limit ends
         within the grace time are sent to servers.
-
-        A controller that cannot resign, because the store does not answer, renews the
-        grants until the grace time ends.
         """
         if self.stopping:
             return
@@ -475,8 +472,7 @@
         while True:
             for connection in list(self.callers):
                 connection.stop_reading()
-            is_needed = self.callers or self.control.is_leader
-            if not is_needed or self.now() >= self.answers_due_at:
+            if not self.callers or self.now() >= self.answers_due_at:
                 break
             await self.sleep(TICK_INTERVAL_S)
         unfinished = list(self.callers)
