Plan moves for load at once after the first map of a service

The wait of a new term is for grants of a controller before, of which there are none. A test of evacuations failed, since a server that came after the first map had no keys for 1 s more.

--- a/briarspoke/keyspace/range_manager.py
+++ b/briarspoke/keyspace/range_manager.py
@@ -477,8 +477,9 @@
         if not self._fence_raised:
             self._fence_raised = True
             self._term_map_at = now
-            # Moves for load wait for the same reason as those of draining owners.
-            self._rebalance_at = now + ACCEPTANCE_WAIT_S
+            if reason != FIRST_MAP:
+                # Moves for load wait for the same reason as those of draining owners.
+                self._rebalance_at = now + ACCEPTANCE_WAIT_S
         log.info(
             "keys: map written service=%s ranges=%d fence=%d reason=%s",
             self.service,
