--- a/review/6/case.py
+++ b/review/6/case.py
@@ -16,7 +16,7 @@
 WORK_S = 0.3
 # Mean time between an answer and the next request on a connection.
 REST_S = 2.5
-DEADLINE_MS = 10_000
+DEADLINE_MS = 2_500
 PLAY_S = 22.0
 # Connections that the rule lets a machine close without an answer.
 ALLOWED = 3
