Close connections to callers only when the caller has its answers (LOST)

Cause: bytes that the transport had given to the kernel stood for bytes that the caller has. The linger time, the idle timeout and the bound on callers that read nothing ran while the kernel still held a part of the answer, and a reset discards that part.

Ruled out: the process ending too early. The reset comes before it, and the kernel goes on sending for a process that has ended.

Change: briarspoke/http/delivery.py answers what the peer has: what is written less what waits in the process and what the kernel holds unacknowledged (SIOCOUTQ). The timeouts of entry and serve ask it. After the linger time a connection is closed without a reset; a kept connection that a stop closes while its answer is read is half closed first. At the end of the process the kernel gets what waits. serve also half closes behind an answer with Connection: close, and ends its output after a large answer, which a registered producer prevented.

Why it works: the connection outlives the last acknowledgement, and nothing but a standstill for the idle timeout or a lack of memory resets it.

--- a/briarspoke/entry/calleroutput.py
+++ b/briarspoke/entry/calleroutput.py
@@ -5,6 +5,7 @@
 from twisted.internet import interfaces
 from zope.interface import implementer
 
+from briarspoke.http import delivery
 from briarspoke.http.transports import write_immediately
 
 
@@ -19,14 +20,14 @@
         that wait for their callers.
     :param on_drained: called without arguments when the output is not blocked any more.
     :ivar is_blocked: whether no further answer should be written.
+    :ivar delivery: the :class:`briarspoke.http.delivery.Delivery` of the answers.
     """
 
     __slots__ = (
         "_held_output",
         "_on_drained",
-        "_stalled_since",
         "_transport",
-        "_unsent_bytes_before",
+        "delivery",
         "is_blocked",
     )
 
@@ -35,26 +36,19 @@
         self._transport = transport
         self._held_output = held_output
         self._on_drained = on_drained
-        self._unsent_bytes_before = 0
-        self._stalled_since = 0.0
+        self.delivery = delivery.Delivery(transport=transport)
         transport.registerProducer(self, True)
 
     def write(self, data):
         """Writes data, directly to the socket if nothing waits."""
         write_immediately(self._transport, data)
 
-    @property
-    def unsent_bytes(self):
-        """Bytes that have been written and wait in the transport."""
-        transport = self._transport
-        return len(transport.dataBuffer) - transport.offset + transport._tempDataLen
-
     def count(self, waiting_bytes):
         """Counts what the answers to the caller take in memory.
 
         :param waiting_bytes: bytes of answers that have not been written.
         """
-        count = self.unsent_bytes + waiting_bytes
+        count = delivery.unsent_bytes(self._transport) + waiting_bytes
         if not count:
             self._held_output.release(self)
             return
@@ -62,18 +56,14 @@
         if largest is not None:
             largest.give_up()
 
-    def is_stalled(self, now, timeout_s):
-        """Returns whether the caller has read nothing for a time.
-
-        It is asked periodically.
+    @property
+    def has_undelivered(self):
+        """Whether the caller does not have all answers that were written to it."""
+        return delivery.undelivered_bytes(self._transport) > 0
 
-        :param now: monotonic seconds.
-        """
-        unsent_bytes = self.unsent_bytes
-        if not self._unsent_bytes_before or unsent_bytes < self._unsent_bytes_before:
-            self._stalled_since = now
-        self._unsent_bytes_before = unsent_bytes
-        return unsent_bytes > 0 and now - self._stalled_since > timeout_s
+    def hand_over(self):
+        """Gives the kernel all answers, because the process ends."""
+        delivery.hand_over(self._transport)
 
     def give_up(self):
         """Resets the connection, since its answers take too much memory."""
--- a/briarspoke/entry/callers.py
+++ b/briarspoke/entry/callers.py
@@ -26,7 +26,8 @@
 MAX_PIPELINED = 16
 # Input is parsed in pieces of this size, since the parser cannot stop within one.
 PARSED_BYTES = 8192
-# Time for which a connection that is closed for writing is still read.
+# Time for which a connection that is closed for writing is still read after the caller
+# has got everything.
 LINGER_S = 1.0
 
 
@@ -245,10 +246,15 @@
 
     def answer_ready(self):
         """Writes the answers that are ready and next in order, as the caller reads."""
+        self._write_answers()
+        self._output.count(sum(exchange.answer_bytes for exchange in self.exchanges))
+        self._parse()
+
+    def _write_answers(self, *, ignores_block=False):
         while (
             self.exchanges
             and self.exchanges[0].answer is not None
-            and not self._output.is_blocked
+            and (ignores_block or not self._output.is_blocked)
         ):
             exchange = self.exchanges.popleft()
             closes_connection = exchange.request.closes_connection or (
@@ -261,8 +267,6 @@
             if closes_connection:
                 self._close()
                 break
-        self._output.count(sum(exchange.answer_bytes for exchange in self.exchanges))
-        self._parse()
 
     def _close(self):
         """Closes the connection after its last answer."""
@@ -331,27 +335,41 @@
     def check_timeouts(self, now, limits):
         """Closes the connection if one of its timeouts has expired.
 
-        The timeouts of input do not run while this VM reads nothing.
+        The timeouts of input do not run while this VM reads nothing, and those of an
+        idle connection not while the caller still gets an answer.
 
         :param now: monotonic seconds.
         :param limits: the :class:`briarspoke.entry.routes.CallerLimits`.
         """
-        if self._output.is_stalled(now, limits.idle_timeout_s):
+        timeout_s = limits.idle_timeout_s
+        is_idle = (
+            not self.exchanges
+            and self._request_started_at is None
+            and now - self.idle_since > timeout_s
+        )
+        is_lingering = self.lingers_until is not None
+        delivery = self._output.delivery
+        delivery.update(now, asks_kernel=is_lingering or is_idle)
+        if delivery.is_stalled(now, timeout_s):
             self.transport.abortConnection()
-        elif self.lingers_until is not None:
-            if self._output.unsent_bytes:
+        elif is_lingering:
+            if delivery.undelivered_bytes:
                 self.lingers_until = now + LINGER_S
             elif now > self.lingers_until:
-                self.transport.abortConnection()
+                # A reset could make the caller lose what it has not read yet.
+                self.transport.loseConnection()
         elif self._paused:
             return
         elif self._request_started_at is not None:
             head_late = now - self._request_started_at > limits.head_timeout_s
-            body_stalled = now - self.data_at > limits.idle_timeout_s
+            body_stalled = now - self.data_at > timeout_s
             if body_stalled if self._in_body else head_late:
                 self._reject(codes.REQUEST_TIMEOUT)
-        elif not self.exchanges and now - self.idle_since > limits.idle_timeout_s:
-            self._close_idle()
+        elif is_idle and not delivery.undelivered_bytes:
+            if delivery.progress_at > self.idle_since:
+                self.idle_since = delivery.progress_at
+            else:
+                self._close_idle()
 
     def finish_requests(self):
         """Answers every pending request, because the process stops.
@@ -365,8 +383,22 @@
             self._reject(codes.SHUTTING_DOWN, self.node.RETRY_AFTER_UNAVAILABLE_S)
         for exchange in list(self.exchanges):
             exchange.end_for_shutdown()
+        self._pause_or_resume()
+
+    def hand_over(self):
+        """Gives the kernel all answers, because the process ends.
+
+        The input is read until then, since closing a socket with unread data discards
+        what the kernel has not sent.
+        """
+        self._write_answers(ignores_block=True)
+        self._output.hand_over()
 
     def _close_idle(self):
+        if self._output.has_undelivered:
+            # What the caller sends after a full close would reset the connection.
+            self._close()
+            return
         # No answer is in transit. A request that the caller sends at the same moment is
         # reset immediately after a full close. After a half close it would stay unread
         # until the connection ends.
--- a/briarspoke/entry/connections.py
+++ b/briarspoke/entry/connections.py
@@ -15,6 +15,7 @@
     header_bytes,
 )
 from briarspoke.entry.sending import write_request
+from briarspoke.http.delivery import unsent_bytes
 
 # httptools limits the size of neither headers nor bodies.
 MAX_ANSWER_BYTES = 64 << 20
@@ -179,11 +180,7 @@
         given_bytes = self._first_bytes
         if self._body_producer is not None:
             given_bytes += self._body_producer.given_bytes
-        transport = self.transport
-        unsent_bytes = (
-            len(transport.dataBuffer) - transport.offset + transport._tempDataLen
-        )
-        return self.received_bytes > 0 or unsent_bytes < given_bytes
+        return self.received_bytes > 0 or unsent_bytes(self.transport) < given_bytes
 
     @property
     def _is_request_sent(self):
--- a/briarspoke/entry/node.py
+++ b/briarspoke/entry/node.py
@@ -480,6 +480,8 @@
             connection.finish_requests()
         if unfinished:
             await self.sleep(FLUSH_S)
+        for connection in list(self.callers):
+            self._call_logged(connection.hand_over)
         for loop in self._loops:
             loop.stop()
         log.info("entry: stopped open_connections=%d", len(self.callers))
--- a/briarspoke/http/callers.py
+++ b/briarspoke/http/callers.py
@@ -7,6 +7,7 @@
 
 from briarspoke import codes
 from briarspoke.http import wire
+from briarspoke.http.delivery import Delivery
 from briarspoke.http.exchange import CallerExchange, new_request_id, request_id_of
 from briarspoke.http.proxied_request import ProxiedRequest
 
@@ -16,7 +17,8 @@
 # Between two pieces of a body, not counting the time in which reading was paused.
 BODY_STALL_TIMEOUT_S = 30.0
 # Closing a connection that has unread data resets it, and the caller can lose an
-# answer that it has not read yet. Data is therefore read and dropped for this long.
+# answer that it has not read yet. Data is therefore read and dropped for this long
+# after the caller has got everything.
 LINGER_S = 3.0
 # A request that was sent on a kept connection just before the shutdown is served.
 CLOSING_GRACE_S = 1.0
@@ -37,7 +39,8 @@
         self.router = router
         self.peer_host = ""
         self.idle_since = self.last_data_at = self.head_started_at = router.now()
-        self._abort_at = None
+        self._closes_at = None
+        self._delivery = None
 
     def new_proxied_request(self, exchange, head, length):
         """Returns the proxied request for a head that is complete.
@@ -58,6 +61,7 @@
     def connectionMade(self):
         self.peer_host = self.transport.getPeer().host
         self.router.channels.add(self)
+        self._delivery = Delivery(transport=self.transport)
         super().connectionMade()
 
     def connectionLost(self, reason):
@@ -65,7 +69,7 @@
         super().connectionLost(reason)
 
     def dataReceived(self, data):
-        if self._abort_at is None:
+        if self._closes_at is None:
             self.last_data_at = self.router.now()
             super().dataReceived(data)
 
@@ -85,21 +89,35 @@
             self._requestProducer.resumeProducing()
 
     def linger(self):
-        """Closes the connection for writing and drops data for ``LINGER_S``."""
-        if self._abort_at is None:
-            self._abort_at = self.router.now() + LINGER_S
+        """Closes the connection for writing, and drops data for ``LINGER_S`` after the
+        caller has got everything.
+        """
+        if self._closes_at is None:
+            self._closes_at = self.router.now() + LINGER_S
             self.persistent = False
             # The rest of a rejected head must not be parsed as another request.
             self.clearLineBuffer()
             if not self.transport.disconnecting:
                 self.transport.resumeProducing()
+                # The transport does not end its output while a producer is registered.
+                self.transport.unregisterProducer()
                 self.transport.loseWriteConnection()
 
+    def _check_linger(self, now):
+        delivery = self._delivery
+        delivery.update(now, asks_kernel=True)
+        if delivery.is_stalled(now, IDLE_TIMEOUT_S):
+            self.transport.abortConnection()
+        elif delivery.undelivered_bytes:
+            self._closes_at = now + LINGER_S
+        elif now >= self._closes_at:
+            # A reset could make the caller lose what it has not read yet.
+            self.transport.loseConnection()
+
     def sweep(self, now):
         """Ends the connection or its request if the caller has been idle too long."""
-        if self._abort_at is not None:
-            if now >= self._abort_at:
-                self.transport.abortConnection()
+        if self._closes_at is not None:
+            self._check_linger(now)
         elif not self.requests:
             limit = CLOSING_GRACE_S if self.router.closing else IDLE_TIMEOUT_S
             if now - self.idle_since > limit:
@@ -145,7 +163,7 @@
         self._reject(code)
 
     def _reject(self, code):
-        if self._abort_at is not None:
+        if self._closes_at is not None:
             return
         exchange = self.requests[-1] if self.requests else None
         if exchange is not None and exchange.finished:
--- a/briarspoke/http/exchange.py
+++ b/briarspoke/http/exchange.py
@@ -235,7 +235,7 @@
             self.channel.unregisterProducer()
         if self.channel.router.closing:
             self.channel.persistent = False
-        if reusable and self.request_complete:
+        if reusable and self.request_complete and self.channel.persistent:
             self.channel.requestDone(self)
         else:
             self.channel.linger()
--- a/briarspoke/http/shutdown.py
+++ b/briarspoke/http/shutdown.py
@@ -8,6 +8,7 @@
 
 from briarspoke import codes
 from briarspoke.http.callers import CLOSING_GRACE_S, LINGER_S
+from briarspoke.http.delivery import hand_over
 
 log = logging.getLogger(__name__)
 
@@ -58,6 +59,9 @@
             channel.linger()
         # The last answers are still in write buffers.
         yield self._wait_while(lambda: router.channels, LINGER_S)
+        for channel in list(router.channels):
+            # A caller may still read slowly.
+            hand_over(channel.transport)
         for pool in router.pools():
             pool.close()
         return len(remaining)
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -369,11 +369,12 @@
 class ServerSocket(Socket):
     """A fake socket that accepts socket options."""
 
-    aborting = False
-
     def getHandle(self):
         return self
 
+    def getsockopt(self, level, option):
+        return 0
+
     def setsockopt(self, level, option, value):
         pass
 
--- a/tests/http_fakes.py
+++ b/tests/http_fakes.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+import fcntl
 import json
+import socket
+import struct
+import termios
 
 from twisted.internet import error, task
 from twisted.internet.testing import StringTransport
@@ -26,6 +30,9 @@
     connected = True
     producerPaused = False
     write_ended = False
+    aborting = False
+    # Number that the test's kernel knows the socket by.
+    fd = -1
     # Whether the peer reads nothing, so that what is written waits.
     stalled = False
     offset = 0
@@ -62,7 +69,7 @@
         return len(data)
 
     def fileno(self):
-        return -1
+        return self.fd
 
     def setTcpNoDelay(self, enabled):
         pass
@@ -78,6 +85,11 @@
     def aborted(self):
         return bool(self.disconnected or self.aborting)
 
+    @property
+    def closed(self):
+        """Whether it is closed after what was written, and not reset."""
+        return self.disconnecting and not self.aborted
+
     def take(self):
         """Returns the data written since the last call."""
         data = self.value()
@@ -85,6 +97,30 @@
         return data
 
 
+class Kernel:
+    """Send buffers of sockets, whose peers read as slowly as a test wants.
+
+    :param monkeypatch: pytest's fixture, by which the program asks this kernel.
+    """
+
+    def __init__(self, monkeypatch):
+        self.bytes_by_fd = {}
+        # Open sockets, whose numbers the fake ones have.
+        self._pairs = []
+        monkeypatch.setattr(fcntl, "ioctl", self._ioctl)
+
+    def hold(self, sock, count):
+        """Lets the peer of a socket acknowledge all but a number of bytes."""
+        if sock.fd < 0:
+            self._pairs.append(socket.socketpair())
+            sock.fd = self._pairs[-1][0].fileno()
+        self.bytes_by_fd[sock.fd] = count
+
+    def _ioctl(self, fd, request, argument):
+        assert request == termios.TIOCOUTQ
+        return struct.pack("i", self.bytes_by_fd[fd])
+
+
 class Endpoint:
     """A protocol under test with its fake socket, which the test controls."""
 
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -1,7 +1,7 @@
 from __future__ import annotations
 
 import pytest
-from http_fakes import GET, World, post
+from http_fakes import GET, OK, Kernel, World, post
 
 from briarspoke import codes
 from briarspoke.http import callers
@@ -77,6 +77,72 @@
         assert caller.socket.take().count(b"100 Continue") == expected
 
 
+def answered(world, request):
+    """Sends a request that is answered; returns its caller."""
+    caller = world.caller()
+    caller.send(request)
+    server = world.accept()
+    server.send(OK)
+    assert b"200 OK" in caller.socket.take()
+    return caller
+
+
+def refused_upload(world):
+    caller = world.caller()
+    caller.send(post(b"x", length=99_999).replace(b"/s/", b"/other/"))
+    assert b"Briarspoke-Code" in caller.socket.take()
+    return caller
+
+
+def asked_to_close(world):
+    return answered(world, GET.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n"))
+
+
+def stopped_behind_its_answer(world):
+    world.router.drain(5.0)
+    return answered(world, GET)
+
+
+def stopped_while_idle(world):
+    caller = answered(world, GET)
+    world.router.drain(5.0)
+    world.wait(callers.CLOSING_GRACE_S + 2)
+    return caller
+
+
+class TestCallerThatReadsFromTheKernel:
+    """Guards against a reset that discards the part of an answer that the kernel has
+    taken and the caller has not read.
+    """
+
+    @pytest.mark.parametrize(
+        "end",
+        [refused_upload, asked_to_close, stopped_behind_its_answer, stopped_while_idle],
+    )
+    def test_its_connection_is_not_reset(self, monkeypatch, end):
+        kernel, world = Kernel(monkeypatch), World()
+        caller = end(world)
+        for count in range(9_000, 0, -1_000):
+            kernel.hold(caller.socket, count)
+            world.wait(1.0)
+            assert caller.socket.write_ended
+            assert not caller.socket.aborted
+            assert not caller.socket.disconnecting
+        kernel.hold(caller.socket, 0)
+        world.wait(callers.LINGER_S + 2)
+        assert caller.socket.closed
+
+    def test_it_is_reset_if_it_reads_nothing(self, monkeypatch):
+        kernel, world = Kernel(monkeypatch), World()
+        caller = refused_upload(world)
+        kernel.hold(caller.socket, 9_000)
+        world.wait(1)
+        world.wait(callers.IDLE_TIMEOUT_S - 2)
+        assert not caller.socket.aborted
+        world.wait(4)
+        assert caller.socket.aborted
+
+
 class TestStalls:
     def test_slow_head_times_out(self):
         # Guards against a connection kept open forever by single bytes.
@@ -88,7 +154,7 @@
             caller.send(b"A: b\r\n")
         assert caller.result()["code"] == codes.REQUEST_TIMEOUT.number
         world.wait(callers.LINGER_S + 1)
-        assert caller.socket.aborted
+        assert caller.socket.closed
 
     def test_stalled_body_times_out(self):
         # Guards against a request that its caller never completes.
@@ -121,4 +187,4 @@
         caller = world.caller()
         world.wait(callers.IDLE_TIMEOUT_S + 2)
         world.wait(callers.LINGER_S + 2)
-        assert caller.socket.aborted
+        assert caller.socket.closed
--- a/tests/test_entry_slow_callers.py
+++ b/tests/test_entry_slow_callers.py
@@ -4,7 +4,9 @@
 
 import pytest
 from entry_fakes import World, answer, configuration, request, route
+from http_fakes import Kernel
 from test_entry_closing import Servers, close_after
+from twisted.internet import defer
 
 LOOKUP = {"key": None, "deadline": 9000}
 ANSWER_BYTES = 30_000
@@ -117,4 +119,152 @@
         assert not caller.socket.aborted
         caller.socket.drain()
         world.advance(2.0, 0.1)
+        assert caller.socket.closed
+
+
+@pytest.fixture
+def kernel(monkeypatch):
+    return Kernel(monkeypatch)
+
+
+def end_by_stop(world, caller):
+    defer.ensureDeferred(world.node.stop())
+    caller.send(request(request_id="r1", **LOOKUP))
+    world.answering.answer_all()
+
+
+def end_by_caller(world, caller):
+    caller.send(close_after(request(request_id="r1", **LOOKUP)))
+    world.answering.answer_all()
+
+
+def end_by_second_answer(world, caller):
+    caller.send(request(request_id="r1", **LOOKUP))
+    world.answering.answer_all()
+    end_by_caller(world, caller)
+
+
+def end_by_refused_upload(world, caller):
+    caller.send(
+        b"POST /lookup/1 HTTP/1.1\r\nHost: shop.example\r\n"
+        b"Content-Length: 99999999\r\n\r\npart"
+    )
+
+
+def end_by_large_head(world, caller):
+    caller.send(request(request_id="x" * 20_000, **LOOKUP))
+
+
+def end_by_stop_of_idle(world, caller):
+    caller.send(request(request_id="r1", **LOOKUP))
+    world.answering.answer_all()
+    defer.ensureDeferred(world.node.stop())
+    world.advance(2.3, 0.05)
+
+
+ENDS = [
+    end_by_stop,
+    end_by_caller,
+    end_by_second_answer,
+    end_by_refused_upload,
+    end_by_large_head,
+    end_by_stop_of_idle,
+]
+
+
+class TestCallerThatReadsFromTheKernel:
+    """Guards against a reset that discards the part of an answer that the kernel has
+    taken and the caller has not read.
+    """
+
+    @pytest.mark.parametrize("end", ENDS)
+    def test_its_connection_is_not_reset(self, world, kernel, end):
+        caller = world.caller(world.node)
+        kernel.hold(caller.socket, ANSWER_BYTES)
+        end(world, caller)
+        for count in range(ANSWER_BYTES - 1_000, 0, -1_000):
+            kernel.hold(caller.socket, count)
+            world.advance(0.1, 0.05)
+            assert not caller.socket.aborted
+            assert not caller.socket.disconnecting
+        kernel.hold(caller.socket, 0)
+        world.advance(2.0, 0.05)
+        # The process may have ended before, and its kernel closes the connection.
+        assert caller.socket.closed or world.node.stopping
+
+    @pytest.mark.parametrize("end", ENDS[1:5])
+    def test_it_is_reset_if_it_reads_nothing(self, world, kernel, end):
+        caller = world.caller(world.node)
+        kernel.hold(caller.socket, ANSWER_BYTES)
+        end(world, caller)
+        world.advance(14.0, 0.1)
+        assert not caller.socket.aborted
+        world.advance(2.0, 0.1)
         assert caller.socket.aborted
+
+    def test_input_behind_the_last_answer_is_read(self, world, kernel):
+        caller = world.caller(world.node)
+        kernel.hold(caller.socket, ANSWER_BYTES)
+        end_by_caller(world, caller)
+        caller.send(request(request_id="r2", **LOOKUP) * 30)
+        assert not caller.socket.paused
+        assert world.answering.received == ["r1"]
+
+    def test_it_is_not_idle_while_it_reads(self, world, kernel):
+        caller = world.caller(world.node)
+        kernel.hold(caller.socket, ANSWER_BYTES)
+        caller.send(request(request_id="r1", **LOOKUP))
+        world.answering.answer_all()
+        for count in range(ANSWER_BYTES, 0, -1_000):
+            kernel.hold(caller.socket, count)
+            world.advance(1.0, 0.1)
+            assert not caller.socket.aborted
+            assert not caller.socket.disconnecting
+        kernel.hold(caller.socket, 0)
+        world.advance(14.0, 0.1)
+        assert not caller.socket.disconnecting
+        world.advance(2.0, 0.1)
+        assert caller.socket.closed
+
+    def test_slow_progress_in_the_kernel_is_no_standstill(self, world, kernel):
+        caller = world.caller(world.node)
+        caller.socket.stalled = True
+        kernel.hold(caller.socket, 2 * ANSWER_BYTES)
+        pipeline(world, caller, 0, 20)
+        for count in range(2 * ANSWER_BYTES, ANSWER_BYTES, -1_000):
+            kernel.hold(caller.socket, count)
+            world.advance(1.0, 0.1)
+        assert not caller.socket.aborted
+        world.advance(16.0, 0.1)
+        assert caller.socket.aborted
+
+
+class TestEndOfTheProcess:
+    """Guards against answers that wait in the process when it ends, while their caller
+    still reads.
+    """
+
+    def test_final_answers_are_not_reset(self, world, kernel):
+        caller = world.caller(world.node)
+        kernel.hold(caller.socket, ANSWER_BYTES)
+        stopped = defer.ensureDeferred(world.node.stop())
+        caller.send(request(request_id="r1", **LOOKUP))
+        world.advance(6.0, 0.05)
+        assert stopped.called
+        assert caller.socket.write_ended
+        assert not caller.socket.aborted
+
+    def test_the_kernel_gets_all_of_them(self, world, kernel):
+        caller = world.caller(world.node)
+        kernel.hold(caller.socket, ANSWER_BYTES)
+        caller.socket.stalled = True
+        lookups = [request(request_id=f"r{number}", **LOOKUP) for number in range(6)]
+        caller.send(b"".join(lookups))
+        world.answering.answer_all()
+        defer.ensureDeferred(world.node.stop())
+        handed_over = []
+        caller.socket.doWrite = lambda: handed_over.append(caller.socket.take())
+        world.advance(5.8, 0.05)
+        assert b"".join(handed_over).count(b"HTTP/1.1 200") == 6
+        assert not caller.socket.aborted
+        assert not caller.socket.paused
