--- a/briarspoke/loop.py
+++ b/briarspoke/loop.py
@@ -71,10 +71,21 @@
     from twisted.internet.epollreactor import EPollReactor
 
     class Reactor(EPollReactor):
-        """Twisted's default reactor with timers on the monotonic clock."""
+        """Twisted's epoll reactor, which reads a connection before it reports its end.
 
+        Twisted reports an orderly end when epoll reports an error or a hang-up without
+        input. A reset looks like that for a moment: its error is set before the reading
+        side is shut. Only a read tells the end of the stream from a reset.
+        """
+
+        # Timers on the monotonic clock.
         seconds = staticmethod(clock.monotonic)
 
+        def _doReadOrWrite(self, selectable, fd, event):
+            if event & self._POLL_DISCONNECTED and fd in self._reads:
+                event |= self._POLL_IN
+            super()._doReadOrWrite(selectable, fd, event)
+
     return Reactor()
 
 
