Withhold a server's status that would promise "not run" (REFUSED)

Callers got the 503, took it as the promise that the order had not run, and placed it again.

Cause: a status that a server wrote stood for our promise. Only Not-Executed and 421 say that a server has not run a request, but the status of any other answer was passed on.

Ruled out: a repeat of our own. The second run has the identifier of the caller's second try.

Change: briarspoke/entry/promises.py decides which answers may promise. A caller whose request must not run twice gets 502 with the new code 3105 in place of a server's own 408, 429 or 503, without the signature, which belongs to the server's answer. Requests that may run twice get the server's own answer as before, and refusals with Not-Executed stay as they are. The lines of the attempt and the result have the server's status, so explain shows it; withheld_answers_total counts it.

Why it works: no answer without Not-Executed or 421 can reach the caller of such a request with a status that promises.

--- a/briarspoke/codes.py
+++ b/briarspoke/codes.py
@@ -285,6 +285,13 @@
     502,
     "The request was interrupted while the server received it; it may have run.",
 )
+ANSWER_WITHHELD = register(
+    3105,
+    "answer-withheld",
+    Kind.UNKNOWN_OUTCOME,
+    502,
+    "The server's status would promise that the request has not run; it may have run.",
+)
 
 # 4xxx: an error of the caller; the request was not run.
 MALFORMED_REQUEST = register(
--- a/briarspoke/entry/exchange.py
+++ b/briarspoke/entry/exchange.py
@@ -9,6 +9,11 @@
 from briarspoke.entry.arriving import Body
 from briarspoke.entry.attempts import Attempt
 from briarspoke.entry.crashes import CRASH_FAILURES
+from briarspoke.entry.promises import (
+    PROMISING_STATUSES,
+    promises_too_much,
+    says_not_run,
+)
 from briarspoke.entry.request import DEFAULT_DEADLINE_S
 from briarspoke.entry.servers import MIN_CONNECT_TIMEOUT_S, WITHDRAWN
 from briarspoke.http.upstream import HOP_BY_HOP
@@ -21,8 +26,6 @@
 # Retries after a server answered that it is not responsible for the key, for example
 # while the key changes owner. They do not count as attempts.
 MAX_MISDIRECTED_RETRIES = 3
-# Statuses that promise that a request has not run.
-PROMISING_STATUSES = frozenset({408, 421, 429, 503})
 # Callers wait for a Retry-After at most for this fraction of the time they have left.
 MAX_RETRY_AFTER_FRACTION = 1 / 3
 # Failures after which the server may be unreachable.
@@ -70,6 +73,7 @@
         "request",
         "route",
         "running",
+        "server_status",
         "tried",
         "unknown_outcome_code",
     )
@@ -96,6 +100,8 @@
         self.tried = ()
         # Result code of an earlier attempt that may have run, or None.
         self.unknown_outcome_code = None
+        # Status of a server's answer that the caller did not get, or None.
+        self.server_status = None
         # Result code if the request leaves its queue without being sent.
         self.refusal_code = codes.QUEUE_FULL
         self._encoded_head = None
@@ -279,7 +285,7 @@
             serverload.record_answer(self.node, self.dispatcher, server, answer)
         else:
             self.node.crashes.server_replaced(server)
-        if answer.get(header_names.NOT_RUN) is not None or answer.status == 421:
+        if says_not_run(answer):
             self._handle_not_run(server, answer)
         else:
             self._handle_server_answer(attempt, answer)
@@ -318,12 +324,25 @@
                 self.unknown_outcome_code = codes.OUTCOME_UNKNOWN
                 self.dispatcher.dispatch(self)
                 return
-        if answer.status in PROMISING_STATUSES and self.unknown_outcome_code:
-            # The refusal of a retry does not say whether an earlier attempt has run.
-            self._end_unknown(self.unknown_outcome_code)
+        if promises_too_much(
+            answer,
+            idempotent=self.route.idempotent,
+            earlier_unknown=self.unknown_outcome_code is not None,
+        ):
+            self._withhold(attempt, answer)
             return
         self._end(answer)
 
+    def _withhold(self, attempt, answer):
+        """Ends the request without the server's answer, which promises too much.
+
+        The answer to the caller bears no signature, since it is not the server's.
+        """
+        self.server_status = answer.status
+        self.node.metrics.count("withheld_answers_total", answer.status)
+        self.node.request_log.log_attempt(attempt, f"status-{answer.status}")
+        self._end_unknown(self.unknown_outcome_code or codes.ANSWER_WITHHELD)
+
     def _tells_limit(self, server, answer):
         """Returns whether an answer tells if the server has a rate limit."""
         if answer.status is None or _is_spoiled(answer):
--- a/briarspoke/entry/requestlog.py
+++ b/briarspoke/entry/requestlog.py
@@ -47,12 +47,15 @@
                 server = exchange.dispatcher.owner_of(exchange)
         contact = node.view.last_contact
         log.info(
-            "requests: %s id=%s code=%d route=%s service=%s key=%s attempts=%d "
-            "waited_ms=%d server=%s latency_ms=%d in_flight=%d queued=%d limit=%s "
+            "requests: %s id=%s code=%d status=%d server_status=%s route=%s "
+            "service=%s key=%s attempts=%d waited_ms=%d server=%s latency_ms=%d "
+            "in_flight=%d queued=%d limit=%s "
             "configuration=%d store_age_ms=%d nodes=%d left_out=%d",
             code.name,
             logs.field(request.request_id.decode("latin-1")),
             code.number,
+            code.http_status,
+            exchange.server_status or "-",
             logs.field(exchange.route.name) if exchange.route else "-",
             logs.field(exchange.dispatcher.name) if exchange.dispatcher else "-",
             request.key if request.key is not None else "-",
--- a/briarspoke/metrics.py
+++ b/briarspoke/metrics.py
@@ -33,6 +33,11 @@
         "reason",
         "Failed attempts that were not retried, by reason.",
     ),
+    "withheld_answers_total": (
+        "status",
+        "Answers of servers, by their status, that callers did not get, because the "
+        "status would promise that the request has not run.",
+    ),
     "hedges_total": (
         "outcome",
         "Second copies of slow requests: sent; won and lost, the copies with which the "
