Log what tells a silent connection to the store from a late process

Errors of lost calls now say whether the connection was kept (and idle for how long), new or not open (and since when it was being opened), how many others were idle, and how late the timer was. 'configuration: in force' tells for how long the VM can have missed the version. No decision changes.

--- a/briarspoke/entry/connections.py
+++ b/briarspoke/entry/connections.py
@@ -50,9 +50,18 @@
         or ``timeout``; empty for an answer.
     :param sent: whether the system has taken any byte of the request.
     :param received_bytes: bytes that had arrived when the call failed.
+    :param detail: what is known of the connection of a failed call, for the log.
     """
 
-    __slots__ = ("body", "failure", "headers", "received_bytes", "sent", "status")
+    __slots__ = (
+        "body",
+        "detail",
+        "failure",
+        "headers",
+        "received_bytes",
+        "sent",
+        "status",
+    )
 
     def __init__(
         self,
@@ -63,6 +72,7 @@
         failure="",
         sent=True,
         received_bytes=0,
+        detail="",
     ):
         self.status = status
         self.headers = headers
@@ -70,6 +80,7 @@
         self.failure = failure
         self.sent = sent
         self.received_bytes = received_bytes
+        self.detail = detail
 
     def get(self, name):
         """Returns the first value of a header, or None.
--- a/briarspoke/entry/httpclient.py
+++ b/briarspoke/entry/httpclient.py
@@ -87,6 +87,15 @@
             connection.abandon()
         return None
 
+    @property
+    def idle_count(self):
+        """Number of kept connections that no call uses."""
+        return len(self._idle)
+
+    def now(self):
+        """Returns monotonic seconds."""
+        return self._clock()
+
     def connect(self, call):
         """Opens a connection for a call, or gives it the attempt of an earlier call.
 
@@ -94,7 +103,7 @@
         """
         attempt, self._late_attempt = self._late_attempt, None
         if attempt is None:
-            attempt = _ConnectionAttempt(client=self)
+            attempt = _ConnectionAttempt(client=self, began_at=self._clock())
             timeout_s = LATE_CONNECT_TIMEOUT_S if self.keep_late else CONNECT_TIMEOUT_S
             attempt.connector = self._reactor.connectTCP(
                 self.host,
@@ -142,14 +151,16 @@
 class _ConnectionAttempt:
     """A connection that is being opened, and the call that waits for it.
 
+    :param began_at: monotonic seconds.
     :ivar call: the :class:`_Call`, or None after it has ended.
     :ivar connector: Twisted's connector.
     """
 
-    __slots__ = ("_client", "call", "connector")
+    __slots__ = ("_client", "began_at", "call", "connector")
 
-    def __init__(self, *, client):
+    def __init__(self, *, client, began_at):
         self._client = client
+        self.began_at = began_at
         self.call = None
         self.connector = None
 
@@ -181,6 +192,8 @@
         "_connect_timer",
         "_connection",
         "_data",
+        "_due_at",
+        "_idle_s",
         "_timer",
         "deferred",
     )
@@ -192,6 +205,11 @@
         self._attempt = None
         self._connection = connection
         self._connect_timer = None
+        self._due_at = client.now() + timeout_s
+        # Seconds for which the connection was idle before the call; None if it is new.
+        self._idle_s = None
+        if connection is not None:
+            self._idle_s = client.now() - connection.idle_since
         self._timer = client.call_later(timeout_s, self._timed_out)
         if connection is not None:
             connection.exchange(data, self._finish)
@@ -239,6 +257,22 @@
                 Answer(failure="timeout", sent=sent, received_bytes=received_bytes)
             )
 
+    def _describe(self):
+        """Returns what tells a silent connection from a late process or connection."""
+        now = self._client.now()
+        if self._idle_s is not None:
+            connection = f"kept idle_ms={round(self._idle_s * 1e3)}"
+        elif self._connection is not None:
+            connection = "new"
+        else:
+            began_at = now if self._attempt is None else self._attempt.began_at
+            connection = f"not open attempt_ms={round((now - began_at) * 1e3)}"
+        late_ms = max(0, round((now - self._due_at) * 1e3))
+        return (
+            f"connection={connection} others={self._client.idle_count} "
+            f"late_ms={late_ms}"
+        )
+
     def _cancel_connect_timer(self):
         if self._connect_timer is not None and self._connect_timer.active():
             self._connect_timer.cancel()
@@ -248,4 +282,6 @@
         if self._timer.active():
             self._timer.cancel()
         if not self.deferred.called:
+            if answer.failure:
+                answer.detail = self._describe()
             self.deferred.callback(answer)
--- a/briarspoke/entry/node.py
+++ b/briarspoke/entry/node.py
@@ -245,7 +245,13 @@
         old = self.configuration_version
         self.routing_table = table
         self.configuration_since = self.now()
-        log.info("configuration: in force version=%d before=%d", table.version, old)
+        missed_ms = (self.now() - self.view.changes_since) * 1e3
+        log.info(
+            "configuration: in force version=%d before=%d missed_ms=%s",
+            table.version,
+            old,
+            round(missed_ms) if math.isfinite(missed_ms) else "-",
+        )
         self._discovery.configuration_changed()
         for service in table.services:
             self.dispatcher(service).dispatch_waiting()
--- a/briarspoke/platform/keyvalue.py
+++ b/briarspoke/platform/keyvalue.py
@@ -200,6 +200,8 @@
             detail = (
                 f" after {answer.received_bytes} bytes" if answer.received_bytes else ""
             )
+            if answer.detail:
+                detail += f" ({answer.detail})"
             raise StoreError(
                 f"{kind}: {answer.failure}{detail}", outcome_unknown=answer.sent
             )
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -12,6 +12,7 @@
 from briarspoke.entry import settings as entry_settings
 from briarspoke.entry.callers import CallerFactory
 from briarspoke.entry.connections import Answer
+from briarspoke.entry.httpclient import HttpClient
 from briarspoke.entry.node import EntryNode
 from briarspoke.standins.platform_server import ServerModel
 from briarspoke.standins.platform_store import PendingWatch, StoreModel
@@ -213,8 +214,9 @@
 class Node(EntryNode):
     """An entry VM whose calls go to the in-memory store and servers."""
 
-    def __init__(self, *, world, **options):
+    def __init__(self, *, world, store_path=None, **options):
         self.world = world
+        self.store_path = store_path
         self.faults_by_address = {}
         super().__init__(**options)
 
@@ -222,6 +224,15 @@
         return self.faults_by_address.setdefault(address, Faults())
 
     def http_client(self, host, port, *, keep_late=False):
+        if self.store_path is not None and (host, port) == STORE:
+            return HttpClient(
+                reactor=self.store_path,
+                clock=self.now,
+                host=host,
+                port=port,
+                held_answers=self.held_answers,
+                keep_late=keep_late,
+            )
         return FakeHttp(self.world, self.faults((host, port)), host, port)
 
 
@@ -292,6 +303,9 @@
             if not self.store_down:
                 self.store.expire()
             self._answer_watches()
+            for node in self.nodes:
+                if node.store_path is not None:
+                    node.store_path.advance()
 
     def add_server(self, service, number, **changes):
         """Registers a server and returns its :class:`ServerModel`."""
@@ -301,8 +315,14 @@
         self.store.put(f"servers/{server_id}", registration(service, number, **changes))
         return model
 
-    def add_node(self, name="front-poa-1", number=1, zone="poa", start=True):
-        """Adds an entry VM, started unless ``start`` is false, and returns it."""
+    def add_node(
+        self, name="front-poa-1", number=1, zone="poa", start=True, store_path=None
+    ):
+        """Adds an entry VM, started unless ``start`` is false, and returns it.
+
+        :param store_path: the :class:`store_path.StorePath` of an entry VM whose calls
+            to the store go through its own HTTP client; None for :class:`FakeHttp`.
+        """
         ip = f"10.0.1.{number}"
         values = {
             **SETTINGS,
@@ -314,6 +334,7 @@
         }
         node = Node(
             world=self,
+            store_path=store_path,
             reactor=self.reactor,
             settings=entry_settings.parse(values, "test"),
             clock=self.reactor.seconds,
@@ -387,6 +408,12 @@
         # Data that relays have sent, each with the follower's link.
         self.frames = []
         self._pairs = []
+        self._silent_pairs = []
+
+    def fall_silent(self):
+        """Loses the state of all open connections; new ones work."""
+        self._silent_pairs += self._pairs
+        self._pairs = []
 
     def advance(self, seconds):
         for _ in range(round(seconds / 0.02)):
