Answer 503 for an unknown route while the configuration may be out of date

Cause: a VM that knew that its view was older than it may be decided as before. 404 promises that no configuration in force has the route, and callers do not come back after it. The recovery is bounded on a sound path only; on others the VM has to know what it does not know.

Now a VM whose last proof is older than 2.0 s answers 503 with the new code 3011 and a Retry-After. In touch nothing changes: the test asks every 0.1 s for 2 s.

--- a/briarspoke/codes.py
+++ b/briarspoke/codes.py
@@ -257,6 +257,13 @@
     503,
     "All servers of the service are in evacuated zones; the request was not run.",
 )
+ROUTE_UNCERTAIN = register(
+    3011,
+    "route-uncertain",
+    Kind.UNAVAILABLE,
+    503,
+    "No known route matches, and the configuration may be out of date; not run.",
+)
 OUTCOME_UNKNOWN = register(
     3101,
     "outcome-unknown",
--- a/briarspoke/entry/exchange.py
+++ b/briarspoke/entry/exchange.py
@@ -118,6 +118,9 @@
             self.refuse(codes.NOT_READY, node.RETRY_AFTER_UNAVAILABLE_S)
             return
         route = node.routing_table.find(request.host, request.path)
+        if route is None and node.view.may_lack_changes():
+            self.refuse(codes.ROUTE_UNCERTAIN, node.RETRY_AFTER_UNAVAILABLE_S)
+            return
         if route is None:
             self.refuse(codes.UNKNOWN_SERVICE)
             return
--- a/briarspoke/entry/view.py
+++ b/briarspoke/entry/view.py
@@ -23,6 +23,9 @@
 # still unanswered ``WATCH_DOUBT_S`` later is asked again. A configuration has to be in
 # force 2 s after it was written, on VMs whose path to the store has been sound for 3 s.
 MAX_PROOF_INTERVAL_S = 1.6
+# A VM in touch has a proof that is younger. One without may lack a change that is in
+# force.
+MAX_VIEW_AGE_S = 2.0
 # Followers bound the age of their relay's proof, so a relay needs proofs more often.
 MAX_RELAY_PROOF_INTERVAL_S = 0.8
 MIN_WATCH_WAIT_S = 0.2
@@ -124,6 +127,10 @@
         """Returns the seconds since the items were last known to be current."""
         return self._clock() - self.last_contact
 
+    def may_lack_changes(self):
+        """Returns whether a change may be in force that the items do not have."""
+        return self.proof_age_s() > MAX_VIEW_AGE_S
+
     def completeness_age_s(self):
         """Returns the seconds since the items were complete for certain."""
         return self._clock() - self._complete_at
--- a/tests/test_entry_staleness.py
+++ b/tests/test_entry_staleness.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import re
 import zlib
 
 import cbor2
 import pytest
-from entry_fakes import STORE, RelayNetwork, World, configuration
+from entry_fakes import STORE, RelayNetwork, World, configuration, request
 
+from briarspoke import codes
 from briarspoke.entry.relays import Frame, _decode, _encode
 from briarspoke.platform.keyvalue import Changes
 from briarspoke.platform.values import DecodeError
@@ -54,6 +56,35 @@
         assert world.node.configuration_version == 9
 
 
+class TestUnknownRoute:
+    """Guards against a 404 for a route that was added in an outage of the store."""
+
+    def status(self, world):
+        """Returns the status and the result code of a request without a route."""
+        caller = world.caller(world.node)
+        caller.send(request(path="/added/1"))
+        head = caller.take()
+        code = re.search(rb"Briarspoke-Code: (\d+)", head)
+        return int(head.split()[1]), int(code[1]), b"Retry-After:" in head
+
+    def test_of_a_vm_in_touch(self, world):
+        for _ in range(20):
+            world.advance(0.1)
+            assert self.status(world) == (404, codes.UNKNOWN_SERVICE.number, False)
+
+    def test_of_a_vm_out_of_touch(self, world):
+        world.node.faults(STORE).cut = True
+        world.advance(IN_FORCE_S + 0.05)
+        assert self.status(world) == (503, codes.ROUTE_UNCERTAIN.number, True)
+
+    def test_after_the_outage(self, world):
+        world.node.faults(STORE).cut = True
+        world.advance(10.0)
+        world.node.faults(STORE).cut = False
+        world.advance(SOUND_S)
+        assert self.status(world) == (404, codes.UNKNOWN_SERVICE.number, False)
+
+
 class TestRelayOutOfTouch:
     """Guards against followers that take a relay for current which is not."""
 
