Count the age of an answer that arrives slowly from the time it was asked for

Since answers that arrive are not given up, one with changes may have been on its way for longer than the 0.6 s after which it counted as lost, and the earliest acknowledgement of an evacuation in it would be taken for later than it was (EVAC). An answer that is later than that after the wait, and one of a watch that was asked again, now count from the time at which they were asked for. Test: TestAgeOfAnswers; its fourth case fails before.

--- a/briarspoke/entry/view.py
+++ b/briarspoke/entry/view.py
@@ -50,7 +50,7 @@
     :param changes: the :class:`Changes`.
     :param wait_s: seconds for which the watch waited.
     """
-    if changes.is_repeated:
+    if changes.is_repeated or changes.age_s > wait_s + WATCH_GRACE_S:
         return changes.age_s
     if not changes.items:
         return max(0.0, changes.age_s - wait_s)
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -9,8 +9,10 @@
 from keyspace_fakes import KEYS, holders
 from limit_fakes import Deployment, status_and_body
 
+from briarspoke.entry import view
 from briarspoke.entry.evacuations import RESTORED_HOLD_S, Evacuations
 from briarspoke.entry.view import MAX_PROOF_INTERVAL_S, StoreView
+from briarspoke.platform.keyvalue import Changes, Item
 
 EVACUATION_S = 5.0
 # A VM whose path to the store works has the news within this time.
@@ -396,3 +398,25 @@
         restored_at = unkeyed.now()
         unkeyed.run(RESTORED_HOLD_S + 4.0)
         assert unkeyed.last_arrival("z1") > restored_at + RESTORED_HOLD_S
+
+
+class TestAgeOfAnswers:
+    """Guards against an evacuation that counts from the end of a slow download."""
+
+    @pytest.mark.parametrize(
+        ("age_s", "is_repeated", "has_items", "expected_s"),
+        [
+            (1.7, False, False, 0.1),
+            (0.3, False, True, 0.3),
+            (1.7, False, True, 0.6),
+            (2.5, False, True, 2.5),
+            (0.9, True, True, 0.9),
+            (0.9, True, False, 0.9),
+        ],
+    )
+    def test_of_a_watch_of_1_6_s(self, age_s, is_repeated, has_items, expected_s):
+        items = [Item(key="op/x", value=b"", revision=7, era=1)] if has_items else []
+        changes = Changes(
+            items=items, revision=7, era=1, age_s=age_s, is_repeated=is_repeated
+        )
+        assert view._answer_age_s(changes, 1.6) == pytest.approx(expected_s)
