Tell after a repeated call whether any copy of it was sent

A renewal whose kept connection was reset and whose copy was then refused counted as not sent, so a VM gave up the lease of its registration and asked for a new one, where a renewal would do. Test: test_copy_that_was_sent_may_have_been_executed, which fails before.

--- a/briarspoke/entry/repeating.py
+++ b/briarspoke/entry/repeating.py
@@ -47,6 +47,7 @@
         "_give_up_at",
         "_interval_s",
         "_is_repeated",
+        "_is_sent",
         "_method",
         "_on_doubt",
         "_received_bytes",
@@ -66,6 +67,8 @@
         self._on_doubt = on_doubt
         self._copies = []
         self._is_repeated = False
+        # Whether a copy that has failed may have been executed.
+        self._is_sent = False
         # Bytes of answers that had arrived at the last check.
         self._received_bytes = 0
         now = client.now()
@@ -92,6 +95,7 @@
         self._copies.remove(copy)
         if self.deferred.called:
             return
+        self._is_sent = answer.sent = self._is_sent or answer.sent
         if answer.status is not None:
             answer.age_s = self._client.now() - began_at
             answer.is_repeated = self._is_repeated
@@ -131,7 +135,7 @@
     def _give_up(self):
         answer = Answer(
             failure="timeout",
-            sent=any(copy.is_sent for copy in self._copies),
+            sent=self._is_sent or any(copy.is_sent for copy in self._copies),
             received_bytes=self._received_bytes,
             detail=self._describe(),
         )
--- a/tests/test_entry_repeating.py
+++ b/tests/test_entry_repeating.py
@@ -120,10 +120,18 @@
         server.send(OK + b"ab")
         assert answers[-1].status == 200
 
+    def test_copy_that_was_sent_may_have_been_executed(self, world, http):
+        # Guards against a lease that is given up though it has just been renewed.
+        [kept] = keep(world, http, 1)
+        answers = call(http)
+        kept.reset()
+        world.refuse()
+        assert (answers[-1].failure, answers[-1].sent) == ("refused", True)
+
     def test_refusal_ends_the_call(self, world, http):
         answers = call(http)
         world.refuse()
-        assert answers[-1].failure == "refused"
+        assert (answers[-1].failure, answers[-1].sent) == ("refused", False)
         world.reactor.advance(TIMEOUT_S)
         assert world.reactor.tcpClients == []
 
