--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -339,6 +339,17 @@
                 if node.store_path is not None:
                     node.store_path.advance()
 
+    def http_client(self, *, keep_late=False):
+        """Returns an HTTP client whose connections the test accepts."""
+        return HttpClient(
+            reactor=self.reactor,
+            clock=self.reactor.seconds,
+            host="10.0.9.99",
+            port=80,
+            held_answers=self.node.held_answers,
+            keep_late=keep_late,
+        )
+
     def add_server(self, service, number, **changes):
         """Registers a server and returns its :class:`ServerModel`."""
         server_id = f"s-{number}"
--- a/tests/test_entry_faults.py
+++ b/tests/test_entry_faults.py
@@ -16,7 +16,6 @@
 from twisted.internet import defer
 
 from briarspoke.entry import relays, reports
-from briarspoke.entry.httpclient import HttpClient
 from briarspoke.errors import BriarspokeError
 from briarspoke.keyspace import granter
 from briarspoke.platform import documents, grants, keyvalue
@@ -58,16 +57,6 @@
     return caller, server
 
 
-def grant_client(world):
-    return HttpClient(
-        reactor=world.reactor,
-        clock=world.reactor.seconds,
-        host="10.0.9.99",
-        port=80,
-        held_answers=world.node.held_answers,
-    )
-
-
 def start(coroutine):
     """Starts a coroutine; returns a list that gets its result."""
     results = []
@@ -80,7 +69,7 @@
         # Guards against a log in which a silent connection and one whose answer is
         # arriving look the same.
         calls = []
-        call = grant_client(world).call(b"GET", "/watch", timeout_s=0.6)
+        call = world.http_client().call(b"GET", "/watch", timeout_s=0.6)
         call.addCallback(calls.append)
         server, _ = world.accept()
         server.send(b"HTTP/1.1 200 OK\r\n")
@@ -169,7 +158,7 @@
     def test_change_of_ownership_uses_new_connections(self, world):
         # Guards against a release that is taken as confirmed by a second copy of the
         # answer to a renewal.
-        client = grant_client(world)
+        client = world.http_client()
         keys = {"server_id": "s-1", "first": 0, "last": 9, "fence": 3}
         done = start(grants.grant(client, **keys, hold_s=4.0))
         server, _ = world.accept()
@@ -189,7 +178,7 @@
 
     @pytest.mark.parametrize("call", [grants.grant, grants.release])
     def test_call_names_its_server(self, world, call):
-        client = grant_client(world)
+        client = world.http_client()
         options = {"hold_s": 4.0} if call is grants.grant else {}
         keys = {"server_id": "s-1", "first": 0, "last": 9, "fence": 3}
         answers = start(call(client, **keys, **options))
--- a/tests/test_entry_repeating.py
+++ b/tests/test_entry_repeating.py
@@ -8,7 +8,6 @@
 from entry_fakes import World
 
 from briarspoke.entry import repeating
-from briarspoke.entry.httpclient import HttpClient
 
 AFTER_S = 0.4
 INTERVAL_S = 0.8
@@ -26,14 +25,7 @@
 
 @pytest.fixture
 def http(world):
-    return HttpClient(
-        reactor=world.reactor,
-        clock=world.reactor.seconds,
-        host="10.0.9.99",
-        port=80,
-        held_answers=world.node.held_answers,
-        keep_late=True,
-    )
+    return world.http_client(keep_late=True)
 
 
 def call(http, **options):
--- a/tests/test_entry_slow_links.py
+++ b/tests/test_entry_slow_links.py
@@ -12,7 +12,6 @@
     LATE_CONNECT_TIMEOUT_S,
     MAX_ATTEMPT_AGE_S,
     MAX_LATE_ATTEMPTS,
-    HttpClient,
 )
 
 
@@ -23,17 +22,6 @@
     return world
 
 
-def client(world, *, keep_late):
-    return HttpClient(
-        reactor=world.reactor,
-        clock=world.reactor.seconds,
-        host="10.0.9.99",
-        port=80,
-        held_answers=world.node.held_answers,
-        keep_late=keep_late,
-    )
-
-
 def probe(http, *, timeout_s=2.2):
     """Starts a call; returns a list that gets its answer."""
     answers = []
@@ -51,7 +39,7 @@
     def test_it_serves_the_next_call(self, world):
         # Guards against a VM on a full link that gives up each connection to the store
         # just before it opens, and hears of no change until the link is free.
-        http = client(world, keep_late=True)
+        http = world.http_client(keep_late=True)
         first = probe(http)
         world.reactor.advance(CONNECT_TIMEOUT_S + 0.01)
         assert [(a.failure, a.sent) for a in first] == [("connect", False)]
@@ -64,7 +52,7 @@
         assert [a.status for a in second] == [200]
 
     def test_it_is_kept_idle_between_calls(self, world):
-        http = client(world, keep_late=True)
+        http = world.http_client(keep_late=True)
         probe(http, timeout_s=0.3)
         world.reactor.advance(0.9)
         server, _ = world.accept()
@@ -76,7 +64,7 @@
 
     def test_an_attempt_in_an_outage_ends_by_itself(self, world):
         # Guards against a connector that is left behind by each call in an outage.
-        http = client(world, keep_late=True)
+        http = world.http_client(keep_late=True)
         for _ in range(3 * MAX_LATE_ATTEMPTS):
             probe(http)
             world.reactor.advance(CONNECT_TIMEOUT_S + 0.01)
@@ -94,7 +82,7 @@
 
     def test_a_lost_first_packet_delays_no_call(self, world):
         # Guards against a call that waits until TCP sends the packet of another again.
-        http = client(world, keep_late=True)
+        http = world.http_client(keep_late=True)
         first = probe(http)
         world.reactor.advance(MAX_ATTEMPT_AGE_S + 0.01)
         second = probe(http)
@@ -104,7 +92,7 @@
         assert [(a.failure, a.sent) for a in first] == [("connect", False)]
 
     def test_first_open_connection_serves_the_oldest_call(self, world):
-        http = client(world, keep_late=True)
+        http = world.http_client(keep_late=True)
         first, second = probe(http), probe(http)
         answer(world.accept_newest())
         assert [a.status for a in first] == [200]
@@ -115,7 +103,7 @@
 
     def test_calls_to_servers_stop_their_attempt(self, world):
         # Guards against a grant that is written long after its call has ended.
-        http = client(world, keep_late=False)
+        http = world.http_client(keep_late=False)
         probe(http, timeout_s=0.3)
         world.reactor.advance(0.31)
         probe(http)
