--- a/briarspoke/entry/exchange.py
+++ b/briarspoke/entry/exchange.py
@@ -570,6 +570,7 @@
     def caller_gone(self):
         """Ends the request without an answer, since the caller has disconnected."""
         if self.done:
+            self.answer = None
             return
         self.done = True
         self._release_body()
@@ -584,6 +585,7 @@
             return
         self.done = True
         self.answer = answer
+        self._unsigned_answer = None
         abandoned = self._abandon_running()
         self._release_body()
         for attempt in abandoned:
@@ -616,13 +618,15 @@
         return len(self.answer.body)
 
     def encode(self, *, close):
-        """Returns the answer as bytes.
+        """Returns the answer as bytes and lets go of it.
 
         :param close: whether the connection is closed after the answer.
         """
+        # The timers keep a reference to the exchange until the deadline.
+        answer, self.answer = self.answer, None
         is_head = self.request.method == b"HEAD"
-        if isinstance(self.answer, tuple):
-            code, run, retry_after_s = self.answer
+        if isinstance(answer, tuple):
+            code, run, retry_after_s = answer
             return answers.result_answer(
                 code,
                 request_id=self.request.request_id,
@@ -631,7 +635,7 @@
                 close=close,
                 is_head=is_head,
             )
-        return answers.server_answer(self.answer, close=close, is_head=is_head)
+        return answers.server_answer(answer, close=close, is_head=is_head)
 
 
 def _is_unsent(answer):
--- a/tests/test_entry_slow_callers.py
+++ b/tests/test_entry_slow_callers.py
@@ -268,3 +268,29 @@
         assert b"".join(handed_over).count(b"HTTP/1.1 200") == 6
         assert not caller.socket.aborted
         assert not caller.socket.paused
+
+
+class TestAnswerThatWasWritten:
+    """Guards against answers that the timers hold until the time limit of a request."""
+
+    def held_bytes(self, world):
+        """Returns the bytes of answers that the timers refer to."""
+        return sum(item.answer_bytes for _, _, item in world.node.timers._heap)
+
+    def test_it_is_not_held(self, world):
+        caller = world.caller(world.node)
+        pipeline(world, caller, 0, 10)
+        assert len(caller.take()) > 10 * ANSWER_BYTES
+        assert len(world.node.timers._heap) >= 10
+        assert self.held_bytes(world) == 0
+
+    def test_it_is_not_held_for_a_caller_that_has_gone(self, world):
+        caller = world.caller(world.node)
+        for request_id in ("r1", "r2"):
+            caller.send(request(request_id=request_id, **LOOKUP))
+        world.answering.step()
+        peer, request_id = world.answering._pending.pop()
+        peer.send(answer(request_id=request_id, body=b"x" * ANSWER_BYTES))
+        assert self.held_bytes(world) == ANSWER_BYTES
+        caller.reset()
+        assert self.held_bytes(world) == 0
