--- a/briarspoke/entry/repeating.py
+++ b/briarspoke/entry/repeating.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 
 from twisted.internet import defer
@@ -17,6 +18,9 @@
 # A call whose answer arrives is given up only this long after its timeout. A link of
 # 5 Mbit/s that callers use as well carries a page of 1 MB in several seconds.
 MAX_ARRIVAL_S = 10.0
+# An answer that has begun to arrive is in doubt after a silence of this length, and of
+# twice that at most.
+MAX_SILENCE_S = 0.4
 # Largest factor by which an interval between two copies is drawn longer or shorter, so
 # that the VMs do not ask together.
 MAX_SPREAD = 1.25
@@ -49,9 +53,11 @@
         "_is_repeated",
         "_is_sent",
         "_method",
+        "_next_copy_at",
         "_on_doubt",
         "_received_bytes",
         "_repeat_path",
+        "_silent_at",
         "_timer",
         "deferred",
     )
@@ -69,12 +75,15 @@
         self._is_repeated = False
         # Whether a copy that has failed may have been executed.
         self._is_sent = False
-        # Bytes of answers that had arrived at the last check.
-        self._received_bytes = 0
         now = client.now()
+        # Bytes of answers that had arrived at the last check, and time at which the
+        # answer is in doubt if there are no more.
+        self._received_bytes = 0
+        self._silent_at = now
+        self._next_copy_at = now + after_s
         self._due_at = now + timeout_s
         self._give_up_at = self._due_at + MAX_ARRIVAL_S
-        self._timer = client.call_later(min(after_s, timeout_s), self._check)
+        self._timer = client.call_later(self._check_delay_s(now), self._check)
         self._send(path, new_connection=False)
 
     def _send(self, path, *, new_connection):
@@ -114,20 +123,29 @@
         """Sends a copy if no answer is arriving, and gives up when the time is over."""
         now = self._client.now()
         received_bytes = sum(copy.received_bytes for copy in self._copies)
-        is_arriving = received_bytes > self._received_bytes
+        if received_bytes > self._received_bytes:
+            self._next_copy_at = self._silent_at = now + MAX_SILENCE_S
         self._received_bytes = received_bytes
-        if not is_arriving:
+        if now >= self._silent_at:
             if now >= self._due_at:
                 self._give_up()
                 return
-            if self._on_doubt is not None and not self._is_repeated:
-                self._on_doubt(self._describe())
-            self._client.drop_idle()
-            self._repeat()
-        delay_s = draw_spread(self._interval_s)
-        if now < self._due_at:
-            delay_s = min(delay_s, self._due_at - now)
-        self._timer = self._client.call_later(delay_s, self._check)
+            if now >= self._next_copy_at:
+                self._doubt()
+                self._next_copy_at = now + draw_spread(self._interval_s)
+        self._timer = self._client.call_later(self._check_delay_s(now), self._check)
+
+    def _check_delay_s(self, now):
+        """Returns the seconds until the next check."""
+        times = (self._silent_at, self._next_copy_at, self._due_at)
+        next_at = min((time for time in times if time > now), default=math.inf)
+        return min(MAX_SILENCE_S, next_at - now)
+
+    def _doubt(self):
+        if self._on_doubt is not None and not self._is_repeated:
+            self._on_doubt(self._describe())
+        self._client.drop_idle()
+        self._repeat()
 
     def _describe(self):
         return self._copies[-1].describe() if self._copies else ""
--- a/tests/test_entry_mixed_troubles.py
+++ b/tests/test_entry_mixed_troubles.py
@@ -59,6 +59,11 @@
         lost_s = self.gap_s(keyvalue.READ_REPEAT_S)
         assert lost_s + self.ANSWER_S + self.READ_S <= SOUND_S
 
+    def test_of_an_answer_that_stops_to_arrive(self):
+        # One check sees the last bytes, the next one that there are no more.
+        noticed_s = 2 * repeating.MAX_SILENCE_S
+        assert noticed_s + self.ANSWER_S + self.ANSWER_S + self.READ_S <= SOUND_S
+
     def test_a_first_packet_that_was_lost_delays_no_step(self):
         gaps_s = (
             self.gap_s(keyvalue.PROBE_REPEAT_S),
--- a/tests/test_entry_repeating.py
+++ b/tests/test_entry_repeating.py
@@ -96,14 +96,29 @@
         answers = call(http)
         server, _ = world.accept()
         server.send(b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n")
-        world.reactor.advance(AFTER_S + 0.01)
+        world.reactor.advance(repeating.MAX_SILENCE_S)
         assert world.reactor.tcpClients == []
-        world.reactor.advance(INTERVAL_S)
+        world.reactor.advance(repeating.MAX_SILENCE_S + 0.01)
         copy, _ = world.accept()
         copy.send(OK + b"ab")
         assert answers[-1].status == 200
         assert server.socket.aborted
 
+    def test_silence_counts_from_the_last_byte(self, world, http):
+        # Guards against a watch whose answer stops early in a long wait.
+        http.call_repeatedly(
+            b"GET",
+            "/watch",
+            repeat_path="/again",
+            repeat_s=(1.9, INTERVAL_S),
+            timeout_s=TIMEOUT_S,
+        )
+        server, _ = world.accept()
+        server.send(b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n")
+        for _ in range(round(2 * repeating.MAX_SILENCE_S / 0.05) + 3):
+            world.reactor.advance(0.05)
+        assert len(world.reactor.tcpClients) == 1
+
     def test_kept_connection_that_the_peer_has_closed(self, world, http):
         [kept] = keep(world, http, 1)
         answers = call(http)
