--- a/briarspoke/entry/gauges.py
+++ b/briarspoke/entry/gauges.py
@@ -9,25 +9,26 @@
     """Largest delay of a periodic call since the last call of :meth:`take`.
 
     :param period_s: seconds between two calls on an idle loop.
+    :ivar largest_s: that delay in seconds.
     """
 
-    __slots__ = ("_called_at", "_largest_s", "_period_s")
+    __slots__ = ("_called_at", "_period_s", "largest_s")
 
     def __init__(self, *, period_s):
         self._period_s = period_s
         self._called_at = None
-        self._largest_s = 0.0
+        self.largest_s = 0.0
 
     def record_call(self, now):
         """Records that the periodic call ran at a monotonic time."""
         if self._called_at is not None:
             delay_s = now - self._called_at - self._period_s
-            self._largest_s = max(self._largest_s, delay_s)
+            self.largest_s = max(self.largest_s, delay_s)
         self._called_at = now
 
     def take(self):
         """Returns the largest delay in seconds, and resets it."""
-        largest_s, self._largest_s = self._largest_s, 0.0
+        largest_s, self.largest_s = self.largest_s, 0.0
         return largest_s
 
 
--- a/briarspoke/entry/node.py
+++ b/briarspoke/entry/node.py
@@ -134,9 +134,9 @@
         self.view.observe(documents.CONFIGURATION_KEY, self._configuration_changed)
         self._discovery = ServerDiscovery(node=self)
         self.view.observe(keymap.KEY_MAP_PREFIX, self._key_map_changed)
-        self._loop_lag = gauges.LoopLag(period_s=TICK_INTERVAL_S)
+        self.loop_lag = gauges.LoopLag(period_s=TICK_INTERVAL_S)
         self.time_of_day = TimeOfDay(clock=clock)
-        gauges.register(self, self._loop_lag)
+        gauges.register(self, self.loop_lag)
 
     def sleep(self, seconds):
         """Returns a Deferred that fires after a number of seconds."""
@@ -406,7 +406,7 @@
 
     def _tick(self):
         now = self.now()
-        self._loop_lag.record_call(now)
+        self.loop_lag.record_call(now)
         self.time_of_day.check()
         self._discovery.tick(now)
         self.key_maps.expire(now)
--- a/briarspoke/entry/view.py
+++ b/briarspoke/entry/view.py
@@ -11,11 +11,7 @@
 from briarspoke.entry.pauses import Pause
 from briarspoke.entry.repeating import draw_spread
 from briarspoke.errors import BriarspokeError
-from briarspoke.platform.keyvalue import (
-    WATCH_GRACE_S,
-    CallAbandonedError,
-    HistoryGoneError,
-)
+from briarspoke.platform.keyvalue import CallAbandonedError, HistoryGoneError
 
 log = logging.getLogger(__name__)
 
@@ -23,8 +19,8 @@
 # still unanswered ``WATCH_DOUBT_S`` later is asked again. A configuration has to be in
 # force 2 s after it was written, on VMs whose path to the store has been sound for 3 s.
 MAX_PROOF_INTERVAL_S = 1.6
-# A VM in touch has a proof that is younger. One without may lack a change that is in
-# force.
+# A VM in touch has a proof that is younger. One whose proof is older may lack a change
+# that is in force.
 MAX_VIEW_AGE_S = 2.0
 # Followers bound the age of their relay's proof, so a relay needs proofs more often.
 MAX_RELAY_PROOF_INTERVAL_S = 0.8
@@ -43,18 +39,17 @@
 
 
 def _answer_age_s(changes, wait_s):
-    """Returns how long the answer to a watch may have been on its way.
+    """Returns the longest time for which the answer to a watch can be out of date.
 
-    An empty answer was sent at the end of the wait, one with changes at any time.
+    The store sends an empty answer at the end of the wait, and one with changes at any
+    time since the watch was sent.
 
     :param changes: the :class:`Changes`.
     :param wait_s: seconds for which the watch waited.
     """
-    if changes.is_repeated or changes.age_s > wait_s + WATCH_GRACE_S:
+    if changes.items or changes.is_repeated:
         return changes.age_s
-    if not changes.items:
-        return max(0.0, changes.age_s - wait_s)
-    return min(WATCH_GRACE_S, changes.age_s)
+    return max(0.0, changes.age_s - wait_s)
 
 
 class StoreView:
@@ -72,14 +67,12 @@
         # Era of the store to which the revision belongs.
         self.era = 0
         self.reachable = False
-        # Time as of which the items were last known to be current.
+        # Latest time of which it is certain that the items were current then: not the
+        # arrival of an answer, which may have been on its way for seconds.
         self.last_contact = None
         # Earliest time at which the changes that observers are told of can have been
         # acknowledged by the store; minus infinity for those of the first view.
         self.changes_since = -math.inf
-        # Time of which it is certain that the items were complete then. It is earlier
-        # than ``last_contact`` by the time that the store's answer took.
-        self._complete_at = -math.inf
         # Time of the first answer at the start or after the last outage.
         self.recovered_at = None
         self._client = client
@@ -124,52 +117,78 @@
         return self._clock()
 
     def proof_age_s(self):
-        """Returns the seconds since the items were last known to be current."""
+        """Returns the seconds since the items were certainly current."""
         return self._clock() - self.last_contact
 
     def may_lack_changes(self):
         """Returns whether a change may be in force that the items do not have."""
         return self.proof_age_s() > MAX_VIEW_AGE_S
 
-    def completeness_age_s(self):
-        """Returns the seconds since the items were complete for certain."""
-        return self._clock() - self._complete_at
+    @property
+    def position(self):
+        """Era and revision up to which the items are complete, or None if unknown."""
+        return None if self.revision is None else (self.era, self.revision)
 
-    def switch_to_relay(self, changes, proof_age_s=0.0, complete_age_s=None):
+    def switch_to_relay(self, changes, proof_age_s=0.0):
         """Replaces all items by those of a relay, which sends all further changes.
 
         :param changes: :class:`Changes` with all items of the relay.
-        :param proof_age_s: seconds since they were known to be current.
-        :param complete_age_s: seconds since they were complete for certain; None for
-            ``proof_age_s``.
+        :param proof_age_s: seconds since they were certainly current.
         """
+        self.replace(changes, proof_age_s)
+        self.rely_on_relay()
+
+    def rely_on_relay(self):
+        """Stops watching the store, since a relay sends changes in time."""
+        self._note_reachable()
         self.uses_relay = True
         self._relay_ended = defer.Deferred()
-        self._replace_all(changes, proof_age_s, complete_age_s)
         for listener in self.listeners:
             listener.view_abandoned()
+        self._abandon_call()
+
+    def replace(self, changes, proof_age_s=0.0):
+        """Replaces all items by those of a relay.
+
+        A reading of all items that goes on ends, since it is not needed any more.
+
+        :param changes: :class:`Changes` with all items of the relay.
+        :param proof_age_s: seconds since they were certainly current.
+        """
+        was_reading = self.revision is None
+        if not self.reachable:
+            # Registrations may have expired in the outage.
+            self.recovered_at = self._clock()
+        self._replace_all(changes, proof_age_s)
+        if was_reading:
+            self._abandon_call()
+
+    def _abandon_call(self):
         if self._asking is not None:
             self._asking.cancel()
 
-    def replace_from_relay(self, changes, proof_age_s=0.0, complete_age_s=None):
+    def replace_from_relay(self, changes, proof_age_s=0.0):
         """Replaces all items by those that the relay has read again.
 
         The relay may have had an outage of the store that this view knows nothing of,
         so registrations that are missing get the time to return, as after an outage.
         """
         self.recovered_at = self._clock()
-        self._replace_all(changes, proof_age_s, complete_age_s)
+        self.replace(changes, proof_age_s)
 
-    def apply_changes(self, changes, proof_age_s=0.0, complete_age_s=None):
+    def apply_changes(self, changes, proof_age_s=0.0):
         """Applies :class:`Changes` that came from the store or from a relay.
 
-        :param proof_age_s: seconds since they were known to be complete.
-        :param complete_age_s: seconds since they were complete for certain; None for
-            ``proof_age_s``.
+        Changes up to the revision of the items are passed over: a late frame of a relay
+        must not bring back an item that has been removed since.
+
+        :param proof_age_s: seconds since they were certainly complete.
         """
-        self._contact_succeeded(proof_age_s, complete_age_s)
+        known = self.position
+        self._note_proof(proof_age_s)
         for item in self._in_order(changes.items):
-            self._apply(item)
+            if item.position > known:
+                self._apply(item)
         self.revision = max(self.revision, changes.revision)
         if not self.uses_relay:
             for listener in self.listeners:
@@ -248,7 +267,8 @@
             asked_at = self._clock()
             changes = await self._ask(self._client.read_all())
             # Changes that are made while the pages arrive follow with the next watch.
-            self._replace_all(changes, complete_age_s=self._clock() - asked_at)
+            self._note_reachable()
+            self._replace_all(changes, self._clock() - asked_at)
             for listener in self.listeners:
                 listener.view_replaced()
             return
@@ -264,9 +284,11 @@
         if changes.is_repeated:
             # Registrations may have expired if the store was away for a moment.
             self.recovered_at = self._clock()
-        self.apply_changes(changes, complete_age_s=_answer_age_s(changes, wait_s))
+        self._note_reachable()
+        self.apply_changes(changes, _answer_age_s(changes, wait_s))
         if changes.items:
-            await self._pause.wait(BATCH_DELAY_S)
+            left_s = interval_s - self.proof_age_s()
+            await self._pause.wait(min(BATCH_DELAY_S, max(MIN_PAUSE_S, left_s)))
 
     async def _ask(self, call):
         """Waits for a call to the store.
@@ -291,24 +313,26 @@
             items, key=lambda item: not item.key.startswith(self._first_prefixes)
         )
 
-    def _contact_succeeded(self, proof_age_s, complete_age_s):
-        now = self._clock() - proof_age_s
-        if complete_age_s is None:
-            complete_age_s = proof_age_s
-        self.changes_since = self._complete_at
-        self._complete_at = max(self._complete_at, self._clock() - complete_age_s)
+    def _note_reachable(self):
+        """Notes an answer of the store with changes or all items."""
         if not self.reachable:
             self.reachable = True
             self.recovered_at = self._clock()
             log.info("store: reachable revision=%s", self.revision)
-        if self.last_contact is not None and now - self.last_contact > LATE_PROOF_S:
+
+    def _note_proof(self, proof_age_s):
+        """Notes that the items, with those that follow, were current at a time."""
+        proven_at = self._clock() - proof_age_s
+        before = self.last_contact
+        self.changes_since = -math.inf if before is None else before
+        self.last_contact = proven_at if before is None else max(before, proven_at)
+        if before is not None and proven_at - before > LATE_PROOF_S:
             log.info(
                 "store: proof of being current age_ms=%d source=%s revision=%s",
-                round((now - self.last_contact) * 1e3),
+                round((proven_at - before) * 1e3),
                 "relay" if self.uses_relay else "store",
                 self.revision,
             )
-        self.last_contact = now
 
     def _contact_failed(self, error):
         if self.reachable or self.last_contact is None:
@@ -316,9 +340,11 @@
         # The relay's heartbeats end, so its followers soon watch the store themselves.
         self.reachable = False
 
-    def _replace_all(self, changes, proof_age_s=0.0, complete_age_s=None):
-        self._contact_succeeded(proof_age_s, complete_age_s)
+    def _replace_all(self, changes, proof_age_s):
+        self._note_proof(proof_age_s)
         if changes.era != self.era:
+            # Earlier proofs were of other items.
+            self.last_contact = self._clock() - proof_age_s
             # Registrations that the copy lacks get the time to return.
             self.recovered_at = self._clock()
             self.era = changes.era
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 
 from http_fakes import LOST, Socket
 from twisted.internet import defer, error
@@ -20,6 +21,8 @@
 
 STORE = ("10.0.0.1", 80)
 LATENCY_S = 0.002
+# Step in which connections between entry VMs carry data.
+NETWORK_STEP_S = 0.02
 CLOSED = Failure(error.ConnectionDone())
 
 SETTINGS = {
@@ -458,6 +461,12 @@
         self.world = world
         # Data that relays have sent, each with the follower's link.
         self.frames = []
+        # Seconds that the data of relays is on its way, as in a queue.
+        self.delay_s = 0.0
+        # Bandwidth of each connection from a relay, or None without a bound.
+        self.bytes_per_s = None
+        # Whether no packet passes. What is sent in a cut arrives after it.
+        self.cut = False
         self._pairs = []
         self._silent_pairs = []
 
@@ -467,8 +476,8 @@
         self._pairs = []
 
     def advance(self, seconds):
-        for _ in range(round(seconds / 0.02)):
-            self.world.advance(0.02)
+        for _ in range(round(seconds / NETWORK_STEP_S)):
+            self.world.advance(NETWORK_STEP_S)
             self._connect()
             for pair in list(self._pairs):
                 self._deliver(pair)
@@ -479,7 +488,7 @@
             clients.remove(attempt)
             host, _, factory, timeout_s = attempt[:4]
             relays = [n.relay for n in self.world.nodes if n.settings.ip == host]
-            if not relays:
+            if not relays or self.cut:
                 self.world.reactor.callLater(
                     timeout_s,
                     factory.clientConnectionFailed,
@@ -487,23 +496,65 @@
                     Failure(error.TimeoutError()),
                 )
                 continue
-            pair = (relays[0].buildProtocol(None), factory.buildProtocol(None))
-            for end in pair:
-                end.makeConnection(ServerSocket())
+            pair = RelayPair(relays[0].buildProtocol(None), factory.buildProtocol(None))
             self._pairs.append(pair)
 
     def _deliver(self, pair):
-        relay_link, link = pair
-        data = relay_link.transport.take()
-        if data and not link.transport.disconnecting:
-            self.frames.append((link, data))
-            link.dataReceived(data)
-        if any(end.transport.disconnecting for end in pair):
+        now = self.world.reactor.seconds()
+        pair.take(now + self.delay_s)
+        if not self.cut:
+            pair.answer()
+            data = pair.arrived(now, self.bytes_per_s)
+            if data and not pair.link.transport.disconnecting:
+                self.frames.append((pair.link, data))
+                pair.link.dataReceived(data)
+        if any(end.transport.disconnecting for end in pair.ends):
             self._pairs.remove(pair)
-            for end in pair:
+            for end in pair.ends:
                 end.connectionLost(CLOSED)
 
 
+class RelayPair:
+    """Both ends of a connection between a relay and a follower."""
+
+    def __init__(self, relay_link, link):
+        self.link = link
+        self.ends = (relay_link, link)
+        self._relay_link = relay_link
+        # [time of arrival, data], in the order of sending.
+        self._pieces = []
+        for end in self.ends:
+            end.makeConnection(ServerSocket())
+
+    def take(self, arrives_at):
+        """Puts what the relay has written behind what is on its way."""
+        data = self._relay_link.transport.take()
+        if data:
+            if self._pieces:
+                arrives_at = max(arrives_at, self._pieces[-1][0])
+            self._pieces.append([arrives_at, data])
+
+    def answer(self):
+        """Passes what the follower has written to the relay."""
+        data = self.link.transport.take()
+        if data and not self._relay_link.transport.disconnecting:
+            self._relay_link.dataReceived(data)
+
+    def arrived(self, now, bytes_per_s):
+        """Returns the data that arrives at the follower in this step."""
+        most = math.inf
+        if bytes_per_s is not None:
+            most = max(1, round(bytes_per_s * NETWORK_STEP_S))
+        arrived = b""
+        while self._pieces and self._pieces[0][0] <= now and len(arrived) < most:
+            piece = self._pieces[0]
+            size = min(len(piece[1]), most - len(arrived))
+            arrived, piece[1] = arrived + piece[1][:size], piece[1][size:]
+            if not piece[1]:
+                del self._pieces[0]
+        return arrived
+
+
 def request(
     method="GET", path="/lookup/1", *, request_id="r1", deadline=2000, body=b"", key=7
 ):
--- a/tests/test_arrivals_in_time.py
+++ b/tests/test_arrivals_in_time.py
@@ -140,7 +140,7 @@
         frame = Frame(changes=changes, whole=False, sent_at=now - 0.3)
         link = follower.relay_follower._link
         follower.relay_follower.frame_received(link, _encode(frame))
-        assert view.completeness_age_s() == pytest.approx(0.3, abs=0.01)
+        assert view.proof_age_s() == pytest.approx(0.3, abs=0.01)
 
     def test_first_view_has_no_age(self, world):
         world.store.put("servers/s-9", registration("stock", 9, state="draining"))
--- a/tests/test_entry_mixed_troubles.py
+++ b/tests/test_entry_mixed_troubles.py
@@ -5,12 +5,14 @@
 import pytest
 from test_entry_lost_calls import SOUND_S
 from trouble_mixtures import APPLY_S, SETUPS_BY_KIND, late_plays
+from zone_mixtures import late_plays as late_zone_plays
 
 from briarspoke.entry import httpclient, relays, repeating, view
 from briarspoke.keyspace import leadership
 from briarspoke.platform import keyvalue
 
 PLAYS_BY_KIND = {"one": 60, "relay": 10, "lost-relay": 60, "slow-link": 30}
+ZONE_PLAYS = 8
 
 
 class TestChangeInForceAfterMixedTroubles:
@@ -22,6 +24,13 @@
         assert late_s_by_seed == {}
 
 
+class TestChangeInForceBesideTroublesOfTheRelay:
+    """Guards against a VM that nothing touched and that learns of a change too late."""
+
+    def test_each_vm_in_touch_uses_each_version_in_time(self):
+        assert late_zone_plays(range(1, ZONE_PLAYS + 1)) == {}
+
+
 class TestSumOfARecovery:
     """Guards against a time limit that grows until the whole recovery is too long."""
 
@@ -47,6 +56,13 @@
         noticed_s += keyvalue.WATCH_DOUBT_S
         assert noticed_s + self.ANSWER_S <= SOUND_S
 
+    def test_of_a_vm_that_nothing_touched(self):
+        # Answer of the store on a path of its own that nothing has touched.
+        answer_s = 0.3
+        asked_s = relays.MAX_PROOF_AGE_S + relays.CHECK_INTERVAL_S
+        assert asked_s + answer_s <= APPLY_S
+        assert view.MAX_PROOF_INTERVAL_S + answer_s <= view.MAX_VIEW_AGE_S
+
     def test_of_a_vm_without_contact(self):
         asked_s = max(
             self.gap_s(keyvalue.PROBE_REPEAT_S),
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -408,7 +408,7 @@
         [
             (1.7, False, False, 0.1),
             (0.3, False, True, 0.3),
-            (1.7, False, True, 0.6),
+            (1.7, False, True, 1.7),
             (2.5, False, True, 2.5),
             (0.9, True, True, 0.9),
             (0.9, True, False, 0.9),
