--- a/briarspoke/entry/control.py
+++ b/briarspoke/entry/control.py
@@ -6,8 +6,18 @@
 
 from twisted.internet import task
 
+from briarspoke.keyspace.deputies import (
+    CLOCK_DRIFT_FACTOR,
+    KNOWLEDGE_S,
+    Deputies,
+)
 from briarspoke.keyspace.keymap import KEY_MAP_PREFIX
-from briarspoke.keyspace.leadership import CONTROL_KEY, ControlRecord, Leadership
+from briarspoke.keyspace.leadership import (
+    CONTROL_KEY,
+    LEASE_S,
+    ControlRecord,
+    Leadership,
+)
 from briarspoke.keyspace.load import LoadEstimate
 from briarspoke.keyspace.range_manager import KeyRangeManager
 from briarspoke.platform.keyvalue import Item
@@ -33,6 +43,10 @@
         self._former_term = None
         self._estimates_by_service = {}
         self._term = None
+        # Names of the deputies, for the log.
+        self._deputy_names = ()
+        # The :class:`Deputies` of the term, or None.
+        self._deputies = None
         self._wake_call = None
         self._loop = task.LoopingCall(self._tick_logged)
         self._loop.clock = node.reactor
@@ -48,6 +62,7 @@
             clock=node.now,
             sleep=node.sleep,
             wider_fraction=node.registry.wider_fraction,
+            knows_owners=lambda era: node.known_maps.knows_owners(era),
         )
         node.view.observe(CONTROL_KEY, self._record_changed)
 
@@ -135,6 +150,7 @@
         if self._term is not leadership.term:
             self._end_term()
             self._term = leadership.term
+            self._deputies = self._new_deputies()
             inherited = leadership.inherited
             if inherited is None or inherited.term is not self._former_term:
                 self._former_managers_by_service = {}
@@ -150,10 +166,60 @@
                     node=self._node,
                     leadership=leadership,
                     service=service.name,
+                    deputies=self._deputies,
                     former=self._former_managers_by_service.get(service.name),
                 )
                 self._range_managers_by_service[service.name] = range_manager
             range_manager.tick(now)
+        self._tell_deputies(now)
+
+    def _new_deputies(self):
+        node = self._node
+        node.known_maps.forget()
+        # An earlier controller tells its deputies that the maps are known until its
+        # lease has expired.
+        known_s = (LEASE_S + KNOWLEDGE_S) * CLOCK_DRIFT_FACTOR
+        return Deputies(
+            term=(self._term.era, self._term.revision),
+            alone_from=node.now() + known_s,
+            send=self._send_map_notice,
+        )
+
+    def _send_map_notice(self, name, notice):
+        record = self._node.registry.others()[name]
+        self._node.datagrams.send_map_notice(notice, (record.host, record.port))
+
+    def _tell_deputies(self, now):
+        node = self._node
+        fence_by_service = {
+            service: node.key_maps.by_service[service].highest_fence
+            for service, manager in self._range_managers_by_service.items()
+            if manager.has_written_map
+        }
+        others = node.registry.others()
+        self._deputies.tick(
+            now,
+            zone_by_node={name: record.zone for name, record in others.items()},
+            required=node.registry.lately_registered(),
+            fence_by_service=fence_by_service,
+            may_extend=not self.leadership.may_be_replaced(now),
+        )
+        names = tuple(sorted(self._deputies.names()))
+        if names != self._deputy_names:
+            self._deputy_names = names
+            log.info("control: deputies names=%s", ",".join(names) or "-")
+
+    def map_receipt_received(self, receipt):
+        """Takes an entry VM's answer to what this VM has said of the key maps.
+
+        :param receipt: the :class:`briarspoke.keyspace.deputies.MapReceipt`.
+        """
+        if (
+            self.is_leader
+            and self._deputies is not None
+            and self._deputies.received(receipt, self._node.now())
+        ):
+            self.wake()
 
     def _end_term(self):
         if self._term is not None:
@@ -161,6 +227,7 @@
             self._former_managers_by_service = self._range_managers_by_service
             self._range_managers_by_service = {}
             self._term = None
+            self._deputies = None
 
     async def write_key_map(self, service, key_map, term):
         """Writes a key map to the store and to this VM's view of it.
@@ -172,7 +239,7 @@
         node = self._node
         key = KEY_MAP_PREFIX + service
         known = node.view.items.get(key)
-        data = key_map.encode(term.era)
+        data = key_map.encode(term.era, node.settings.node)
         revision = await node.store.write(
             expected={**term.expected, key: known.revision if known else 0},
             puts={key: data},
--- a/briarspoke/entry/node.py
+++ b/briarspoke/entry/node.py
@@ -38,6 +38,7 @@
 from briarspoke.entry.view import StoreView
 from briarspoke.errors import BriarspokeError
 from briarspoke.keyspace import keymap
+from briarspoke.keyspace.deputies import KnownMaps
 from briarspoke.keyspace.load import KeyLoad
 from briarspoke.metrics import Metrics
 from briarspoke.platform import documents, headers
@@ -106,6 +107,10 @@
         )
         self.view = StoreView(client=self.store, sleep=self.sleep, clock=clock)
         self.registry = NodeRegistry(node=self)
+        self.known_maps = KnownMaps(
+            node=settings.node, process=self.process, highest_fence=self._highest_fence
+        )
+        self.store.era_observers.append(self._era_rose)
         self.control = Control(node=self)
         self.relay = Relay(view=self.view, record_write=self.link.record_write)
         self.view.is_relay = lambda: bool(self.relay.links) or self.registry.is_relay()
@@ -129,6 +134,8 @@
             on_leaving=self.notices.peer_leaving,
             on_shares=self.division.shares_received,
             on_demand=self.division.demand_reported,
+            on_map_notice=self._map_notice_received,
+            on_map_receipt=self.control.map_receipt_received,
             rate_limits=self.rate_limits,
         )
         self.view.observe(documents.CONFIGURATION_KEY, self._configuration_changed)
@@ -306,6 +313,25 @@
         if self.knows_service(service):
             self.dispatcher(service).gates.update(admission, self.now())
 
+    def _highest_fence(self, service):
+        key_map = self.key_maps.by_service.get(service)
+        return None if key_map is None else key_map.highest_fence
+
+    def _era_rose(self):
+        self.known_maps.era_rose(self.store.era, self.now())
+
+    def _map_notice_received(self, notice, address):
+        receipt = self.known_maps.receive(
+            notice,
+            self.now(),
+            era=self.store.era,
+            may_extend=self.registry.is_registered
+            and not self.stopping
+            and not self.view.may_lack_changes(),
+        )
+        if receipt is not None:
+            self.datagrams.send_map_receipt(receipt, address)
+
     async def write_key_map(self, service, key_map, term):
         """Writes a key map, provided that this VM is still the controller.
 
--- a/briarspoke/entry/registry.py
+++ b/briarspoke/entry/registry.py
@@ -61,6 +61,8 @@
         # Number of registered entry VMs. A lower number counts only after a time.
         self._count = 1
         self._lower_since = None
+        # Time at which a registration was last removed, by key.
+        self._removed_at_by_key = {}
         # Names of the entry VMs in this VM's availability zone, sorted.
         self.zone_nodes = ()
         self._pause = Pause(sleep=node.sleep)
@@ -75,6 +77,7 @@
     def _changed(self, key, item):
         if item is None:
             self._record_by_key.pop(key, None)
+            self._removed_at_by_key[key] = self._node.now()
             if key == self._own_key:
                 # The lease may have expired during an outage of the store.
                 self._lease = None
@@ -123,6 +126,30 @@
             self._lower_since = None
         return self._count
 
+    @property
+    def is_registered(self):
+        """Whether this VM's registration is in its view of the store."""
+        return self._own_key in self._record_by_key
+
+    def others(self):
+        """Returns ``{name: NodeRecord}`` of all other entry VMs."""
+        return {
+            key.removeprefix(NODE_PREFIX): record
+            for key, record in self._record_by_key.items()
+            if key != self._own_key
+        }
+
+    def lately_registered(self):
+        """Returns the names of other entry VMs that are or were just registered."""
+        since = self._node.now() - COUNT_MEMORY_S
+        self._removed_at_by_key = {
+            key: removed_at
+            for key, removed_at in self._removed_at_by_key.items()
+            if removed_at > since
+        }
+        keys = self._record_by_key.keys() | self._removed_at_by_key.keys()
+        return {key.removeprefix(NODE_PREFIX) for key in keys - {self._own_key}}
+
     @property
     def prefix(self):
         """Prefix of the keys of all registrations."""
--- a/briarspoke/entry/reports.py
+++ b/briarspoke/entry/reports.py
@@ -12,6 +12,7 @@
 from briarspoke.entry.sharenews import News, ServiceNews
 from briarspoke.entry.suspects import MAX_CRASHES_PER_SUSPECT, SuspectReport
 from briarspoke.keyspace.allowance import Admission
+from briarspoke.keyspace.deputies import MapNotice, MapReceipt
 from briarspoke.keyspace.keymap import Owner
 from briarspoke.keyspace.load import LoadCounts
 from briarspoke.platform.limits import MAX_PER_S, MIN_PER_S
@@ -34,6 +35,8 @@
 KIND_SHARES = 10
 KIND_DEMAND = 11
 KIND_COLD = 12
+KIND_MAP_NOTICE = 13
+KIND_MAP_RECEIPT = 14
 # Servers in one datagram about cold servers; about 1,000 bytes.
 MAX_SERVERS_PER_DATAGRAM = 20
 # Requests or permits that one datagram counts at most.
@@ -54,6 +57,8 @@
     :param on_leaving: called with (service, pair of server identifier and incarnation).
     :param on_shares: called with (:class:`briarspoke.entry.sharenews.News`).
     :param on_demand: called with (node, process, number, ``{service: requests}``).
+    :param on_map_notice: called with (:class:`MapNotice`, address of the controller).
+    :param on_map_receipt: called with (:class:`MapReceipt`).
     :param rate_limits: the :class:`briarspoke.entry.ratelimits.RateLimits`.
     """
 
@@ -67,6 +72,8 @@
         on_leaving,
         on_shares,
         on_demand,
+        on_map_notice,
+        on_map_receipt,
         rate_limits,
     ):
         self._on_load = on_load
@@ -76,6 +83,8 @@
         self._on_leaving = on_leaving
         self._on_shares = on_shares
         self._on_demand = on_demand
+        self._on_map_notice = on_map_notice
+        self._on_map_receipt = on_map_receipt
         self._rate_limits = rate_limits
 
     def datagramReceived(self, data, address):
@@ -87,6 +96,10 @@
                 handle, decoded = self._on_shares, (_decode_shares(rest),)
             elif kind == KIND_DEMAND:
                 handle, decoded = self._on_demand, _decode_demand(rest)
+            elif kind == KIND_MAP_NOTICE:
+                handle, decoded = self._on_map_notice, (_decode_notice(rest), address)
+            elif kind == KIND_MAP_RECEIPT:
+                handle, decoded = self._on_map_receipt, (_decode_receipt(rest),)
             else:
                 service, *fields = rest
                 handle, decoded = self._decode(kind, fields, address)
@@ -328,6 +341,29 @@
         for address in addresses:
             self.transport.write(data, address)
 
+    def send_map_notice(self, notice, address):
+        """Tells an entry VM what the controller says of the key maps.
+
+        :param notice: the :class:`briarspoke.keyspace.deputies.MapNotice`.
+        :param address: (host, port) of the entry VM.
+        """
+        receipt = notice.receipt
+        if receipt is not None:
+            receipt = [receipt[0], int(receipt[1] * 1e3)]
+        fields = [*notice.term, notice.number, notice.range_by_service, receipt]
+        self.transport.write(cbor2.dumps([KIND_MAP_NOTICE, *fields]), address)
+
+    def send_map_receipt(self, receipt, address):
+        """Answers a notice of the controller.
+
+        :param receipt: the :class:`briarspoke.keyspace.deputies.MapReceipt`.
+        :param address: (host, port) of the controller.
+        """
+        # Rounded down, so that no knowledge lasts longer than it may.
+        fields = [*receipt.term, receipt.number, int(receipt.sent_at * 1e3)]
+        data = cbor2.dumps([KIND_MAP_RECEIPT, receipt.node, receipt.process, *fields])
+        self.transport.write(data, address)
+
     def send_allowances(self, service, admission, addresses):
         """Tells other entry VMs which fractions of the requests for keys to admit.
 
@@ -375,6 +411,33 @@
     )
 
 
+def _decode_notice(fields):
+    era, revision, number, range_by_service, receipt = fields
+    if receipt is not None:
+        process, sent_at_ms = receipt
+        receipt = (str(process), int(sent_at_ms) / 1e3)
+    return MapNotice(
+        term=(int(era), int(revision)),
+        number=int(number),
+        range_by_service={
+            str(service): (int(fence), [(int(f), int(last)) for f, last in ranges])
+            for service, (fence, ranges) in range_by_service.items()
+        },
+        receipt=receipt,
+    )
+
+
+def _decode_receipt(fields):
+    node, process, era, revision, number, sent_at_ms = fields
+    return MapReceipt(
+        node=str(node),
+        process=str(process),
+        term=(int(era), int(revision)),
+        number=int(number),
+        sent_at=int(sent_at_ms) / 1e3,
+    )
+
+
 def _decode_demand(fields):
     node, process, number, count_by_service = fields
     counts = {str(s): max(0, int(count)) for s, count in count_by_service.items()}
--- a/briarspoke/entry/view.py
+++ b/briarspoke/entry/view.py
@@ -117,7 +117,12 @@
         return self._clock()
 
     def proof_age_s(self):
-        """Returns the seconds since the items were certainly current."""
+        """Returns the seconds since the items were certainly current.
+
+        Infinity before the first answer with all items.
+        """
+        if self.last_contact is None:
+            return math.inf
         return self._clock() - self.last_contact
 
     def may_lack_changes(self):
--- a/briarspoke/keyspace/keymap.py
+++ b/briarspoke/keyspace/keymap.py
@@ -47,15 +47,20 @@
     :param era: era of the store in which a controller wrote the map, or None if the map
         does not tell.
     :param address_by_instance: ``{server_instance: (host, port)}`` of owners.
+    :param writer: name of the entry VM that wrote it as the controller, or None if the
+        map does not tell.
     """
 
-    __slots__ = ("address_by_instance", "era", "owners", "starts")
+    __slots__ = ("address_by_instance", "era", "owners", "starts", "writer")
 
-    def __init__(self, *, starts, owners, era=None, address_by_instance=None):
+    def __init__(
+        self, *, starts, owners, era=None, address_by_instance=None, writer=None
+    ):
         self.starts = starts
         self.owners = owners
         self.era = era
         self.address_by_instance = address_by_instance or {}
+        self.writer = writer
 
     def owner(self, key):
         """Returns the owner of a key."""
@@ -93,6 +98,17 @@
         invariant(starts[0] == 0, "the key map does not begin with key 0")
         return _merged(starts, owners)
 
+    def without_owners(self, ranges):
+        """Returns a copy of the map in which some ranges have no owner.
+
+        :param ranges: iterable of (first, last), which may overlap.
+        """
+        key_map = self
+        for first, last in ranges:
+            unowned = Owner(server_id=UNOWNED, incarnation=0, fence=self.highest_fence)
+            key_map = key_map.with_owner([(first, last, unowned)])
+        return key_map
+
     def is_older_than(self, first, last, owner):
         """Returns whether an announced owner of a range is newer than this map."""
         low = bisect.bisect_right(self.starts, first) - 1
@@ -103,10 +119,11 @@
             return newest <= owner.fence
         return newest < owner.fence
 
-    def encode(self, era):
+    def encode(self, era, writer=None):
         """Returns the bytes of the map in the store.
 
         :param era: era of the store.
+        :param writer: name of the entry VM that writes it, or None.
         """
         rows = [
             [first, owner.server_id, owner.incarnation, owner.fence]
@@ -116,7 +133,7 @@
             [*instance, *address]
             for instance, address in self.address_by_instance.items()
         ]
-        body = {"era": era, "ranges": rows, "addresses": addresses}
+        body = {"era": era, "ranges": rows, "addresses": addresses, "writer": writer}
         return json.dumps(body, separators=(",", ":")).encode()
 
 
@@ -149,6 +166,7 @@
         body = json.loads(data)
         rows = body["ranges"]
         era = body.get("era")
+        writer = body.get("writer")
         address_by_instance = {
             (str(server_id), int(incarnation)): (str(host), int(port))
             for server_id, incarnation, host, port in body.get("addresses", ())
@@ -172,6 +190,7 @@
         owners=owners,
         era=era,
         address_by_instance=address_by_instance,
+        writer=writer if isinstance(writer, str) else None,
     )
 
 
--- a/briarspoke/keyspace/leadership.py
+++ b/briarspoke/keyspace/leadership.py
@@ -37,6 +37,9 @@
 # After the store was restored, other VMs leave control to the last controller for this
 # long: it knows the owners, and all keys wait for expiry without it.
 RESTORE_HEAD_START_S = 4.0
+# The same for its deputies, which know the owners as well. Owners hold their keys until
+# then: a grant lasts 4 s.
+RESTORE_DEPUTY_START_S = 1.0
 
 
 class PredecessorEnd(enum.Enum):
@@ -178,9 +181,21 @@
     :param sleep: coroutine function that waits for a number of seconds.
     :param wider_fraction: function that returns the fraction of the entry VMs whose
         network links are wider than this VM's.
+    :param knows_owners: function that returns whether this VM has known the owners of
+        keys since the restore with which an era began.
     """
 
-    def __init__(self, *, client, view, own_record, clock, sleep, wider_fraction):
+    def __init__(
+        self,
+        *,
+        client,
+        view,
+        own_record,
+        clock,
+        sleep,
+        wider_fraction,
+        knows_owners=lambda era: False,
+    ):
         self.own_record = own_record
         # The :class:`Term` while this process is the controller, else None.
         self.term = None
@@ -197,6 +212,7 @@
         self._clock = clock
         self._sleep = sleep
         self._wider_fraction = wider_fraction
+        self._knows_owners = knows_owners
         self._lease = None
         self._attempted_lease = None
         self._renewed_at = None
@@ -334,7 +350,7 @@
             holder is None
             and (is_of_copy or self._has_era_risen)
             and self.inherited is None
-            and sent_at < self._era_known_at + RESTORE_HEAD_START_S
+            and sent_at < self._era_known_at + self._head_start_s(era)
         ):
             return
         is_free = (
@@ -392,6 +408,12 @@
         term = self._term_of(era, revision)
         self._became_leader(term, lease, sent_at, predecessor, unsettled_s)
 
+    def _head_start_s(self, era):
+        """Returns for how long others go first after a restore, in seconds."""
+        if self._knows_owners(era):
+            return RESTORE_DEPUTY_START_S
+        return RESTORE_HEAD_START_S
+
     def _term_of(self, era, revision):
         return Term(process=self.own_record.process, era=era, revision=revision)
 
--- a/briarspoke/keyspace/range_manager.py
+++ b/briarspoke/keyspace/range_manager.py
@@ -30,6 +30,8 @@
 ALLOWANCE_INTERVAL_S = 0.5
 # Reason for the write of the first key map of a service, for the log.
 FIRST_MAP = "first map"
+# Reason for the first write of a term, for the log.
+NEW_TERM_MAP = "new term"
 # Era of a store that has never been restored.
 FIRST_ERA = 1
 # Reason for the first write after the store was restored, for the log.
@@ -47,6 +49,7 @@
     :param node: the :class:`briarspoke.entry.node.EntryNode`.
     :param leadership: the :class:`briarspoke.keyspace.leadership.Leadership`.
     :param service: name of the service.
+    :param deputies: the :class:`briarspoke.keyspace.deputies.Deputies` of the term.
     :param former: the manager of the service in the term that this process had when the
         store was restored, or None.
     :ivar granter: the :class:`briarspoke.keyspace.granter.Granter` of the term.
@@ -55,11 +58,12 @@
     :ivar moves: the :class:`briarspoke.keyspace.moves.Move` objects in progress.
     """
 
-    def __init__(self, *, node, leadership, service, former=None):
+    def __init__(self, *, node, leadership, service, deputies, former=None):
         self.service = service
         self.moves = []
         self._node = node
         self._leadership = leadership
+        self._deputies = deputies
         self._term = leadership.term
         # The tokens of this term, once they are in the store.
         self._tokens = None
@@ -152,11 +156,23 @@
 
     def _write_map_of_term(self):
         if self._map.era in (None, self._term.era):
-            self._write(self._map, [], "new term")
+            self._write(self._map, [], NEW_TERM_MAP)
             return
         # The owners that the map in the store names may be those of a while ago.
+        inherited = self._leadership.inherited
+        if self._confirmation is None and inherited is None:
+            uncertain = self._node.known_maps.uncertain_ranges(
+                self.service, self._term.era
+            )
+            if uncertain is not None:
+                log.info(
+                    "keys: owners known since the restore service=%s uncertain=%d",
+                    self.service,
+                    len(uncertain),
+                )
+                self._write(self._map.without_owners(uncertain), [], RESTORED_MAP)
+                return
         if self._confirmation is None:
-            inherited = self._leadership.inherited
             self._confirmation = OwnerConfirmation(
                 node=self._node,
                 key_map=self._map,
@@ -371,7 +387,12 @@
         return {i: address for i, address in known.items() if i in instances}
 
     def _finish_moves(self, records, now):
-        ready = [move for move in self.moves if move.state is MoveState.READY]
+        ready = [
+            move
+            for move in self.moves
+            if move.state is MoveState.READY
+            and self._deputies.may_change(self.service, move.first, move.last, now)
+        ]
         if not ready or self._writing or now < self._written_at + MIN_WRITE_INTERVAL_S:
             return
         candidates = self._usable_candidates(records)
@@ -434,6 +455,7 @@
     def _write(self, key_map, moves, reason, changes=()):
         if self._writing:
             return
+        replaced = self._map
         if not self._fence_raised:
             self._tokens = FencingTokens(
                 highest=key_map.highest_fence, era=self._term.era
@@ -446,15 +468,15 @@
             key_map = KeyMap(starts=list(key_map.starts), owners=owners)
         key_map.address_by_instance = self._address_by_instance(key_map.owners)
         self._writing = True
-        self._node.spawn(self._store_map(key_map, moves, reason, changes))
+        self._node.spawn(self._store_map(key_map, moves, reason, changes, replaced))
 
-    async def _store_map(self, key_map, moves, reason, changes):
+    async def _store_map(self, key_map, moves, reason, changes, replaced):
         try:
-            await self._write_once(key_map, moves, reason, changes)
+            await self._write_once(key_map, moves, reason, changes, replaced)
         finally:
             self._writing = False
 
-    async def _write_once(self, key_map, moves, reason, changes):
+    async def _write_once(self, key_map, moves, reason, changes, replaced):
         try:
             await self._node.write_key_map(self.service, key_map, self._term)
         except ConditionFailedError:
@@ -477,6 +499,8 @@
         if not self._fence_raised:
             self._fence_raised = True
             self._term_map_at = now
+            if reason == NEW_TERM_MAP:
+                self._deputies.replaced_map(self.service, replaced.writer)
             if reason != FIRST_MAP:
                 # Moves for load wait for the same reason as those of draining owners.
                 self._rebalance_at = now + ACCEPTANCE_WAIT_S
@@ -489,6 +513,7 @@
         )
         for move in moves:
             self.moves.remove(move)
+            self._deputies.changed(self.service, move.first, move.last)
         for first, last, owner in changes:
             handover = next(
                 (m.handover for m in moves if m.first == first and m.last == last), None
--- a/briarspoke/metrics.py
+++ b/briarspoke/metrics.py
@@ -139,7 +139,7 @@
     ),
     "store_age_seconds": (
         "",
-        "Seconds since the last contact with the store or the relay.",
+        "Seconds since the copy of the store was certainly current.",
     ),
     "servers_known": ("", "Servers that this entry VM may use."),
     "servers_cold": ("service", "Servers that count as cold, by service."),
--- a/tests/keyspace_fakes.py
+++ b/tests/keyspace_fakes.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from entry_fakes import World, configuration
+from entry_fakes import STORE, World, configuration
+from twisted.internet import defer
 
 from briarspoke.standins.platform_server import ServerModel
 
@@ -54,6 +55,27 @@
         world.store.put(key, value)
 
 
+def cut_off(world, node):
+    for target in [STORE, *world.servers]:
+        node.faults(target).cut = True
+
+
+def lose(world, node):
+    """Ends an entry VM without a word, as a loss of power does."""
+    cut_off(world, node)
+    for port, protocol in list(world.reactor.datagram_ports.items()):
+        if protocol is node.datagrams:
+            del world.reactor.datagram_ports[port]
+    for loop in [*node._loops, node.control._loop]:
+        if loop.running:
+            loop.stop()
+    # Calls of its coroutines that go on are never answered.
+    http = node.store._http
+    http.call = http.call_repeatedly = lambda *args, **options: defer.Deferred()
+    node.control.leadership.step_down("test")
+    world.nodes.remove(node)
+
+
 class Process(ServerModel):
     """One process of a server; records tokens that another process had before.
 
--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -637,6 +637,8 @@
             on_leaving=receive,
             on_shares=receive,
             on_demand=receive,
+            on_map_notice=receive,
+            on_map_receipt=receive,
             rate_limits=SimpleNamespace(peers_cold=receive, permits_requested=receive),
         )
         for kind in (KIND_COLD, KIND_PERMIT_REQUEST):
--- a/tests/test_entry_faults.py
+++ b/tests/test_entry_faults.py
@@ -276,6 +276,8 @@
             on_leaving=receive,
             on_shares=receive,
             on_demand=receive,
+            on_map_notice=receive,
+            on_map_receipt=receive,
             rate_limits=SimpleNamespace(
                 peer_limit=receive, permits_requested=receive, permits_given=receive
             ),
--- a/tests/test_keyspace_machine.py
+++ b/tests/test_keyspace_machine.py
@@ -8,7 +8,7 @@
 from entry_fakes import STORE, World, configuration, registration
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
-from keyspace_fakes import KEYS, SERVERS, Process, address, holders, restore
+from keyspace_fakes import KEYS, SERVERS, Process, address, holders, lose, restore
 from profiles import stateful_settings
 
 from briarspoke.keyspace import keymap
@@ -128,6 +128,23 @@
     def copy_store(self):
         self.copy = self.world.store.copy()
 
+    @rule(node=st.integers(0, 2))
+    def restart_vm(self, node):
+        lost = self.world.nodes[node]
+        lose(self.world, lost)
+        started = self.world.add_node(lost.settings.node, node + 1)
+        self.world.nodes.remove(started)
+        self.world.nodes.insert(node, started)
+
+    @rule(outage_s=st.sampled_from((0.5, 1.5, 3.0)), lost=st.integers(0, 2))
+    def restore_store_beside_a_restart(self, outage_s, lost):
+        self.store_outage(True)
+        self.time_passes(outage_s / 2)
+        self.restart_vm(lost)
+        self.time_passes(outage_s / 2)
+        self.store_outage(False)
+        self.restore_store()
+
     @rule()
     def restore_store(self):
         restore(self.world, self.copy)
--- a/tests/test_keyspace_restored.py
+++ b/tests/test_keyspace_restored.py
@@ -12,6 +12,7 @@
     Process,
     address,
     controller,
+    cut_off,
     holders,
     keyspace_world,
     restore,
@@ -76,11 +77,6 @@
         assert owners_token > max(tokens.values()), key
 
 
-def cut_off(world, node):
-    for target in [STORE, *world.servers]:
-        node.faults(target).cut = True
-
-
 def reconnect(world, node):
     for target in [STORE, *world.servers]:
         node.faults(target).cut = False
