--- a/briarspoke/entry/view.py
+++ b/briarspoke/entry/view.py
@@ -134,15 +134,6 @@
         """Era and revision up to which the items are complete, or None if unknown."""
         return None if self.revision is None else (self.era, self.revision)
 
-    def switch_to_relay(self, changes, proof_age_s=0.0):
-        """Replaces all items by those of a relay, which sends all further changes.
-
-        :param changes: :class:`Changes` with all items of the relay.
-        :param proof_age_s: seconds since they were certainly current.
-        """
-        self.replace(changes, proof_age_s)
-        self.rely_on_relay()
-
     def rely_on_relay(self):
         """Stops watching the store, since a relay sends changes in time."""
         self._note_reachable()
--- a/tests/test_entry_view.py
+++ b/tests/test_entry_view.py
@@ -33,6 +33,12 @@
     return Changes(items=items, revision=world.store.revision, era=era)
 
 
+def switch_to_relay(view, changes):
+    """Lets a view take all items of a relay and rely on it."""
+    view.replace(changes)
+    view.rely_on_relay()
+
+
 class TestRegistration:
     def test_it_returns_soon_after_it_has_disappeared(self, world):
         # Guards against a VM that the others do not count until its next renewal,
@@ -135,7 +141,7 @@
         # Guards against a follower that keeps an old configuration, because it lost its
         # relay while the store was down and did not retry.
         view = world.node.view
-        view.switch_to_relay(relayed(world, 5))
+        switch_to_relay(view, relayed(world, 5))
         world.advance(4.0)
         assert world.node.routing_table.version == 5
         world.store_down = True
@@ -149,10 +155,10 @@
 
     def test_relay_that_comes_and_goes_during_a_watch(self, world):
         view = world.node.view
-        view.switch_to_relay(relayed(world, 5))
+        switch_to_relay(view, relayed(world, 5))
         world.advance(0.5)
         view.switch_to_store()
-        view.switch_to_relay(relayed(world, 6))
+        switch_to_relay(view, relayed(world, 6))
         world.advance(0.5)
         view.switch_to_store()
         world.store.put("op/config", configuration(version=9))
@@ -184,14 +190,14 @@
         world.store_down = False
         world.node.faults(STORE).late_s = 0.4
         world.advance(0.9)
-        world.node.view.switch_to_relay(relayed(world, 5))
+        switch_to_relay(world.node.view, relayed(world, 5))
         world.advance(2.0)
         self.take_changes(world, 6)
 
     def test_watch_whose_history_is_gone(self, world):
         world.advance(1.0)
         world.node.faults(STORE).cut = True
-        world.node.view.switch_to_relay(relayed(world, 5))
+        switch_to_relay(world.node.view, relayed(world, 5))
         self.lose_history(world)
         world.advance(1.0)
         self.take_changes(world, 6)
@@ -208,7 +214,7 @@
         world.advance(1.0)
         assert view.revision is None
         newer = relayed(world, 6)
-        view.switch_to_relay(newer)
+        switch_to_relay(view, newer)
         reading.callback(older)
         assert view.revision == newer.revision
         self.take_changes(world, 7)
