Bound the memory of removed registrations

Names of registrations that were removed were kept until the VM became the controller. Anyone who writes registrations could name any number.

--- a/briarspoke/entry/registry.py
+++ b/briarspoke/entry/registry.py
@@ -77,7 +77,7 @@
     def _changed(self, key, item):
         if item is None:
             self._record_by_key.pop(key, None)
-            self._removed_at_by_key[key] = self._node.now()
+            self._note_removed(key)
             if key == self._own_key:
                 # The lease may have expired during an outage of the store.
                 self._lease = None
@@ -139,15 +139,23 @@
             if key != self._own_key
         }
 
+    def _note_removed(self, key):
+        now = self._node.now()
+        self._removed_at_by_key = {
+            known: removed_at
+            for known, removed_at in self._removed_at_by_key.items()
+            if removed_at > now - COUNT_MEMORY_S
+        }
+        self._removed_at_by_key[key] = now
+
     def lately_registered(self):
         """Returns the names of other entry VMs that are or were just registered."""
         since = self._node.now() - COUNT_MEMORY_S
-        self._removed_at_by_key = {
-            key: removed_at
+        keys = self._record_by_key.keys() | {
+            key
             for key, removed_at in self._removed_at_by_key.items()
             if removed_at > since
         }
-        keys = self._record_by_key.keys() | self._removed_at_by_key.keys()
         return {key.removeprefix(NODE_PREFIX) for key in keys - {self._own_key}}
 
     @property
