--- a/briarspoke/entry/relays.py
+++ b/briarspoke/entry/relays.py
@@ -334,7 +334,7 @@
     def __init__(self, *, attempted_at):
         self._attempted_at = attempted_at
         # Lower bound on the difference of this VM's clock from the relay's, or None
-        # before the first frame, and the time at which it was noted.
+        # before the first frame, and the time since which the clocks may run apart.
         self._least_offset_s = None
         self._noted_at = None
 
@@ -347,20 +347,26 @@
         if frame.sent_at is None:
             return 0.0
         if self._least_offset_s is None:
-            self._note(self._attempted_at - frame.sent_at, now)
+            self._note(self._attempted_at, frame.sent_at, now)
         elif frame.pinged_at is not None:
-            self._note(frame.pinged_at - frame.sent_at, now)
+            self._note(frame.pinged_at, frame.sent_at, now)
         return max(0.0, now - frame.sent_at - self._least_offset_at(now))
 
     def _least_offset_at(self, now):
         return self._least_offset_s - CLOCK_DRIFT * (now - self._noted_at)
 
-    def _note(self, offset_s, now):
-        """Keeps the offset that the ping with the shortest way has shown."""
-        if self._least_offset_s is not None:
-            offset_s = max(offset_s, self._least_offset_at(now))
-        self._least_offset_s = offset_s
-        self._noted_at = now
+    def _note(self, asked_at, sent_at, now):
+        """Keeps the offset that the ping with the shortest way has shown.
+
+        :param asked_at: time by this VM's clock before the relay sent a frame.
+        :param sent_at: time by the relay's clock at which it sent the frame.
+        """
+        offset_s = asked_at - sent_at
+        if self._least_offset_s is None or (
+            offset_s - CLOCK_DRIFT * (now - asked_at) > self._least_offset_at(now)
+        ):
+            self._least_offset_s = offset_s
+            self._noted_at = asked_at
 
 
 class RelayFollower(protocol.ClientFactory):
--- a/tests/test_entry_late_relay.py
+++ b/tests/test_entry_late_relay.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
+import random
+
 import pytest
 from entry_fakes import RelayNetwork, World, configuration, request
 
+from briarspoke.entry.relays import Frame, RelayClock
+from briarspoke.platform.keyvalue import Changes
+
 # A change has to be in force this long after the store has acknowledged it.
 IN_FORCE_S = 2.0
 STEP_S = 0.02
@@ -109,3 +114,48 @@
         assert all("op/other" not in node.view.items for node in zone.nodes)
         zone.network.advance(6.0)
         assert all("op/other" not in node.view.items for node in zone.nodes)
+
+
+class TestTransitOfAFrame:
+    """Guards against a frame that looks younger than it is."""
+
+    @pytest.mark.parametrize("seed", range(40))
+    def test_bound_holds_for_any_delays_and_clocks(self, seed):
+        draw = random.Random(seed)
+        offset_s = draw.uniform(-500.0, 500.0)
+        drift = draw.uniform(-5e-4, 5e-4)
+
+        def relay_clock(now):
+            return offset_s + now * (1 + drift)
+
+        changes = Changes(items=[], revision=7, era=1)
+        now = 100.0
+        clock = RelayClock(attempted_at=now)
+        least_s = draw.choice((0.0, 0.01, 1.0, 4.0))
+        arrived_at = now
+        for number in range(200):
+            pinged_at = now if number and draw.random() < 0.4 else None
+            sent_at = now + draw.choice((least_s, draw.uniform(0.0, 3.0)))
+            transit_s = draw.choice((least_s, draw.uniform(least_s, 6.0)))
+            arrived_at = max(arrived_at, sent_at + transit_s)
+            frame = Frame(
+                changes=changes,
+                whole=False,
+                sent_at=relay_clock(sent_at),
+                pinged_at=pinged_at,
+            )
+            bound_s = clock.transit_s(frame, arrived_at)
+            assert bound_s >= (arrived_at - sent_at) * (1 - 1e-3) - 1e-6
+            now = arrived_at + draw.uniform(0.0, 2.0)
+
+    def test_quick_ping_shows_a_quick_frame(self):
+        # Guards against a follower that never relies on a relay to which it connected
+        # over a full link.
+        changes = Changes(items=[], revision=7, era=1)
+        clock = RelayClock(attempted_at=100.0)
+        first = Frame(changes=changes, whole=True, sent_at=502.0)
+        assert clock.transit_s(first, 104.0) == pytest.approx(4.0, abs=0.01)
+        pong = Frame(changes=changes, whole=False, sent_at=510.01, pinged_at=110.0)
+        assert clock.transit_s(pong, 110.02) == pytest.approx(0.02, abs=1e-3)
+        frame = Frame(changes=changes, whole=False, sent_at=511.0)
+        assert clock.transit_s(frame, 111.0) == pytest.approx(0.01, abs=2e-3)
