--- a/briarspoke/entry/control.py
+++ b/briarspoke/entry/control.py
@@ -199,7 +199,9 @@
         others = node.registry.others()
         self._deputies.tick(
             now,
-            zone_by_node={name: record.zone for name, record in others.items()},
+            link_by_node={
+                name: (record.zone, record.link_mbps) for name, record in others.items()
+            },
             required=node.registry.lately_registered(),
             fence_by_service=fence_by_service,
             may_extend=not self.leadership.may_be_replaced(now),
--- a/briarspoke/keyspace/deputies.py
+++ b/briarspoke/keyspace/deputies.py
@@ -110,10 +110,11 @@
         # VMs that may have knowledge, and the last time at which each got more of it.
         self._extended_at_by_node = {}
 
-    def tick(self, now, *, zone_by_node, required, fence_by_service, may_extend):
+    def tick(self, now, *, link_by_node, required, fence_by_service, may_extend):
         """Sends the notices that are due.
 
-        :param zone_by_node: ``{name: availability zone}`` of the other VMs.
+        :param link_by_node: ``{name: (availability zone, bandwidth in Mbit/s)}`` of the
+            other VMs.
         :param required: names of the VMs that may believe an earlier controller.
         :param fence_by_service: ``{service: highest token of the map}``.
         :param may_extend: whether the lease of this controller is certainly valid.
@@ -123,10 +124,10 @@
             required = set()
         self._unconfirmed = required - self._receipt_by_node.keys()
         self._say(fence_by_service)
-        live = self._live(now, zone_by_node)
-        deputies = self._choose(live, zone_by_node) if may_extend else set()
-        needs_more = len(deputies) < min(DEPUTIES, len(zone_by_node))
-        for node in zone_by_node:
+        live = self._live(now, link_by_node)
+        deputies = self._choose(live, link_by_node) if may_extend else set()
+        needs_more = len(deputies) < min(DEPUTIES, len(link_by_node))
+        for node in link_by_node:
             if (
                 node in deputies
                 or node in self._extended_at_by_node
@@ -168,29 +169,31 @@
         for key in new:
             self._number_by_range[key] = self._number
 
-    def _live(self, now, zone_by_node):
+    def _live(self, now, link_by_node):
         return {
             node
             for node, received_at in self._received_at_by_node.items()
-            if now - received_at <= SILENCE_S and node in zone_by_node
+            if now - received_at <= SILENCE_S and node in link_by_node
         }
 
-    def _choose(self, live, zone_by_node):
-        """Returns the deputies: the present ones first, then those of other zones."""
-        chosen = []
+    def _choose(self, live, link_by_node):
+        """Returns the deputies: of different zones, with the widest links.
+
+        Moves wait for their receipts, which wait behind bodies on narrow links.
+        """
+        chosen = set()
         zones = set()
+
+        def rank(name):
+            zone, mbps = link_by_node[name]
+            is_deputy = name in self._extended_at_by_node
+            return (zone in zones, -mbps, not is_deputy, name)
+
         while len(chosen) < DEPUTIES and len(chosen) < len(live):
-            node = min(
-                live.difference(chosen),
-                key=lambda name: (
-                    name not in self._extended_at_by_node,
-                    zone_by_node[name] in zones,
-                    name,
-                ),
-            )
-            chosen.append(node)
-            zones.add(zone_by_node[node])
-        return set(chosen)
+            node = min(live - chosen, key=rank)
+            chosen.add(node)
+            zones.add(link_by_node[node][0])
+        return chosen
 
     def _notify(self, node, now, *, is_deputy):
         receipt = self._receipt_by_node.get(node)
--- a/tests/test_keyspace_deputies.py
+++ b/tests/test_keyspace_deputies.py
@@ -19,7 +19,12 @@
 
 from briarspoke.entry import registry, reports, view
 from briarspoke.keyspace import deputies, granter, leadership
-from briarspoke.keyspace.deputies import Deputies, KnownMaps, MapNotice
+from briarspoke.keyspace.deputies import (
+    Deputies,
+    KnownMaps,
+    MapNotice,
+    MapReceipt,
+)
 
 STEP_S = 0.05
 
@@ -165,6 +170,43 @@
         assert known_s <= registry.COUNT_MEMORY_S
 
 
+class TestChoiceOfDeputies:
+    """Guards against moves that wait for receipts over a full link."""
+
+    def test_widest_links_of_different_zones(self):
+        sent = {}
+        told = Deputies(
+            term=(1, 1),
+            alone_from=0.0,
+            send=lambda name, notice: sent.setdefault(name, []).append(notice),
+        )
+        link_by_node = {
+            f"{zone}-{number}": (zone, 200.0 if number == 2 else 10.0)
+            for zone in "abcd"
+            for number in (1, 2, 3)
+        }
+
+        def tick(now):
+            told.tick(
+                now,
+                link_by_node=link_by_node,
+                required=set(),
+                fence_by_service={"stock": 1},
+                may_extend=True,
+            )
+
+        tick(10.0)
+        assert sent.keys() == link_by_node.keys()
+        for name, notices in sent.items():
+            receipt = MapReceipt(
+                node=name, process="p", term=(1, 1), number=1, sent_at=1.0
+            )
+            assert notices[0].receipt is None
+            told.received(receipt, 10.1)
+        tick(10.5)
+        assert told.names() == {"a-2", "b-2", "c-2"}
+
+
 class Bus:
     """A store, controllers and deputies, and notices that may be late or lost.
 
@@ -242,8 +284,8 @@
             if is_current or self.now - since < leadership.LEASE_S:
                 told.tick(
                     self.clock(vm),
-                    zone_by_node={
-                        str(other): str(other % 2)
+                    link_by_node={
+                        str(other): (str(other % 2), 10.0 * other)
                         for other in range(self.VMS)
                         if other != vm
                     },
