--- a/briarspoke/entry/control.py
+++ b/briarspoke/entry/control.py
@@ -181,7 +181,7 @@
         known_s = (LEASE_S + KNOWLEDGE_S) * CLOCK_DRIFT_FACTOR
         return Deputies(
             term=(self._term.era, self._term.revision),
-            alone_from=node.now() + known_s,
+            earlier_end_at=node.now() + known_s,
             send=self._send_map_notice,
         )
 
--- a/briarspoke/entry/reports.py
+++ b/briarspoke/entry/reports.py
@@ -350,7 +350,7 @@
         receipt = notice.receipt
         if receipt is not None:
             receipt = [receipt[0], int(receipt[1] * 1e3)]
-        fields = [*notice.term, notice.number, notice.range_by_service, receipt]
+        fields = [*notice.term, notice.number, notice.state_by_service, receipt]
         self.transport.write(cbor2.dumps([KIND_MAP_NOTICE, *fields]), address)
 
     def send_map_receipt(self, receipt, address):
@@ -412,16 +412,16 @@
 
 
 def _decode_notice(fields):
-    era, revision, number, range_by_service, receipt = fields
+    era, revision, number, state_by_service, receipt = fields
     if receipt is not None:
         process, sent_at_ms = receipt
         receipt = (str(process), int(sent_at_ms) / 1e3)
     return MapNotice(
         term=(int(era), int(revision)),
         number=int(number),
-        range_by_service={
+        state_by_service={
             str(service): (int(fence), [(int(f), int(last)) for f, last in ranges])
-            for service, (fence, ranges) in range_by_service.items()
+            for service, (fence, ranges) in state_by_service.items()
         },
         receipt=receipt,
     )
--- a/briarspoke/keyspace/deputies.py
+++ b/briarspoke/keyspace/deputies.py
@@ -33,18 +33,18 @@
 
     :param term: (era, revision) of the controller's term.
     :param number: rises with each change of what it says.
-    :param range_by_service: ``{service: (highest token of the map that was written
+    :param state_by_service: ``{service: (highest token of the map that was written
         last, [(first, last)] of ranges that may have another owner)}``.
     :param receipt: (process, time by the clock of the VM in seconds) of the VM's last
         receipt, from which its knowledge counts; None to a VM that is no deputy.
     """
 
-    __slots__ = ("number", "range_by_service", "receipt", "term")
+    __slots__ = ("number", "receipt", "state_by_service", "term")
 
-    def __init__(self, *, term, number, range_by_service, receipt=None):
+    def __init__(self, *, term, number, state_by_service, receipt=None):
         self.term = term
         self.number = number
-        self.range_by_service = range_by_service
+        self.state_by_service = state_by_service
         self.receipt = receipt
 
 
@@ -72,36 +72,36 @@
     """The controller's side, for one term.
 
     :param term: (era, revision) of the term.
-    :param alone_from: time at which the knowledge of all deputies of earlier
+    :param earlier_end_at: time at which the knowledge of all deputies of earlier
         controllers has ended.
     :param send: called with (name of a VM, :class:`MapNotice`).
     """
 
     __slots__ = (
-        "_alone_from",
+        "_earlier_end_at",
         "_extended_at_by_node",
         "_number",
         "_number_by_range",
         "_predecessor_by_service",
         "_receipt_by_node",
         "_received_at_by_node",
-        "_said",
         "_send",
         "_sent_at_by_node",
+        "_state_by_service",
         "_term",
         "_unconfirmed",
     )
 
-    def __init__(self, *, term, alone_from, send):
+    def __init__(self, *, term, earlier_end_at, send):
         self._term = term
-        self._alone_from = alone_from
+        self._earlier_end_at = earlier_end_at
         self._send = send
         # VMs that may believe an earlier controller.
         self._unconfirmed = frozenset()
         # Names of the VMs that wrote the maps which this term has replaced.
         self._predecessor_by_service = {}
         self._number = 0
-        self._said = {}
+        self._state_by_service = {}
         # Number of the notice that first named a range, by (service, first, last).
         self._number_by_range = {}
         self._receipt_by_node = {}
@@ -120,10 +120,10 @@
         :param may_extend: whether the lease of this controller is certainly valid.
         """
         self._expire(now)
-        if now >= self._alone_from:
+        if now >= self._earlier_end_at:
             required = set()
         self._unconfirmed = required - self._receipt_by_node.keys()
-        self._say(fence_by_service)
+        self._update_state(fence_by_service)
         live = self._live(now, link_by_node)
         deputies = self._choose(live, link_by_node) if may_extend else set()
         needs_more = len(deputies) < min(DEPUTIES, len(link_by_node))
@@ -144,9 +144,9 @@
             if now < extended_at + after_s
         }
 
-    def _say(self, fence_by_service):
+    def _update_state(self, fence_by_service):
         """Raises the number if there is something new to say."""
-        said = {
+        state_by_service = {
             service: (
                 fence,
                 sorted(
@@ -160,11 +160,11 @@
         new = [
             key
             for key, number in self._number_by_range.items()
-            if number is None and key[0] in said
+            if number is None and key[0] in state_by_service
         ]
-        if said == self._said and not new:
+        if state_by_service == self._state_by_service and not new:
             return
-        self._said = said
+        self._state_by_service = state_by_service
         self._number += 1
         for key in new:
             self._number_by_range[key] = self._number
@@ -206,7 +206,7 @@
         notice = MapNotice(
             term=self._term,
             number=self._number,
-            range_by_service=self._said,
+            state_by_service=self._state_by_service,
             receipt=(receipt.process, receipt.sent_at) if is_deputy else None,
         )
         self._send(node, notice)
@@ -311,7 +311,7 @@
         self._number = notice.number
         if now > self._known_until:
             self._ranges_by_service = {}
-        for service, (fence, ranges) in notice.range_by_service.items():
+        for service, (fence, ranges) in notice.state_by_service.items():
             own_fence = self._highest_fence(service)
             if own_fence is not None and own_fence >= fence:
                 self._ranges_by_service[service] = set(ranges)
--- a/tests/test_entry_faults.py
+++ b/tests/test_entry_faults.py
@@ -9,7 +9,14 @@
 
 import cbor2
 import pytest
-from entry_fakes import World, answer, configuration, registration, request
+from entry_fakes import (
+    ServerSocket,
+    World,
+    answer,
+    configuration,
+    registration,
+    request,
+)
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from test_entry_requests import ORDER, status_of
@@ -291,6 +298,14 @@
             with contextlib.suppress(BriarspokeError):
                 relays._decode(frame)
 
+    @given(data=CBOR_DATA)
+    @settings(derandomize=True, deadline=None)
+    def test_any_ping_of_a_follower(self, data):
+        view = SimpleNamespace(listeners=[], reachable=False, revision=None)
+        link = relays.Relay(view=view).buildProtocol(None)
+        link.makeConnection(ServerSocket())
+        link.dataReceived(len(data).to_bytes(4) + data)
+
 
 class TestUnexpectedErrors:
     def test_periodic_work_goes_on(self, world, monkeypatch):
--- a/tests/test_keyspace_deputies.py
+++ b/tests/test_keyspace_deputies.py
@@ -177,7 +177,7 @@
         sent = {}
         told = Deputies(
             term=(1, 1),
-            alone_from=0.0,
+            earlier_end_at=0.0,
             send=lambda name, notice: sent.setdefault(name, []).append(notice),
         )
         link_by_node = {
@@ -252,7 +252,7 @@
         term = (1, self.revision)
         told = Deputies(
             term=term,
-            alone_from=self.clock(vm) + known_s,
+            earlier_end_at=self.clock(vm) + known_s,
             send=lambda name, notice: self._post("notice", int(name), (notice, vm)),
         )
         self.controllers.append((vm, term, told, self.now))
@@ -357,7 +357,7 @@
         notice = MapNotice(
             term=(2, 7),
             number=3,
-            range_by_service={"stock": (9, [(0, 5)])},
+            state_by_service={"stock": (9, [(0, 5)])},
             receipt=("p", 1.5),
         )
         sent = []
