Let a new controller refuse what earlier ones still say of the maps (OWNER)

A VM that became the controller forgot what its predecessor had told it, but took it again from a notice that came late. The controller after it does not wait for the writer of the last map, so that VM could have kept owners that had changed, if the store was restored within the next seconds. The test of the notice fails before.

The drawn plays now let a deposed controller go on for the time of its lease, and have the writer of the last map in them.

--- a/briarspoke/entry/control.py
+++ b/briarspoke/entry/control.py
@@ -175,12 +175,13 @@
 
     def _new_deputies(self):
         node = self._node
-        node.known_maps.forget()
+        term = (self._term.era, self._term.revision)
+        node.known_maps.begin_term(term)
         # An earlier controller tells its deputies that the maps are known until its
         # lease has expired.
         known_s = (LEASE_S + KNOWLEDGE_S) * CLOCK_DRIFT_FACTOR
         return Deputies(
-            term=(self._term.era, self._term.revision),
+            term=term,
             earlier_end_at=node.now() + known_s,
             send=self._send_map_notice,
         )
--- a/briarspoke/keyspace/deputies.py
+++ b/briarspoke/keyspace/deputies.py
@@ -304,8 +304,7 @@
         if notice.term[0] != era or notice.term < self._term:
             return None
         if notice.term > self._term:
-            self._term = notice.term
-            self.forget()
+            self.begin_term(notice.term)
         if notice.number < self._number:
             return None
         self._number = notice.number
@@ -329,8 +328,17 @@
             sent_at=now,
         )
 
-    def forget(self):
-        """Forgets what is known, since another controller may change it."""
+    def begin_term(self, term):
+        """Forgets what is known, since the controller of a new term may change it.
+
+        What earlier controllers say from then on is not used.
+
+        :param term: (era, revision) of a term, also of one of this VM.
+        """
+        self._term = term
+        self._forget()
+
+    def _forget(self):
         self._number = 0
         self._known_until = -math.inf
         self._ranges_by_service = {}
@@ -343,7 +351,7 @@
         self._inherited = None
         if now <= self._known_until and self._ranges_by_service:
             self._inherited = (era, self._ranges_by_service)
-        self.forget()
+        self._forget()
 
     def uncertain_ranges(self, service, era):
         """Returns the ranges whose owners are not known since a restore.
--- a/tests/test_keyspace_deputies.py
+++ b/tests/test_keyspace_deputies.py
@@ -228,6 +228,7 @@
         self.vms = [self._known_maps(vm) for vm in range(self.VMS)]
         self.revision = 0
         self.controllers = []
+        self.deposed_at_by_revision = {}
         self.messages = []
         self.late_s = 0.0
         self.lost = 0.0
@@ -247,7 +248,7 @@
         self.revision += 1
         self.fence += 1
         self.copies[vm] = (self.fence, dict(self.owners))
-        self.vms[vm].forget()
+        self.vms[vm].begin_term((1, self.revision))
         known_s = (leadership.LEASE_S + deputies.KNOWLEDGE_S) * 1.02
         term = (1, self.revision)
         told = Deputies(
@@ -255,7 +256,10 @@
             earlier_end_at=self.clock(vm) + known_s,
             send=lambda name, notice: self._post("notice", int(name), (notice, vm)),
         )
-        self.controllers.append((vm, term, told, self.now))
+        if self.controllers:
+            told.replaced_map("stock", str(self.controllers[-1][0]))
+        self.deposed_at_by_revision[self.revision - 1] = self.now
+        self.controllers.append((vm, term, told))
 
     def _post(self, kind, vm, content):
         if self.random.random() >= self.lost:
@@ -275,13 +279,13 @@
                 if receipt is not None:
                     self._post("receipt", sender, receipt)
                 continue
-            for other, term, told, _ in self.controllers:
+            for other, term, told in self.controllers:
                 if other == vm and term == content.term:
                     told.received(content, self.clock(vm))
-        for vm, term, told, since in self.controllers:
-            is_current = term[1] == self.revision
+        for vm, term, told in self.controllers:
+            deposed_at = self.deposed_at_by_revision.get(term[1], self.now)
             # A controller that has lost its lease believes in it for a while.
-            if is_current or self.now - since < leadership.LEASE_S:
+            if self.now - deposed_at < leadership.LEASE_S:
                 told.tick(
                     self.clock(vm),
                     link_by_node={
@@ -296,7 +300,7 @@
 
     def change(self, key):
         """Lets the controller change the owner of a range, if it may."""
-        vm, _, told, _ = self.controllers[-1]
+        vm, _, told = self.controllers[-1]
         if told.may_change("stock", *key, self.clock(vm)):
             self.fence += 1
             self.owners[key] += 1
@@ -324,13 +328,16 @@
         bus = Bus(seed)
         draw = bus.random
         bus.take_over(0)
+        calm_at = bus.now
         known = changes = 0
         for _ in range(400):
             if draw.random() < 0.02:
                 bus.late_s = draw.choice((0.0, 0.01, 0.5, 2.0, 6.0))
                 bus.lost = draw.choice((0.0, 0.0, 0.1, 0.6, 1.0))
-            if draw.random() < 0.01:
+            if draw.random() < (0.2 if bus.now < calm_at else 0.01):
+                # Controllers often follow each other soon.
                 bus.take_over(draw.randrange(bus.VMS))
+                calm_at = bus.now + 1.5
             if draw.random() < 0.01:
                 vm = draw.randrange(bus.VMS)
                 bus.vms[vm] = bus._known_maps(vm)
@@ -350,6 +357,24 @@
         assert changes
 
 
+class TestControllerThatWasADeputy:
+    """Guards against a controller that believes an earlier one which is late."""
+
+    def test_notice_of_an_earlier_term_is_not_used(self):
+        known = KnownMaps(node="a", process="p", highest_fence=lambda service: 9)
+        notice = MapNotice(
+            term=(1, 3),
+            number=1,
+            state_by_service={"stock": (9, [])},
+            receipt=("p", 10.0),
+        )
+        assert known.receive(notice, 10.1, era=1, may_extend=True) is not None
+        known.begin_term((1, 4))
+        assert known.receive(notice, 10.2, era=1, may_extend=True) is None
+        known.era_rose(2, 10.3)
+        assert not known.knows_owners(2)
+
+
 class TestMessages:
     """Guards against a notice that says something else after its way."""
 
