Let a controller without deputies move keys at once

With nobody to tell, a move waited for the next tick of the controller all the same, 0.1 s. TestMisdirected::test_new_owner_is_tried_immediately failed since: a draining owner's keys have to be served by another within 0.1 s by a single VM. A controller also waits for its first look at the other VMs now.

--- a/briarspoke/keyspace/deputies.py
+++ b/briarspoke/keyspace/deputies.py
@@ -96,8 +96,8 @@
         self._term = term
         self._earlier_end_at = earlier_end_at
         self._send = send
-        # VMs that may believe an earlier controller.
-        self._unconfirmed = frozenset()
+        # VMs that may believe an earlier controller, or None before the first tick.
+        self._unconfirmed = None
         # Names of the VMs that wrote the maps which this term has replaced.
         self._predecessor_by_service = {}
         self._number = 0
@@ -239,11 +239,11 @@
             self._number_by_range[key] = None
         number = self._number_by_range[key]
         predecessor = self._predecessor_by_service.get(service)
-        if number is None or self._unconfirmed - {predecessor}:
+        if self._unconfirmed is None or self._unconfirmed - {predecessor}:
             return False
         self._expire(now)
         return all(
-            self._receipt_by_node[node].number >= number
+            number is not None and self._receipt_by_node[node].number >= number
             for node in self._extended_at_by_node
         )
 
